Add the replicated log's state machine

Control needs a log that a majority agrees on. A member is its id together with the incarnation of its data folder; votes and acknowledgements of another incarnation are not counted, and a new folder takes its slot as a learner until it has caught up.

--- /dev/null
+++ b/src/consensus_view.c
@@ -0,0 +1,138 @@
+#include "consensus_state.h"
+
+#include <stdlib.h>
+
+const struct consensus_wire_entry *
+consensus_entry (const struct consensus *consensus, uint64_t index)
+{
+  return consensus_log_entry (consensus->log, index);
+}
+
+const struct consensus_wire_entry *
+consensus_next_applied (struct consensus *consensus)
+{
+  if (consensus->applied_index >= consensus->commit_index)
+    return NULL;
+  consensus->applied_index++;
+  return consensus_log_entry (consensus->log, consensus->applied_index);
+}
+
+GBytes *
+consensus_compact (struct consensus *consensus, const void *state,
+                   uint32_t bytes)
+{
+  struct consensus_wire_snapshot wire = { 0 };
+  XDR stream;
+  uint64_t configured_at = 0;
+  wire.log_index = consensus->applied_index;
+  wire.log_term = consensus_log_term (consensus->log, wire.log_index);
+  consensus_configuration_to_wire (
+      consensus_log_configuration_at (consensus->log, wire.log_index,
+                                      &configured_at),
+      &wire.configuration);
+  wire.configuration_index = configured_at;
+  wire.state.state_len = bytes;
+  wire.state.state_val = (char *)(uintptr_t)state;
+  u_int size
+      = (u_int)xdr_sizeof ((xdrproc_t)xdr_consensus_wire_snapshot, &wire);
+  char *data = g_malloc (size);
+  xdrmem_create (&stream, data, size, XDR_ENCODE);
+  xdr_consensus_wire_snapshot (&stream, &wire);
+  XDR_DESTROY (&stream);
+  wire.state.state_val = NULL;
+  xdr_free ((xdrproc_t)xdr_consensus_wire_snapshot, (char *)&wire);
+  GBytes *snapshot = g_bytes_new_take (data, size);
+  consensus_log_compact (consensus->log, consensus->applied_index, snapshot);
+  g_bytes_unref (snapshot);
+  return consensus_log_snapshot (consensus->log);
+}
+
+GBytes *
+consensus_snapshot (const struct consensus *consensus)
+{
+  return consensus_log_snapshot (consensus->log);
+}
+
+bool
+consensus_snapshot_decode (GBytes *snapshot,
+                           struct consensus_wire_snapshot *wire)
+{
+  XDR stream;
+  gsize bytes = 0;
+  const char *data = g_bytes_get_data (snapshot, &bytes);
+  xdrmem_create (&stream, (char *)(uintptr_t)data, (u_int)bytes, XDR_DECODE);
+  bool good = xdr_consensus_wire_snapshot (&stream, wire);
+  XDR_DESTROY (&stream);
+  return good;
+}
+
+bool
+consensus_is_leader (const struct consensus *consensus)
+{
+  return consensus->phase == CONSENSUS_LEADER;
+}
+
+bool
+consensus_is_ready (const struct consensus *consensus)
+{
+  return consensus->phase == CONSENSUS_LEADER
+         && consensus->commit_index >= consensus->term_start_index;
+}
+
+uint64_t
+consensus_leader (const struct consensus *consensus)
+{
+  return consensus->leader;
+}
+
+uint64_t
+consensus_term (const struct consensus *consensus)
+{
+  return consensus->vote.term;
+}
+
+uint64_t
+consensus_commit_index (const struct consensus *consensus)
+{
+  return consensus->commit_index;
+}
+
+uint64_t
+consensus_applied_index (const struct consensus *consensus)
+{
+  return consensus->applied_index;
+}
+
+uint64_t
+consensus_last_index (const struct consensus *consensus)
+{
+  return consensus_log_last (consensus->log);
+}
+
+uint64_t
+consensus_base_index (const struct consensus *consensus)
+{
+  return consensus_log_base (consensus->log);
+}
+
+const struct consensus_configuration *
+consensus_members (const struct consensus *consensus)
+{
+  return consensus_log_configuration (consensus->log);
+}
+
+uint64_t
+consensus_match_index (const struct consensus *consensus, uint64_t member_id)
+{
+  for (uint32_t i = 0; i < consensus->peer_count; i++)
+    if (consensus->peers[i].id == member_id)
+      return consensus->peers[i].match_index;
+  return member_id == consensus->options.member_id ? consensus->persisted_index
+                                                   : 0;
+}
+
+bool
+consensus_is_empty (const struct consensus *consensus)
+{
+  return consensus->vote.term == 0 && consensus_log_last (consensus->log) == 0;
+}
--- a/src/wire_consensus.h
+++ b/src/wire_consensus.h
@@ -18,6 +18,7 @@
 #define CONSENSUS_ENTRY_BYTES 9437184
 #define CONSENSUS_ENTRIES_MAX 1024
 #define CONSENSUS_SNAPSHOT_PIECE_BYTES 262144
+#define CONSENSUS_MEMBERS_MAX 16
 
 enum consensus_message_kind {
 	CONSENSUS_PRE_VOTE = 1,
@@ -29,6 +30,8 @@
 	CONSENSUS_SNAPSHOT = 7,
 	CONSENSUS_SNAPSHOT_ANSWER = 8,
 	CONSENSUS_TIMEOUT_NOW = 9,
+	CONSENSUS_HELLO = 10,
+	CONSENSUS_HELLO_ANSWER = 11,
 };
 typedef enum consensus_message_kind consensus_message_kind;
 
@@ -42,6 +45,68 @@
 	} data;
 };
 typedef struct consensus_wire_entry consensus_wire_entry;
+#define CONSENSUS_ENTRY_EMPTY 0
+#define CONSENSUS_ENTRY_COMMAND 1
+#define CONSENSUS_ENTRY_CONFIGURATION 2
+
+enum consensus_role {
+	CONSENSUS_LEARNER = 1,
+	CONSENSUS_REJOINING = 2,
+	CONSENSUS_VOTER = 3,
+};
+typedef enum consensus_role consensus_role;
+
+struct consensus_wire_member {
+	u_quad_t member_id;
+	u_quad_t incarnation;
+	consensus_role role;
+	wire_name address;
+	u_int port;
+};
+typedef struct consensus_wire_member consensus_wire_member;
+
+struct consensus_wire_configuration {
+	struct {
+		u_int members_len;
+		consensus_wire_member *members_val;
+	} members;
+};
+typedef struct consensus_wire_configuration consensus_wire_configuration;
+
+struct consensus_wire_vote {
+	u_quad_t term;
+	u_quad_t voted_member;
+	u_quad_t voted_incarnation;
+};
+typedef struct consensus_wire_vote consensus_wire_vote;
+
+struct consensus_wire_snapshot {
+	consensus_wire_vote vote;
+	u_quad_t log_index;
+	u_quad_t log_term;
+	u_quad_t configuration_index;
+	consensus_wire_configuration configuration;
+	struct {
+		u_int state_len;
+		char *state_val;
+	} state;
+};
+typedef struct consensus_wire_snapshot consensus_wire_snapshot;
+
+enum consensus_record_kind {
+	CONSENSUS_RECORD_VOTE = 1,
+	CONSENSUS_RECORD_ENTRY = 2,
+};
+typedef enum consensus_record_kind consensus_record_kind;
+
+struct consensus_wire_record {
+	consensus_record_kind kind;
+	union {
+		consensus_wire_vote vote;
+		consensus_wire_entry entry;
+	} consensus_wire_record_u;
+};
+typedef struct consensus_wire_record consensus_wire_record;
 
 struct consensus_wire_message {
 	consensus_message_kind kind;
@@ -49,6 +114,7 @@
 	u_quad_t from_member;
 	u_quad_t from_incarnation;
 	u_quad_t to_member;
+	u_quad_t to_incarnation;
 	u_quad_t term;
 	u_quad_t log_index;
 	u_quad_t log_term;
@@ -90,11 +156,25 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_consensus_message_kind (XDR *, consensus_message_kind*);
 extern  bool_t xdr_consensus_wire_entry (XDR *, consensus_wire_entry*);
+extern  bool_t xdr_consensus_role (XDR *, consensus_role*);
+extern  bool_t xdr_consensus_wire_member (XDR *, consensus_wire_member*);
+extern  bool_t xdr_consensus_wire_configuration (XDR *, consensus_wire_configuration*);
+extern  bool_t xdr_consensus_wire_vote (XDR *, consensus_wire_vote*);
+extern  bool_t xdr_consensus_wire_snapshot (XDR *, consensus_wire_snapshot*);
+extern  bool_t xdr_consensus_record_kind (XDR *, consensus_record_kind*);
+extern  bool_t xdr_consensus_wire_record (XDR *, consensus_wire_record*);
 extern  bool_t xdr_consensus_wire_message (XDR *, consensus_wire_message*);
 
 #else /* K&R C */
 extern bool_t xdr_consensus_message_kind ();
 extern bool_t xdr_consensus_wire_entry ();
+extern bool_t xdr_consensus_role ();
+extern bool_t xdr_consensus_wire_member ();
+extern bool_t xdr_consensus_wire_configuration ();
+extern bool_t xdr_consensus_wire_vote ();
+extern bool_t xdr_consensus_wire_snapshot ();
+extern bool_t xdr_consensus_record_kind ();
+extern bool_t xdr_consensus_wire_record ();
 extern bool_t xdr_consensus_wire_message ();
 
 #endif /* K&R C */
--- a/src/wire_consensus.x
+++ b/src/wire_consensus.x
@@ -5,6 +5,7 @@
 const CONSENSUS_ENTRY_BYTES = 9437184;
 const CONSENSUS_ENTRIES_MAX = 1024;
 const CONSENSUS_SNAPSHOT_PIECE_BYTES = 262144;
+const CONSENSUS_MEMBERS_MAX = 16;
 
 enum consensus_message_kind
 {
@@ -16,7 +17,10 @@
   CONSENSUS_APPEND_ANSWER = 6,
   CONSENSUS_SNAPSHOT = 7,
   CONSENSUS_SNAPSHOT_ANSWER = 8,
-  CONSENSUS_TIMEOUT_NOW = 9
+  CONSENSUS_TIMEOUT_NOW = 9,
+  /* A member without a leader tells the others who it is. */
+  CONSENSUS_HELLO = 10,
+  CONSENSUS_HELLO_ANSWER = 11
 };
 
 struct consensus_wire_entry
@@ -27,6 +31,70 @@
   opaque data<CONSENSUS_ENTRY_BYTES>;
 };
 
+/* Kinds of log entries. */
+const CONSENSUS_ENTRY_EMPTY = 0;
+const CONSENSUS_ENTRY_COMMAND = 1;
+const CONSENSUS_ENTRY_CONFIGURATION = 2;
+
+/* Roles of a member. */
+enum consensus_role
+{
+  CONSENSUS_LEARNER = 1,
+  /* A voter's slot with a new data folder: a learner that is promoted as soon
+     as it has caught up. */
+  CONSENSUS_REJOINING = 2,
+  CONSENSUS_VOTER = 3
+};
+
+struct consensus_wire_member
+{
+  unsigned hyper member_id;
+  unsigned hyper incarnation;   /* 0: not known yet */
+  consensus_role role;
+  wire_name address;
+  unsigned int port;
+};
+
+struct consensus_wire_configuration
+{
+  consensus_wire_member members<CONSENSUS_MEMBERS_MAX>;
+};
+
+/* What a member must not forget before it answers. */
+struct consensus_wire_vote
+{
+  unsigned hyper term;
+  unsigned hyper voted_member;
+  unsigned hyper voted_incarnation;
+};
+
+/* A snapshot, in a file or sent in pieces (then without the vote). */
+struct consensus_wire_snapshot
+{
+  consensus_wire_vote vote;
+  unsigned hyper log_index;
+  unsigned hyper log_term;
+  unsigned hyper configuration_index;
+  consensus_wire_configuration configuration;
+  opaque state<>;
+};
+
+enum consensus_record_kind
+{
+  CONSENSUS_RECORD_VOTE = 1,
+  CONSENSUS_RECORD_ENTRY = 2
+};
+
+/* A record of the log on disk; an entry replaces all entries from its index
+   on. */
+union consensus_wire_record switch (consensus_record_kind kind)
+{
+case CONSENSUS_RECORD_VOTE:
+  consensus_wire_vote vote;
+case CONSENSUS_RECORD_ENTRY:
+  consensus_wire_entry entry;
+};
+
 struct consensus_wire_message
 {
   consensus_message_kind kind;
@@ -34,6 +102,7 @@
   unsigned hyper from_member;
   unsigned hyper from_incarnation;
   unsigned hyper to_member;
+  unsigned hyper to_incarnation;   /* 0: any */
   unsigned hyper term;
   unsigned hyper log_index;
   unsigned hyper log_term;
--- a/src/wire_consensus_xdr.c
+++ b/src/wire_consensus_xdr.c
@@ -32,6 +32,111 @@
 	return TRUE;
 }
 
+bool_t
+xdr_consensus_role (XDR *xdrs, consensus_role *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_consensus_wire_member (XDR *xdrs, consensus_wire_member *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->member_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_consensus_role (xdrs, &objp->role))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_consensus_wire_configuration (XDR *xdrs, consensus_wire_configuration *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, CONSENSUS_MEMBERS_MAX,
+		sizeof (consensus_wire_member), (xdrproc_t) xdr_consensus_wire_member))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_consensus_wire_vote (XDR *xdrs, consensus_wire_vote *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->voted_member))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->voted_incarnation))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_consensus_wire_snapshot (XDR *xdrs, consensus_wire_snapshot *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_consensus_wire_vote (xdrs, &objp->vote))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->log_term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->configuration_index))
+		 return FALSE;
+	 if (!xdr_consensus_wire_configuration (xdrs, &objp->configuration))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, ~0))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_consensus_record_kind (XDR *xdrs, consensus_record_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_consensus_wire_record (XDR *xdrs, consensus_wire_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_consensus_record_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case CONSENSUS_RECORD_VOTE:
+		 if (!xdr_consensus_wire_vote (xdrs, &objp->consensus_wire_record_u.vote))
+			 return FALSE;
+		break;
+	case CONSENSUS_RECORD_ENTRY:
+		 if (!xdr_consensus_wire_entry (xdrs, &objp->consensus_wire_record_u.entry))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
 bool_t
 xdr_consensus_wire_message (XDR *xdrs, consensus_wire_message *objp)
 {
@@ -47,6 +152,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->to_member))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to_incarnation))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->log_index))
