--- a/src/consensus_configuration.c
+++ b/src/consensus_configuration.c
@@ -163,7 +163,7 @@
   struct consensus_wire_configuration wire = { 0 };
   XDR stream;
   int status = -1;
-  xdrmem_create (&stream, (char *)(uintptr_t)data, bytes, XDR_DECODE);
+  xdrmem_create (&stream, (char *)data, bytes, XDR_DECODE);
   if (xdr_consensus_wire_configuration (&stream, &wire))
     status = consensus_configuration_from_wire (configuration, &wire);
   XDR_DESTROY (&stream);
--- a/src/consensus_log.c
+++ b/src/consensus_log.c
@@ -148,7 +148,7 @@
   XDR stream;
   gsize bytes = 0;
   const char *data = g_bytes_get_data (snapshot, &bytes);
-  xdrmem_create (&stream, (char *)(uintptr_t)data, (u_int)bytes, XDR_DECODE);
+  xdrmem_create (&stream, (char *)data, (u_int)bytes, XDR_DECODE);
   bool good = xdr_consensus_wire_snapshot (&stream, &wire)
               && consensus_configuration_from_wire (&dated.configuration,
                                                     &wire.configuration)
--- a/src/consensus_membership.c
+++ b/src/consensus_membership.c
@@ -30,14 +30,15 @@
       = *consensus_log_configuration (consensus->log);
   struct consensus_member *known
       = consensus_configuration_find (&members, member->id);
-  if (remove && known)
-    consensus_configuration_remove (&members, member->id);
-  else if (remove)
+  if (remove ? !known
+             : !known && members.count >= CONSENSUS_MEMBERS_MAX)
     return false;
+  if (remove)
+    consensus_configuration_remove (&members, member->id);
   else if (known)
     *known = *member;
-  else if (!consensus_configuration_add (&members, member))
-    return false;
+  else
+    consensus_configuration_add (&members, member);
   return propose_members (consensus, &members);
 }
 
--- a/src/consensus_view.c
+++ b/src/consensus_view.c
@@ -32,7 +32,7 @@
       &wire.configuration);
   wire.configuration_index = configured_at;
   wire.state.state_len = bytes;
-  wire.state.state_val = (char *)(uintptr_t)state;
+  wire.state.state_val = (char *)state;
   u_int size
       = (u_int)xdr_sizeof ((xdrproc_t)xdr_consensus_wire_snapshot, &wire);
   char *data = g_malloc (size);
@@ -60,7 +60,7 @@
   XDR stream;
   gsize bytes = 0;
   const char *data = g_bytes_get_data (snapshot, &bytes);
-  xdrmem_create (&stream, (char *)(uintptr_t)data, (u_int)bytes, XDR_DECODE);
+  xdrmem_create (&stream, (char *)data, (u_int)bytes, XDR_DECODE);
   bool good = xdr_consensus_wire_snapshot (&stream, wire);
   XDR_DESTROY (&stream);
   return good;
