Add an address map, so that other zones can be reached through relays

Cause: links between zones have to be cut and slowed in trials with plain processes, and some networks reach other zones only through relays.

--- a/src/base_settings.c
+++ b/src/base_settings.c
@@ -7,6 +7,8 @@
 
 #include <glib.h>
 
+#include "base_address_map.h"
+
 #define VARIABLE_PREFIX "CACTUS_"
 
 /* Flags of every program, besides its own settings. */
@@ -14,6 +16,7 @@
 {
   gboolean version;
   gboolean check;
+  char *address_map;
 };
 
 static char *
@@ -179,11 +182,14 @@
 parse_flags (int argc, char **argv, const char *summary, GOptionEntry *entries,
              struct common_flags *common, struct base_findings *findings)
 {
-  GOptionEntry shared[] = { { "version", 0, 0, G_OPTION_ARG_NONE,
-                              &common->version, "Prints the version", NULL },
-                            { "check", 0, 0, G_OPTION_ARG_NONE, &common->check,
-                              "Checks the settings only", NULL },
-                            { 0 } };
+  GOptionEntry shared[]
+      = { { "version", 0, 0, G_OPTION_ARG_NONE, &common->version,
+            "Prints the version", NULL },
+          { "check", 0, 0, G_OPTION_ARG_NONE, &common->check,
+            "Checks the settings only", NULL },
+          { "address-map", 0, 0, G_OPTION_ARG_STRING, &common->address_map,
+            "Rewrites addresses before connecting", "PREFIX=PREFIX,..." },
+          { 0 } };
   GError *error = NULL;
   GOptionContext *context = g_option_context_new (NULL);
   g_option_context_set_summary (context, summary);
@@ -213,6 +219,17 @@
   return clean;
 }
 
+static void
+resolve_address_map (const struct common_flags *common,
+                     struct base_findings *findings)
+{
+  const char *variable = VARIABLE_PREFIX "ADDRESS_MAP";
+  if (common->address_map)
+    base_address_map_set (common->address_map, "--address-map", findings);
+  else if (getenv (variable))
+    base_address_map_set (getenv (variable), variable, findings);
+}
+
 enum base_settings_outcome
 base_settings_read (int argc, char **argv, const char *summary,
                     const struct base_setting *settings)
@@ -220,7 +237,7 @@
   size_t count = count_settings (settings);
   char **texts = g_new0 (char *, count + 1);
   gboolean *switches = g_new0 (gboolean, count + 1);
-  struct common_flags common = { FALSE, FALSE };
+  struct common_flags common = { FALSE, FALSE, NULL };
   struct base_findings *findings = base_findings_create ();
   enum base_settings_outcome outcome = BASE_SETTINGS_RUN;
   GOptionEntry *entries = make_entries (settings, texts, switches);
@@ -233,6 +250,8 @@
     }
   for (size_t i = 0; parsed && i < count; i++)
     resolve_setting (&settings[i], texts[i], switches[i], findings);
+  if (parsed)
+    resolve_address_map (&common, findings);
   if (base_findings_count (findings) > 0)
     {
       base_findings_print (findings, stderr);
@@ -246,6 +265,7 @@
 done:
   for (size_t i = 0; i < count; i++)
     g_free (texts[i]);
+  g_free (common.address_map);
   g_free (texts);
   g_free (switches);
   g_free (entries);
--- a/src/wire_client.c
+++ b/src/wire_client.c
@@ -13,6 +13,8 @@
 
 #include <glib.h>
 
+#include "base_address_map.h"
+
 struct wire_client
 {
   GMutex mutex;
@@ -26,11 +28,13 @@
 wire_client_create (const char *address, uint16_t port, uint32_t program,
                     uint32_t version)
 {
+  char mapped[16];
   struct wire_client *client = g_new0 (struct wire_client, 1);
   g_mutex_init (&client->mutex);
   client->address.sin_family = AF_INET;
   client->address.sin_port = htons (port);
-  inet_pton (AF_INET, address, &client->address.sin_addr);
+  base_address_map (address, mapped);
+  inet_pton (AF_INET, mapped, &client->address.sin_addr);
   client->program = program;
   client->version = version;
   return client;
