--- /dev/null
+++ b/tools/fleet_process.c
@@ -0,0 +1,223 @@
+#include "fleet_process.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "base_clock.h"
+
+#define POLL_US 2000
+
+extern char **environ;
+
+struct fleet_process
+{
+  char *name;
+  char **arguments;
+  char *log_path;
+  char *ready_path;
+  pid_t id;
+  int status;
+  uint16_t rpc_port;
+  uint16_t http_port;
+};
+
+const char *
+fleet_binaries (void)
+{
+  const char *folder = getenv ("CACTUS_BIN");
+  return folder ? folder : "build/bin";
+}
+
+uint16_t
+fleet_free_port (const char *address)
+{
+  struct sockaddr_in name = { .sin_family = AF_INET };
+  socklen_t length = sizeof name;
+  uint16_t port = 0;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return 0;
+  if (inet_pton (AF_INET, address, &name.sin_addr) == 1
+      && bind (fd, (struct sockaddr *)&name, sizeof name) == 0
+      && getsockname (fd, (struct sockaddr *)&name, &length) == 0)
+    port = ntohs (name.sin_port);
+  close (fd);
+  return port;
+}
+
+struct fleet_process *
+fleet_process_create (const char *name, const char *program,
+                      const char *const *arguments, const char *folder)
+{
+  struct fleet_process *process = g_new0 (struct fleet_process, 1);
+  GPtrArray *list = g_ptr_array_new ();
+  process->name = g_strdup (name);
+  process->log_path = g_strdup_printf ("%s/%s.log", folder, name);
+  process->ready_path = g_strdup_printf ("%s/%s.ready", folder, name);
+  g_ptr_array_add (list, g_build_filename (fleet_binaries (), program, NULL));
+  for (const char *const *argument = arguments; *argument; argument++)
+    g_ptr_array_add (list, g_strdup (*argument));
+  g_ptr_array_add (list, g_strdup ("--ready-file"));
+  g_ptr_array_add (list, g_strdup (process->ready_path));
+  g_ptr_array_add (list, NULL);
+  process->arguments = (char **)g_ptr_array_free (list, FALSE);
+  return process;
+}
+
+void
+fleet_process_destroy (struct fleet_process *process)
+{
+  if (!process)
+    return;
+  fleet_process_kill (process);
+  g_free (process->name);
+  g_strfreev (process->arguments);
+  g_free (process->log_path);
+  g_free (process->ready_path);
+  g_free (process);
+}
+
+int
+fleet_process_start (struct fleet_process *process)
+{
+  posix_spawn_file_actions_t actions;
+  g_return_val_if_fail (process->id == 0, -1);
+  unlink (process->ready_path);
+  process->rpc_port = 0;
+  process->http_port = 0;
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_addopen (&actions, STDIN_FILENO, "/dev/null",
+                                    O_RDONLY, 0);
+  posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, process->log_path,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2 (&actions, STDOUT_FILENO, STDERR_FILENO);
+  int error = posix_spawn (&process->id, process->arguments[0], &actions, NULL,
+                           process->arguments, environ);
+  posix_spawn_file_actions_destroy (&actions);
+  if (error == 0)
+    return 0;
+  process->id = 0;
+  errno = error;
+  return -1;
+}
+
+/* Reads the ready file; false while it isn't there. */
+static bool
+read_ready (struct fleet_process *process)
+{
+  json_t *ready = json_load_file (process->ready_path, 0, NULL);
+  if (!ready)
+    return false;
+  json_t *rpc_port = json_object_get (ready, "rpc_port");
+  json_t *http_port = json_object_get (ready, "http_port");
+  process->rpc_port = (uint16_t)json_integer_value (rpc_port);
+  process->http_port = (uint16_t)json_integer_value (http_port);
+  json_decref (ready);
+  return true;
+}
+
+/* Takes in the end of the process, if it ended. */
+static void
+reap (struct fleet_process *process)
+{
+  int status;
+  if (process->id == 0 || waitpid (process->id, &status, WNOHANG) <= 0)
+    return;
+  process->id = 0;
+  process->status
+      = WIFEXITED (status) ? WEXITSTATUS (status) : 128 + WTERMSIG (status);
+}
+
+static uint64_t
+now_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
+bool
+fleet_process_wait_ready (struct fleet_process *process, uint32_t limit_ms)
+{
+  uint64_t end_ms = now_ms () + limit_ms;
+  while (now_ms () < end_ms && fleet_process_running (process))
+    {
+      if (read_ready (process))
+        return true;
+      g_usleep (POLL_US);
+    }
+  return false;
+}
+
+bool
+fleet_process_signal (struct fleet_process *process, int signal_number)
+{
+  reap (process);
+  return process->id != 0 && kill (process->id, signal_number) == 0;
+}
+
+int
+fleet_process_wait (struct fleet_process *process, uint32_t limit_ms)
+{
+  uint64_t end_ms = now_ms () + limit_ms;
+  while (fleet_process_running (process))
+    {
+      if (now_ms () >= end_ms)
+        return -1;
+      g_usleep (POLL_US);
+    }
+  return process->status;
+}
+
+void
+fleet_process_kill (struct fleet_process *process)
+{
+  int status;
+  reap (process);
+  if (process->id == 0)
+    return;
+  kill (process->id, SIGKILL);
+  waitpid (process->id, &status, 0);
+  process->id = 0;
+  process->status = 128 + SIGKILL;
+}
+
+bool
+fleet_process_running (struct fleet_process *process)
+{
+  reap (process);
+  return process->id != 0;
+}
+
+pid_t
+fleet_process_id (const struct fleet_process *process)
+{
+  return process->id;
+}
+
+const char *
+fleet_process_name (const struct fleet_process *process)
+{
+  return process->name;
+}
+
+uint16_t
+fleet_process_rpc_port (const struct fleet_process *process)
+{
+  return process->rpc_port;
+}
+
+uint16_t
+fleet_process_http_port (const struct fleet_process *process)
+{
+  return process->http_port;
+}
