Add link_relay, the stand-in for a link between zones

Cause: cuts between zones have to be caused on loopback with plain processes. Change: a TCP relay with delay, bandwidth and a silent cut, run in-process.

--- /dev/null
+++ b/tools/link_relay.c
@@ -0,0 +1,402 @@
+#include "link_relay.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base_clock.h"
+
+#define READ_BYTES 16384
+/* Bytes held for one way of a connection before reading stops. */
+#define HELD_BYTES_MAX (256u * 1024)
+#define TICK_MS 5
+#define IDLE_MS 100
+#define LISTEN_BACKLOG 128
+
+/* Bytes on their way, to be written at due_us. */
+struct link_chunk
+{
+  uint64_t due_us;
+  size_t sent;
+  GByteArray *bytes;
+};
+
+/* One way of a connection. */
+struct link_way
+{
+  int from_fd;
+  int to_fd;
+  GQueue chunks;
+  size_t held_bytes;
+  bool ended;
+  bool shut;
+};
+
+struct link_connection
+{
+  struct link_way forth;
+  struct link_way back;
+  bool failed;
+};
+
+struct link_listener
+{
+  int fd;
+  struct sockaddr_in to;
+};
+
+struct link_relay
+{
+  GMutex mutex;
+  GArray *listeners;
+  GPtrArray *connections;
+  GArray *poll_set;
+  GThread *thread;
+  int wake_fd;
+  atomic_bool stopping;
+  atomic_bool cut;
+  _Atomic uint32_t delay_ms;
+  _Atomic uint64_t bytes_per_s;
+  _Atomic uint64_t total_bytes;
+  /* Bytes that each way may send now, and when that was worked out. */
+  double allowance[2];
+  uint64_t allowance_us;
+};
+
+static uint64_t
+now_us (void)
+{
+  return base_clock_now_us (base_clock_system ());
+}
+
+static void
+free_chunk (gpointer data)
+{
+  struct link_chunk *chunk = data;
+  g_byte_array_unref (chunk->bytes);
+  g_free (chunk);
+}
+
+static void
+free_connection (gpointer data)
+{
+  struct link_connection *connection = data;
+  g_queue_clear_full (&connection->forth.chunks, free_chunk);
+  g_queue_clear_full (&connection->back.chunks, free_chunk);
+  close (connection->forth.from_fd);
+  close (connection->forth.to_fd);
+  g_free (connection);
+}
+
+static void
+init_way (struct link_way *way, int from_fd, int to_fd)
+{
+  way->from_fd = from_fd;
+  way->to_fd = to_fd;
+  g_queue_init (&way->chunks);
+}
+
+static void
+accept_connection (struct link_relay *relay,
+                   const struct link_listener *listener)
+{
+  int caller
+      = accept4 (listener->fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  if (caller < 0)
+    return;
+  int server = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const struct sockaddr *to = (const struct sockaddr *)&listener->to;
+  if (server < 0 || connect (server, to, sizeof listener->to) != 0)
+    {
+      if (server >= 0)
+        close (server);
+      close (caller);
+      return;
+    }
+  fcntl (server, F_SETFL, fcntl (server, F_GETFL) | O_NONBLOCK);
+  struct link_connection *connection = g_new0 (struct link_connection, 1);
+  init_way (&connection->forth, caller, server);
+  init_way (&connection->back, server, caller);
+  g_ptr_array_add (relay->connections, connection);
+}
+
+static bool
+read_way (struct link_relay *relay, struct link_way *way)
+{
+  guint8 buffer[READ_BYTES];
+  if (way->ended || way->held_bytes >= HELD_BYTES_MAX)
+    return true;
+  ssize_t got = recv (way->from_fd, buffer, sizeof buffer, MSG_DONTWAIT);
+  if (got < 0)
+    return errno == EAGAIN || errno == EINTR;
+  if (got == 0)
+    {
+      way->ended = true;
+      return true;
+    }
+  struct link_chunk *chunk = g_new0 (struct link_chunk, 1);
+  chunk->due_us = now_us () + atomic_load (&relay->delay_ms) * UINT64_C (1000);
+  chunk->bytes = g_byte_array_new ();
+  g_byte_array_append (chunk->bytes, buffer, (guint)got);
+  g_queue_push_tail (&way->chunks, chunk);
+  way->held_bytes += (size_t)got;
+  return true;
+}
+
+/* Writes what is due and allowed; false when the connection failed. */
+static bool
+write_way (struct link_relay *relay, struct link_way *way, double *allowance)
+{
+  struct link_chunk *chunk;
+  uint64_t now = now_us ();
+  bool limited = atomic_load (&relay->bytes_per_s) != 0;
+  while ((chunk = g_queue_peek_head (&way->chunks)) && chunk->due_us <= now)
+    {
+      size_t left = chunk->bytes->len - chunk->sent;
+      if (limited && *allowance < (double)left)
+        left = *allowance < 1 ? 0 : (size_t)*allowance;
+      if (left == 0)
+        return true;
+      ssize_t put = send (way->to_fd, chunk->bytes->data + chunk->sent, left,
+                          MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (put < 0)
+        return errno == EAGAIN || errno == EINTR;
+      chunk->sent += (size_t)put;
+      way->held_bytes -= (size_t)put;
+      *allowance -= (double)put;
+      atomic_fetch_add (&relay->total_bytes, (uint64_t)put);
+      if (chunk->sent == chunk->bytes->len)
+        free_chunk (g_queue_pop_head (&way->chunks));
+    }
+  if (way->ended && !chunk && !way->shut)
+    {
+      shutdown (way->to_fd, SHUT_WR);
+      way->shut = true;
+    }
+  return true;
+}
+
+static void
+refill_allowance (struct link_relay *relay)
+{
+  uint64_t now = now_us ();
+  double rate = (double)atomic_load (&relay->bytes_per_s);
+  double gained = rate * (double)(now - relay->allowance_us) / 1e6;
+  relay->allowance_us = now;
+  for (int i = 0; i < 2; i++)
+    relay->allowance[i] = MIN (relay->allowance[i] + gained, rate / 10 + 1);
+}
+
+static void
+move_bytes (struct link_relay *relay)
+{
+  refill_allowance (relay);
+  for (guint i = 0; i < relay->connections->len; i++)
+    {
+      struct link_connection *connection = relay->connections->pdata[i];
+      connection->failed
+          = !read_way (relay, &connection->forth)
+            || !read_way (relay, &connection->back)
+            || !write_way (relay, &connection->forth, &relay->allowance[0])
+            || !write_way (relay, &connection->back, &relay->allowance[1]);
+    }
+  for (guint i = relay->connections->len; i > 0; i--)
+    {
+      struct link_connection *connection = relay->connections->pdata[i - 1];
+      if (connection->failed
+          || (connection->forth.shut && connection->back.shut))
+        g_ptr_array_remove_index_fast (relay->connections, i - 1);
+    }
+}
+
+static void
+add_poll (struct link_relay *relay, int fd)
+{
+  struct pollfd entry = { .fd = fd, .events = POLLIN };
+  g_array_append_val (relay->poll_set, entry);
+}
+
+static void
+add_way_poll (struct link_relay *relay, const struct link_way *way)
+{
+  if (!way->ended && way->held_bytes < HELD_BYTES_MAX)
+    add_poll (relay, way->from_fd);
+}
+
+/* Collects what to wait for; whether bytes are held that fall due later. */
+static bool
+fill_poll_set (struct link_relay *relay, bool cut)
+{
+  bool holding = false;
+  g_array_set_size (relay->poll_set, 0);
+  add_poll (relay, relay->wake_fd);
+  for (guint i = 0; !cut && i < relay->listeners->len; i++)
+    add_poll (relay,
+              g_array_index (relay->listeners, struct link_listener, i).fd);
+  for (guint i = 0; !cut && i < relay->connections->len; i++)
+    {
+      const struct link_connection *connection = relay->connections->pdata[i];
+      add_way_poll (relay, &connection->forth);
+      add_way_poll (relay, &connection->back);
+      holding
+          |= connection->forth.held_bytes + connection->back.held_bytes > 0;
+    }
+  return holding;
+}
+
+static void
+wait_for_work (struct link_relay *relay, bool holding)
+{
+  struct pollfd *set = (struct pollfd *)relay->poll_set->data;
+  poll (set, relay->poll_set->len, holding ? TICK_MS : IDLE_MS);
+  if (set[0].revents)
+    {
+      uint64_t count;
+      ssize_t got = read (relay->wake_fd, &count, sizeof count);
+      (void)got;
+    }
+}
+
+static void
+accept_all (struct link_relay *relay)
+{
+  for (guint i = 0; i < relay->listeners->len; i++)
+    {
+      const struct link_listener *listener
+          = &g_array_index (relay->listeners, struct link_listener, i);
+      struct pollfd ready = { .fd = listener->fd, .events = POLLIN };
+      while (poll (&ready, 1, 0) == 1)
+        accept_connection (relay, listener);
+    }
+}
+
+static gpointer
+run_relay (gpointer data)
+{
+  struct link_relay *relay = data;
+  while (!atomic_load (&relay->stopping))
+    {
+      bool cut = atomic_load (&relay->cut);
+      g_mutex_lock (&relay->mutex);
+      if (!cut)
+        {
+          accept_all (relay);
+          move_bytes (relay);
+        }
+      bool holding = fill_poll_set (relay, cut);
+      g_mutex_unlock (&relay->mutex);
+      wait_for_work (relay, holding);
+    }
+  return NULL;
+}
+
+static void
+wake (struct link_relay *relay)
+{
+  uint64_t one = 1;
+  ssize_t put = write (relay->wake_fd, &one, sizeof one);
+  (void)put;
+}
+
+struct link_relay *
+link_relay_create (void)
+{
+  struct link_relay *relay = g_new0 (struct link_relay, 1);
+  g_mutex_init (&relay->mutex);
+  relay->listeners = g_array_new (FALSE, FALSE, sizeof (struct link_listener));
+  relay->connections = g_ptr_array_new_with_free_func (free_connection);
+  relay->poll_set = g_array_new (FALSE, TRUE, sizeof (struct pollfd));
+  relay->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+  relay->allowance_us = now_us ();
+  relay->thread = g_thread_new ("link", run_relay, relay);
+  return relay;
+}
+
+void
+link_relay_destroy (struct link_relay *relay)
+{
+  if (!relay)
+    return;
+  atomic_store (&relay->stopping, true);
+  wake (relay);
+  g_thread_join (relay->thread);
+  for (guint i = 0; i < relay->listeners->len; i++)
+    close (g_array_index (relay->listeners, struct link_listener, i).fd);
+  g_array_unref (relay->listeners);
+  g_ptr_array_unref (relay->connections);
+  g_array_unref (relay->poll_set);
+  close (relay->wake_fd);
+  g_mutex_clear (&relay->mutex);
+  g_free (relay);
+}
+
+static int
+listen_on (const char *address, uint16_t port)
+{
+  int yes = 1;
+  struct sockaddr_in name
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  if (inet_pton (AF_INET, address, &name.sin_addr) == 1
+      && bind (fd, (struct sockaddr *)&name, sizeof name) == 0
+      && listen (fd, LISTEN_BACKLOG) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+uint16_t
+link_relay_add (struct link_relay *relay, const char *listen_address,
+                uint16_t listen_port, const char *to_address, uint16_t to_port)
+{
+  struct sockaddr_in name = { 0 };
+  socklen_t length = sizeof name;
+  struct link_listener listener
+      = { .fd = listen_on (listen_address, listen_port),
+          .to = { .sin_family = AF_INET, .sin_port = htons (to_port) } };
+  if (listener.fd < 0)
+    return 0;
+  inet_pton (AF_INET, to_address, &listener.to.sin_addr);
+  getsockname (listener.fd, (struct sockaddr *)&name, &length);
+  g_mutex_lock (&relay->mutex);
+  g_array_append_val (relay->listeners, listener);
+  g_mutex_unlock (&relay->mutex);
+  wake (relay);
+  return ntohs (name.sin_port);
+}
+
+void
+link_relay_set_delay (struct link_relay *relay, uint32_t delay_ms)
+{
+  atomic_store (&relay->delay_ms, delay_ms);
+}
+
+void
+link_relay_set_bandwidth (struct link_relay *relay, uint64_t bytes_per_s)
+{
+  atomic_store (&relay->bytes_per_s, bytes_per_s);
+}
+
+void
+link_relay_set_cut (struct link_relay *relay, bool cut)
+{
+  atomic_store (&relay->cut, cut);
+  wake (relay);
+}
+
+uint64_t
+link_relay_bytes (const struct link_relay *relay)
+{
+  return atomic_load (&relay->total_bytes);
+}
