Add the pool of prepaid budgets at control

Cause: the replicated log needs a deterministic state for top-ups, grants and returns. A recall of 0 tokens says that nothing is left in reach.

--- /dev/null
+++ b/src/escrow_pool.c
@@ -0,0 +1,303 @@
+#include "escrow_pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base_hash.h"
+#include "escrow_policy.h"
+#include "escrow_pool_state.h"
+
+/* Largest total of one budget, so that sums never overflow. */
+#define BUDGET_TOKENS_MAX (UINT64_C (1) << 60)
+
+static void
+answer (struct control_answer *result, enum control_status status,
+        const char *text)
+{
+  result->status = status;
+  result->leader_address = g_strdup ("");
+  result->text = g_strdup (text);
+}
+
+static uint64_t
+top_up_content (const struct control_top_up_args *args)
+{
+  uint64_t content[2]
+      = { base_budget_id (args->account, args->budget), args->tokens };
+  return base_hash64 (content, sizeof content);
+}
+
+static const char *
+refuse_top_up (const struct escrow_pool *pool,
+               const struct control_top_up_args *args)
+{
+  if (!args->top_up_id[0] || !args->account[0] || !args->budget[0])
+    return "a top-up needs an id, an account and a budget";
+  if (args->tokens == 0)
+    return "a top-up needs tokens";
+  struct pool_budget *budget
+      = pool_budget_find (pool, base_budget_id (args->account, args->budget));
+  uint64_t before = budget ? budget->topped_up_tokens : 0;
+  if (args->tokens > BUDGET_TOKENS_MAX - before)
+    return "the budget would be too large";
+  return NULL;
+}
+
+/* Answers a top-up whose id was accepted before. */
+static void
+answer_again (const struct pool_top_up *top_up,
+              const struct control_top_up_args *args,
+              struct control_top_up_result *result)
+{
+  if (top_up->content_hash != top_up_content (args))
+    {
+      answer (&result->answer, CONTROL_CONFLICT,
+              "the id was used for another top-up");
+      return;
+    }
+  answer (&result->answer, CONTROL_OK, "");
+  result->topped_up_tokens = top_up->topped_up_tokens;
+  result->unallocated_tokens = top_up->unallocated_tokens;
+}
+
+void
+escrow_pool_top_up (struct escrow_pool *pool,
+                    const struct control_top_up_args *args, uint64_t now_ms,
+                    struct control_top_up_result *result)
+{
+  memset (result, 0, sizeof *result);
+  struct pool_top_up *known
+      = g_hash_table_lookup (pool->top_ups, args->top_up_id);
+  if (known)
+    {
+      answer_again (known, args, result);
+      return;
+    }
+  const char *refusal = refuse_top_up (pool, args);
+  if (refusal)
+    {
+      answer (&result->answer, CONTROL_REFUSED, refusal);
+      return;
+    }
+  struct pool_budget *budget
+      = pool_budget_need (pool, base_budget_id (args->account, args->budget));
+  budget->topped_up_tokens += args->tokens;
+  budget->unallocated_tokens += args->tokens;
+  answer (&result->answer, CONTROL_OK, "");
+  result->topped_up_tokens = budget->topped_up_tokens;
+  result->unallocated_tokens = budget->unallocated_tokens;
+  pool_top_up_add (pool, g_strdup (args->top_up_id), top_up_content (args),
+                   result->topped_up_tokens, result->unallocated_tokens);
+  escrow_policy_topped_up (pool, budget, args->tokens, now_ms);
+}
+
+/* Number of the ledger incarnation that speaks, or -1 when it is fenced.  An
+   incarnation never heard of fences those of the same name. */
+static int64_t
+admit_ledger (struct escrow_pool *pool, const char *name, uint64_t incarnation)
+{
+  for (uint32_t i = 0; i < pool->ledgers->len; i++)
+    {
+      struct pool_ledger *ledger = pool_ledger_at (pool, i);
+      if (ledger->incarnation == incarnation
+          && g_str_equal (ledger->name, name))
+        return ledger->fenced ? -1 : (int64_t)i;
+    }
+  for (uint32_t i = 0; i < pool->ledgers->len; i++)
+    {
+      struct pool_ledger *ledger = pool_ledger_at (pool, i);
+      if (g_str_equal (ledger->name, name))
+        ledger->fenced = true;
+    }
+  return pool_ledger_add (pool, name, incarnation);
+}
+
+static void
+take_returns (struct escrow_pool *pool, uint32_t number,
+              const struct control_ledger_args *args, uint64_t now_ms)
+{
+  struct pool_ledger *ledger = pool_ledger_at (pool, number);
+  for (u_int i = 0; i < args->returns.returns_len; i++)
+    {
+      const struct control_transfer *back = &args->returns.returns_val[i];
+      if (back->sequence != ledger->return_ack_sequence + 1)
+        continue;
+      ledger->return_ack_sequence = back->sequence;
+      struct pool_budget *budget = pool_budget_find (pool, back->budget_id);
+      struct pool_share *share
+          = budget ? pool_share_find (budget, number) : NULL;
+      if (!share
+          || back->tokens > share->granted_tokens - share->returned_tokens)
+        continue;
+      share->returned_tokens += back->tokens;
+      budget->unallocated_tokens += back->tokens;
+      escrow_policy_serve_wants (pool, budget, now_ms);
+    }
+}
+
+static void
+drop_acknowledged (struct escrow_pool *pool, uint32_t number,
+                   uint64_t grant_ack_sequence)
+{
+  struct pool_ledger *ledger = pool_ledger_at (pool, number);
+  guint count = 0;
+  if (grant_ack_sequence > ledger->granted_sequence)
+    return;
+  while (count < ledger->grants->len)
+    {
+      struct control_transfer *grant
+          = &g_array_index (ledger->grants, struct control_transfer, count);
+      if (grant->sequence > grant_ack_sequence)
+        break;
+      struct pool_budget *budget = pool_budget_find (pool, grant->budget_id);
+      pool_share_find (budget, number)->in_flight_tokens -= grant->tokens;
+      count++;
+    }
+  g_array_remove_range (ledger->grants, 0, count);
+  ledger->grant_ack_sequence
+      = MAX (ledger->grant_ack_sequence, grant_ack_sequence);
+}
+
+/* Takes one report; true when control has nothing more for the ledger. */
+static bool
+take_demand (struct escrow_pool *pool, uint32_t number,
+             const struct control_demand *demand, uint64_t now_ms)
+{
+  struct pool_budget *budget = pool_budget_find (pool, demand->budget_id);
+  if (!budget)
+    return demand->want_tokens > 0;
+  struct pool_share *share = pool_share_need (budget, number);
+  uint64_t coming = share->in_flight_tokens;
+  share->want_tokens
+      = demand->want_tokens > coming ? demand->want_tokens - coming : 0;
+  share->free_tokens = demand->free_tokens;
+  share->reserved_tokens = demand->reserved_tokens;
+  share->spent_tokens = demand->spent_tokens;
+  share->written_off_tokens = demand->written_off_tokens;
+  share->spend_rate_tokens = demand->spend_rate_tokens;
+  share->reported_at_ms = now_ms;
+  return escrow_policy_reported (pool, budget, number, now_ms)
+         && share->want_tokens > 0;
+}
+
+static void
+add_recall (struct control_ledger_result *result, uint64_t budget_id,
+            uint64_t tokens)
+{
+  if (result->recalls.recalls_len >= CONTROL_BATCH_MAX)
+    return;
+  struct control_recall *recall
+      = &result->recalls.recalls_val[result->recalls.recalls_len++];
+  recall->budget_id = budget_id;
+  recall->tokens = tokens;
+}
+
+static void
+send_recalls (struct escrow_pool *pool, uint32_t number,
+              struct control_ledger_result *result)
+{
+  struct pool_ledger *ledger = pool_ledger_at (pool, number);
+  guint room = CONTROL_BATCH_MAX - result->recalls.recalls_len;
+  guint count = MIN (ledger->recalls->len, room);
+  for (guint i = 0; i < count; i++)
+    {
+      uint64_t budget_id = g_array_index (ledger->recalls, uint64_t, i);
+      struct pool_budget *budget = pool_budget_find (pool, budget_id);
+      struct pool_share *share = pool_share_find (budget, number);
+      add_recall (result, budget_id, share->recall_tokens);
+      share->recall_tokens = 0;
+    }
+  g_array_remove_range (ledger->recalls, 0, count);
+}
+
+static void
+send_grants (const struct pool_ledger *ledger,
+             struct control_ledger_result *result)
+{
+  guint count = MIN (ledger->grants->len, CONTROL_BATCH_MAX);
+  result->grants.grants_len = count;
+  if (count == 0)
+    return;
+  size_t bytes = count * sizeof (struct control_transfer);
+  result->grants.grants_val = malloc (bytes);
+  g_assert (result->grants.grants_val);
+  memcpy (result->grants.grants_val, ledger->grants->data, bytes);
+}
+
+void
+escrow_pool_exchange (struct escrow_pool *pool,
+                      const struct control_ledger_args *args, uint64_t now_ms,
+                      struct control_ledger_result *result)
+{
+  memset (result, 0, sizeof *result);
+  int64_t admitted = admit_ledger (pool, args->ledger, args->incarnation);
+  if (admitted < 0)
+    {
+      answer (&result->answer, CONTROL_FENCED,
+              "a newer incarnation of the ledger took over");
+      return;
+    }
+  uint32_t number = (uint32_t)admitted;
+  struct pool_ledger *ledger = pool_ledger_at (pool, number);
+  answer (&result->answer, CONTROL_OK, "");
+  ledger->exchanged_at_ms = MAX (ledger->exchanged_at_ms, now_ms);
+  drop_acknowledged (pool, number, args->grant_ack_sequence);
+  take_returns (pool, number, args, now_ms);
+  result->recalls.recalls_val
+      = calloc (CONTROL_BATCH_MAX, sizeof (struct control_recall));
+  g_assert (result->recalls.recalls_val);
+  for (u_int i = 0; i < args->demands.demands_len; i++)
+    {
+      const struct control_demand *demand = &args->demands.demands_val[i];
+      if (take_demand (pool, number, demand, now_ms))
+        add_recall (result, demand->budget_id, 0);
+    }
+  result->return_ack_sequence = ledger->return_ack_sequence;
+  send_recalls (pool, number, result);
+  send_grants (ledger, result);
+}
+
+void
+escrow_pool_budget (struct escrow_pool *pool, uint64_t budget_id,
+                    struct control_budget_result *result)
+{
+  memset (result, 0, sizeof *result);
+  struct pool_budget *budget = pool_budget_find (pool, budget_id);
+  if (!budget)
+    {
+      answer (&result->answer, CONTROL_NOT_FOUND, "no such budget");
+      return;
+    }
+  answer (&result->answer, CONTROL_OK, "");
+  result->budget_id = budget_id;
+  result->topped_up_tokens = budget->topped_up_tokens;
+  result->unallocated_tokens = budget->unallocated_tokens;
+  u_int count = MIN (budget->share_count, WIRE_PEERS_MAX);
+  result->shares.shares_len = count;
+  if (count == 0)
+    return;
+  result->shares.shares_val = calloc (count, sizeof (struct control_share));
+  g_assert (result->shares.shares_val);
+  for (u_int i = 0; i < count; i++)
+    {
+      const struct pool_share *share = &budget->shares[i];
+      struct pool_ledger *ledger = pool_ledger_at (pool, share->ledger);
+      struct control_share *shown = &result->shares.shares_val[i];
+      shown->ledger = strdup (ledger->name);
+      shown->incarnation = ledger->incarnation;
+      shown->granted_tokens = share->granted_tokens;
+      shown->returned_tokens = share->returned_tokens;
+      shown->free_tokens = share->free_tokens;
+      shown->reserved_tokens = share->reserved_tokens;
+      shown->spent_tokens = share->spent_tokens;
+      shown->written_off_tokens = share->written_off_tokens;
+      shown->reported_at_ms = share->reported_at_ms;
+      if (ledger->fenced)
+        {
+          uint64_t held = share->granted_tokens - share->returned_tokens;
+          shown->free_tokens = 0;
+          shown->reserved_tokens = 0;
+          shown->written_off_tokens = held - MIN (held, share->spent_tokens);
+        }
+    }
+}
