--- /dev/null
+++ b/src/control_session.c
@@ -0,0 +1,278 @@
+/** @file
+ *  A process's session with control. */
+
+#include "control_session.h"
+
+#include <errno.h>
+
+#include <stdatomic.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base_clock.h"
+#include "base_log.h"
+#include "control_session_cache.h"
+
+#define SYNC_TIMEOUT_MS 2000
+
+struct control_session
+{
+  struct control_client *client;
+  struct control_session_user *user;
+  char *cluster;
+  char *cache_path;
+  struct wire_process process;
+  uint64_t peers_digest;
+  /** Set when a difference did not fit: the whole document is asked for. */
+  bool want_whole;
+  /** Status of the last answer, to log changes only. */
+  enum control_status last_status;
+  /** Bundle in force; written on the session's thread only. */
+  struct bundle *bundle;
+  atomic_uint_least64_t version;
+  /** Until when control's answer holds (monotonic), in milliseconds. */
+  atomic_uint_least64_t lease_end_ms;
+  GMutex mutex;
+  GCond wake;
+  /** Newest bundle offered by a peer; guarded by the mutex. */
+  struct bundle *offered;
+  bool stopping;
+  GThread *thread;
+};
+
+/* Takes the reference.  The cache goes first: what was in force once is in
+   force after a restart. */
+static void
+install (struct control_session *session, struct bundle *bundle)
+{
+  if (bundle_version (bundle) <= atomic_load (&session->version))
+    {
+      bundle_unref (bundle);
+      return;
+    }
+  if (session->cache_path
+      && control_session_cache_write (session->cache_path, bundle) != 0)
+    base_log (BASE_LOG_ERROR, "bundle-cache-not-written path=%s error=%s",
+              session->cache_path, g_strerror (errno));
+  bundle_unref (session->bundle);
+  session->bundle = bundle;
+  atomic_store (&session->version, bundle_version (bundle));
+  base_log (BASE_LOG_NOTICE, "bundle-in-force version=%lu",
+            (unsigned long)bundle_version (bundle));
+  if (session->user && session->user->bundle)
+    session->user->bundle (session->user, bundle);
+}
+
+static struct bundle *
+decode_bundle (struct control_session *session,
+               const struct control_sync_result *result)
+{
+  struct base_findings *findings = base_findings_create ();
+  const char *document = result->document.document_val;
+  size_t bytes = result->document.document_len;
+  struct bundle *bundle
+      = result->full
+            ? bundle_read (document, bytes, findings)
+            : bundle_apply (session->bundle, document, bytes, findings);
+  session->want_whole = !bundle;
+  if (!bundle)
+    base_log (BASE_LOG_WARNING,
+              "bundle-change-not-applied version=%lu whole=%d finding=\"%s: "
+              "%s\"",
+              (unsigned long)result->new_version, (int)result->full,
+              base_findings_place (findings, 0),
+              base_findings_text (findings, 0));
+  base_findings_destroy (findings);
+  return bundle;
+}
+
+static void
+take_bundle (struct control_session *session,
+             const struct control_sync_result *result)
+{
+  if (result->new_version <= atomic_load (&session->version)
+      || result->document.document_len == 0)
+    return;
+  struct bundle *bundle = decode_bundle (session, result);
+  if (bundle)
+    install (session, bundle);
+}
+
+static void
+take_peers (struct control_session *session,
+            const struct control_sync_result *result)
+{
+  if (result->peers_digest == session->peers_digest)
+    return;
+  session->peers_digest = result->peers_digest;
+  if (session->user && session->user->peers)
+    session->user->peers (session->user, result->peers.peers_val,
+                          result->peers.peers_len);
+}
+
+static void
+note_status (struct control_session *session, enum control_status status,
+             const char *text)
+{
+  if (status == session->last_status)
+    return;
+  session->last_status = status;
+  if (status == CONTROL_OK)
+    base_log (BASE_LOG_NOTICE, "control-session-live");
+  else
+    base_log (BASE_LOG_WARNING, "control-session-lost status=%d text=\"%s\"",
+              (int)status, text ? text : "");
+}
+
+static void
+take_result (struct control_session *session,
+             const struct control_sync_result *result, uint64_t sent_ms)
+{
+  note_status (session, result->answer.status, result->answer.text);
+  if (result->answer.status != CONTROL_OK)
+    return;
+  uint32_t lease_ms
+      = result->lease_ms ? result->lease_ms : CACTUS_SESSION_LEASE_MS;
+  atomic_store (&session->lease_end_ms, sent_ms + lease_ms);
+  take_bundle (session, result);
+  take_peers (session, result);
+}
+
+static void
+sync_once (struct control_session *session)
+{
+  struct control_sync_args args = { 0 };
+  struct control_sync_result result;
+  args.cluster = session->cluster;
+  args.process = session->process;
+  args.process.bundle_version
+      = session->want_whole ? 0 : atomic_load (&session->version);
+  args.peers_digest = session->peers_digest;
+  uint64_t sent_ms = base_clock_now_ms (base_clock_system ());
+  enum wire_status status = control_client_call (
+      session->client, CONTROL_SYNC, (xdrproc_t)xdr_control_sync_args, &args,
+      (xdrproc_t)xdr_control_sync_result, &result, sizeof result,
+      SYNC_TIMEOUT_MS);
+  if (status == WIRE_OK)
+    take_result (session, &result, sent_ms);
+  else
+    note_status (session, CONTROL_UNAVAILABLE, wire_status_name (status));
+  xdr_free ((xdrproc_t)xdr_control_sync_result, (char *)&result);
+}
+
+/* Waits for the next heartbeat, an offer or the end; false at the end. */
+static bool
+wait_next (struct control_session *session, struct bundle **offered)
+{
+  gint64 until = g_get_monotonic_time () + CACTUS_SYNC_INTERVAL_MS * 1000L;
+  g_mutex_lock (&session->mutex);
+  while (!session->stopping && !session->offered)
+    if (!g_cond_wait_until (&session->wake, &session->mutex, until))
+      break;
+  *offered = session->offered;
+  session->offered = NULL;
+  bool goes_on = !session->stopping;
+  g_mutex_unlock (&session->mutex);
+  return goes_on;
+}
+
+static gpointer
+run (gpointer data)
+{
+  struct control_session *session = data;
+  struct bundle *offered = NULL;
+  if (session->cache_path)
+    offered = control_session_cache_read (session->cache_path);
+  do
+    {
+      if (offered)
+        install (session, offered);
+      sync_once (session);
+    }
+  while (wait_next (session, &offered));
+  bundle_unref (offered);
+  return NULL;
+}
+
+static void
+copy_process (struct wire_process *copy, const struct wire_process *process)
+{
+  *copy = *process;
+  copy->host = g_strdup (process->host ? process->host : "");
+  copy->availability_zone = g_strdup (
+      process->availability_zone ? process->availability_zone : "");
+  copy->region = g_strdup (process->region ? process->region : "");
+  copy->address = g_strdup (process->address ? process->address : "");
+}
+
+struct control_session *
+control_session_create (struct control_client *client, const char *cluster,
+                        const struct wire_process *process,
+                        const char *cache_path,
+                        struct control_session_user *user)
+{
+  struct control_session *session = g_new0 (struct control_session, 1);
+  session->client = client;
+  session->user = user;
+  session->cluster = g_strdup (cluster);
+  session->cache_path = g_strdup (cache_path);
+  session->last_status = CONTROL_UNAVAILABLE;
+  copy_process (&session->process, process);
+  g_mutex_init (&session->mutex);
+  g_cond_init (&session->wake);
+  session->thread = g_thread_new ("control-session", run, session);
+  return session;
+}
+
+void
+control_session_destroy (struct control_session *session)
+{
+  if (!session)
+    return;
+  g_mutex_lock (&session->mutex);
+  session->stopping = true;
+  g_cond_signal (&session->wake);
+  g_mutex_unlock (&session->mutex);
+  g_thread_join (session->thread);
+  bundle_unref (session->bundle);
+  bundle_unref (session->offered);
+  g_free (session->process.host);
+  g_free (session->process.availability_zone);
+  g_free (session->process.region);
+  g_free (session->process.address);
+  g_free (session->cluster);
+  g_free (session->cache_path);
+  g_mutex_clear (&session->mutex);
+  g_cond_clear (&session->wake);
+  g_free (session);
+}
+
+void
+control_session_offer (struct control_session *session, struct bundle *bundle)
+{
+  uint64_t version = bundle_version (bundle);
+  if (version <= atomic_load (&session->version))
+    return;
+  g_mutex_lock (&session->mutex);
+  if (!session->offered || bundle_version (session->offered) < version)
+    {
+      bundle_unref (session->offered);
+      session->offered = bundle_ref (bundle);
+      g_cond_signal (&session->wake);
+    }
+  g_mutex_unlock (&session->mutex);
+}
+
+uint64_t
+control_session_version (struct control_session *session)
+{
+  return atomic_load (&session->version);
+}
+
+bool
+control_session_live (struct control_session *session)
+{
+  return base_clock_now_ms (base_clock_system ())
+         < atomic_load (&session->lease_end_ms);
+}
--- /dev/null
+++ b/src/control_session_cache.c
@@ -0,0 +1,74 @@
+/** @file
+ *  The newest bundle in a file: its digest as a line of hexadecimal, then the
+ *  canonical document. */
+
+#include "control_session_cache.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base_hash.h"
+#include "base_log.h"
+#include "store_file.h"
+
+#define HEAD_BYTES (2 * BUNDLE_DIGEST_BYTES + 1)
+
+static void
+write_head (char head[HEAD_BYTES + 1], const struct bundle *bundle)
+{
+  uint8_t digest[BUNDLE_DIGEST_BYTES];
+  bundle_digest (bundle, digest);
+  base_hex_write (head, digest, sizeof digest);
+  head[HEAD_BYTES - 1] = '\n';
+  head[HEAD_BYTES] = '\0';
+}
+
+int
+control_session_cache_write (const char *path, const struct bundle *bundle)
+{
+  char head[HEAD_BYTES + 1];
+  size_t bytes;
+  const char *text = bundle_canonical (bundle, &bytes);
+  char *folder = g_path_get_dirname (path);
+  char *name = g_path_get_basename (path);
+  write_head (head, bundle);
+  int status
+      = store_file_replace (folder, name, head, HEAD_BYTES, text, bytes);
+  g_free (folder);
+  g_free (name);
+  return status;
+}
+
+static struct bundle *
+read_checked (const char *text, size_t bytes)
+{
+  char head[HEAD_BYTES + 1];
+  if (bytes <= HEAD_BYTES)
+    return NULL;
+  struct base_findings *findings = base_findings_create ();
+  struct bundle *bundle
+      = bundle_read (text + HEAD_BYTES, bytes - HEAD_BYTES, findings);
+  base_findings_destroy (findings);
+  if (!bundle)
+    return NULL;
+  write_head (head, bundle);
+  if (memcmp (head, text, HEAD_BYTES) == 0)
+    return bundle;
+  bundle_unref (bundle);
+  return NULL;
+}
+
+struct bundle *
+control_session_cache_read (const char *path)
+{
+  char *text = NULL;
+  gsize bytes = 0;
+  if (!g_file_get_contents (path, &text, &bytes, NULL))
+    return NULL;
+  struct bundle *bundle = read_checked (text, bytes);
+  if (!bundle)
+    base_log (BASE_LOG_ERROR, "bundle-cache-damaged path=%s", path);
+  g_free (text);
+  return bundle;
+}
