--- a/src/bundle_accounts.c
+++ b/src/bundle_accounts.c
@@ -60,6 +60,8 @@
     {
       struct bundle_key key = { .account_index = account_index };
       const char *text = json_string_value (json_array_get (keys, i));
+      if (!text)
+        continue;
       if (base_hex_read (key.digest, sizeof key.digest, text) == 0)
         g_array_append_val (reader->bundle->keys, key);
       else
--- a/src/bundle_reader.c
+++ b/src/bundle_reader.c
@@ -146,19 +146,16 @@
   return NULL;
 }
 
-static bool
-all_strings (struct bundle_reader *reader, json_t *array)
+static void
+check_strings (struct bundle_reader *reader, json_t *array)
 {
-  bool clean = true;
   for (size_t i = 0; i < json_array_size (array); i++)
     if (!json_is_string (json_array_get (array, i)))
       {
         size_t mark = bundle_reader_enter_index (reader, i);
         bundle_reader_find (reader, "must be a string");
         bundle_reader_leave (reader, mark);
-        clean = false;
       }
-  return clean;
 }
 
 json_t *
@@ -175,8 +172,8 @@
                                         : "is required");
       value = NULL;
     }
-  else if (!all_strings (reader, value))
-    value = NULL;
+  else
+    check_strings (reader, value);
   bundle_reader_leave (reader, mark);
   return value;
 }
--- a/src/bundle_reader.h
+++ b/src/bundle_reader.h
@@ -43,8 +43,9 @@
 /** A required string, or NULL with a finding. */
 const char *bundle_reader_string (struct bundle_reader *reader, json_t *object,
                                   const char *member);
-/** An array of strings; NULL when absent or malformed.  With @p required,
- *  absence is a finding. */
+/** An array of strings; NULL when absent or no array.  With @p required,
+ *  absence is a finding.  Elements that are no strings are found, and stay in
+ *  the array. */
 json_t *bundle_reader_strings (struct bundle_reader *reader, json_t *object,
                                const char *member, bool required);
 /** Names of the members of @p object in order, freed with g_free. */
--- a/src/bundle_rules.c
+++ b/src/bundle_rules.c
@@ -11,9 +11,8 @@
 static bool
 is_everyone (json_t *accounts)
 {
-  return json_array_size (accounts) == 1
-         && strcmp (json_string_value (json_array_get (accounts, 0)), "*")
-                == 0;
+  const char *first = json_string_value (json_array_get (accounts, 0));
+  return json_array_size (accounts) == 1 && first && strcmp (first, "*") == 0;
 }
 
 static uint32_t *
@@ -26,6 +25,8 @@
   for (size_t i = 0; i < json_array_size (accounts); i++)
     {
       const char *name = json_string_value (json_array_get (accounts, i));
+      if (!name)
+        continue;
       int64_t index = bundle_account_index (bundle, name);
       if (index >= 0)
         {
@@ -81,6 +82,8 @@
   for (size_t i = 0; i < count; i++)
     {
       const char *name = json_string_value (json_array_get (services, i));
+      if (!name)
+        continue;
       const struct bundle_service *service
           = bundle_service (reader->bundle, name);
       size_t inner = bundle_reader_enter_index (reader, i);
--- a/src/bundle_services.c
+++ b/src/bundle_services.c
@@ -37,6 +37,8 @@
   for (size_t i = 0; i < count; i++)
     {
       const char *text = json_string_value (json_array_get (array, i));
+      if (!text)
+        continue;
       char *pattern = bundle_path_pattern (text);
       size_t inner = bundle_reader_enter_index (reader, i);
       if (pattern)
