--- /dev/null
+++ b/tests/test_link.c
@@ -0,0 +1,189 @@
+/** @file
+ *  Tests of the relay that stands for a link: it passes bytes unchanged, and
+ *  its faults hold back or end connections. */
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base_random.h"
+#include "link_http.h"
+#include "link_relay.h"
+
+#define ECHO_BYTES 300000
+
+struct echo_server
+{
+  int fd;
+  char endpoint[32];
+  GThread *thread;
+};
+
+static int
+listen_local (uint16_t *port)
+{
+  struct sockaddr_in name = { .sin_family = AF_INET };
+  socklen_t length = sizeof name;
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&name, sizeof name), ==, 0);
+  g_assert_cmpint (listen (fd, 8), ==, 0);
+  getsockname (fd, (struct sockaddr *)&name, &length);
+  *port = ntohs (name.sin_port);
+  return fd;
+}
+
+/* Serves one connection at a time until the listener is shut down. */
+static gpointer
+echo (gpointer data)
+{
+  struct echo_server *server = data;
+  char buffer[4096];
+  int fd;
+  while ((fd = accept (server->fd, NULL, NULL)) >= 0)
+    {
+      ssize_t got;
+      while ((got = recv (fd, buffer, sizeof buffer, 0)) > 0)
+        if (send (fd, buffer, (size_t)got, MSG_NOSIGNAL) != got)
+          break;
+      close (fd);
+    }
+  return NULL;
+}
+
+static void
+start_echo (struct echo_server *server)
+{
+  uint16_t port;
+  server->fd = listen_local (&port);
+  g_snprintf (server->endpoint, sizeof server->endpoint, "127.0.0.1:%u", port);
+  server->thread = g_thread_new ("echo", echo, server);
+}
+
+static void
+stop_echo (struct echo_server *server)
+{
+  shutdown (server->fd, SHUT_RDWR);
+  g_thread_join (server->thread);
+  close (server->fd);
+}
+
+static int
+connect_to (uint16_t port)
+{
+  struct sockaddr_in name
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&name, sizeof name), ==, 0);
+  return fd;
+}
+
+/* Sends and receives the same bytes through a link with delay and bandwidth;
+   half-closes, so that the end passes too. */
+static void
+test_passes (void)
+{
+  struct echo_server server;
+  struct base_random random;
+  uint8_t *sent = g_malloc (ECHO_BYTES);
+  uint8_t *got = g_malloc (ECHO_BYTES);
+  struct link_settings settings
+      = { .delay_ms = 5, .bandwidth_bytes_s = 4000000 };
+  struct link_counts counts;
+  base_random_seed (&random, 11);
+  for (size_t i = 0; i < ECHO_BYTES; i++)
+    sent[i] = (uint8_t)base_random_next (&random);
+  start_echo (&server);
+  struct link_relay *relay = link_relay_create ();
+  link_relay_set (relay, &settings);
+  int fd = connect_to (link_relay_add (relay, "127.0.0.1:0", server.endpoint));
+  size_t sent_bytes = 0;
+  size_t got_bytes = 0;
+  while (got_bytes < ECHO_BYTES)
+    {
+      size_t left = MIN (10000, ECHO_BYTES - sent_bytes);
+      if (left > 0)
+        sent_bytes += (size_t)send (fd, sent + sent_bytes, left, 0);
+      ssize_t part = recv (fd, got + got_bytes, ECHO_BYTES - got_bytes, 0);
+      g_assert_cmpint (part, >, 0);
+      got_bytes += (size_t)part;
+    }
+  g_assert_cmpmem (got, got_bytes, sent, sent_bytes);
+  shutdown (fd, SHUT_WR);
+  g_assert_cmpint (recv (fd, got, 1, 0), ==, 0);
+  close (fd);
+  link_relay_counts (relay, &counts);
+  g_assert_cmpuint (counts.forward_bytes, ==, ECHO_BYTES);
+  g_assert_cmpuint (counts.back_bytes, ==, ECHO_BYTES);
+  stop_echo (&server);
+  link_relay_destroy (relay);
+  g_free (sent);
+  g_free (got);
+}
+
+static void
+test_freeze_and_cut (void)
+{
+  struct echo_server server;
+  struct link_settings settings = { .freeze_back = true };
+  char byte = 'x';
+  start_echo (&server);
+  struct link_relay *relay = link_relay_create ();
+  uint16_t port = link_relay_add (relay, "127.0.0.1:0", server.endpoint);
+  int fd = connect_to (port);
+  struct pollfd wait = { .fd = fd, .events = POLLIN };
+  link_relay_set (relay, &settings);
+  send (fd, &byte, 1, 0);
+  /* Nothing comes back, and the connection does not end. */
+  g_assert_cmpint (poll (&wait, 1, 100), ==, 0);
+  settings.freeze_back = false;
+  link_relay_set (relay, &settings);
+  g_assert_cmpint (recv (fd, &byte, 1, 0), ==, 1);
+  settings.cut = true;
+  link_relay_set (relay, &settings);
+  g_assert_cmpint (recv (fd, &byte, 1, 0), <=, 0);
+  close (fd);
+  fd = connect_to (port);
+  g_assert_cmpint (recv (fd, &byte, 1, 0), <=, 0);
+  close (fd);
+  settings.cut = false;
+  link_relay_set (relay, &settings);
+  fd = connect_to (port);
+  send (fd, &byte, 1, 0);
+  g_assert_cmpint (recv (fd, &byte, 1, 0), ==, 1);
+  close (fd);
+  stop_echo (&server);
+  link_relay_destroy (relay);
+}
+
+static void
+test_settings (void)
+{
+  static const char good[] = "{\"delay_ms\":30,\"cut\":true}";
+  static const char *const bad[] = { "", "[]", "{\"delay_ms\":-1}",
+                                     "{\"cut\":1}", "{\"delay_ms\":60001}" };
+  struct link_settings settings = { .bandwidth_bytes_s = 9 };
+  g_assert_cmpint (link_settings_read (&settings, good, sizeof good - 1), ==,
+                   0);
+  g_assert_cmpuint (settings.delay_ms, ==, 30);
+  g_assert_cmpuint (settings.bandwidth_bytes_s, ==, 9);
+  g_assert_true (settings.cut);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    g_assert_cmpint (link_settings_read (&settings, bad[i], strlen (bad[i])),
+                     ==, -1);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/link/passes", test_passes);
+  g_test_add_func ("/link/freeze-and-cut", test_freeze_and_cut);
+  g_test_add_func ("/link/settings", test_settings);
+  return g_test_run ();
+}
