--- /dev/null
+++ b/tools/load_mix.h
@@ -0,0 +1,74 @@
+#ifndef LOAD_MIX_H
+#define LOAD_MIX_H
+
+/** @file
+ *  What callers ask for: the mixes of the two deployments, drawn from a
+ *  seeded random source. */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "base_random.h"
+
+/** One kind of request in a mix. */
+struct load_kind
+{
+  const char *name;
+  const char *request_class;
+  const char *service;
+  /** Path of a plain service's call; NULL for a model. */
+  const char *path;
+  bool non_idempotent;
+  /** Share of the requests, in percent. */
+  uint32_t share_percent;
+  uint32_t prompt_words_min;
+  uint32_t prompt_words_max;
+  /** Limit of the answer, in tokens. */
+  uint32_t answer_tokens_min;
+  uint32_t answer_tokens_max;
+  /** Share that is streamed, in percent. */
+  uint32_t stream_percent;
+};
+
+/** A deployment's mix. */
+struct load_mix
+{
+  const char *name;
+  const struct load_kind *kinds;
+  uint32_t kind_count;
+  uint32_t account_count;
+  /** Accounts drawn most often, and the share of requests they make. */
+  uint32_t large_accounts;
+  uint32_t large_percent;
+};
+
+/** One request to be made. */
+struct load_plan
+{
+  const struct load_kind *kind;
+  uint32_t account;
+  uint32_t answer_tokens;
+  bool stream;
+  /** Idempotency key, unique in the run. */
+  char key[40];
+  /** Freed by load_plan_clear. */
+  char *prompt;
+};
+
+/** Mix of that name ("lonja", "krua-khao"), or NULL. */
+const struct load_mix *load_mix_find (const char *name);
+/** Name of account @p index of a mix. */
+char *load_mix_account_name (const struct load_mix *mix, uint32_t index);
+/** Secret key of account @p index of a mix. */
+char *load_mix_account_key (const struct load_mix *mix, uint32_t index);
+/** Draws the next request; @p number makes its key unique. */
+void load_plan_draw (const struct load_mix *mix, struct base_random *random,
+                     uint64_t number, struct load_plan *plan);
+/** Frees what a plan holds. */
+void load_plan_clear (struct load_plan *plan);
+/** The request's body. */
+char *load_plan_body (const struct load_plan *plan);
+
+#endif
--- /dev/null
+++ b/tools/load_run.c
@@ -0,0 +1,187 @@
+#include "load_run.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "base_clock.h"
+
+#define POLL_MS 5
+
+struct load_run
+{
+  const struct load_mix *mix;
+  struct base_random random;
+  char **routers;
+  uint32_t router_count;
+  uint64_t router_mask;
+  uint32_t next_router;
+  CURLM *multi;
+  uint64_t number;
+  uint64_t rate;
+  uint64_t next_arrival_us;
+  GQueue waiting;
+  uint32_t open;
+  GPtrArray *finished;
+};
+
+static void
+free_call (gpointer data)
+{
+  load_call_destroy (data);
+}
+
+struct load_run *
+load_run_create (const struct load_mix *mix, uint64_t seed,
+                 const char *const *routers)
+{
+  struct load_run *run = g_new0 (struct load_run, 1);
+  run->mix = mix;
+  base_random_seed (&run->random, seed);
+  run->routers = g_strdupv ((char **)routers);
+  run->router_count = g_strv_length (run->routers);
+  run->router_mask = UINT64_MAX;
+  run->multi = curl_multi_init ();
+  run->finished = g_ptr_array_new_with_free_func (free_call);
+  g_queue_init (&run->waiting);
+  return run;
+}
+
+void
+load_run_destroy (struct load_run *run)
+{
+  if (!run)
+    return;
+  g_queue_clear_full (&run->waiting, free_call);
+  g_ptr_array_unref (run->finished);
+  curl_multi_cleanup (run->multi);
+  g_strfreev (run->routers);
+  g_free (run);
+}
+
+void
+load_run_set_rate (struct load_run *run, uint64_t millirequests)
+{
+  run->rate = millirequests;
+  run->next_arrival_us = base_clock_now_us (base_clock_system ());
+}
+
+void
+load_run_set_routers (struct load_run *run, uint64_t mask)
+{
+  run->router_mask = mask;
+}
+
+static const char *
+choose_router (struct load_run *run)
+{
+  for (uint32_t i = 0; i < run->router_count; i++)
+    {
+      uint32_t at = run->next_router++ % run->router_count;
+      if (run->router_mask >> at & 1)
+        return run->routers[at];
+    }
+  return run->routers[0];
+}
+
+static void
+send_call (struct load_run *run, struct load_call *call, uint64_t now_ms)
+{
+  load_call_prepare (call, choose_router (run), now_ms);
+  curl_multi_add_handle (run->multi, call->easy);
+  run->open++;
+}
+
+/* Next gap of a Poisson process, in microseconds. */
+static uint64_t
+draw_gap_us (struct load_run *run)
+{
+  double unit = 1.0 - base_random_unit (&run->random);
+  double mean_us = 1e9 / (double)run->rate;
+  return (uint64_t)(-log (unit) * mean_us);
+}
+
+static void
+make_arrivals (struct load_run *run, uint64_t now_us)
+{
+  while (run->rate > 0 && run->next_arrival_us <= now_us)
+    {
+      struct load_plan plan;
+      load_plan_draw (run->mix, &run->random, run->number++, &plan);
+      struct load_call *call
+          = load_call_create (run->mix, &plan, now_us / 1000);
+      send_call (run, call, now_us / 1000);
+      run->next_arrival_us += draw_gap_us (run);
+    }
+}
+
+static void
+send_retries (struct load_run *run, uint64_t now_ms)
+{
+  for (guint left = run->waiting.length; left > 0; left--)
+    {
+      struct load_call *call = g_queue_pop_head (&run->waiting);
+      if (call->next_attempt_ms <= now_ms)
+        send_call (run, call, now_ms);
+      else
+        g_queue_push_tail (&run->waiting, call);
+    }
+}
+
+static void
+take_finished (struct load_run *run, uint64_t now_ms)
+{
+  CURLMsg *message;
+  int left;
+  while ((message = curl_multi_info_read (run->multi, &left)))
+    {
+      struct load_call *call = NULL;
+      CURLcode code = message->data.result;
+      CURL *easy = message->easy_handle;
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
+      curl_multi_remove_handle (run->multi, easy);
+      run->open--;
+      if (load_call_finish (call, code, now_ms))
+        g_ptr_array_add (run->finished, call);
+      else
+        g_queue_push_tail (&run->waiting, call);
+    }
+}
+
+static void
+step (struct load_run *run)
+{
+  int running;
+  uint64_t now_us = base_clock_now_us (base_clock_system ());
+  make_arrivals (run, now_us);
+  send_retries (run, now_us / 1000);
+  curl_multi_perform (run->multi, &running);
+  take_finished (run, base_clock_now_ms (base_clock_system ()));
+  curl_multi_poll (run->multi, NULL, 0, POLL_MS, NULL);
+}
+
+void
+load_run_for (struct load_run *run, uint64_t duration_ms)
+{
+  uint64_t end_ms = base_clock_now_ms (base_clock_system ()) + duration_ms;
+  while (base_clock_now_ms (base_clock_system ()) < end_ms)
+    step (run);
+}
+
+uint32_t
+load_run_drain (struct load_run *run, uint64_t limit_ms)
+{
+  uint64_t end_ms = base_clock_now_ms (base_clock_system ()) + limit_ms;
+  run->rate = 0;
+  while (run->open + run->waiting.length > 0
+         && base_clock_now_ms (base_clock_system ()) < end_ms)
+    step (run);
+  return run->open + run->waiting.length;
+}
+
+const GPtrArray *
+load_run_calls (const struct load_run *run)
+{
+  return run->finished;
+}
--- /dev/null
+++ b/tools/trial_scenario.c
@@ -0,0 +1,285 @@
+#include "trial_scenario.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base_clock.h"
+
+#define READY_LIMIT_MS 20000
+#define TERMINATE_LIMIT_MS 30000
+/* Time after which the balancer leaves a dead router out. */
+#define BALANCER_MS 500
+
+static const struct trial_event cut_zone_events[] = {
+  { .at_ms = 5000, .action = TRIAL_CUT, .zone = 2 },
+  { .at_ms = 10000, .action = TRIAL_TOP_UP, .amount = 50000 },
+  { .at_ms = 15000, .action = TRIAL_TOP_UP, .amount = 50000 },
+  { .at_ms = 25000, .action = TRIAL_HEAL, .zone = 2 },
+};
+
+static const struct trial_event scarce_events[] = {
+  { .at_ms = 10000, .action = TRIAL_TOP_UP, .amount = 10000 },
+  { .at_ms = 20000, .action = TRIAL_TOP_UP, .amount = 10000 },
+};
+
+static const struct trial_event router_kill_events[] = {
+  { .at_ms = 5000, .action = TRIAL_KILL, .role = TRIAL_ROUTER, .zone = 0 },
+  { .at_ms = 10000, .action = TRIAL_START, .role = TRIAL_ROUTER, .zone = 0 },
+  { .at_ms = 15000, .action = TRIAL_FREEZE, .role = TRIAL_ROUTER, .zone = 1 },
+  { .at_ms = 19000, .action = TRIAL_THAW, .role = TRIAL_ROUTER, .zone = 1 },
+};
+
+static const struct trial_event ledger_kill_events[] = {
+  { .at_ms = 5000, .action = TRIAL_KILL, .role = TRIAL_LEDGER, .zone = 0 },
+  { .at_ms = 8000, .action = TRIAL_START, .role = TRIAL_LEDGER, .zone = 0 },
+  { .at_ms = 12000, .action = TRIAL_FREEZE, .role = TRIAL_LEDGER, .zone = 1 },
+  { .at_ms = 16000, .action = TRIAL_THAW, .role = TRIAL_LEDGER, .zone = 1 },
+};
+
+static const struct trial_event ledger_disk_loss_events[] = {
+  { .at_ms = 8000,
+    .action = TRIAL_LOSE_DISK,
+    .role = TRIAL_LEDGER,
+    .zone = 1 },
+  { .at_ms = 15000, .action = TRIAL_TOP_UP, .amount = 100000 },
+};
+
+static const struct trial_event control_freeze_events[] = {
+  { .at_ms = 3000, .action = TRIAL_FREEZE, .role = TRIAL_CONTROL, .zone = 0 },
+  { .at_ms = 8000, .action = TRIAL_TOP_UP, .amount = 50000 },
+  { .at_ms = 9000, .action = TRIAL_PUSH },
+  { .at_ms = 13000, .action = TRIAL_THAW, .role = TRIAL_CONTROL, .zone = 0 },
+  { .at_ms = 16000, .action = TRIAL_KILL, .role = TRIAL_CONTROL, .zone = 1 },
+  { .at_ms = 19000, .action = TRIAL_START, .role = TRIAL_CONTROL, .zone = 1 },
+};
+
+static const struct trial_event control_disk_loss_events[] = {
+  { .at_ms = 4000,
+    .action = TRIAL_LOSE_DISK,
+    .role = TRIAL_CONTROL,
+    .zone = 0 },
+  { .at_ms = 12000, .action = TRIAL_KILL, .role = TRIAL_CONTROL, .zone = 1 },
+  { .at_ms = 14000, .action = TRIAL_TOP_UP, .amount = 50000 },
+  { .at_ms = 16000, .action = TRIAL_START, .role = TRIAL_CONTROL, .zone = 1 },
+};
+
+static const struct trial_event rolling_restart_events[] = {
+  { .at_ms = 2000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_ROUTER,
+    .zone = 0 },
+  { .at_ms = 4000, .action = TRIAL_START, .role = TRIAL_ROUTER, .zone = 0 },
+  { .at_ms = 6000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_ROUTER,
+    .zone = 1 },
+  { .at_ms = 8000, .action = TRIAL_START, .role = TRIAL_ROUTER, .zone = 1 },
+  { .at_ms = 10000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_LEDGER,
+    .zone = 0 },
+  { .at_ms = 11000, .action = TRIAL_START, .role = TRIAL_LEDGER, .zone = 0 },
+  { .at_ms = 13000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_CONTROL,
+    .zone = 0 },
+  { .at_ms = 14000, .action = TRIAL_START, .role = TRIAL_CONTROL, .zone = 0 },
+};
+
+static const struct trial_event target_leave_events[] = {
+  { .at_ms = 4000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_TARGET,
+    .zone = 0 },
+  { .at_ms = 8000,
+    .action = TRIAL_FREEZE,
+    .role = TRIAL_TARGET,
+    .zone = 1,
+    .index = 1 },
+  { .at_ms = 13000,
+    .action = TRIAL_THAW,
+    .role = TRIAL_TARGET,
+    .zone = 1,
+    .index = 1 },
+};
+
+static const struct trial_event overload_events[] = {
+  { .at_ms = 5000, .action = TRIAL_RATE, .amount = 600 },
+  { .at_ms = 20000, .action = TRIAL_RATE, .amount = 60 },
+};
+
+#define EVENTS(list) list, G_N_ELEMENTS (list)
+
+static const struct trial_scenario scenarios[] = {
+  { "steady", "krua-khao", 60, 20000, 10000000, NULL, 0 },
+  { "steady-lonja", "lonja", 40, 20000, 10000000, NULL, 0 },
+  { "rush", "krua-khao", 150, 20000, 10000000, NULL, 0 },
+  { "overload", "krua-khao", 60, 25000, 10000000, EVENTS (overload_events) },
+  { "scarce", "krua-khao", 60, 30000, 10000, EVENTS (scarce_events) },
+  { "cut-zone", "krua-khao", 60, 32000, 100000, EVENTS (cut_zone_events) },
+  { "router-kill", "krua-khao", 60, 25000, 10000000,
+    EVENTS (router_kill_events) },
+  { "ledger-kill", "krua-khao", 60, 22000, 10000000,
+    EVENTS (ledger_kill_events) },
+  { "ledger-disk-loss", "krua-khao", 60, 22000, 300000,
+    EVENTS (ledger_disk_loss_events) },
+  { "control-freeze", "krua-khao", 60, 22000, 300000,
+    EVENTS (control_freeze_events) },
+  { "control-disk-loss", "krua-khao", 60, 20000, 300000,
+    EVENTS (control_disk_loss_events) },
+  { "rolling-restart", "krua-khao", 60, 18000, 10000000,
+    EVENTS (rolling_restart_events) },
+  { "target-leave", "krua-khao", 60, 18000, 10000000,
+    EVENTS (target_leave_events) },
+};
+
+const struct trial_scenario *
+trial_scenario_find (const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (scenarios); i++)
+    if (strcmp (scenarios[i].name, name) == 0)
+      return &scenarios[i];
+  return NULL;
+}
+
+void
+trial_scenario_list (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (scenarios); i++)
+    printf ("%s\n", scenarios[i].name);
+}
+
+/* Tells the balancer whether router @p index of @p zone takes callers. */
+static void
+set_balancer (struct trial_fleet *fleet, struct load_run *run,
+              const struct trial_event *event, bool in, uint64_t *mask)
+{
+  uint32_t position = 0;
+  for (uint32_t zone = 0; zone < event->zone; zone++)
+    for (uint32_t i = 0; trial_fleet_process (fleet, TRIAL_ROUTER, zone, i);
+         i++)
+      position++;
+  uint64_t bit = UINT64_C (1) << (position + event->index);
+  *mask = in ? *mask | bit : *mask & ~bit;
+  load_run_set_routers (run, *mask);
+}
+
+static bool
+terminate (struct fleet_process *process, struct load_run *run)
+{
+  uint64_t end_ms
+      = base_clock_now_ms (base_clock_system ()) + TERMINATE_LIMIT_MS;
+  if (!fleet_process_signal (process, SIGTERM))
+    return false;
+  while (base_clock_now_ms (base_clock_system ()) < end_ms)
+    {
+      int status = fleet_process_wait (process, 0);
+      if (status >= 0)
+        return status == 0;
+      load_run_for (run, 20);
+    }
+  return false;
+}
+
+static bool
+start_again (struct fleet_process *process, struct load_run *run)
+{
+  uint64_t end_ms = base_clock_now_ms (base_clock_system ()) + READY_LIMIT_MS;
+  if (fleet_process_start (process) != 0)
+    return false;
+  while (base_clock_now_ms (base_clock_system ()) < end_ms)
+    {
+      if (fleet_process_wait_ready (process, 1))
+        return true;
+      load_run_for (run, 20);
+    }
+  return false;
+}
+
+static bool
+act_on_process (const struct trial_event *event, struct trial_fleet *fleet,
+                struct load_run *run, uint64_t *mask)
+{
+  struct fleet_process *process
+      = trial_fleet_process (fleet, event->role, event->zone, event->index);
+  bool router = event->role == TRIAL_ROUTER;
+  bool done = false;
+  switch (event->action)
+    {
+    case TRIAL_KILL:
+      fleet_process_kill (process);
+      load_run_for (run, BALANCER_MS);
+      done = true;
+      break;
+    case TRIAL_FREEZE:
+      done = fleet_process_signal (process, SIGSTOP);
+      load_run_for (run, BALANCER_MS);
+      break;
+    case TRIAL_THAW:
+      done = fleet_process_signal (process, SIGCONT);
+      break;
+    case TRIAL_TERMINATE:
+      if (router)
+        set_balancer (fleet, run, event, false, mask);
+      done = terminate (process, run);
+      break;
+    default:
+      done = start_again (process, run);
+      break;
+    }
+  if (router)
+    set_balancer (fleet, run, event,
+                  event->action == TRIAL_THAW || event->action == TRIAL_START,
+                  mask);
+  return done;
+}
+
+static bool
+act (const struct trial_event *event, struct trial_fleet *fleet,
+     struct load_run *run, uint64_t *mask)
+{
+  switch (event->action)
+    {
+    case TRIAL_CUT:
+    case TRIAL_HEAL:
+      trial_fleet_cut_zone (fleet, event->zone, event->action == TRIAL_CUT);
+      return true;
+    case TRIAL_LOSE_DISK:
+      trial_fleet_lose_disk (fleet, event->role, event->zone);
+      return true;
+    case TRIAL_TOP_UP:
+      return trial_fleet_top_up (fleet, event->amount);
+    case TRIAL_PUSH:
+      return trial_fleet_push (fleet);
+    case TRIAL_RATE:
+      load_run_set_rate (run, event->amount * 1000);
+      return true;
+    default:
+      return act_on_process (event, fleet, run, mask);
+    }
+}
+
+uint32_t
+trial_scenario_play (const struct trial_scenario *scenario,
+                     struct trial_fleet *fleet, struct load_run *run)
+{
+  uint32_t failed = 0;
+  uint64_t mask = UINT64_MAX;
+  uint64_t start_ms = base_clock_now_ms (base_clock_system ());
+  load_run_set_rate (run, scenario->rate * 1000);
+  for (size_t i = 0; i <= scenario->event_count; i++)
+    {
+      bool last = i == scenario->event_count;
+      uint64_t at_ms
+          = last ? scenario->duration_ms : scenario->events[i].at_ms;
+      uint64_t now_ms = base_clock_now_ms (base_clock_system ()) - start_ms;
+      if (at_ms > now_ms)
+        load_run_for (run, at_ms - now_ms);
+      if (last || act (&scenario->events[i], fleet, run, &mask))
+        continue;
+      fprintf (stderr, "event %zu of %s failed\n", i + 1, scenario->name);
+      failed++;
+    }
+  return failed;
+}
