--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -15,9 +15,9 @@
 export CACTUS_BIN CACTUS_SOURCE
 logs=build/test-logs
 mkdir -p "$logs"
-for program in build/bin/test_*; do
-  [ -x "$program" ] || continue
-  name=$(basename "$program")
+for source in tests/test_*.c; do
+  name=$(basename "$source" .c)
+  program=build/bin/$name
   status=0
   timeout -k 10 900 "$program" --tap >"$logs/$name.log" 2>"$logs/$name.err" </dev/null || status=$?
   ok=$(grep -c '^ok ' "$logs/$name.log" || true)
