Add the registry, picking, admission and retry cores

Cause: the router needs its cores to link and to decide. Change: registry with epoch-protected views, order of records, remembered departures, identities and changes; picking by nearness, two choices on the estimate corrected for the report's age, affinity under a bounded load, class shares, holds with one probe; admission by class with ageing, fair turns by account, expiry and refusal by the present rate; retry decisions and budget. Added to the seams: registry_merge_all, registry_change_number, registry_identity, registry_find, registry_find_target, groups of a view; pick_answered, pick_claim_probe; admission_pop_except.

--- a/src/admission.h
+++ b/src/admission.h
@@ -3,12 +3,16 @@
 
 /** @file
  *  Queue of requests that wait for a target on one router: classes by
- *  priority with ageing, client accounts in fair turns inside a class, bounded
- *  by class limit and deadline.  A core; the caller serialises access. */
+ *  priority with ageing (a class rises by one for each ageing time that it
+ *  waits without a turn), client accounts in fair turns inside a class,
+ *  bounded by limit and deadline.  A core; the caller serialises access. */
 
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Waiting requests of one account in one class of one service. */
+struct admission_flow;
+
 /** A waiting request; embed it in the request and keep it in place. */
 struct admission_entry
 {
@@ -20,12 +24,17 @@
   /** As in the bundle's class. */
   uint32_t priority;
   uint32_t class_hash;
+  /** Most requests of the class waiting for one service. */
   uint32_t queue_limit;
   uint32_t queue_ms;
   uint32_t ageing_ms;
   /** Set by the queue. */
   uint64_t enqueued_ms;
   uint64_t virtual_start;
+  uint64_t expires_ms;
+  uint64_t turn_before_ms;
+  uint32_t expiry_index;
+  struct admission_flow *flow;
   bool queued;
   struct admission_entry *next;
   struct admission_entry *previous;
@@ -56,7 +65,15 @@
 /** Takes the next request of a service, or NULL. */
 struct admission_entry *admission_pop (struct admission *admission,
                                        uint64_t service_hash, uint64_t now_ms);
-/** Puts a popped request back in its former place (no target was free). */
+/** The same, passing over @p count classes given by hash: those for which no
+ *  target was free in this round. */
+struct admission_entry *admission_pop_except (struct admission *admission,
+                                              uint64_t service_hash,
+                                              uint64_t now_ms,
+                                              const uint32_t *class_hashes,
+                                              uint32_t count);
+/** Puts the request that was popped last back in its former place (no target
+ *  was free). */
 void admission_unpop (struct admission *admission,
                       struct admission_entry *entry);
 /** Takes one given request out (its caller left). */
--- a/src/pick.h
+++ b/src/pick.h
@@ -35,7 +35,8 @@
   uint32_t target_limit;
   /** Share of that limit that this request's class may fill, in percent. */
   uint32_t slot_percent;
-  /** Targets that failed this request already. */
+  /** Targets that failed this request already; used only where no other
+   *  target may be. */
   const char *const *avoid;
   uint32_t avoid_count;
   uint64_t now_ms;
@@ -59,6 +60,12 @@
                                const struct pick_request *request,
                                struct base_random *random,
                                const struct registry_target **chosen);
+/** Claims the one probe of a target that failed lately; true at once for any
+ *  other.  Called by pick_target for its choice. */
+bool pick_claim_probe (struct registry_load *load, uint64_t now_ms);
+/** Notes the first byte of an answer: a probe succeeded, the target is back
+ *  before the answer's end. */
+void pick_answered (struct registry_load *load);
 /** Counts a request as sent to the target. */
 void pick_take (struct registry_load *load);
 /** Counts it as ended; @p failed holds the target for a growing time. */
--- /dev/null
+++ b/src/pick_estimate.c
@@ -0,0 +1,89 @@
+#include "pick_estimate.h"
+
+#include <string.h>
+
+#define WEIGHT_USUAL 100.0
+/* Share of the slots up to which the estimate may rise, in percent; the rest
+   allows for reports of the past. */
+#define ESTIMATE_PERCENT 125
+
+static uint32_t
+load_field (const uint32_t *field)
+{
+  return __atomic_load_n (field, __ATOMIC_RELAXED);
+}
+
+uint32_t
+pick_estimate_requests (const struct registry_target *target)
+{
+  int64_t open = load_field (&target->load->open);
+  int64_t reported = (int64_t)target->record.running + target->record.queued;
+  int64_t estimate
+      = reported + open - load_field (&target->load->open_at_report);
+  return (uint32_t)(estimate > open ? estimate : open);
+}
+
+static double
+load_of (const struct registry_target *target, uint32_t requests)
+{
+  return requests * WEIGHT_USUAL
+         / ((double)target->record.slots * target->record.weight);
+}
+
+double
+pick_estimate_load (const struct registry_target *target)
+{
+  return load_of (target, pick_estimate_requests (target));
+}
+
+double
+pick_reported_load (const struct registry_target *target)
+{
+  return load_of (target, target->record.running + target->record.queued);
+}
+
+/* A class's part of a limit, at least 1. */
+static uint32_t
+class_part (uint32_t limit, uint32_t percent)
+{
+  uint64_t part = (uint64_t)limit * percent / 100;
+  return part > 0 ? (uint32_t)part : 1;
+}
+
+static bool
+held (const struct registry_load *load, uint64_t now_ms)
+{
+  return __atomic_load_n (&load->held_until_ms, __ATOMIC_ACQUIRE) > now_ms;
+}
+
+static bool
+avoided (const struct registry_target *target,
+         const struct pick_request *request)
+{
+  for (uint32_t i = 0; i < request->avoid_count; i++)
+    if (strcmp (request->avoid[i], target->record.target) == 0)
+      return true;
+  return false;
+}
+
+enum pick_state
+pick_state_of (const struct registry_target *target,
+               const struct pick_request *request)
+{
+  const struct registry_record *record = &target->record;
+  if (target->drained || request->now_ms >= target->lapse_at_ms)
+    return PICK_STATE_EXCLUDED;
+  if (avoided (target, request))
+    return PICK_STATE_EXCLUDED;
+  uint32_t own = request->target_limit ? request->target_limit : record->slots;
+  uint32_t percent = request->slot_percent ? request->slot_percent : 100;
+  if (held (target->load, request->now_ms))
+    return PICK_STATE_FULL;
+  if (load_field (&target->load->open) >= class_part (own, percent))
+    return PICK_STATE_FULL;
+  uint32_t all = class_part (record->slots, percent);
+  if ((uint64_t)pick_estimate_requests (target) * 100
+      >= (uint64_t)all * ESTIMATE_PERCENT)
+    return PICK_STATE_FULL;
+  return PICK_STATE_FREE;
+}
--- /dev/null
+++ b/src/pick_hold.c
@@ -0,0 +1,75 @@
+#include "pick.h"
+
+/* Hold after the first failure, doubled with each further one. */
+#define HOLD_FIRST_MS 250
+#define HOLD_MAX_MS 16000
+/* Time a probe has to show success before another may be sent. */
+#define PROBE_MS 2000
+
+static uint64_t
+hold_ms (uint32_t failures)
+{
+  uint64_t hold = HOLD_FIRST_MS;
+  for (uint32_t i = 1; i < failures && hold < HOLD_MAX_MS; i++)
+    hold *= 2;
+  return hold < HOLD_MAX_MS ? hold : HOLD_MAX_MS;
+}
+
+bool
+pick_claim_probe (struct registry_load *load, uint64_t now_ms)
+{
+  if (__atomic_load_n (&load->failures, __ATOMIC_ACQUIRE) == 0)
+    return true;
+  uint64_t until = __atomic_load_n (&load->held_until_ms, __ATOMIC_ACQUIRE);
+  if (until > now_ms)
+    return false;
+  if (!__atomic_compare_exchange_n (&load->held_until_ms, &until,
+                                    now_ms + PROBE_MS, false, __ATOMIC_ACQ_REL,
+                                    __ATOMIC_ACQUIRE))
+    return false;
+  __atomic_store_n (&load->probing, 1, __ATOMIC_RELEASE);
+  return true;
+}
+
+void
+pick_take (struct registry_load *load)
+{
+  __atomic_add_fetch (&load->open, 1, __ATOMIC_RELAXED);
+  __atomic_add_fetch (&load->sent_since_report, 1, __ATOMIC_RELAXED);
+}
+
+void
+pick_answered (struct registry_load *load)
+{
+  if (__atomic_load_n (&load->failures, __ATOMIC_ACQUIRE) == 0)
+    return;
+  if (__atomic_exchange_n (&load->probing, 0, __ATOMIC_ACQ_REL) == 0)
+    return;
+  __atomic_store_n (&load->failures, 0, __ATOMIC_RELEASE);
+  __atomic_store_n (&load->held_until_ms, 0, __ATOMIC_RELEASE);
+}
+
+/* Failures while the target is held already, of requests sent before, add
+   nothing unless they may be the probe's. */
+static void
+note_failure (struct registry_load *load, uint64_t now_ms)
+{
+  uint64_t until = __atomic_load_n (&load->held_until_ms, __ATOMIC_ACQUIRE);
+  bool probed = __atomic_exchange_n (&load->probing, 0, __ATOMIC_ACQ_REL) != 0;
+  if (until > now_ms && !probed)
+    return;
+  uint32_t failures
+      = __atomic_add_fetch (&load->failures, 1, __ATOMIC_ACQ_REL);
+  __atomic_store_n (&load->held_until_ms, now_ms + hold_ms (failures),
+                    __ATOMIC_RELEASE);
+}
+
+void
+pick_release (struct registry_load *load, bool failed, uint64_t now_ms)
+{
+  __atomic_sub_fetch (&load->open, 1, __ATOMIC_RELAXED);
+  if (failed)
+    note_failure (load, now_ms);
+  else
+    pick_answered (load);
+}
--- /dev/null
+++ b/src/registry.c
@@ -0,0 +1,356 @@
+#include "registry.h"
+
+#include <ck_epoch.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base_hash.h"
+#include "registry_load.h"
+#include "registry_record.h"
+#include "registry_state.h"
+#include "registry_view.h"
+
+/* Lapse times for which a leaving record is remembered. */
+#define LEAVING_LAPSES 20
+
+/* A table that readers may still use. */
+struct retired_table
+{
+  ck_epoch_entry_t entry;
+  struct registry_table *table;
+};
+
+static void
+service_free (gpointer data)
+{
+  struct registry_service *service = data;
+  if (service->view)
+    registry_view_unref (service->view);
+  g_ptr_array_free (service->entries, TRUE);
+  g_free (service);
+}
+
+static void
+entry_free (struct registry_entry *entry)
+{
+  registry_load_unref (entry->load);
+  g_free (entry);
+}
+
+struct registry *
+registry_create (uint32_t lapse_ms)
+{
+  struct registry *registry = g_new0 (struct registry, 1);
+  GPtrArray *no_views = g_ptr_array_new ();
+  registry->lapse_ms = lapse_ms;
+  g_mutex_init (&registry->mutex);
+  ck_epoch_init (&registry->epoch);
+  registry->writer = registry_reader_new (registry);
+  registry->entries = g_ptr_array_new ();
+  registry->by_target = g_hash_table_new (g_str_hash, g_str_equal);
+  registry->by_identity = g_hash_table_new (g_int64_hash, g_int64_equal);
+  registry->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  registry->drained
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_queue_init (&registry->by_change);
+  registry->table = registry_table_build (no_views);
+  g_ptr_array_free (no_views, TRUE);
+  return registry;
+}
+
+void
+registry_destroy (struct registry *registry)
+{
+  if (!registry)
+    return;
+  ck_epoch_barrier (&registry->writer->record);
+  registry_table_destroy (registry->table);
+  for (guint i = 0; i < registry->entries->len; i++)
+    entry_free (g_ptr_array_index (registry->entries, i));
+  g_ptr_array_free (registry->entries, TRUE);
+  g_hash_table_destroy (registry->by_target);
+  g_hash_table_destroy (registry->by_identity);
+  g_hash_table_destroy (registry->services);
+  g_hash_table_destroy (registry->drained);
+  while (registry->readers)
+    {
+      struct registry_reader *reader = registry->readers;
+      registry->readers = reader->next;
+      free (reader);
+    }
+  g_mutex_clear (&registry->mutex);
+  g_free (registry);
+}
+
+static uint64_t
+lapse_at (const struct registry *registry,
+          const struct registry_record *record)
+{
+  uint64_t life_ms = registry->lapse_ms;
+  if (record->leaving)
+    life_ms *= LEAVING_LAPSES;
+  return record->heard_ms + life_ms;
+}
+
+static void
+retire_table (ck_epoch_entry_t *entry)
+{
+  struct retired_table *retired = (struct retired_table *)entry;
+  registry_table_destroy (retired->table);
+  g_free (retired);
+}
+
+static void
+add_target (const struct registry *registry,
+            const struct registry_entry *entry, GArray *targets)
+{
+  struct registry_target target = { .record = entry->record };
+  target.drained
+      = g_hash_table_contains (registry->drained, entry->record.target);
+  target.lapse_at_ms = lapse_at (registry, &entry->record);
+  target.target_hash = base_hash_string (entry->record.target);
+  target.load = entry->load;
+  g_array_append_val (targets, target);
+}
+
+static void
+rebuild_service (struct registry *registry, struct registry_service *service)
+{
+  GArray *targets
+      = g_array_new (FALSE, FALSE, sizeof (struct registry_target));
+  for (guint i = 0; i < service->entries->len; i++)
+    {
+      const struct registry_entry *entry
+          = g_ptr_array_index (service->entries, i);
+      if (!entry->record.leaving)
+        add_target (registry, entry, targets);
+    }
+  if (service->view)
+    registry_view_unref (service->view);
+  service->view = NULL;
+  if (targets->len > 0)
+    service->view = registry_view_build (service->name, targets);
+  service->dirty = false;
+  g_array_free (targets, TRUE);
+}
+
+/* Swaps the table for one with the views of changed services rebuilt. */
+static void
+publish (struct registry *registry)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GPtrArray *views = g_ptr_array_new ();
+  g_hash_table_iter_init (&iter, registry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct registry_service *service = value;
+      if (service->dirty)
+        rebuild_service (registry, service);
+      if (service->view)
+        g_ptr_array_add (views, service->view);
+      if (service->entries->len == 0)
+        g_hash_table_iter_remove (&iter);
+    }
+  struct retired_table *retired = g_new0 (struct retired_table, 1);
+  retired->table = registry->table;
+  __atomic_store_n (&registry->table, registry_table_build (views),
+                    __ATOMIC_RELEASE);
+  ck_epoch_call (&registry->writer->record, &retired->entry, retire_table);
+  ck_epoch_poll (&registry->writer->record);
+  g_ptr_array_free (views, TRUE);
+}
+
+static struct registry_service *
+service_of (struct registry *registry, const char *name)
+{
+  struct registry_service *service
+      = g_hash_table_lookup (registry->services, name);
+  if (service)
+    return service;
+  service = g_new0 (struct registry_service, 1);
+  g_strlcpy (service->name, name, sizeof service->name);
+  service->entries = g_ptr_array_new ();
+  g_hash_table_insert (registry->services, service->name, service);
+  return service;
+}
+
+static void
+detach_service (struct registry_entry *entry)
+{
+  if (!entry->service)
+    return;
+  g_ptr_array_remove_fast (entry->service->entries, entry);
+  entry->service->dirty = true;
+  entry->service = NULL;
+}
+
+static void
+forget_identity (struct registry *registry, struct registry_entry *entry)
+{
+  if (g_hash_table_lookup (registry->by_identity, &entry->identity) == entry)
+    g_hash_table_remove (registry->by_identity, &entry->identity);
+}
+
+/* Puts the entry under its service, its identity and the newest change. */
+static void
+index_entry (struct registry *registry, struct registry_entry *entry)
+{
+  if (!entry->service
+      || strcmp (entry->service->name, entry->record.service) != 0)
+    {
+      detach_service (entry);
+      entry->service = service_of (registry, entry->record.service);
+      g_ptr_array_add (entry->service->entries, entry);
+    }
+  entry->service->dirty = true;
+  uint64_t identity = registry_identity (&entry->record);
+  if (identity != entry->identity)
+    {
+      forget_identity (registry, entry);
+      entry->identity = identity;
+      g_hash_table_replace (registry->by_identity, &entry->identity, entry);
+    }
+  if (entry->change != 0)
+    g_queue_unlink (&registry->by_change, &entry->link);
+  entry->change = ++registry->change;
+  g_queue_push_tail_link (&registry->by_change, &entry->link);
+}
+
+static struct registry_entry *
+entry_new (struct registry *registry, const struct registry_record *record)
+{
+  struct registry_entry *entry = g_new0 (struct registry_entry, 1);
+  entry->record = *record;
+  entry->link.data = entry;
+  entry->load = registry_load_create ();
+  entry->index = registry->entries->len;
+  g_ptr_array_add (registry->entries, entry);
+  g_hash_table_insert (registry->by_target, entry->record.target, entry);
+  registry->live += !record->leaving;
+  return entry;
+}
+
+static void
+update_entry (struct registry *registry, struct registry_entry *entry,
+              const struct registry_record *record)
+{
+  if (record->incarnation != entry->record.incarnation)
+    {
+      registry_load_unref (entry->load);
+      entry->load = registry_load_create ();
+    }
+  registry->live += entry->record.leaving;
+  registry->live -= record->leaving;
+  entry->record = *record;
+}
+
+/* Takes in one record without publishing. */
+static enum registry_outcome
+merge_record (struct registry *registry, const struct registry_record *record,
+              uint64_t now_ms)
+{
+  if (!registry_record_valid (record))
+    return REGISTRY_BAD;
+  if (lapse_at (registry, record) <= now_ms)
+    return REGISTRY_STALE;
+  struct registry_entry *entry
+      = g_hash_table_lookup (registry->by_target, record->target);
+  if (entry && !registry_record_newer (record, &entry->record))
+    return REGISTRY_STALE;
+  if (entry)
+    update_entry (registry, entry, record);
+  else
+    entry = entry_new (registry, record);
+  registry_load_reported (entry->load, record->heard_ms, now_ms);
+  index_entry (registry, entry);
+  return REGISTRY_TAKEN;
+}
+
+size_t
+registry_merge_all (struct registry *registry,
+                    const struct registry_record *records, size_t count,
+                    uint64_t now_ms, enum registry_outcome *outcomes)
+{
+  size_t taken = 0;
+  g_mutex_lock (&registry->mutex);
+  for (size_t i = 0; i < count; i++)
+    {
+      enum registry_outcome outcome
+          = merge_record (registry, &records[i], now_ms);
+      taken += outcome == REGISTRY_TAKEN;
+      if (outcomes)
+        outcomes[i] = outcome;
+    }
+  if (taken > 0)
+    publish (registry);
+  g_mutex_unlock (&registry->mutex);
+  return taken;
+}
+
+enum registry_outcome
+registry_merge (struct registry *registry,
+                const struct registry_record *record, uint64_t now_ms)
+{
+  enum registry_outcome outcome = REGISTRY_BAD;
+  registry_merge_all (registry, record, 1, now_ms, &outcome);
+  return outcome;
+}
+
+static void
+drop_entry (struct registry *registry, struct registry_entry *entry)
+{
+  struct registry_entry *last
+      = g_ptr_array_index (registry->entries, registry->entries->len - 1);
+  detach_service (entry);
+  g_queue_unlink (&registry->by_change, &entry->link);
+  forget_identity (registry, entry);
+  g_hash_table_remove (registry->by_target, entry->record.target);
+  g_ptr_array_remove_index_fast (registry->entries, entry->index);
+  last->index = entry->index;
+  registry->live -= !entry->record.leaving;
+  entry_free (entry);
+}
+
+size_t
+registry_lapse (struct registry *registry, uint64_t now_ms)
+{
+  size_t dropped = 0;
+  g_mutex_lock (&registry->mutex);
+  for (guint i = registry->entries->len; i-- > 0;)
+    {
+      struct registry_entry *entry = g_ptr_array_index (registry->entries, i);
+      if (lapse_at (registry, &entry->record) <= now_ms)
+        {
+          drop_entry (registry, entry);
+          dropped++;
+        }
+      else
+        registry_load_sample (entry->load, now_ms);
+    }
+  if (dropped > 0)
+    publish (registry);
+  else
+    ck_epoch_poll (&registry->writer->record);
+  g_mutex_unlock (&registry->mutex);
+  return dropped;
+}
+
+void
+registry_set_drained (struct registry *registry, const char *const *names,
+                      size_t count)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_mutex_lock (&registry->mutex);
+  g_hash_table_remove_all (registry->drained);
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (registry->drained, g_strdup (names[i]));
+  g_hash_table_iter_init (&iter, registry->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct registry_service *)value)->dirty = true;
+  publish (registry);
+  g_mutex_unlock (&registry->mutex);
+}
--- a/src/registry.h
+++ b/src/registry.h
@@ -44,6 +44,8 @@
   uint32_t open;
   /** Own requests sent since the last report. */
   uint32_t sent_since_report;
+  /** Own requests that were open when the last report was made. */
+  uint32_t open_at_report;
   /** Failures in a row. */
   uint32_t failures;
   /** Monotonic time until which the target gets no work, in ms. */
@@ -58,14 +60,30 @@
   struct registry_record record;
   /** Whether an operator drains it. */
   bool drained;
+  /** Monotonic time at which the record lapses, in ms. */
+  uint64_t lapse_at_ms;
+  /** Hash of the target's name. */
+  uint64_t target_hash;
   struct registry_load *load;
 };
 
-/** The targets of one service at one moment; immutable. */
+/** A run of targets in one availability zone. */
+struct registry_group
+{
+  char availability_zone[CACTUS_NAME_BYTES + 1];
+  char region[CACTUS_NAME_BYTES + 1];
+  uint32_t first;
+  uint32_t count;
+};
+
+/** The targets of one service at one moment; immutable.  Targets stand in
+ *  the order of region, availability zone and name. */
 struct registry_view
 {
   size_t count;
   const struct registry_target *targets;
+  size_t group_count;
+  const struct registry_group *groups;
 };
 
 struct registry;
@@ -92,13 +110,18 @@
 enum registry_outcome registry_merge (struct registry *registry,
                                       const struct registry_record *record,
                                       uint64_t now_ms);
-/** Drops lapsed records; leaving records are kept for twice the lapse time so
- *  that late copies can't bring the target back.  Number dropped. */
+/** Takes in @p count records and rebuilds each view once.  @p outcomes may be
+ *  NULL.  Number taken. */
+size_t registry_merge_all (struct registry *registry,
+                           const struct registry_record *records, size_t count,
+                           uint64_t now_ms, enum registry_outcome *outcomes);
+/** Drops lapsed records; leaving records are kept for 20 lapse times so that
+ *  late copies can't bring the target back.  Number dropped. */
 size_t registry_lapse (struct registry *registry, uint64_t now_ms);
 /** Replaces the set of targets that operators drain; names are copied. */
 void registry_set_drained (struct registry *registry, const char *const *names,
                            size_t count);
-/** Number of live records. */
+/** Number of records of targets that aren't leaving. */
 size_t registry_count (struct registry *registry);
 /** Copies up to @p limit records that changed after change number
  *  @p after, for gossip; sets @p after to the newest number given.  Each
@@ -110,6 +133,18 @@
 size_t registry_slice (struct registry *registry, size_t start,
                        struct registry_record *records, size_t limit);
 
+/** Number of the newest change. */
+uint64_t registry_change_number (struct registry *registry);
+/** Hash of what a target's reports leave unchanged: names, place, address,
+ *  incarnation, slots, weight and whether it leaves. */
+uint64_t registry_identity (const struct registry_record *record);
+/** Copies the record of that identity; false when none has it. */
+bool registry_find (struct registry *registry, uint64_t identity,
+                    struct registry_record *record);
+/** Copies the record of that target; false when it isn't known. */
+bool registry_find_target (struct registry *registry, const char *target,
+                           struct registry_record *record);
+
 /** Registers the calling thread for reading. */
 struct registry_reader *registry_reader_create (struct registry *registry);
 /** Ends the registration. */
--- /dev/null
+++ b/src/registry_load.c
@@ -0,0 +1,109 @@
+#include "registry_load.h"
+
+#include <glib.h>
+
+/* Power of two; with samples every 100 ms this covers the lapse time. */
+#define SAMPLES 32
+#define SAMPLE_INTERVAL_MS 100
+
+/* Own requests at one moment. */
+struct load_sample
+{
+  uint64_t time_ms;
+  uint32_t open;
+  uint32_t sent;
+};
+
+/* A load with what only the registry's writer and the references need. */
+struct load_holder
+{
+  struct registry_load load;
+  uint32_t references;
+  /* Own requests sent before the last report; the load counts from there. */
+  uint32_t sent_before;
+  uint32_t sample_count;
+  struct load_sample samples[SAMPLES];
+};
+
+struct registry_load *
+registry_load_create (void)
+{
+  struct load_holder *holder = g_new0 (struct load_holder, 1);
+  holder->references = 1;
+  return &holder->load;
+}
+
+struct registry_load *
+registry_load_ref (struct registry_load *load)
+{
+  struct load_holder *holder = (struct load_holder *)load;
+  __atomic_add_fetch (&holder->references, 1, __ATOMIC_RELAXED);
+  return load;
+}
+
+void
+registry_load_unref (struct registry_load *load)
+{
+  struct load_holder *holder = (struct load_holder *)load;
+  if (!load)
+    return;
+  if (__atomic_sub_fetch (&holder->references, 1, __ATOMIC_ACQ_REL) == 0)
+    g_free (holder);
+}
+
+static struct load_sample
+present (const struct load_holder *holder, uint64_t now_ms)
+{
+  struct load_sample sample = { .time_ms = now_ms };
+  sample.open = __atomic_load_n (&holder->load.open, __ATOMIC_RELAXED);
+  sample.sent
+      = holder->sent_before
+        + __atomic_load_n (&holder->load.sent_since_report, __ATOMIC_RELAXED);
+  return sample;
+}
+
+void
+registry_load_sample (struct registry_load *load, uint64_t now_ms)
+{
+  struct load_holder *holder = (struct load_holder *)load;
+  uint32_t count = holder->sample_count;
+  if (count > 0
+      && now_ms < holder->samples[(count - 1) % SAMPLES].time_ms
+                      + SAMPLE_INTERVAL_MS)
+    return;
+  holder->samples[count % SAMPLES] = present (holder, now_ms);
+  holder->sample_count++;
+}
+
+/* The newest sample not after heard_ms, else the oldest kept; the present
+   when there is none. */
+static struct load_sample
+sample_at (const struct load_holder *holder, uint64_t heard_ms,
+           uint64_t now_ms)
+{
+  struct load_sample found = present (holder, now_ms);
+  if (found.time_ms <= heard_ms)
+    return found;
+  for (uint32_t i = 1; i <= SAMPLES && i <= holder->sample_count; i++)
+    {
+      found = holder->samples[(holder->sample_count - i) % SAMPLES];
+      if (found.time_ms <= heard_ms)
+        break;
+    }
+  return found;
+}
+
+void
+registry_load_reported (struct registry_load *load, uint64_t heard_ms,
+                        uint64_t now_ms)
+{
+  struct load_holder *holder = (struct load_holder *)load;
+  struct load_sample then = sample_at (holder, heard_ms, now_ms);
+  uint32_t passed = then.sent - holder->sent_before;
+  if (then.sent - holder->sent_before > UINT32_MAX / 2)
+    passed = 0;
+  __atomic_sub_fetch (&load->sent_since_report, passed, __ATOMIC_RELAXED);
+  holder->sent_before += passed;
+  __atomic_store_n (&load->open_at_report, then.open, __ATOMIC_RELAXED);
+  registry_load_sample (load, now_ms);
+}
--- /dev/null
+++ b/src/registry_record.c
@@ -0,0 +1,86 @@
+#include "registry_record.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "base_hash.h"
+
+#define SLOTS_MAX 65535
+#define WEIGHT_MAX 1000
+#define REQUESTS_MAX 1000000
+
+/* Whether the name is 1 to CACTUS_NAME_BYTES visible ASCII characters that
+   need no escape in JSON and metric labels. */
+static bool
+name_valid (const char *name)
+{
+  size_t bytes = strnlen (name, CACTUS_NAME_BYTES + 1);
+  if (bytes == 0 || bytes > CACTUS_NAME_BYTES)
+    return false;
+  for (size_t i = 0; i < bytes; i++)
+    {
+      if (name[i] <= ' ' || name[i] > '~')
+        return false;
+      if (name[i] == '"' || name[i] == '\\')
+        return false;
+    }
+  return true;
+}
+
+static bool
+address_valid (const char *address, size_t size)
+{
+  struct in_addr number;
+  if (strnlen (address, size) == size)
+    return false;
+  return inet_pton (AF_INET, address, &number) == 1 && number.s_addr != 0;
+}
+
+static bool
+numbers_valid (const struct registry_record *record)
+{
+  if (record->port == 0 || record->incarnation == 0)
+    return false;
+  if (record->slots == 0 || record->slots > SLOTS_MAX)
+    return false;
+  if (record->weight == 0 || record->weight > WEIGHT_MAX)
+    return false;
+  return record->running <= REQUESTS_MAX && record->queued <= REQUESTS_MAX;
+}
+
+bool
+registry_record_valid (const struct registry_record *record)
+{
+  return name_valid (record->target) && name_valid (record->service)
+         && name_valid (record->availability_zone)
+         && name_valid (record->region)
+         && address_valid (record->address, sizeof record->address)
+         && numbers_valid (record);
+}
+
+bool
+registry_record_newer (const struct registry_record *left,
+                       const struct registry_record *right)
+{
+  if (left->incarnation != right->incarnation)
+    return left->incarnation > right->incarnation;
+  if (left->leaving != right->leaving)
+    return left->leaving;
+  return left->sequence > right->sequence;
+}
+
+uint64_t
+registry_identity (const struct registry_record *record)
+{
+  uint64_t parts[10] = { base_hash_string (record->target),
+                         base_hash_string (record->service),
+                         base_hash_string (record->availability_zone),
+                         base_hash_string (record->region),
+                         base_hash_string (record->address),
+                         record->port,
+                         record->incarnation,
+                         record->slots,
+                         record->weight,
+                         record->leaving };
+  return base_hash64 (parts, sizeof parts);
+}
--- a/src/retry.h
+++ b/src/retry.h
@@ -42,7 +42,10 @@
 /** Counts a first attempt. */
 void retry_budget_earn (struct retry_budget *budget);
 /** Decides after a failed attempt number @p attempt (from 1), with
- *  @p left_ms to the deadline; RETRY_AGAIN spends from the budget. */
+ *  @p left_ms to the deadline.  @p progress is the furthest that any attempt
+ *  of the request got: an earlier one that was sent may have run.
+ *  RETRY_AGAIN spends from the budget, but for RETRY_UNSENT, which loads no
+ *  target. */
 enum retry_decision retry_decide (struct retry_budget *budget,
                                   enum retry_progress progress,
                                   bool idempotent, uint32_t attempt,
