Add the ledger's core: shares, reservations, bills, keys

Change: escrow_ledger with one apply path for live operations and replay; sessions, orphans written off at their watermark, late settlements that only lower, keys, saved state.

--- /dev/null
+++ b/src/escrow_demand.c
@@ -0,0 +1,167 @@
+#include "escrow_demand.h"
+
+/* Life of a want that is not renewed, in ms. */
+#define WANT_LIFE_MS 2000
+/* How long control's word that nothing is left holds, in ms. */
+#define NOTHING_LEFT_MS 500
+#define WANTS_MAX 4096u
+#define MS_PER_SECOND 1000u
+#define SECONDS_PER_MINUTE 60u
+/* Shortest span over which a rate is measured, in seconds. */
+#define RATE_SPAN_S 2u
+
+struct escrow_demand
+{
+  /* struct escrow_want by budget_id. */
+  GHashTable *wants;
+  /* Changed struct escrow_budget, in the order of their change. */
+  GQueue changed;
+  bool connected;
+};
+
+struct escrow_demand *
+escrow_demand_create (void)
+{
+  struct escrow_demand *demand = g_new0 (struct escrow_demand, 1);
+  demand->wants
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  g_queue_init (&demand->changed);
+  return demand;
+}
+
+void
+escrow_demand_destroy (struct escrow_demand *demand)
+{
+  g_hash_table_unref (demand->wants);
+  g_queue_clear (&demand->changed);
+  g_free (demand);
+}
+
+struct escrow_want *
+escrow_demand_find (const struct escrow_demand *demand, uint64_t budget_id)
+{
+  return g_hash_table_lookup (demand->wants, &budget_id);
+}
+
+void
+escrow_demand_want (struct escrow_demand *demand, uint64_t budget_id,
+                    uint64_t tokens, uint64_t now_ms)
+{
+  struct escrow_want *want = escrow_demand_find (demand, budget_id);
+  if (!want && g_hash_table_size (demand->wants) >= WANTS_MAX)
+    return;
+  if (!want)
+    {
+      want = g_new0 (struct escrow_want, 1);
+      want->budget_id = budget_id;
+      g_hash_table_insert (demand->wants, &want->budget_id, want);
+    }
+  want->tokens = MAX (want->tokens, tokens);
+  if (want->nothing_left_until_ms <= now_ms)
+    want->nothing_left_until_ms = 0;
+  want->at_ms = now_ms;
+}
+
+void
+escrow_demand_set_connected (struct escrow_demand *demand, bool connected)
+{
+  demand->connected = connected;
+}
+
+bool
+escrow_demand_hopeful (const struct escrow_demand *demand, uint64_t budget_id,
+                       uint64_t now_ms)
+{
+  const struct escrow_want *want = escrow_demand_find (demand, budget_id);
+  return demand->connected && want && want->nothing_left_until_ms <= now_ms;
+}
+
+void
+escrow_demand_granted (struct escrow_demand *demand, uint64_t budget_id)
+{
+  g_hash_table_remove (demand->wants, &budget_id);
+}
+
+void
+escrow_demand_nothing_left (struct escrow_demand *demand, uint64_t budget_id,
+                            uint64_t now_ms)
+{
+  struct escrow_want *want = escrow_demand_find (demand, budget_id);
+  if (want)
+    want->nothing_left_until_ms = now_ms + NOTHING_LEFT_MS;
+}
+
+void
+escrow_demand_changed (struct escrow_demand *demand,
+                       struct escrow_budget *budget)
+{
+  if (budget->changed)
+    return;
+  budget->changed = true;
+  g_queue_push_tail (&demand->changed, budget);
+}
+
+bool
+escrow_demand_urgent (const struct escrow_demand *demand)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, demand->wants);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct escrow_want *want = value;
+      if (want->nothing_left_until_ms == 0)
+        return true;
+    }
+  return false;
+}
+
+void
+escrow_demand_wants (struct escrow_demand *demand, uint64_t now_ms,
+                     uint32_t most, GArray *budget_ids)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, demand->wants);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct escrow_want *want = value;
+      if (want->at_ms + WANT_LIFE_MS <= now_ms)
+        g_hash_table_iter_remove (&iter);
+      else if (want->nothing_left_until_ms <= now_ms && budget_ids->len < most)
+        g_array_append_val (budget_ids, want->budget_id);
+    }
+}
+
+struct escrow_budget *
+escrow_demand_next (struct escrow_demand *demand)
+{
+  struct escrow_budget *budget = g_queue_pop_head (&demand->changed);
+  if (budget)
+    budget->changed = false;
+  return budget;
+}
+
+void
+escrow_demand_rate (struct escrow_budget *budget, uint64_t now_ms)
+{
+  uint32_t now_s = (uint32_t)(now_ms / MS_PER_SECOND);
+  uint64_t spent = budget->spent_tokens + budget->written_off_tokens;
+  if (budget->rate_at_s == 0)
+    {
+      budget->rate_at_s = now_s;
+      budget->rate_spent_tokens = spent;
+      return;
+    }
+  uint32_t span_s = now_s - budget->rate_at_s;
+  if (span_s < RATE_SPAN_S)
+    return;
+  uint64_t used = spent > budget->rate_spent_tokens
+                      ? spent - budget->rate_spent_tokens
+                      : 0;
+  uint64_t rate = used * SECONDS_PER_MINUTE / span_s;
+  rate = (rate + budget->rate_tokens) / 2;
+  budget->rate_tokens = (uint32_t)MIN (rate, UINT32_MAX);
+  budget->rate_at_s = now_s;
+  budget->rate_spent_tokens = spent;
+}
--- /dev/null
+++ b/src/escrow_key.c
@@ -0,0 +1,191 @@
+#include "escrow_key.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include "base_hash.h"
+
+#define IDENTITY_BYTES (sizeof (uint64_t) + CACTUS_DIGEST_BYTES)
+
+struct escrow_keys
+{
+  uint64_t window_ms;
+  uint32_t keys_max;
+  /* struct escrow_key by account and key. */
+  GHashTable *table;
+  /* Keys that are done or charged, oldest first. */
+  GQueue kept;
+};
+
+static guint
+hash_key (gconstpointer key)
+{
+  return (guint)base_hash64 (key, IDENTITY_BYTES);
+}
+
+static gboolean
+equal_keys (gconstpointer left, gconstpointer right)
+{
+  return memcmp (left, right, IDENTITY_BYTES) == 0;
+}
+
+struct escrow_keys *
+escrow_keys_create (uint64_t window_ms, uint32_t keys_max)
+{
+  G_STATIC_ASSERT (offsetof (struct escrow_key, key) == sizeof (uint64_t));
+  struct escrow_keys *keys = g_new0 (struct escrow_keys, 1);
+  keys->window_ms = window_ms;
+  keys->keys_max = keys_max;
+  keys->table = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
+  g_queue_init (&keys->kept);
+  return keys;
+}
+
+void
+escrow_keys_destroy (struct escrow_keys *keys)
+{
+  g_hash_table_unref (keys->table);
+  g_free (keys);
+}
+
+static bool
+expired (const struct escrow_keys *keys, const struct escrow_key *key,
+         uint64_t now_ms)
+{
+  return key->state != ESCROW_KEY_OPEN
+         && key->done_at_ms + keys->window_ms <= now_ms;
+}
+
+static struct escrow_key *
+lookup (const struct escrow_keys *keys, uint64_t account_id,
+        const uint8_t *key)
+{
+  struct escrow_key probe = { .account_id = account_id };
+  memcpy (probe.key, key, sizeof probe.key);
+  return g_hash_table_lookup (keys->table, &probe);
+}
+
+struct escrow_key *
+escrow_keys_find (const struct escrow_keys *keys, uint64_t account_id,
+                  const uint8_t *key, uint64_t now_ms)
+{
+  struct escrow_key *found = lookup (keys, account_id, key);
+  return found && !expired (keys, found, now_ms) ? found : NULL;
+}
+
+/* Takes the key out of the window. */
+static void
+unkeep (struct escrow_keys *keys, struct escrow_key *key)
+{
+  if (key->state != ESCROW_KEY_OPEN)
+    g_queue_unlink (&keys->kept, &key->link);
+}
+
+static struct escrow_key *
+insert (struct escrow_keys *keys, uint64_t account_id, const uint8_t *key)
+{
+  struct escrow_key *made = g_new0 (struct escrow_key, 1);
+  made->account_id = account_id;
+  memcpy (made->key, key, sizeof made->key);
+  made->link.data = made;
+  g_hash_table_insert (keys->table, made, made);
+  return made;
+}
+
+void
+escrow_keys_open (struct escrow_keys *keys, const struct escrow_entry *reserve)
+{
+  struct escrow_key *key = lookup (keys, reserve->account_id, reserve->key);
+  if (key)
+    unkeep (keys, key);
+  else
+    key = insert (keys, reserve->account_id, reserve->key);
+  key->state = ESCROW_KEY_OPEN;
+  key->body_hash = reserve->body_hash;
+  key->ref = reserve->ref;
+  key->tokens = 0;
+}
+
+void
+escrow_keys_forget (struct escrow_keys *keys, struct escrow_key *key)
+{
+  unkeep (keys, key);
+  g_hash_table_remove (keys->table, key);
+}
+
+static void
+evict (struct escrow_keys *keys, uint64_t now_ms)
+{
+  while (keys->kept.head)
+    {
+      struct escrow_key *oldest = keys->kept.head->data;
+      if (keys->kept.length <= keys->keys_max
+          && !expired (keys, oldest, now_ms))
+        return;
+      escrow_keys_forget (keys, oldest);
+    }
+}
+
+void
+escrow_keys_keep (struct escrow_keys *keys, struct escrow_key *key,
+                  enum escrow_key_state state, uint64_t tokens,
+                  uint64_t now_ms)
+{
+  unkeep (keys, key);
+  key->state = state;
+  key->tokens = tokens;
+  key->done_at_ms = now_ms;
+  g_queue_push_tail_link (&keys->kept, &key->link);
+  evict (keys, now_ms);
+}
+
+uint32_t
+escrow_keys_count (const struct escrow_keys *keys)
+{
+  return g_hash_table_size (keys->table);
+}
+
+void
+escrow_keys_save (const struct escrow_keys *keys, GByteArray *bytes)
+{
+  escrow_put_u32 (bytes, keys->kept.length);
+  for (GList *at = keys->kept.head; at; at = at->next)
+    {
+      const struct escrow_key *key = at->data;
+      escrow_put_u64 (bytes, key->account_id);
+      escrow_put_raw (bytes, key->key, sizeof key->key);
+      escrow_put_u64 (bytes, key->body_hash);
+      escrow_put_u64 (bytes, key->ref.incarnation);
+      escrow_put_u64 (bytes, key->ref.id);
+      escrow_put_u64 (bytes, key->tokens);
+      escrow_put_u64 (bytes, key->done_at_ms);
+      escrow_put_u8 (bytes, (uint8_t)key->state);
+    }
+}
+
+void
+escrow_keys_load (struct escrow_keys *keys, struct escrow_reader *reader)
+{
+  uint32_t count = escrow_get_u32 (reader);
+  for (uint32_t i = 0; i < count && !reader->failed; i++)
+    {
+      uint8_t text[CACTUS_DIGEST_BYTES];
+      uint64_t account_id = escrow_get_u64 (reader);
+      escrow_get_raw (reader, text, sizeof text);
+      if (lookup (keys, account_id, text))
+        {
+          reader->failed = true;
+          return;
+        }
+      struct escrow_key *key = insert (keys, account_id, text);
+      key->body_hash = escrow_get_u64 (reader);
+      key->ref.incarnation = escrow_get_u64 (reader);
+      key->ref.id = escrow_get_u64 (reader);
+      key->tokens = escrow_get_u64 (reader);
+      key->done_at_ms = escrow_get_u64 (reader);
+      key->state = escrow_get_u8 (reader) == ESCROW_KEY_DONE
+                       ? ESCROW_KEY_DONE
+                       : ESCROW_KEY_CHARGED;
+      g_queue_push_tail_link (&keys->kept, &key->link);
+    }
+}
--- /dev/null
+++ b/src/escrow_ledger_apply.c
@@ -0,0 +1,310 @@
+#include <string.h>
+
+#include "escrow_ledger_state.h"
+
+/* Sessions that are remembered after their end. */
+#define SESSIONS_MAX 4096u
+
+struct escrow_session *
+escrow_ledger_session (const struct escrow_ledger *ledger,
+                       uint64_t incarnation)
+{
+  return g_hash_table_lookup (ledger->sessions, &incarnation);
+}
+
+struct escrow_reservation *
+escrow_ledger_reservation (const struct escrow_ledger *ledger,
+                           struct escrow_ref ref)
+{
+  return g_hash_table_lookup (ledger->reservations, &ref);
+}
+
+/* The session that ended first, or NULL when none did. */
+static struct escrow_session *
+oldest_ended (const struct escrow_ledger *ledger)
+{
+  GHashTableIter iter;
+  gpointer value;
+  struct escrow_session *oldest = NULL;
+  g_hash_table_iter_init (&iter, ledger->sessions);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct escrow_session *session = value;
+      if (session->open)
+        continue;
+      if (!oldest || session->ended_ms < oldest->ended_ms
+          || (session->ended_ms == oldest->ended_ms
+              && session->incarnation < oldest->incarnation))
+        oldest = session;
+    }
+  return oldest;
+}
+
+struct escrow_session *
+escrow_ledger_add_session (struct escrow_ledger *ledger, uint64_t incarnation,
+                           const char *router)
+{
+  if (g_hash_table_size (ledger->sessions) >= SESSIONS_MAX)
+    {
+      struct escrow_session *oldest = oldest_ended (ledger);
+      if (oldest)
+        g_hash_table_remove (ledger->sessions, &oldest->incarnation);
+    }
+  struct escrow_session *session = g_new0 (struct escrow_session, 1);
+  session->incarnation = incarnation;
+  session->router = g_strdup (router);
+  g_queue_init (&session->reservations);
+  g_hash_table_insert (ledger->sessions, &session->incarnation, session);
+  return session;
+}
+
+static int
+apply_session (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  struct escrow_session *session
+      = escrow_ledger_session (ledger, entry->ref.incarnation);
+  if (!session)
+    session = escrow_ledger_add_session (ledger, entry->ref.incarnation,
+                                         entry->router);
+  if (session->fenced)
+    return -1;
+  session->open = true;
+  session->heard_ms = entry->now_ms;
+  return 0;
+}
+
+struct escrow_reservation *
+escrow_ledger_add_reservation (struct escrow_ledger *ledger,
+                               struct escrow_session *session,
+                               const struct escrow_entry *reserve)
+{
+  struct escrow_reservation *made = g_new0 (struct escrow_reservation, 1);
+  made->ref = reserve->ref;
+  made->session = session;
+  made->account_id = reserve->account_id;
+  made->budget_id = reserve->budget_id;
+  memcpy (made->key, reserve->key, sizeof made->key);
+  made->body_hash = reserve->body_hash;
+  made->key_from_caller = reserve->flag;
+  made->tokens = reserve->tokens;
+  made->link.data = made;
+  g_hash_table_insert (ledger->reservations, &made->ref, made);
+  g_queue_push_tail_link (&session->reservations, &made->link);
+  escrow_keys_open (ledger->keys, reserve);
+  return made;
+}
+
+static int
+apply_reserve (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  struct escrow_session *session
+      = escrow_ledger_session (ledger, entry->ref.incarnation);
+  struct escrow_budget *budget
+      = escrow_budgets_find (ledger->budgets, entry->budget_id);
+  if (!session || !session->open || !budget
+      || escrow_budget_free (budget) < entry->tokens
+      || escrow_ledger_reservation (ledger, entry->ref))
+    return -1;
+  budget->reserved_tokens += entry->tokens;
+  escrow_ledger_add_reservation (ledger, session, entry);
+  escrow_demand_changed (ledger->demand, budget);
+  return 0;
+}
+
+static int
+apply_extend (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  struct escrow_reservation *reservation
+      = escrow_ledger_reservation (ledger, entry->ref);
+  if (!reservation || entry->tokens > reservation->tokens)
+    return -1;
+  reservation->watermark_tokens = entry->tokens;
+  return 0;
+}
+
+/* Key of a reservation while that reservation holds it. */
+static struct escrow_key *
+held_key (struct escrow_ledger *ledger, uint64_t account_id,
+          const uint8_t *key, struct escrow_ref ref)
+{
+  struct escrow_key *found
+      = escrow_keys_find (ledger->keys, account_id, key, ledger->last_ms);
+  return found && escrow_ref_equal (&found->ref, &ref) ? found : NULL;
+}
+
+/* Takes an open reservation out of its budget, session and table. */
+static struct escrow_budget *
+close_reservation (struct escrow_ledger *ledger,
+                   struct escrow_reservation *reservation)
+{
+  struct escrow_budget *budget
+      = escrow_budgets_find (ledger->budgets, reservation->budget_id);
+  budget->reserved_tokens -= reservation->tokens;
+  g_queue_unlink (&reservation->session->reservations, &reservation->link);
+  g_hash_table_remove (ledger->reservations, &reservation->ref);
+  escrow_demand_changed (ledger->demand, budget);
+  return budget;
+}
+
+static int
+apply_end (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  bool settled = entry->kind == ESCROW_ENTRY_SETTLE;
+  struct escrow_reservation *reservation
+      = escrow_ledger_reservation (ledger, entry->ref);
+  if (!reservation || entry->tokens > reservation->tokens)
+    return -1;
+  struct escrow_key *key = held_key (ledger, reservation->account_id,
+                                     reservation->key, entry->ref);
+  if (key && (reservation->key_from_caller || !settled))
+    escrow_keys_keep (ledger->keys, key,
+                      settled ? ESCROW_KEY_DONE : ESCROW_KEY_CHARGED,
+                      entry->tokens, entry->now_ms);
+  else if (key)
+    escrow_keys_forget (ledger->keys, key);
+  struct escrow_budget *budget = close_reservation (ledger, reservation);
+  if (settled)
+    budget->spent_tokens += entry->tokens;
+  else
+    budget->written_off_tokens += entry->tokens;
+  escrow_dones_put (ledger->dones, entry,
+                    settled ? ESCROW_DONE_SETTLED : ESCROW_DONE_CHARGED);
+  return 0;
+}
+
+static int
+apply_release (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  struct escrow_reservation *reservation
+      = escrow_ledger_reservation (ledger, entry->ref);
+  if (reservation)
+    {
+      struct escrow_key *key = held_key (ledger, reservation->account_id,
+                                         reservation->key, entry->ref);
+      if (key)
+        escrow_keys_forget (ledger->keys, key);
+      close_reservation (ledger, reservation);
+    }
+  escrow_dones_put (ledger->dones, entry, ESCROW_DONE_RELEASED);
+  return 0;
+}
+
+static int
+apply_session_end (struct escrow_ledger *ledger,
+                   const struct escrow_entry *entry)
+{
+  struct escrow_session *session
+      = escrow_ledger_session (ledger, entry->ref.incarnation);
+  if (!session || session->reservations.head)
+    return -1;
+  session->open = false;
+  session->fenced = session->fenced || entry->flag;
+  session->ended_ms = entry->now_ms;
+  return 0;
+}
+
+static int
+apply_lower (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  struct escrow_done *done = escrow_dones_find (ledger->dones, entry->ref);
+  if (!done || done->state != ESCROW_DONE_CHARGED
+      || entry->tokens > done->tokens)
+    return -1;
+  struct escrow_budget *budget
+      = escrow_budgets_find (ledger->budgets, done->budget_id);
+  budget->written_off_tokens -= done->tokens;
+  if (entry->flag)
+    budget->spent_tokens += entry->tokens;
+  else
+    budget->written_off_tokens += entry->tokens;
+  struct escrow_key *key
+      = held_key (ledger, done->account_id, done->key, entry->ref);
+  if (key && entry->flag)
+    escrow_keys_keep (ledger->keys, key, ESCROW_KEY_DONE, entry->tokens,
+                      entry->now_ms);
+  escrow_dones_put (ledger->dones, entry,
+                    entry->flag ? ESCROW_DONE_LOWERED_BILLED
+                                : ESCROW_DONE_LOWERED);
+  escrow_demand_changed (ledger->demand, budget);
+  return 0;
+}
+
+static int
+apply_grant (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  if (entry->ref.id != ledger->grant_sequence + 1)
+    return -1;
+  struct escrow_budget *budget
+      = escrow_budgets_need (ledger->budgets, entry->budget_id);
+  ledger->grant_sequence = entry->ref.id;
+  budget->granted_tokens += entry->tokens;
+  escrow_demand_granted (ledger->demand, entry->budget_id);
+  escrow_demand_changed (ledger->demand, budget);
+  return 0;
+}
+
+static int
+apply_return (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  struct escrow_budget *budget
+      = escrow_budgets_find (ledger->budgets, entry->budget_id);
+  if (entry->ref.id != ledger->return_sequence + 1 || !budget
+      || escrow_budget_free (budget) < entry->tokens)
+    return -1;
+  struct control_transfer back
+      = { entry->ref.id, entry->budget_id, entry->tokens };
+  ledger->return_sequence = entry->ref.id;
+  budget->returned_tokens += entry->tokens;
+  g_array_append_val (ledger->returns, back);
+  escrow_demand_changed (ledger->demand, budget);
+  return 0;
+}
+
+static int
+apply_return_ack (struct escrow_ledger *ledger,
+                  const struct escrow_entry *entry)
+{
+  guint count = 0;
+  if (entry->ref.id > ledger->return_sequence)
+    return -1;
+  while (count < ledger->returns->len
+         && g_array_index (ledger->returns, struct control_transfer, count)
+                    .sequence
+                <= entry->ref.id)
+    count++;
+  g_array_remove_range (ledger->returns, 0, count);
+  return 0;
+}
+
+int
+escrow_ledger_apply (struct escrow_ledger *ledger,
+                     const struct escrow_entry *entry)
+{
+  ledger->last_ms = MAX (ledger->last_ms, entry->now_ms);
+  switch (entry->kind)
+    {
+    case ESCROW_ENTRY_SESSION:
+      return apply_session (ledger, entry);
+    case ESCROW_ENTRY_RESERVE:
+      return apply_reserve (ledger, entry);
+    case ESCROW_ENTRY_EXTEND:
+      return apply_extend (ledger, entry);
+    case ESCROW_ENTRY_SETTLE:
+    case ESCROW_ENTRY_CHARGE:
+      return apply_end (ledger, entry);
+    case ESCROW_ENTRY_RELEASE:
+      return apply_release (ledger, entry);
+    case ESCROW_ENTRY_SESSION_END:
+      return apply_session_end (ledger, entry);
+    case ESCROW_ENTRY_LOWER:
+      return apply_lower (ledger, entry);
+    case ESCROW_ENTRY_GRANT:
+      return apply_grant (ledger, entry);
+    case ESCROW_ENTRY_RETURN:
+      return apply_return (ledger, entry);
+    case ESCROW_ENTRY_RETURN_ACK:
+      return apply_return_ack (ledger, entry);
+    default:
+      return -1;
+    }
+}
--- a/src/escrow_pool.h
+++ b/src/escrow_pool.h
@@ -42,8 +42,8 @@
 /** Applies one exchange with a ledger: returns, acknowledgements, demands;
  *  gives grants and recalls.  A newer incarnation of a ledger fences the
  *  older one, whose shares then count as written off.  A recall of 0 tokens
- * tells the ledger that nothing is left in reach for what it wants.  Arrays in
- * @p result are allocated with malloc, as xdr_free expects. */
+ *  tells the ledger that nothing is left in reach for what it wants.  Arrays
+ *  in @p result are allocated with malloc, as xdr_free expects. */
 void escrow_pool_exchange (struct escrow_pool *pool,
                            const struct control_ledger_args *args,
                            uint64_t now_ms,
