--- a/tools/load_oracle.c
+++ b/tools/load_oracle.c
@@ -23,6 +23,7 @@
   GHashTable *billed;
   /* Account id and key digest in hexadecimal to number of bills. */
   GHashTable *bills;
+  uint64_t written_off_tokens;
 };
 
 struct load_oracle *
@@ -149,7 +150,10 @@
   base_hex_write (digest, (const uint8_t *)bill->key, CACTUS_DIGEST_BYTES);
   char *request = g_strconcat (account, "/", digest, NULL);
   add_total (oracle->billed, account, bill->tokens);
-  add_total (oracle->bills, request, 1);
+  if (bill->written_off)
+    oracle->written_off_tokens += bill->tokens;
+  else
+    add_total (oracle->bills, request, 1);
   g_free (request);
   g_free (account);
 }
@@ -202,6 +206,12 @@
   return billed;
 }
 
+uint64_t
+load_oracle_written_off (const struct load_oracle *oracle)
+{
+  return oracle->written_off_tokens;
+}
+
 uint32_t
 load_oracle_double_bills (const struct load_oracle *oracle)
 {
--- a/tools/load_oracle.h
+++ b/tools/load_oracle.h
@@ -41,6 +41,8 @@
 /** Tokens billed to an account, written-off ones included. */
 uint64_t load_oracle_account_billed (const struct load_oracle *oracle,
                                      const char *account);
+/** Tokens of orphaned reservations, which ledgers count as spent. */
+uint64_t load_oracle_written_off (const struct load_oracle *oracle);
 /** Number of requests (account and key) with more than one bill. */
 uint32_t load_oracle_double_bills (const struct load_oracle *oracle);
 
--- a/tools/load_report.c
+++ b/tools/load_report.c
@@ -150,8 +150,8 @@
     json_object_set_new (kinds, mix->kinds[i].name,
                          kind_report (&mix->kinds[i], calls));
   return json_pack (
-      "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "requests",
-      (json_int_t)calls->len, "answered",
+      "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}",
+      "requests", (json_int_t)calls->len, "answered",
       (json_int_t)sums.by_outcome[LOAD_ANSWERED], "refused",
       (json_int_t)sums.by_outcome[LOAD_REFUSED], "lost",
       (json_int_t)sums.by_outcome[LOAD_LOST], "cut_streams",
@@ -161,7 +161,8 @@
       (json_int_t)sums.false_refusals, "overspend_tokens",
       (json_int_t)sum_overspend (mix, oracle, budgets), "double_runs",
       (json_int_t)sums.double_runs, "double_bills",
-      (json_int_t)load_oracle_double_bills (oracle), "not_run_lies",
+      (json_int_t)load_oracle_double_bills (oracle), "written_off_tokens",
+      (json_int_t)load_oracle_written_off (oracle), "not_run_lies",
       (json_int_t)sums.not_run_lies, "refusals", refusals_by_code (calls),
       "kinds", kinds);
 }
