--- /dev/null
+++ b/bench/bench_base.c
@@ -0,0 +1,193 @@
+/** @file
+ *  Slopes of the shared parts: recording a metric, syncing the log, one call
+ *  between processes.  --json prints one JSON line a slope. */
+
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "base_clock.h"
+#include "base_metrics.h"
+#include "store_log.h"
+#include "wire_client.h"
+#include "wire_ledger.h"
+#include "wire_server.h"
+
+#define RECORDS 20000000
+#define SYNCS 1000
+#define SYNC_RECORD_BYTES 200
+#define CALLS_EACH 4000
+
+static bool json_wanted;
+
+static void
+print_slope (const char *name, const char *unit, double value,
+             const char *sizes)
+{
+  if (json_wanted)
+    printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.4f,"
+            "\"sizes\":\"%s\"}\n",
+            name, unit, value, sizes);
+  else
+    printf ("%-28s %12.3f %-14s %s\n", name, value, unit, sizes);
+}
+
+static uint64_t
+now_us (void)
+{
+  return base_clock_now_us (base_clock_system ());
+}
+
+static double
+cpu_us (void)
+{
+  struct rusage usage;
+  getrusage (RUSAGE_SELF, &usage);
+  return (double)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1e6
+         + (double)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
+static void
+bench_histogram (void)
+{
+  struct base_histogram *histogram = base_histogram_create ();
+  uint64_t start = now_us ();
+  for (uint64_t i = 0; i < RECORDS; i++)
+    base_histogram_record (histogram, i & 0xffff);
+  double spent = (double)(now_us () - start);
+  print_slope ("histogram_record_ns", "ns/record", spent * 1000 / RECORDS,
+               "20 M records, one thread");
+  base_histogram_destroy (histogram);
+}
+
+static void
+remove_log (const char *folder)
+{
+  const char *name;
+  GDir *listing = g_dir_open (folder, 0, NULL);
+  while ((name = g_dir_read_name (listing)))
+    {
+      char *path = g_build_filename (folder, name, NULL);
+      g_unlink (path);
+      g_free (path);
+    }
+  g_dir_close (listing);
+  g_rmdir (folder);
+}
+
+static void
+bench_sync (void)
+{
+  char record[SYNC_RECORD_BYTES] = { 0 };
+  char *folder = g_dir_make_tmp ("cactus-bench-XXXXXX", NULL);
+  struct base_findings *findings = base_findings_create ();
+  struct store_log *log = store_log_open (folder, 1, findings);
+  uint64_t start = now_us ();
+  for (int i = 0; i < SYNCS; i++)
+    {
+      store_log_append (log, record, sizeof record);
+      store_log_sync (log);
+    }
+  double spent = (double)(now_us () - start);
+  print_slope ("log_sync_us", "us/sync", spent / SYNCS,
+               "1,000 syncs of one 200-byte record");
+  store_log_close (log);
+  remove_log (folder);
+  base_findings_destroy (findings);
+  g_free (folder);
+}
+
+static void
+answer_call (struct wire_handler *handler, struct wire_call *call)
+{
+  struct ledger_budget_args args = { 0 };
+  struct ledger_budget_result result = { 0 };
+  (void)handler;
+  wire_call_args (call, (xdrproc_t)xdr_ledger_budget_args, &args);
+  wire_call_reply (call, (xdrproc_t)xdr_ledger_budget_result, &result);
+}
+
+static atomic_bool stopping;
+
+static gpointer
+serve (gpointer server)
+{
+  while (!atomic_load (&stopping))
+    wire_server_round (server, 10);
+  return NULL;
+}
+
+static gpointer
+call_server (gpointer data)
+{
+  struct wire_client *client = data;
+  for (int i = 0; i < CALLS_EACH; i++)
+    {
+      struct ledger_budget_args args = { 1 };
+      struct ledger_budget_result result;
+      wire_client_call (
+          client, LEDGER_BUDGET, (xdrproc_t)xdr_ledger_budget_args, &args,
+          (xdrproc_t)xdr_ledger_budget_result, &result, sizeof result, 5000);
+    }
+  return NULL;
+}
+
+static void
+bench_callers (uint16_t port, uint32_t callers)
+{
+  struct wire_client *clients[64];
+  GThread *threads[64];
+  char sizes[64];
+  char name[64];
+  double cpu = cpu_us ();
+  uint64_t start = now_us ();
+  for (uint32_t i = 0; i < callers; i++)
+    {
+      clients[i] = wire_client_create ("127.0.0.1", port, LEDGER_PROGRAM,
+                                       LEDGER_VERSION);
+      threads[i] = g_thread_new ("caller", call_server, clients[i]);
+    }
+  for (uint32_t i = 0; i < callers; i++)
+    g_thread_join (threads[i]);
+  double spent = (double)(now_us () - start);
+  double calls = (double)callers * CALLS_EACH;
+  snprintf (sizes, sizeof sizes, "%u callers, both sides in one process",
+            callers);
+  snprintf (name, sizeof name, "rpc_calls_per_s_%u", callers);
+  print_slope (name, "calls/s", calls * 1e6 / spent, sizes);
+  snprintf (name, sizeof name, "rpc_cpu_us_%u", callers);
+  print_slope (name, "us/call", (cpu_us () - cpu) / calls, sizes);
+  for (uint32_t i = 0; i < callers; i++)
+    wire_client_destroy (clients[i]);
+}
+
+static void
+bench_calls (void)
+{
+  static const uint32_t callers[] = { 1, 8, 50 };
+  struct wire_program program = { LEDGER_PROGRAM, LEDGER_VERSION };
+  struct wire_handler handler = { .call = answer_call };
+  struct wire_server *server
+      = wire_server_create ("127.0.0.1", 0, &program, 1, &handler);
+  GThread *thread = g_thread_new ("server", serve, server);
+  for (size_t i = 0; i < G_N_ELEMENTS (callers); i++)
+    bench_callers (wire_server_port (server), callers[i]);
+  atomic_store (&stopping, true);
+  wire_server_wake (server);
+  g_thread_join (thread);
+  wire_server_destroy (server);
+}
+
+int
+main (int argc, char **argv)
+{
+  json_wanted = argc > 1 && strcmp (argv[1], "--json") == 0;
+  bench_histogram ();
+  bench_sync ();
+  bench_calls ();
+  return 0;
+}
