--- /dev/null
+++ b/src/ledger_main.c
@@ -0,0 +1,216 @@
+/** @file
+ *  cactus-ledger: a zone's shares of the prepaid budgets. */
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base_log.h"
+#include "base_settings.h"
+#include "control_client.h"
+#include "control_session.h"
+#include "http_status.h"
+#include "ledger_server.h"
+#include "store_file.h"
+
+#define MEBIBYTE (UINT64_C (1024) * 1024)
+
+/* Settings of the process. */
+struct ledger_options
+{
+  char *cluster;
+  char *host;
+  char *availability_zone;
+  char *region;
+  char *rpc;
+  char *http;
+  char **control;
+  char *data_dir;
+  char *ready_file;
+  uint64_t bills_mib;
+};
+
+static atomic_int stop_signals;
+static struct ledger_server *the_server;
+
+static void
+on_signal (int number)
+{
+  (void)number;
+  if (atomic_fetch_add (&stop_signals, 1) > 0)
+    _exit (1);
+  if (the_server)
+    ledger_server_wake (the_server);
+}
+
+static int
+write_ready_file (const char *path, uint16_t rpc_port, uint16_t http_port)
+{
+  char text[80];
+  if (!path)
+    return 0;
+  int length
+      = snprintf (text, sizeof text, "{\"rpc_port\":%u,\"http_port\":%u}\n",
+                  rpc_port, http_port);
+  char *folder = g_path_get_dirname (path);
+  char *name = g_path_get_basename (path);
+  int status
+      = store_file_replace (folder, name, text, (size_t)length, NULL, 0);
+  g_free (name);
+  g_free (folder);
+  return status;
+}
+
+static bool
+is_ready (void *context)
+{
+  return ledger_server_ready (context);
+}
+
+static void
+fill_process (struct wire_process *process,
+              const struct ledger_options *options,
+              struct ledger_server *server, uint16_t http_port)
+{
+  static char address[16];
+  uint16_t port;
+  base_endpoint_split (options->rpc, address, &port);
+  process->kind = WIRE_PROCESS_LEDGER;
+  process->host = options->host;
+  process->availability_zone = options->availability_zone;
+  process->region = options->region;
+  process->address = address;
+  process->rpc_port = ledger_server_port (server);
+  process->http_port = http_port;
+  process->incarnation = ledger_server_incarnation (server);
+}
+
+/* Serves until a signal. */
+static int
+serve (const struct ledger_options *options, struct ledger_server *server,
+       struct control_client *control)
+{
+  static struct control_session_user user;
+  char address[16];
+  uint16_t port;
+  int status = 1;
+  struct wire_process process = { 0 };
+  struct control_session *session = NULL;
+  base_endpoint_split (options->http, address, &port);
+  struct http_status *http = http_status_create (
+      address, port, ledger_server_metrics (server), is_ready, server);
+  if (!http)
+    {
+      base_log (BASE_LOG_ERROR, "http-not-listening endpoint=%s",
+                options->http);
+      return status;
+    }
+  fill_process (&process, options, server, http_status_port (http));
+  if (control)
+    session = control_session_create (control, options->cluster, &process,
+                                      NULL, &user);
+  if (write_ready_file (options->ready_file, ledger_server_port (server),
+                        http_status_port (http))
+      == 0)
+    status = 0;
+  else
+    base_log (BASE_LOG_ERROR, "ready-file-not-written path=%s",
+              options->ready_file);
+  while (status == 0 && atomic_load (&stop_signals) == 0)
+    ledger_server_round (server);
+  base_log (BASE_LOG_NOTICE, "stopping");
+  if (session)
+    control_session_destroy (session);
+  http_status_destroy (http);
+  return status;
+}
+
+static void
+catch_signals (void)
+{
+  struct sigaction action = { .sa_handler = on_signal };
+  sigaction (SIGTERM, &action, NULL);
+  sigaction (SIGINT, &action, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+static int
+run (const struct ledger_options *options)
+{
+  char address[16];
+  uint16_t port;
+  int status = 1;
+  struct base_findings *findings = base_findings_create ();
+  struct control_client *control
+      = options->control && options->control[0]
+            ? control_client_create ((const char *const *)options->control)
+            : NULL;
+  base_endpoint_split (options->rpc, address, &port);
+  struct ledger_server_options server_options
+      = { .cluster = options->cluster,
+          .host = options->host,
+          .data_folder = options->data_dir,
+          .rpc_address = address,
+          .rpc_port = port,
+          .bills_bytes_max = options->bills_mib * MEBIBYTE,
+          .control = control };
+  the_server = ledger_server_create (&server_options, findings);
+  if (the_server)
+    {
+      catch_signals ();
+      status = serve (options, the_server, control);
+    }
+  base_findings_print (findings, stderr);
+  struct ledger_server *server = the_server;
+  the_server = NULL;
+  ledger_server_destroy (server);
+  control_client_destroy (control);
+  base_findings_destroy (findings);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct ledger_options options = { 0 };
+  const struct base_setting settings[]
+      = { { "cluster", BASE_SETTING_STRING, &options.cluster, "cactus", false,
+            0, 0, "name of the cluster" },
+          { "host", BASE_SETTING_STRING, &options.host, NULL, true, 0, 0,
+            "unique name of this process" },
+          { "availability-zone", BASE_SETTING_STRING,
+            &options.availability_zone, NULL, true, 0, 0,
+            "availability zone of this host" },
+          { "region", BASE_SETTING_STRING, &options.region, NULL, true, 0, 0,
+            "region of this host" },
+          { "rpc", BASE_SETTING_ENDPOINT, &options.rpc, "127.0.0.1:0", false,
+            0, 0, "where routers are served" },
+          { "http", BASE_SETTING_ENDPOINT, &options.http, "127.0.0.1:0", false,
+            0, 0, "where /healthz, /readyz and /metrics are served" },
+          { "control", BASE_SETTING_ENDPOINTS, &options.control, NULL, false,
+            0, 0, "control members; without them no shares come" },
+          { "data-dir", BASE_SETTING_STRING, &options.data_dir, NULL, true, 0,
+            0, "folder of the log, snapshot and bills" },
+          { "ready-file", BASE_SETTING_STRING, &options.ready_file, NULL,
+            false, 0, 0, "file that names the ports once the ledger serves" },
+          { "bills-mib", BASE_SETTING_NUMBER, &options.bills_mib, "4096",
+            false, 1, 1 << 20, "most MiB of bills that are kept" },
+          { 0 } };
+  int status = 2;
+  enum base_settings_outcome outcome = base_settings_read (
+      argc, argv, "Serves an availability zone's shares of prepaid budgets.",
+      settings);
+  if (outcome == BASE_SETTINGS_EXIT)
+    status = 0;
+  if (outcome == BASE_SETTINGS_RUN)
+    {
+      base_log_open ("cactus-ledger", options.host);
+      status = run (&options);
+    }
+  base_settings_clear (settings);
+  return status;
+}
--- /dev/null
+++ b/src/ledger_metrics.h
@@ -0,0 +1,48 @@
+#ifndef LEDGER_METRICS_H
+#define LEDGER_METRICS_H
+
+/** @file
+ *  Counters of the ledger process. */
+
+#include "base_metrics.h"
+#include "escrow_ledger.h"
+
+/** Statuses of enum ledger_status. */
+#define LEDGER_STATUSES 9
+/** Kinds of enum ledger_op_kind, from 1 on. */
+#define LEDGER_OP_KINDS 5
+
+/** The counters, by name. */
+struct ledger_metrics
+{
+  struct base_metrics *set;
+  struct base_counter *ops[LEDGER_OP_KINDS][LEDGER_STATUSES];
+  struct base_counter *billed_tokens;
+  struct base_counter *orphans;
+  struct base_counter *commits;
+  struct base_counter *commit_failures;
+  struct base_counter *exchanges;
+  struct base_counter *exchange_failures;
+  struct base_counter *connected;
+  struct base_counter *budgets;
+  struct base_counter *budget_bytes;
+  struct base_counter *reservations;
+  struct base_counter *keys;
+  struct base_counter *log_bytes;
+  struct base_histogram *commit_us;
+};
+
+/** Fills in the counters, made in a set of their own. */
+void ledger_metrics_open (struct ledger_metrics *metrics);
+/** Frees the set. */
+void ledger_metrics_close (struct ledger_metrics *metrics);
+/** Counts one operation. */
+void ledger_metrics_op (struct ledger_metrics *metrics,
+                        const struct ledger_op *op,
+                        const struct ledger_op_result *result);
+/** Sets the gauges of what the ledger holds. */
+void ledger_metrics_set (struct ledger_metrics *metrics,
+                         struct escrow_ledger_counts counts,
+                         uint64_t log_bytes);
+
+#endif
--- /dev/null
+++ b/src/ledger_server.c
@@ -0,0 +1,448 @@
+#include "ledger_server.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base_clock.h"
+#include "base_log.h"
+#include "cactus_config.h"
+#include "ledger_exchange.h"
+#include "ledger_metrics.h"
+#include "ledger_store.h"
+#include "wire_server.h"
+
+/* Longest wait of a round, in ms. */
+#define ROUND_WAIT_MS 20
+/* Interval of exchanges with control, and between those that something waits
+   for, in ms. */
+#define EXCHANGE_INTERVAL_MS 200
+#define EXCHANGE_URGENT_MS 30
+/* Most budgets of an exchange that only changed. */
+#define DEMANDS_MAX 64
+/* Interval of checks for lapsed sessions, and of gauges, in ms. */
+#define CHECK_INTERVAL_MS 1000
+/* Pause between rounds that shows that the process was frozen, in ms. */
+#define FROZEN_MS 3000
+/* Interval of tries to open the folder again after a failed write, in ms. */
+#define REOPEN_INTERVAL_MS 2000
+
+/* A batch that is applied and waits for the sync. */
+struct pending_batch
+{
+  struct wire_call *call;
+  struct ledger_batch_result result;
+};
+
+struct ledger_server
+{
+  struct wire_handler base;
+  struct ledger_server_options options;
+  struct wire_server *wire;
+  struct ledger_store *store;
+  struct escrow_ledger *ledger;
+  struct ledger_exchange *exchange;
+  struct ledger_metrics metrics;
+  /* struct pending_batch of this round. */
+  GArray *pending;
+  uint64_t incarnation;
+  uint64_t round_ms;
+  uint64_t exchanged_ms;
+  uint64_t checked_ms;
+  uint64_t reopened_ms;
+  bool connected;
+  atomic_bool failed;
+  atomic_bool fenced;
+};
+
+static uint64_t
+wall_ms (void)
+{
+  return base_clock_wall_ms (base_clock_system ());
+}
+
+static uint64_t
+monotonic_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
+static void
+apply_op (struct ledger_server *server, const struct ledger_batch_args *args,
+          const struct ledger_op *op, struct ledger_op_result *result)
+{
+  memset (result, 0, sizeof *result);
+  if (atomic_load (&server->fenced) && op->kind == LEDGER_RESERVE)
+    result->status = LEDGER_UNAVAILABLE;
+  else
+    escrow_ledger_op (server->ledger, args->incarnation, op, wall_ms (),
+                      result);
+  ledger_metrics_op (&server->metrics, op, result);
+}
+
+/* Applies a batch; its answer waits for the sync. */
+static void
+apply_batch (struct ledger_server *server, struct wire_call *call,
+             const struct ledger_batch_args *args)
+{
+  struct pending_batch pending = { .call = call };
+  struct ledger_batch_result *result = &pending.result;
+  result->ledger_incarnation = server->incarnation;
+  result->lease_ms = CACTUS_LEDGER_LEASE_MS;
+  if (!g_str_equal (args->cluster, server->options.cluster) || !args->router[0]
+      || args->incarnation == 0)
+    result->status = LEDGER_BAD_REQUEST;
+  else if (atomic_load (&server->failed))
+    result->status = LEDGER_UNAVAILABLE;
+  else
+    {
+      u_int count = args->ops.ops_len;
+      escrow_ledger_open_session (server->ledger, args->router,
+                                  args->incarnation, wall_ms ());
+      result->results.results_len = count;
+      result->results.results_val
+          = calloc (count + 1, sizeof (struct ledger_op_result));
+      g_assert (result->results.results_val);
+      for (u_int i = 0; i < count; i++)
+        apply_op (server, args, &args->ops.ops_val[i],
+                  &result->results.results_val[i]);
+    }
+  g_array_append_val (server->pending, pending);
+}
+
+static void
+take_batch (struct ledger_server *server, struct wire_call *call)
+{
+  struct ledger_batch_args args = { 0 };
+  if (wire_call_args (call, (xdrproc_t)xdr_ledger_batch_args, &args))
+    apply_batch (server, call, &args);
+  else
+    wire_call_fail (call);
+  xdr_free ((xdrproc_t)xdr_ledger_batch_args, (char *)&args);
+}
+
+static void
+take_bills (struct ledger_server *server, struct wire_call *call)
+{
+  struct ledger_bills_args args = { 0 };
+  struct ledger_bills_result result = { 0 };
+  if (!wire_call_args (call, (xdrproc_t)xdr_ledger_bills_args, &args)
+      || !server->store)
+    {
+      wire_call_fail (call);
+      return;
+    }
+  ledger_bills_page (ledger_store_bills (server->store), server->ledger, &args,
+                     &result);
+  wire_call_reply (call, (xdrproc_t)xdr_ledger_bills_result, &result);
+  xdr_free ((xdrproc_t)xdr_ledger_bills_result, (char *)&result);
+}
+
+static void
+take_budget (struct ledger_server *server, struct wire_call *call)
+{
+  struct ledger_budget_args args = { 0 };
+  struct ledger_budget_result result = { 0 };
+  if (!wire_call_args (call, (xdrproc_t)xdr_ledger_budget_args, &args))
+    {
+      wire_call_fail (call);
+      return;
+    }
+  if (server->store)
+    escrow_ledger_budget (server->ledger, args.budget_id, &result);
+  else
+    result.status = LEDGER_UNAVAILABLE;
+  wire_call_reply (call, (xdrproc_t)xdr_ledger_budget_result, &result);
+}
+
+static void
+take_call (struct wire_handler *handler, struct wire_call *call)
+{
+  struct ledger_server *server = (struct ledger_server *)handler;
+  switch (wire_call_procedure (call))
+    {
+    case LEDGER_BATCH:
+      take_batch (server, call);
+      break;
+    case LEDGER_BILLS:
+      take_bills (server, call);
+      break;
+    case LEDGER_BUDGET:
+      take_budget (server, call);
+      break;
+    default:
+      wire_call_fail (call);
+    }
+}
+
+static void
+note_connected (struct ledger_server *server, bool connected)
+{
+  if (connected != server->connected)
+    base_log (BASE_LOG_NOTICE, "control-connection connected=%d", connected);
+  server->connected = connected;
+  base_counter_set (server->metrics.connected, connected);
+  if (server->ledger)
+    escrow_ledger_set_connected (server->ledger, connected);
+}
+
+/* Applies what control answered, before the round's sync. */
+static void
+take_exchange (struct ledger_server *server)
+{
+  struct control_ledger_result result;
+  enum wire_status status;
+  if (!server->exchange
+      || !ledger_exchange_take (server->exchange, &result, &status))
+    return;
+  bool answered = status == WIRE_OK && result.answer.status == CONTROL_OK;
+  base_counter_add (answered ? server->metrics.exchanges
+                             : server->metrics.exchange_failures,
+                    1);
+  if (status == WIRE_OK && result.answer.status == CONTROL_FENCED
+      && !atomic_exchange (&server->fenced, true))
+    base_log (BASE_LOG_ERROR, "fenced incarnation=%016" PRIx64,
+              server->incarnation);
+  note_connected (server, answered);
+  if (answered && server->ledger)
+    escrow_ledger_take (server->ledger, &result, wall_ms ());
+  xdr_free ((xdrproc_t)xdr_control_ledger_result, (char *)&result);
+}
+
+/* Sends what is synced to control, after the round's sync. */
+static void
+send_exchange (struct ledger_server *server, uint64_t now_ms)
+{
+  struct control_ledger_args args = { 0 };
+  if (!server->exchange || atomic_load (&server->failed)
+      || !ledger_exchange_idle (server->exchange))
+    return;
+  uint64_t interval_ms = escrow_ledger_urgent (server->ledger)
+                             ? EXCHANGE_URGENT_MS
+                             : EXCHANGE_INTERVAL_MS;
+  if (now_ms < server->exchanged_ms + interval_ms)
+    return;
+  server->exchanged_ms = now_ms;
+  args.cluster = strdup (server->options.cluster);
+  args.ledger = strdup (server->options.host);
+  args.incarnation = server->incarnation;
+  escrow_ledger_report (server->ledger, wall_ms (), DEMANDS_MAX, &args);
+  ledger_exchange_send (server->exchange, &args);
+}
+
+/* Ends sessions that lapsed, unless this process was frozen itself. */
+static void
+check_sessions (struct ledger_server *server, uint64_t now_ms)
+{
+  if (server->round_ms + FROZEN_MS < now_ms)
+    {
+      base_log (BASE_LOG_WARNING, "was-frozen ms=%" PRIu64,
+                now_ms - server->round_ms);
+      escrow_ledger_renew_all (server->ledger, wall_ms ());
+    }
+  server->round_ms = now_ms;
+  if (now_ms < server->checked_ms + CHECK_INTERVAL_MS)
+    return;
+  server->checked_ms = now_ms;
+  uint32_t orphans = escrow_ledger_lapse (server->ledger,
+                                          CACTUS_LEDGER_LEASE_MS, wall_ms ());
+  base_counter_add (server->metrics.orphans, orphans);
+  if (orphans > 0)
+    base_log (BASE_LOG_NOTICE, "sessions-lapsed orphans=%u", orphans);
+  ledger_metrics_set (&server->metrics, escrow_ledger_count (server->ledger),
+                      ledger_store_log_bytes (server->store));
+}
+
+static void
+fail (struct ledger_server *server)
+{
+  int error = errno;
+  base_counter_add (server->metrics.commit_failures, 1);
+  if (!atomic_exchange (&server->failed, true))
+    base_log (BASE_LOG_ERROR, "log-write-failed folder=%s error=%s",
+              server->options.data_folder, g_strerror (error));
+}
+
+/* Syncs the round's changes; false when they may not be acknowledged. */
+static bool
+commit (struct ledger_server *server)
+{
+  uint64_t before_us = base_clock_now_us (base_clock_system ());
+  if (atomic_load (&server->failed))
+    return false;
+  if (ledger_store_commit (server->store) != 0)
+    {
+      fail (server);
+      return false;
+    }
+  uint64_t us = base_clock_now_us (base_clock_system ()) - before_us;
+  base_counter_add (server->metrics.commits, 1);
+  base_histogram_record (server->metrics.commit_us, us);
+  return true;
+}
+
+static void
+answer_pending (struct ledger_server *server, bool committed)
+{
+  for (guint i = 0; i < server->pending->len; i++)
+    {
+      struct pending_batch *pending
+          = &g_array_index (server->pending, struct pending_batch, i);
+      struct ledger_batch_result refusal = { .status = LEDGER_UNAVAILABLE };
+      bool refuse = !committed && pending->result.status == LEDGER_OK;
+      refusal.ledger_incarnation = server->incarnation;
+      refusal.lease_ms = CACTUS_LEDGER_LEASE_MS;
+      wire_call_reply (pending->call, (xdrproc_t)xdr_ledger_batch_result,
+                       refuse ? &refusal : &pending->result);
+      xdr_free ((xdrproc_t)xdr_ledger_batch_result, (char *)&pending->result);
+    }
+  g_array_set_size (server->pending, 0);
+}
+
+static int
+open_store (struct ledger_server *server, struct base_findings *findings)
+{
+  const struct ledger_server_options *options = &server->options;
+  server->store
+      = ledger_store_open (options->data_folder, options->cluster,
+                           options->host, options->bills_bytes_max, findings);
+  if (!server->store)
+    return -1;
+  server->ledger = ledger_store_ledger (server->store);
+  server->incarnation = ledger_store_incarnation (server->store);
+  server->round_ms = monotonic_ms ();
+  escrow_ledger_renew_all (server->ledger, wall_ms ());
+  escrow_ledger_set_connected (server->ledger, server->connected);
+  return 0;
+}
+
+/* After a failed write the state in memory is ahead of the disk: it is read
+   anew from the folder. */
+static void
+reopen (struct ledger_server *server, uint64_t now_ms)
+{
+  if (now_ms < server->reopened_ms + REOPEN_INTERVAL_MS)
+    return;
+  server->reopened_ms = now_ms;
+  struct base_findings *findings = base_findings_create ();
+  ledger_store_close (server->store, false);
+  server->store = NULL;
+  server->ledger = NULL;
+  if (open_store (server, findings) == 0)
+    {
+      base_log (BASE_LOG_NOTICE, "log-opened-again records=%" PRIu64,
+                ledger_store_replayed (server->store));
+      atomic_store (&server->failed, false);
+    }
+  base_findings_destroy (findings);
+}
+
+static void
+end_round (struct wire_handler *handler)
+{
+  struct ledger_server *server = (struct ledger_server *)handler;
+  uint64_t now_ms = monotonic_ms ();
+  take_exchange (server);
+  if (!atomic_load (&server->failed))
+    check_sessions (server, now_ms);
+  bool committed = commit (server);
+  answer_pending (server, committed);
+  if (committed)
+    {
+      send_exchange (server, now_ms);
+      ledger_store_tend (server->store);
+    }
+  else
+    reopen (server, now_ms);
+}
+
+static void
+wake_server (void *context)
+{
+  ledger_server_wake (context);
+}
+
+struct ledger_server *
+ledger_server_create (const struct ledger_server_options *options,
+                      struct base_findings *findings)
+{
+  struct wire_program program = { LEDGER_PROGRAM, LEDGER_VERSION };
+  struct ledger_server *server = g_new0 (struct ledger_server, 1);
+  server->base.call = take_call;
+  server->base.round = end_round;
+  server->options = *options;
+  server->pending = g_array_new (FALSE, FALSE, sizeof (struct pending_batch));
+  ledger_metrics_open (&server->metrics);
+  if (open_store (server, findings) != 0)
+    goto fail;
+  server->wire = wire_server_create (options->rpc_address, options->rpc_port,
+                                     &program, 1, &server->base);
+  if (!server->wire)
+    {
+      base_findings_add (findings, "--rpc", "can't listen: %s",
+                         g_strerror (errno));
+      goto fail;
+    }
+  if (options->control)
+    server->exchange
+        = ledger_exchange_create (options->control, wake_server, server);
+  base_log (BASE_LOG_NOTICE,
+            "ledger-open incarnation=%016" PRIx64 " records=%" PRIu64,
+            server->incarnation, ledger_store_replayed (server->store));
+  return server;
+fail:
+  ledger_server_destroy (server);
+  return NULL;
+}
+
+void
+ledger_server_destroy (struct ledger_server *server)
+{
+  if (!server)
+    return;
+  if (server->exchange)
+    ledger_exchange_destroy (server->exchange);
+  wire_server_destroy (server->wire);
+  ledger_store_close (server->store, !atomic_load (&server->failed));
+  ledger_metrics_close (&server->metrics);
+  g_array_unref (server->pending);
+  g_free (server);
+}
+
+void
+ledger_server_round (struct ledger_server *server)
+{
+  wire_server_round (server->wire, ROUND_WAIT_MS);
+}
+
+void
+ledger_server_wake (struct ledger_server *server)
+{
+  wire_server_wake (server->wire);
+}
+
+uint16_t
+ledger_server_port (const struct ledger_server *server)
+{
+  return wire_server_port (server->wire);
+}
+
+uint64_t
+ledger_server_incarnation (const struct ledger_server *server)
+{
+  return server->incarnation;
+}
+
+struct base_metrics *
+ledger_server_metrics (struct ledger_server *server)
+{
+  return server->metrics.set;
+}
+
+bool
+ledger_server_ready (struct ledger_server *server)
+{
+  return !atomic_load (&server->failed) && !atomic_load (&server->fenced);
+}
