--- a/src/consensus.h
+++ b/src/consensus.h
@@ -94,6 +94,8 @@
 /** Hands leadership over to the most advanced voter. */
 void consensus_transfer (struct consensus *consensus, uint64_t now_ms);
 
+/** Time at which consensus_tick has something to do, in milliseconds. */
+uint64_t consensus_next_due_ms (const struct consensus *consensus);
 /** Sends what was proposed; called once a round before the effects. */
 void consensus_flush (struct consensus *consensus, uint64_t now_ms);
 /** Effects since the last clearing. */
--- a/src/consensus_leader.c
+++ b/src/consensus_leader.c
@@ -191,10 +191,7 @@
   if (low > before && low >= consensus->term_start_index)
     consensus->commit_index = low;
   if (consensus->commit_index > before)
-    {
-      consensus_promote_ready (consensus);
-      consensus->round_wanted = true;
-    }
+    consensus_promote_ready (consensus);
 }
 
 /* A leader that was removed steps down once its removal is committed. */
--- a/src/consensus_membership.c
+++ b/src/consensus_membership.c
@@ -30,8 +30,7 @@
       = *consensus_log_configuration (consensus->log);
   struct consensus_member *known
       = consensus_configuration_find (&members, member->id);
-  if (remove ? !known
-             : !known && members.count >= CONSENSUS_MEMBERS_MAX)
+  if (remove ? !known : !known && members.count >= CONSENSUS_MEMBERS_MAX)
     return false;
   if (remove)
     consensus_configuration_remove (&members, member->id);
--- a/src/consensus_view.c
+++ b/src/consensus_view.c
@@ -136,3 +136,14 @@
 {
   return consensus->vote.term == 0 && consensus_log_last (consensus->log) == 0;
 }
+
+uint64_t
+consensus_next_due_ms (const struct consensus *consensus)
+{
+  if (consensus->phase == CONSENSUS_LEADER)
+    return consensus->heartbeat_due_ms;
+  return MIN (
+      consensus->election_due_ms,
+      MAX (consensus->hello_due_ms,
+           consensus->leader_heard_ms + consensus->options.election_ms));
+}
--- /dev/null
+++ b/src/control_bundles.c
@@ -0,0 +1,349 @@
+#include "control_bundles.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base_hash.h"
+
+/* Versions kept whole, for differences. */
+#define WHOLE_VERSIONS 8
+/* Versions whose digest is kept, for operators who send again. */
+#define RECORDED_VERSIONS 1024
+
+struct control_bundles
+{
+  /* struct control_bundle_record, oldest first. */
+  GArray *records;
+  /* struct bundle, oldest first; the last is the newest. */
+  GPtrArray *whole;
+  /* Differences to the newest version by old version. */
+  GHashTable *differences;
+};
+
+static void
+clear_record (gpointer data)
+{
+  struct control_bundle_record *record = data;
+  free (record->signer);
+}
+
+static void
+unref_bundle (gpointer data)
+{
+  bundle_unref (data);
+}
+
+struct control_bundles *
+control_bundles_create (void)
+{
+  struct control_bundles *bundles = g_new0 (struct control_bundles, 1);
+  bundles->records
+      = g_array_new (FALSE, FALSE, sizeof (struct control_bundle_record));
+  g_array_set_clear_func (bundles->records, clear_record);
+  bundles->whole = g_ptr_array_new_with_free_func (unref_bundle);
+  bundles->differences
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  return bundles;
+}
+
+void
+control_bundles_destroy (struct control_bundles *bundles)
+{
+  g_array_unref (bundles->records);
+  g_ptr_array_unref (bundles->whole);
+  g_hash_table_unref (bundles->differences);
+  g_free (bundles);
+}
+
+struct bundle *
+control_bundles_newest (const struct control_bundles *bundles)
+{
+  return bundles->whole->len > 0
+             ? bundles->whole->pdata[bundles->whole->len - 1]
+             : NULL;
+}
+
+uint64_t
+control_bundles_version (const struct control_bundles *bundles)
+{
+  struct bundle *newest = control_bundles_newest (bundles);
+  return newest ? bundle_version (newest) : 0;
+}
+
+static const struct control_bundle_record *
+find_record (const struct control_bundles *bundles, uint64_t version)
+{
+  for (guint i = bundles->records->len; i-- > 0;)
+    {
+      const struct control_bundle_record *record
+          = &g_array_index (bundles->records, struct control_bundle_record, i);
+      if (record->bundle_version == version)
+        return record;
+    }
+  return NULL;
+}
+
+static struct bundle *
+find_whole (const struct control_bundles *bundles, uint64_t version)
+{
+  for (guint i = bundles->whole->len; i-- > 0;)
+    if (bundle_version (bundles->whole->pdata[i]) == version)
+      return bundles->whole->pdata[i];
+  return NULL;
+}
+
+static void
+answer_text (struct control_push_result *result, enum control_status status,
+             char *text)
+{
+  result->answer.status = status;
+  result->answer.leader_address = strdup ("");
+  result->answer.text = text;
+}
+
+static void
+answer_accepted (struct control_push_result *result,
+                 const struct control_bundle_record *record)
+{
+  free (result->accepted_signer);
+  result->accepted_version = record->bundle_version;
+  memcpy (result->accepted_digest, record->digest, sizeof record->digest);
+  result->accepted_signer = strdup (record->signer);
+}
+
+/* A version that was accepted before: the same again, or a conflict. */
+static void
+answer_known (const struct control_bundle_record *record,
+              const uint8_t digest[BUNDLE_DIGEST_BYTES],
+              struct control_push_result *result)
+{
+  char hex[2 * BUNDLE_DIGEST_BYTES + 1];
+  answer_accepted (result, record);
+  if (memcmp (record->digest, digest, BUNDLE_DIGEST_BYTES) == 0)
+    {
+      answer_text (result, CONTROL_OK, g_strdup (""));
+      return;
+    }
+  base_hex_write (hex, (const uint8_t *)record->digest, BUNDLE_DIGEST_BYTES);
+  answer_text (result, CONTROL_CONFLICT,
+               g_strdup_printf ("version %" PRIu64
+                                " was accepted with digest %s, signed by %s",
+                                (uint64_t)record->bundle_version, hex,
+                                record->signer));
+}
+
+static bool
+signature_fits (const struct control_bundles *bundles,
+                const struct control_push_args *args,
+                const uint8_t digest[BUNDLE_DIGEST_BYTES])
+{
+  uint8_t key[BUNDLE_DIGEST_BYTES];
+  struct bundle *newest = control_bundles_newest (bundles);
+  if (!newest)
+    return true;
+  return bundle_operator_key (newest, args->signer, key)
+         && bundle_verify (digest, key, (const uint8_t *)args->signature);
+}
+
+bool
+control_bundles_root_signed (const struct control_push_args *args,
+                             const uint8_t root_key[32])
+{
+  uint8_t digest[BUNDLE_DIGEST_BYTES];
+  struct base_findings *findings = base_findings_create ();
+  struct bundle *bundle = bundle_read (args->document.document_val,
+                                       args->document.document_len, findings);
+  base_findings_destroy (findings);
+  if (!bundle)
+    return false;
+  bundle_digest (bundle, digest);
+  bundle_unref (bundle);
+  return bundle_verify (digest, root_key, (const uint8_t *)args->signature);
+}
+
+static void
+accept_bundle (struct control_bundles *bundles, struct bundle *bundle,
+               const char *signer)
+{
+  struct control_bundle_record record = { 0 };
+  record.bundle_version = bundle_version (bundle);
+  bundle_digest (bundle, (uint8_t *)record.digest);
+  record.signer = strdup (signer);
+  g_array_append_val (bundles->records, record);
+  if (bundles->records->len > RECORDED_VERSIONS)
+    g_array_remove_index (bundles->records, 0);
+  g_ptr_array_add (bundles->whole, bundle_ref (bundle));
+  if (bundles->whole->len > WHOLE_VERSIONS)
+    g_ptr_array_remove_index (bundles->whole, 0);
+  g_hash_table_remove_all (bundles->differences);
+}
+
+/* Decides on a document that could be read. */
+static void
+push_bundle (struct control_bundles *bundles, struct bundle *bundle,
+             const struct control_push_args *args,
+             struct control_push_result *result)
+{
+  uint8_t digest[BUNDLE_DIGEST_BYTES];
+  uint64_t version = bundle_version (bundle);
+  uint64_t accepted = control_bundles_version (bundles);
+  const struct control_bundle_record *record = find_record (bundles, version);
+  bundle_digest (bundle, digest);
+  if (record)
+    answer_known (record, digest, result);
+  else if (version != args->bundle_version)
+    answer_text (result, CONTROL_REFUSED,
+                 g_strdup ("the document has another version"));
+  else if (version != accepted + 1)
+    answer_text (result, CONTROL_CONFLICT,
+                 g_strdup_printf ("version %" PRIu64
+                                  " is accepted; the next is %" PRIu64,
+                                  accepted, accepted + 1));
+  else if (!signature_fits (bundles, args, digest))
+    answer_text (result, CONTROL_REFUSED,
+                 g_strdup_printf ("the signature is not by %s, or %s is no "
+                                  "operator of the accepted version",
+                                  args->signer, args->signer));
+  else
+    {
+      accept_bundle (bundles, bundle, args->signer);
+      answer_accepted (result, find_record (bundles, version));
+      answer_text (result, CONTROL_OK, g_strdup (""));
+    }
+}
+
+void
+control_bundles_push (struct control_bundles *bundles,
+                      const struct control_push_args *args,
+                      struct control_push_result *result)
+{
+  struct base_findings *findings = base_findings_create ();
+  struct bundle *bundle = bundle_read (args->document.document_val,
+                                       args->document.document_len, findings);
+  result->accepted_signer = strdup ("");
+  if (bundles->records->len > 0)
+    answer_accepted (result, &g_array_index (bundles->records,
+                                             struct control_bundle_record,
+                                             bundles->records->len - 1));
+  if (bundle)
+    push_bundle (bundles, bundle, args, result);
+  else
+    {
+      char *text = base_findings_join (findings);
+      text[MIN (strlen (text), CONTROL_TEXT_BYTES)] = '\0';
+      answer_text (result, CONTROL_REFUSED, text);
+    }
+  if (bundle)
+    bundle_unref (bundle);
+  base_findings_destroy (findings);
+}
+
+static void
+copy_document (struct bundle *bundle, u_int *length, char **value)
+{
+  size_t bytes = 0;
+  const char *canonical = bundle_canonical (bundle, &bytes);
+  *length = (u_int)bytes;
+  *value = malloc (bytes + 1);
+  memcpy (*value, canonical, bytes);
+}
+
+void
+control_bundles_get (const struct control_bundles *bundles, uint64_t version,
+                     struct control_bundle_result *result)
+{
+  uint64_t wanted = version ? version : control_bundles_version (bundles);
+  struct bundle *bundle = find_whole (bundles, wanted);
+  const struct control_bundle_record *record = find_record (bundles, wanted);
+  result->answer.leader_address = strdup ("");
+  result->answer.text = strdup ("");
+  result->signer = strdup (record ? record->signer : "");
+  result->answer.status = bundle && record ? CONTROL_OK : CONTROL_NOT_FOUND;
+  if (!bundle || !record)
+    return;
+  result->bundle_version = wanted;
+  memcpy (result->digest, record->digest, sizeof record->digest);
+  copy_document (bundle, &result->document.document_len,
+                 &result->document.document_val);
+}
+
+/* The difference from @p old to the newest version, made once. */
+static const char *
+difference_from (struct control_bundles *bundles, struct bundle *old)
+{
+  gint64 version = (gint64)bundle_version (old);
+  char *text = g_hash_table_lookup (bundles->differences, &version);
+  if (text)
+    return text;
+  text = bundle_difference (old, control_bundles_newest (bundles));
+  g_hash_table_insert (bundles->differences,
+                       g_memdup2 (&version, sizeof version), text);
+  return text;
+}
+
+void
+control_bundles_sync (struct control_bundles *bundles, uint64_t version,
+                      struct control_sync_result *result)
+{
+  struct bundle *newest = control_bundles_newest (bundles);
+  result->new_version = control_bundles_version (bundles);
+  if (!newest || version >= result->new_version)
+    return;
+  struct bundle *old = find_whole (bundles, version);
+  if (!old)
+    {
+      result->full = true;
+      copy_document (newest, &result->document.document_len,
+                     &result->document.document_val);
+      return;
+    }
+  const char *difference = difference_from (bundles, old);
+  result->document.document_len = (u_int)strlen (difference);
+  result->document.document_val = strdup (difference);
+}
+
+void
+control_bundles_save (const struct control_bundles *bundles,
+                      struct control_state_image *image)
+{
+  guint count = bundles->records->len;
+  struct bundle *newest = control_bundles_newest (bundles);
+  image->accepted.accepted_len = count;
+  image->accepted.accepted_val
+      = calloc (count + 1, sizeof (struct control_bundle_record));
+  for (guint i = 0; i < count; i++)
+    {
+      struct control_bundle_record *copy = &image->accepted.accepted_val[i];
+      *copy
+          = g_array_index (bundles->records, struct control_bundle_record, i);
+      copy->signer = strdup (copy->signer);
+    }
+  if (newest)
+    copy_document (newest, &image->document.document_len,
+                   &image->document.document_val);
+}
+
+int
+control_bundles_load (struct control_bundles *bundles,
+                      const struct control_state_image *image)
+{
+  for (u_int i = 0; i < image->accepted.accepted_len; i++)
+    {
+      struct control_bundle_record record = image->accepted.accepted_val[i];
+      record.signer = strdup (record.signer);
+      g_array_append_val (bundles->records, record);
+    }
+  if (image->document.document_len == 0)
+    return 0;
+  struct base_findings *findings = base_findings_create ();
+  struct bundle *bundle = bundle_read (image->document.document_val,
+                                       image->document.document_len, findings);
+  base_findings_destroy (findings);
+  if (!bundle)
+    return -1;
+  g_ptr_array_add (bundles->whole, bundle);
+  return 0;
+}
--- /dev/null
+++ b/src/control_daemon.c
@@ -0,0 +1,460 @@
+#include "control_member.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base_clock.h"
+#include "base_log.h"
+#include "base_random.h"
+
+/* Longest wait of a round, so that a stop is seen. */
+#define ROUND_MS 50
+/* Interval at which lapsed sessions are looked for. */
+#define SWEEP_MS 500
+/* Longest time to hand over before the end. */
+#define HAND_OVER_MS 1000
+/* Entries, and bytes, after which a snapshot replaces the log. */
+#define SNAPSHOT_ENTRIES 16384
+#define SNAPSHOT_TAIL_BYTES (16u * 1024 * 1024)
+
+static uint64_t
+now_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
+/* Takes a message of another member. */
+static void
+take_message (struct control_daemon *daemon, struct wire_call *call,
+              uint64_t now)
+{
+  struct consensus_wire_message message = { 0 };
+  bool_t taken = TRUE;
+  if (wire_call_procedure (call) != CONSENSUS_STEP
+      || !wire_call_args (call, (xdrproc_t)xdr_consensus_wire_message,
+                          &message))
+    {
+      wire_call_fail (call);
+      return;
+    }
+  if (strcmp (message.cluster, daemon->options.cluster) == 0)
+    consensus_step (daemon->consensus, now, &message);
+  else
+    taken = FALSE;
+  xdr_free ((xdrproc_t)xdr_consensus_wire_message, (char *)&message);
+  wire_call_reply (call, (xdrproc_t)xdr_bool, &taken);
+}
+
+static void
+take_call (struct wire_handler *handler, struct wire_call *call)
+{
+  struct control_daemon *daemon = (struct control_daemon *)handler;
+  uint64_t now = now_ms ();
+  base_counter_add (daemon->counters.calls, 1);
+  /* After a freeze the clock is looked at before anything else. */
+  consensus_tick (daemon->consensus, now);
+  if (wire_call_program (call) == CONSENSUS_PROGRAM)
+    take_message (daemon, call, now);
+  else
+    control_call_take (daemon, call, now);
+}
+
+/* Answers calls whose proposals will not be applied by this member. */
+static void
+fail_proposals (struct control_daemon *daemon)
+{
+  struct control_waiter *waiter;
+  while ((waiter = control_pending_take (daemon->proposals, UINT64_MAX)))
+    {
+      control_call_refuse (daemon, waiter->call, waiter->procedure,
+                           CONTROL_UNAVAILABLE, "the leadership was lost");
+      control_waiter_free (waiter);
+    }
+}
+
+static void
+apply_entry (struct control_daemon *daemon,
+             const struct consensus_wire_entry *entry, uint64_t now)
+{
+  struct control_outcome outcome = { 0 };
+  bool good
+      = entry->kind != CONSENSUS_ENTRY_COMMAND
+        || control_state_apply_bytes (daemon->state, entry->data.data_val,
+                                      entry->data.data_len, &outcome);
+  struct control_waiter *waiter
+      = control_pending_take (daemon->proposals, entry->index);
+  if (waiter && waiter->index == entry->index && waiter->term == entry->term
+      && good)
+    control_call_applied (daemon, waiter, &outcome, now);
+  else if (waiter)
+    control_call_refuse (daemon, waiter->call, waiter->procedure,
+                         CONTROL_UNAVAILABLE, "the proposal was replaced");
+  if (waiter)
+    control_waiter_free (waiter);
+  control_outcome_clear (&outcome);
+  base_counter_add (daemon->counters.applied, 1);
+}
+
+static void
+answer_reads (struct control_daemon *daemon,
+              const struct consensus_effects *effects)
+{
+  for (guint i = 0; i < effects->reads->len; i++)
+    {
+      const struct consensus_read *read
+          = &g_array_index (effects->reads, struct consensus_read, i);
+      struct control_waiter *waiter
+          = control_pending_take (daemon->reads, read->id);
+      if (!waiter)
+        continue;
+      if (read->confirmed)
+        control_call_read (daemon, waiter);
+      else
+        control_call_refuse (daemon, waiter->call, waiter->procedure,
+                             CONTROL_UNAVAILABLE, "the leadership was lost");
+      control_waiter_free (waiter);
+    }
+}
+
+static void
+send_messages (struct control_daemon *daemon, GPtrArray *messages)
+{
+  for (guint i = 0; i < messages->len; i++)
+    {
+      control_peers_send (daemon->peers, messages->pdata[i]);
+      messages->pdata[i] = NULL;
+    }
+  g_ptr_array_set_size (messages, 0);
+}
+
+/* Replaces the state by that of a snapshot; 0 or -1. */
+static int
+load_state (struct control_daemon *daemon, GBytes *snapshot)
+{
+  struct consensus_wire_snapshot wire = { 0 };
+  struct control_state *state = control_state_create ();
+  int status = -1;
+  if (consensus_snapshot_decode (snapshot, &wire))
+    status = control_state_load (state, wire.state.state_val,
+                                 wire.state.state_len);
+  xdr_free ((xdrproc_t)xdr_consensus_wire_snapshot, (char *)&wire);
+  if (status != 0)
+    {
+      base_log (BASE_LOG_ERROR, "snapshot-malformed");
+      control_state_destroy (state);
+      return -1;
+    }
+  control_state_destroy (daemon->state);
+  daemon->state = state;
+  return 0;
+}
+
+/* Persists the effects; the process ends when that fails. */
+static void
+persist (struct control_daemon *daemon, struct consensus_effects *effects,
+         uint64_t now)
+{
+  bool installed = effects->snapshot_installed;
+  if (control_store_persist (daemon->store, daemon->consensus, effects) != 0)
+    {
+      base_log (BASE_LOG_ERROR, "data-folder-failed error=%s",
+                g_strerror (errno));
+      daemon->failure = -1;
+      return;
+    }
+  if (installed
+      && load_state (daemon, consensus_snapshot (daemon->consensus)) != 0)
+    daemon->failure = -1;
+  consensus_persisted (daemon->consensus, now);
+}
+
+/* Keeps a sender for each member that is known. */
+static void
+update_senders (struct control_daemon *daemon)
+{
+  const struct consensus_configuration *members
+      = consensus_members (daemon->consensus);
+  if (members->count == 0)
+    members = &daemon->options.members;
+  control_peers_update (daemon->peers, members, daemon->options.member_id);
+}
+
+static void
+compact (struct control_daemon *daemon)
+{
+  struct consensus *consensus = daemon->consensus;
+  uint64_t entries
+      = consensus_applied_index (consensus) - consensus_base_index (consensus);
+  uint32_t bytes = 0;
+  if (entries == 0
+      || (entries < SNAPSHOT_ENTRIES
+          && control_store_tail_bytes (daemon->store) < SNAPSHOT_TAIL_BYTES))
+    return;
+  char *state = control_state_save (daemon->state, &bytes);
+  consensus_compact (consensus, state, bytes);
+  g_free (state);
+  if (control_store_compact (daemon->store, consensus) != 0)
+    {
+      base_log (BASE_LOG_ERROR, "snapshot-not-written error=%s",
+                g_strerror (errno));
+      daemon->failure = -1;
+    }
+  base_counter_add (daemon->counters.snapshots, 1);
+}
+
+static void
+propose_lapse (void *context, struct control_process *process)
+{
+  struct control_daemon *daemon = context;
+  struct control_command command = { 0 };
+  if (process->lapsed
+      || !control_leases_expired (daemon->leases, &process->process,
+                                  now_ms ()))
+    return;
+  command.body.kind = CONTROL_COMMAND_LAPSE;
+  command.body.control_command_body_u.process = process->process;
+  control_propose (daemon, &command);
+}
+
+/* The leader looks for sessions that ran out. */
+static void
+sweep_sessions (struct control_daemon *daemon, uint64_t now)
+{
+  bool ready = consensus_is_ready (daemon->consensus);
+  if (ready && !daemon->was_ready)
+    control_leases_reset (daemon->leases, now);
+  daemon->was_ready = ready;
+  if (!ready || now < daemon->sweep_due_ms)
+    return;
+  daemon->sweep_due_ms = now + SWEEP_MS;
+  control_processes_visit (control_state_processes (daemon->state),
+                           propose_lapse, daemon);
+}
+
+static void
+log_leader (struct control_daemon *daemon)
+{
+  uint64_t leader = consensus_leader (daemon->consensus);
+  if (leader == daemon->logged_leader)
+    return;
+  daemon->logged_leader = leader;
+  base_counter_add (daemon->counters.leader_changes, 1);
+  base_log (BASE_LOG_NOTICE, "leader-changed leader=%" PRIu64 " term=%" PRIu64,
+            leader, consensus_term (daemon->consensus));
+}
+
+static void
+update_counters (struct control_daemon *daemon)
+{
+  struct control_counters *counters = &daemon->counters;
+  base_counter_set (counters->leader, consensus_is_ready (daemon->consensus));
+  base_counter_set (counters->term, consensus_term (daemon->consensus));
+  base_counter_set (
+      counters->bundle_version,
+      control_bundles_version (control_state_bundles (daemon->state)));
+  base_counter_set (
+      counters->claims,
+      control_claims_count (control_state_claims (daemon->state)));
+  base_counter_set (counters->dropped_messages,
+                    control_peers_dropped (daemon->peers));
+  base_counter_set (counters->syncs, control_store_syncs (daemon->store));
+  atomic_store (&daemon->ready, consensus_leader (daemon->consensus) != 0);
+}
+
+static void
+end_round (struct wire_handler *handler)
+{
+  struct control_daemon *daemon = (struct control_daemon *)handler;
+  struct consensus *consensus = daemon->consensus;
+  struct consensus_effects *effects = consensus_effects (consensus);
+  const struct consensus_wire_entry *entry;
+  uint64_t now = now_ms ();
+  consensus_tick (consensus, now);
+  sweep_sessions (daemon, now);
+  consensus_flush (consensus, now);
+  update_senders (daemon);
+  send_messages (daemon, effects->early_messages);
+  persist (daemon, effects, now);
+  if (daemon->failure != 0)
+    return;
+  consensus_flush (consensus, now);
+  send_messages (daemon, effects->early_messages);
+  send_messages (daemon, effects->messages);
+  while ((entry = consensus_next_applied (consensus)))
+    apply_entry (daemon, entry, now);
+  answer_reads (daemon, effects);
+  consensus_effects_clear (consensus);
+  if (!consensus_is_leader (consensus))
+    fail_proposals (daemon);
+  compact (daemon);
+  log_leader (daemon);
+  update_counters (daemon);
+}
+
+static void
+make_counters (struct control_daemon *daemon)
+{
+  struct base_metrics *metrics = daemon->options.metrics;
+  struct control_counters *counters = &daemon->counters;
+  counters->calls
+      = base_metrics_counter (metrics, "cactus_control_calls_total", NULL);
+  counters->applied
+      = base_metrics_counter (metrics, "cactus_control_applied_total", NULL);
+  counters->syncs
+      = base_metrics_counter (metrics, "cactus_control_syncs_total", NULL);
+  counters->dropped_messages = base_metrics_counter (
+      metrics, "cactus_control_dropped_messages_total", NULL);
+  counters->snapshots
+      = base_metrics_counter (metrics, "cactus_control_snapshots_total", NULL);
+  counters->leader_changes = base_metrics_counter (
+      metrics, "cactus_control_leader_changes_total", NULL);
+  counters->leader
+      = base_metrics_gauge (metrics, "cactus_control_leader", NULL);
+  counters->term = base_metrics_gauge (metrics, "cactus_control_term", NULL);
+  counters->bundle_version
+      = base_metrics_gauge (metrics, "cactus_control_bundle_version", NULL);
+  counters->claims
+      = base_metrics_gauge (metrics, "cactus_control_claims", NULL);
+}
+
+/* Opens the data folder and loads what it holds. */
+static int
+open_store (struct control_daemon *daemon, struct base_findings *findings)
+{
+  const struct control_daemon_options *options = &daemon->options;
+  struct store_identity *identity = &daemon->identity;
+  g_strlcpy (identity->cluster, options->cluster, sizeof identity->cluster);
+  g_strlcpy (identity->role, "control", sizeof identity->role);
+  g_snprintf (identity->name, sizeof identity->name, "%" PRIu64,
+              options->member_id);
+  if (store_identity_open (options->data_dir, identity, findings) != 0)
+    return -1;
+  struct consensus_options consensus = { .member_id = options->member_id,
+                                         .incarnation = identity->incarnation,
+                                         .seed = base_random_system_seed (),
+                                         .election_ms = options->election_ms,
+                                         .heartbeat_ms = options->heartbeat_ms,
+                                         .bootstrap = options->members };
+  daemon->consensus = consensus_create (&consensus);
+  daemon->store = control_store_open (options->data_dir, findings);
+  if (!daemon->store
+      || control_store_load (daemon->store, daemon->consensus, findings) != 0)
+    return -1;
+  GBytes *snapshot = consensus_snapshot (daemon->consensus);
+  if (snapshot && load_state (daemon, snapshot) != 0)
+    {
+      base_findings_add (findings, options->data_dir,
+                         "the snapshot's state can't be read");
+      return -1;
+    }
+  consensus_start (daemon->consensus, now_ms ());
+  return 0;
+}
+
+static int
+listen_on (struct control_daemon *daemon, struct base_findings *findings)
+{
+  static const struct wire_program programs[]
+      = { { CONTROL_PROGRAM, CONTROL_VERSION },
+          { CONSENSUS_PROGRAM, CONSENSUS_VERSION } };
+  daemon->server = wire_server_create (
+      daemon->options.address, daemon->options.port, programs,
+      G_N_ELEMENTS (programs), &daemon->handler);
+  if (daemon->server)
+    return 0;
+  base_findings_add (findings, "--rpc", "can't listen on %s:%u: %s",
+                     daemon->options.address, daemon->options.port,
+                     g_strerror (errno));
+  return -1;
+}
+
+struct control_daemon *
+control_daemon_create (const struct control_daemon_options *options,
+                       struct base_findings *findings)
+{
+  struct control_daemon *daemon = g_new0 (struct control_daemon, 1);
+  daemon->options = *options;
+  daemon->identity.lock_fd = -1;
+  daemon->handler.call = take_call;
+  daemon->handler.round = end_round;
+  daemon->state = control_state_create ();
+  daemon->peers = control_peers_create (options->cluster);
+  daemon->leases = control_leases_create (options->lease_ms);
+  daemon->proposals = control_pending_create ();
+  daemon->reads = control_pending_create ();
+  make_counters (daemon);
+  if (open_store (daemon, findings) == 0 && listen_on (daemon, findings) == 0)
+    return daemon;
+  control_daemon_destroy (daemon);
+  return NULL;
+}
+
+void
+control_daemon_destroy (struct control_daemon *daemon)
+{
+  if (!daemon)
+    return;
+  wire_server_destroy (daemon->server);
+  control_peers_destroy (daemon->peers);
+  control_pending_destroy (daemon->proposals);
+  control_pending_destroy (daemon->reads);
+  control_leases_destroy (daemon->leases);
+  control_state_destroy (daemon->state);
+  control_store_close (daemon->store);
+  consensus_destroy (daemon->consensus);
+  store_identity_close (&daemon->identity);
+  g_free (daemon);
+}
+
+uint16_t
+control_daemon_port (const struct control_daemon *daemon)
+{
+  return wire_server_port (daemon->server);
+}
+
+/* Hands over leadership; true when the process may end. */
+static bool
+may_end (struct control_daemon *daemon, uint64_t now)
+{
+  if (!atomic_load (&daemon->stopping))
+    return false;
+  if (daemon->stop_by_ms == 0)
+    {
+      daemon->stop_by_ms = now + HAND_OVER_MS;
+      base_log (BASE_LOG_NOTICE, "shutting-down");
+    }
+  consensus_transfer (daemon->consensus, now);
+  return !consensus_is_leader (daemon->consensus)
+         || consensus_members (daemon->consensus)->count == 1
+         || now >= daemon->stop_by_ms;
+}
+
+int
+control_daemon_run (struct control_daemon *daemon)
+{
+  uint64_t now = now_ms ();
+  while (daemon->failure == 0 && !may_end (daemon, now))
+    {
+      uint64_t due = consensus_next_due_ms (daemon->consensus);
+      uint64_t wait_ms = due > now ? due - now : 0;
+      wire_server_round (daemon->server, (uint32_t)MIN (wait_ms, ROUND_MS));
+      now = now_ms ();
+    }
+  return daemon->failure;
+}
+
+void
+control_daemon_stop (struct control_daemon *daemon)
+{
+  atomic_store (&daemon->stopping, true);
+  if (daemon->server)
+    wire_server_wake (daemon->server);
+}
+
+bool
+control_daemon_ready (struct control_daemon *daemon)
+{
+  return atomic_load (&daemon->ready);
+}
--- /dev/null
+++ b/src/control_daemon.h
@@ -0,0 +1,52 @@
+#ifndef CONTROL_DAEMON_H
+#define CONTROL_DAEMON_H
+
+/** @file
+ *  The control process: serves calls, replicates the log and applies it, all
+ *  on one thread. */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base_findings.h"
+#include "base_metrics.h"
+#include "consensus_configuration.h"
+
+struct control_daemon;
+
+/** Settings of the process; strings outlive it. */
+struct control_daemon_options
+{
+  const char *cluster;
+  const char *host;
+  uint64_t member_id;
+  const char *address;
+  uint16_t port;
+  const char *data_dir;
+  struct consensus_configuration members;
+  /** Whether @ref root_key is set; without it no version 1 is accepted. */
+  bool has_root_key;
+  uint8_t root_key[32];
+  uint32_t election_ms;
+  uint32_t heartbeat_ms;
+  uint32_t lease_ms;
+  struct base_metrics *metrics;
+};
+
+/** Opens the data folder and listens; NULL with findings. */
+struct control_daemon *
+control_daemon_create (const struct control_daemon_options *options,
+                       struct base_findings *findings);
+/** Closes everything. */
+void control_daemon_destroy (struct control_daemon *daemon);
+/** Port that is served. */
+uint16_t control_daemon_port (const struct control_daemon *daemon);
+/** Serves until control_daemon_stop; 0, or -1 when the data folder failed. */
+int control_daemon_run (struct control_daemon *daemon);
+/** Asks for a graceful end: leadership is handed over first.  Callable from
+ *  any thread and from a signal handler. */
+void control_daemon_stop (struct control_daemon *daemon);
+/** Whether a leader is known; callable from any thread. */
+bool control_daemon_ready (struct control_daemon *daemon);
+
+#endif
--- /dev/null
+++ b/src/control_member.h
@@ -0,0 +1,85 @@
+#ifndef CONTROL_MEMBER_H
+#define CONTROL_MEMBER_H
+
+/** @file
+ *  State shared by the files of the control process. */
+
+#include <stdatomic.h>
+
+#include "consensus.h"
+#include "control_daemon.h"
+#include "control_leases.h"
+#include "control_peers.h"
+#include "control_pending.h"
+#include "control_state.h"
+#include "control_store.h"
+#include "store_identity.h"
+#include "wire_server.h"
+
+/** Metrics of the process. */
+struct control_counters
+{
+  struct base_counter *calls;
+  struct base_counter *applied;
+  struct base_counter *syncs;
+  struct base_counter *dropped_messages;
+  struct base_counter *leader;
+  struct base_counter *term;
+  struct base_counter *bundle_version;
+  struct base_counter *claims;
+  struct base_counter *snapshots;
+  struct base_counter *leader_changes;
+};
+
+struct control_daemon
+{
+  struct wire_handler handler;
+  struct control_daemon_options options;
+  struct store_identity identity;
+  struct consensus *consensus;
+  struct control_store *store;
+  struct control_state *state;
+  struct control_peers *peers;
+  struct control_leases *leases;
+  struct control_pending *proposals;
+  struct control_pending *reads;
+  struct wire_server *server;
+  struct control_counters counters;
+  /** Leader and term that were last logged. */
+  uint64_t logged_leader;
+  bool was_ready;
+  uint64_t sweep_due_ms;
+  uint64_t stop_by_ms;
+  int failure;
+  atomic_bool stopping;
+  atomic_bool ready;
+};
+
+/** Takes one call of CONTROL_PROGRAM. */
+void control_call_take (struct control_daemon *daemon, struct wire_call *call,
+                        uint64_t now_ms);
+/** Answers a call whose command was applied. */
+void control_call_applied (struct control_daemon *daemon,
+                           const struct control_waiter *waiter,
+                           struct control_outcome *outcome, uint64_t now_ms);
+/** Answers a call whose read was confirmed. */
+void control_call_read (struct control_daemon *daemon,
+                        const struct control_waiter *waiter);
+/** Answers a call with a status only. */
+void control_call_refuse (struct control_daemon *daemon,
+                          struct wire_call *call, uint32_t procedure,
+                          enum control_status status, const char *text);
+/** Proposes a command that nobody waits for. */
+void control_propose (struct control_daemon *daemon,
+                      struct control_command *command);
+/** Fills the answer to CONTROL_STATUS. */
+void control_status_fill (struct control_daemon *daemon,
+                          struct control_status_result *result);
+/** Proposes a change of members; the reason when it can't be made. */
+const char *control_change_member (struct control_daemon *daemon,
+                                   const struct control_member_args *args);
+/** Address of the leader as far as known, for CONTROL_NOT_LEADER. */
+void control_leader_address (struct control_daemon *daemon,
+                             struct control_answer *answer);
+
+#endif
--- /dev/null
+++ b/src/control_members.c
@@ -0,0 +1,119 @@
+#include "control_member.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+control_leader_address (struct control_daemon *daemon,
+                        struct control_answer *answer)
+{
+  struct consensus_configuration members
+      = *consensus_members (daemon->consensus);
+  const struct consensus_member *leader = consensus_configuration_find (
+      &members, consensus_leader (daemon->consensus));
+  answer->leader_address = strdup (leader ? leader->address : "");
+  answer->leader_port = leader ? leader->port : 0;
+}
+
+static void
+fill_member (struct control_daemon *daemon,
+             const struct consensus_member *member, struct control_member *to)
+{
+  char name[32];
+  g_snprintf (name, sizeof name, "%" G_GUINT64_FORMAT, member->id);
+  to->name = strdup (name);
+  to->address = strdup (member->address);
+  to->port = member->port;
+  to->voter = member->role == CONSENSUS_VOTER;
+  to->match_index = consensus_match_index (daemon->consensus, member->id);
+}
+
+static void
+fill_members (struct control_daemon *daemon,
+              struct control_status_result *result)
+{
+  const struct consensus_configuration *members
+      = consensus_members (daemon->consensus);
+  result->members.members_len = members->count;
+  result->members.members_val
+      = calloc (members->count + 1, sizeof (struct control_member));
+  for (uint32_t i = 0; i < members->count; i++)
+    fill_member (daemon, &members->members[i],
+                 &result->members.members_val[i]);
+}
+
+void
+control_status_fill (struct control_daemon *daemon,
+                     struct control_status_result *result)
+{
+  struct consensus *consensus = daemon->consensus;
+  result->answer.text = strdup ("");
+  control_leader_address (daemon, &result->answer);
+  result->member = strdup (daemon->options.host);
+  result->leader = consensus_is_ready (consensus);
+  result->term = consensus_term (consensus);
+  result->commit_index = consensus_commit_index (consensus);
+  result->applied_index = consensus_applied_index (consensus);
+  result->last_index = consensus_last_index (consensus);
+  result->bundle_version
+      = control_bundles_version (control_state_bundles (daemon->state));
+  fill_members (daemon, result);
+  result->processes.processes_len
+      = control_processes_live (control_state_processes (daemon->state),
+                                &result->processes.processes_val);
+  for (u_int i = 0; i < result->processes.processes_len; i++)
+    {
+      struct wire_process *process = &result->processes.processes_val[i];
+      process->bundle_version
+          = control_leases_version (daemon->leases, process);
+    }
+}
+
+/* Reads the member to change; the reason when it is malformed. */
+static const char *
+read_member (const struct control_member_args *args,
+             struct consensus_member *member)
+{
+  char *end = NULL;
+  member->id = strtoull (args->member.name, &end, 10);
+  if (member->id == 0 || *end != '\0')
+    return "the member's name must be its number";
+  if (args->change != CONTROL_MEMBER_ADD)
+    return NULL;
+  if (strlen (args->member.address) >= sizeof member->address
+      || args->member.port == 0 || args->member.port > UINT16_MAX)
+    return "the member's address must be A.B.C.D and a port";
+  g_strlcpy (member->address, args->member.address, sizeof member->address);
+  member->port = (uint16_t)args->member.port;
+  member->role = CONSENSUS_LEARNER;
+  return NULL;
+}
+
+const char *
+control_change_member (struct control_daemon *daemon,
+                       const struct control_member_args *args)
+{
+  struct consensus_member member = { 0 };
+  struct consensus_configuration members
+      = *consensus_members (daemon->consensus);
+  const char *refusal = read_member (args, &member);
+  if (refusal)
+    return refusal;
+  const struct consensus_member *known
+      = consensus_configuration_find (&members, member.id);
+  if (args->change == CONTROL_MEMBER_ADD && known)
+    return "the member is known";
+  if (args->change != CONTROL_MEMBER_ADD && !known)
+    return "the member is not known";
+  if (args->change == CONTROL_MEMBER_PROMOTE)
+    {
+      member = *known;
+      member.role = CONSENSUS_REJOINING;
+      if (known->role == CONSENSUS_VOTER)
+        return "the member is a voter";
+    }
+  if (!consensus_change_member (daemon->consensus, &member,
+                                args->change == CONTROL_MEMBER_REMOVE))
+    return "another change is under way, or there is no room";
+  return NULL;
+}
--- /dev/null
+++ b/src/control_peers.c
@@ -0,0 +1,223 @@
+#include "control_peers.h"
+
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cactus_config.h"
+#include "consensus.h"
+#include "wire_client.h"
+
+/* Most messages, and most bytes of entries, that wait for one member. */
+#define QUEUE_MESSAGES 512
+#define QUEUE_BYTES (32u * 1024 * 1024)
+
+/* One member's queue and thread. */
+struct sender
+{
+  struct control_peers *peers;
+  uint64_t member_id;
+  char address[16];
+  uint16_t port;
+  GMutex mutex;
+  GCond wake;
+  /* struct consensus_wire_message. */
+  GQueue queue;
+  uint64_t queued_bytes;
+  bool stopping;
+  GThread *thread;
+};
+
+struct control_peers
+{
+  char *cluster;
+  GPtrArray *senders;
+  atomic_uint_least64_t dropped;
+};
+
+static uint64_t
+message_bytes (const struct consensus_wire_message *message)
+{
+  uint64_t bytes = message->snapshot_piece.snapshot_piece_len;
+  for (u_int i = 0; i < message->entries.entries_len; i++)
+    bytes += message->entries.entries_val[i].data.data_len;
+  return bytes;
+}
+
+/* Next message, or NULL at the end. */
+static struct consensus_wire_message *
+take_message (struct sender *sender)
+{
+  struct consensus_wire_message *message = NULL;
+  g_mutex_lock (&sender->mutex);
+  while (!sender->stopping && g_queue_is_empty (&sender->queue))
+    g_cond_wait (&sender->wake, &sender->mutex);
+  if (!sender->stopping)
+    {
+      message = g_queue_pop_head (&sender->queue);
+      sender->queued_bytes -= message_bytes (message);
+    }
+  g_mutex_unlock (&sender->mutex);
+  return message;
+}
+
+static void
+drop_queue (struct sender *sender)
+{
+  struct consensus_wire_message *message;
+  g_mutex_lock (&sender->mutex);
+  while ((message = g_queue_pop_head (&sender->queue)))
+    {
+      atomic_fetch_add (&sender->peers->dropped, 1);
+      consensus_message_free (message);
+    }
+  sender->queued_bytes = 0;
+  g_mutex_unlock (&sender->mutex);
+}
+
+static gpointer
+send_messages (gpointer data)
+{
+  struct sender *sender = data;
+  struct consensus_wire_message *message;
+  struct wire_client *client = wire_client_create (
+      sender->address, sender->port, CONSENSUS_PROGRAM, CONSENSUS_VERSION);
+  while ((message = take_message (sender)))
+    {
+      bool_t taken = FALSE;
+      message->cluster = strdup (sender->peers->cluster);
+      enum wire_status status = wire_client_call (
+          client, CONSENSUS_STEP, (xdrproc_t)xdr_consensus_wire_message,
+          message, (xdrproc_t)xdr_bool, &taken, sizeof taken,
+          CACTUS_CALL_TIMEOUT_MS);
+      consensus_message_free (message);
+      /* What waited behind a lost message is out of date. */
+      if (status != WIRE_OK)
+        drop_queue (sender);
+    }
+  wire_client_destroy (client);
+  return NULL;
+}
+
+static void
+free_sender (gpointer data)
+{
+  struct sender *sender = data;
+  g_mutex_lock (&sender->mutex);
+  sender->stopping = true;
+  g_cond_signal (&sender->wake);
+  g_mutex_unlock (&sender->mutex);
+  g_thread_join (sender->thread);
+  drop_queue (sender);
+  g_mutex_clear (&sender->mutex);
+  g_cond_clear (&sender->wake);
+  g_free (sender);
+}
+
+struct control_peers *
+control_peers_create (const char *cluster)
+{
+  struct control_peers *peers = g_new0 (struct control_peers, 1);
+  peers->cluster = g_strdup (cluster);
+  peers->senders = g_ptr_array_new_with_free_func (free_sender);
+  return peers;
+}
+
+void
+control_peers_destroy (struct control_peers *peers)
+{
+  if (!peers)
+    return;
+  g_ptr_array_unref (peers->senders);
+  g_free (peers->cluster);
+  g_free (peers);
+}
+
+static void
+add_sender (struct control_peers *peers, const struct consensus_member *member)
+{
+  struct sender *sender = g_new0 (struct sender, 1);
+  sender->peers = peers;
+  sender->member_id = member->id;
+  sender->port = member->port;
+  g_strlcpy (sender->address, member->address, sizeof sender->address);
+  g_mutex_init (&sender->mutex);
+  g_cond_init (&sender->wake);
+  g_queue_init (&sender->queue);
+  sender->thread = g_thread_new ("peer", send_messages, sender);
+  g_ptr_array_add (peers->senders, sender);
+}
+
+static struct sender *
+find_sender (const struct control_peers *peers, uint64_t member_id)
+{
+  for (guint i = 0; i < peers->senders->len; i++)
+    {
+      struct sender *sender = peers->senders->pdata[i];
+      if (sender->member_id == member_id)
+        return sender;
+    }
+  return NULL;
+}
+
+static bool
+still_member (const struct sender *sender,
+              const struct consensus_configuration *members)
+{
+  for (uint32_t i = 0; i < members->count; i++)
+    {
+      const struct consensus_member *member = &members->members[i];
+      if (member->id == sender->member_id)
+        return member->port == sender->port
+               && strcmp (member->address, sender->address) == 0;
+    }
+  return false;
+}
+
+void
+control_peers_update (struct control_peers *peers,
+                      const struct consensus_configuration *members,
+                      uint64_t self)
+{
+  for (guint i = peers->senders->len; i-- > 0;)
+    if (!still_member (peers->senders->pdata[i], members))
+      g_ptr_array_remove_index (peers->senders, i);
+  for (uint32_t i = 0; i < members->count; i++)
+    {
+      const struct consensus_member *member = &members->members[i];
+      if (member->id != self && !find_sender (peers, member->id))
+        add_sender (peers, member);
+    }
+}
+
+void
+control_peers_send (struct control_peers *peers,
+                    struct consensus_wire_message *message)
+{
+  struct sender *sender = find_sender (peers, message->to_member);
+  uint64_t bytes = message_bytes (message);
+  bool taken = false;
+  if (sender)
+    {
+      g_mutex_lock (&sender->mutex);
+      taken = sender->queue.length < QUEUE_MESSAGES
+              && sender->queued_bytes + bytes <= QUEUE_BYTES;
+      if (taken)
+        {
+          g_queue_push_tail (&sender->queue, message);
+          sender->queued_bytes += bytes;
+          g_cond_signal (&sender->wake);
+        }
+      g_mutex_unlock (&sender->mutex);
+    }
+  if (taken)
+    return;
+  atomic_fetch_add (&peers->dropped, 1);
+  consensus_message_free (message);
+}
+
+uint64_t
+control_peers_dropped (struct control_peers *peers)
+{
+  return atomic_load (&peers->dropped);
+}
--- /dev/null
+++ b/src/control_state.c
@@ -0,0 +1,286 @@
+#include "control_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+struct control_state
+{
+  uint64_t wall_ms;
+  struct control_bundles *bundles;
+  struct control_claims *claims;
+  struct control_processes *processes;
+  struct control_drains *drains;
+  struct escrow_pool *pool;
+};
+
+struct control_state *
+control_state_create (void)
+{
+  struct control_state *state = g_new0 (struct control_state, 1);
+  state->bundles = control_bundles_create ();
+  state->claims = control_claims_create ();
+  state->processes = control_processes_create ();
+  state->drains = control_drains_create ();
+  state->pool = escrow_pool_create (ESCROW_POLICY_DEMAND_FLOOR);
+  return state;
+}
+
+void
+control_state_destroy (struct control_state *state)
+{
+  if (!state)
+    return;
+  control_bundles_destroy (state->bundles);
+  control_claims_destroy (state->claims);
+  control_processes_destroy (state->processes);
+  control_drains_destroy (state->drains);
+  escrow_pool_destroy (state->pool);
+  g_free (state);
+}
+
+static void
+set_answer (struct control_answer *answer, enum control_status status,
+            const char *text)
+{
+  answer->status = status;
+  answer->leader_address = strdup ("");
+  answer->text = strdup (text);
+}
+
+static void
+apply_register (struct control_state *state,
+                const struct wire_process *process,
+                struct control_answer *answer)
+{
+  uint64_t former = 0;
+  if (!control_processes_register (state->processes, process, state->wall_ms,
+                                   &former))
+    {
+      set_answer (answer, CONTROL_FENCED,
+                  "a newer incarnation holds this name");
+      return;
+    }
+  if (former != 0 && process->kind == WIRE_PROCESS_ROUTER)
+    control_claims_orphan (state->claims, process->host, former);
+  set_answer (answer, CONTROL_OK, "");
+}
+
+static void
+apply_lapse (struct control_state *state, const struct wire_process *process,
+             struct control_answer *answer)
+{
+  if (control_processes_lapse (state->processes, process, state->wall_ms)
+      && process->kind == WIRE_PROCESS_ROUTER)
+    control_claims_orphan (state->claims, process->host, process->incarnation);
+  set_answer (answer, CONTROL_OK, "");
+}
+
+/* Whether the router's session stands, so that its claims end with it. */
+static bool
+router_stands (const struct control_state *state, const char *router,
+               uint64_t incarnation)
+{
+  const struct control_process *process
+      = control_processes_find (state->processes, WIRE_PROCESS_ROUTER, router);
+  return process && !process->lapsed
+         && process->process.incarnation == incarnation;
+}
+
+static void
+apply_claim (struct control_state *state,
+             const struct control_claim_args *args,
+             struct control_claim_result *result)
+{
+  control_claims_expire (state->claims, state->wall_ms);
+  if (router_stands (state, args->router, args->router_incarnation))
+    {
+      control_claims_claim (state->claims, args, state->wall_ms, result);
+      return;
+    }
+  result->state = CONTROL_CLAIM_RUNNING;
+  set_answer (&result->answer, CONTROL_FENCED,
+              "the router's session does not stand");
+}
+
+void
+control_state_apply (struct control_state *state,
+                     const struct control_command *command,
+                     struct control_outcome *outcome)
+{
+  const struct control_command_body *body = &command->body;
+  memset (outcome, 0, sizeof *outcome);
+  outcome->kind = body->kind;
+  outcome->codec = (xdrproc_t)xdr_control_answer;
+  /* Wall clocks of members differ; time never goes back. */
+  state->wall_ms = MAX (state->wall_ms, command->wall_ms);
+  switch (body->kind)
+    {
+    case CONTROL_COMMAND_PUSH:
+      outcome->codec = (xdrproc_t)xdr_control_push_result;
+      control_bundles_push (state->bundles, &body->control_command_body_u.push,
+                            &outcome->result.push);
+      break;
+    case CONTROL_COMMAND_TOP_UP:
+      outcome->codec = (xdrproc_t)xdr_control_top_up_result;
+      escrow_pool_top_up (state->pool, &body->control_command_body_u.top_up,
+                          state->wall_ms, &outcome->result.top_up);
+      break;
+    case CONTROL_COMMAND_LEDGER:
+      outcome->codec = (xdrproc_t)xdr_control_ledger_result;
+      escrow_pool_exchange (state->pool, &body->control_command_body_u.ledger,
+                            state->wall_ms, &outcome->result.ledger);
+      break;
+    case CONTROL_COMMAND_CLAIM:
+      outcome->codec = (xdrproc_t)xdr_control_claim_result;
+      apply_claim (state, &body->control_command_body_u.claim,
+                   &outcome->result.claim);
+      break;
+    case CONTROL_COMMAND_FINISH:
+      control_claims_finish (state->claims,
+                             &body->control_command_body_u.finish,
+                             &outcome->result.answer);
+      break;
+    case CONTROL_COMMAND_DRAIN:
+      control_drains_set (
+          state->drains, body->control_command_body_u.drain.target,
+          body->control_command_body_u.drain.drain, &outcome->result.answer);
+      break;
+    case CONTROL_COMMAND_REGISTER:
+      apply_register (state, &body->control_command_body_u.process,
+                      &outcome->result.answer);
+      break;
+    case CONTROL_COMMAND_LAPSE:
+      apply_lapse (state, &body->control_command_body_u.process,
+                   &outcome->result.answer);
+      break;
+    }
+}
+
+bool
+control_state_apply_bytes (struct control_state *state, const char *data,
+                           uint32_t bytes, struct control_outcome *outcome)
+{
+  struct control_command command = { 0 };
+  XDR stream;
+  xdrmem_create (&stream, (char *)data, bytes, XDR_DECODE);
+  bool good = xdr_control_command (&stream, &command);
+  XDR_DESTROY (&stream);
+  memset (outcome, 0, sizeof *outcome);
+  if (good)
+    control_state_apply (state, &command, outcome);
+  xdr_free ((xdrproc_t)xdr_control_command, (char *)&command);
+  return good;
+}
+
+void
+control_outcome_clear (struct control_outcome *outcome)
+{
+  if (outcome->codec)
+    xdr_free (outcome->codec, (char *)&outcome->result);
+  memset (outcome, 0, sizeof *outcome);
+}
+
+static char *
+encode (xdrproc_t codec, void *value, uint32_t *bytes)
+{
+  XDR stream;
+  *bytes = (uint32_t)xdr_sizeof (codec, value);
+  char *data = g_malloc (*bytes + 1);
+  xdrmem_create (&stream, data, *bytes, XDR_ENCODE);
+  codec (&stream, value);
+  XDR_DESTROY (&stream);
+  return data;
+}
+
+char *
+control_command_encode (struct control_command *command, uint32_t *bytes)
+{
+  return encode ((xdrproc_t)xdr_control_command, command, bytes);
+}
+
+char *
+control_state_save (struct control_state *state, uint32_t *bytes)
+{
+  struct control_state_image image = { 0 };
+  GByteArray *pool = g_byte_array_new ();
+  image.wall_ms = state->wall_ms;
+  control_bundles_save (state->bundles, &image);
+  control_processes_save (state->processes, &image);
+  control_claims_save (state->claims, &image);
+  image.drained.drained_len
+      = control_drains_copy (state->drains, &image.drained.drained_val);
+  escrow_pool_save (state->pool, pool);
+  image.pool.pool_len = pool->len;
+  image.pool.pool_val = (char *)pool->data;
+  char *data = encode ((xdrproc_t)xdr_control_state_image, &image, bytes);
+  image.pool.pool_val = NULL;
+  image.pool.pool_len = 0;
+  xdr_free ((xdrproc_t)xdr_control_state_image, (char *)&image);
+  g_byte_array_unref (pool);
+  return data;
+}
+
+int
+control_state_load (struct control_state *state, const char *data,
+                    uint32_t bytes)
+{
+  struct control_state_image image = { 0 };
+  XDR stream;
+  size_t used = 0;
+  int status = -1;
+  xdrmem_create (&stream, (char *)data, bytes, XDR_DECODE);
+  if (xdr_control_state_image (&stream, &image)
+      && control_bundles_load (state->bundles, &image) == 0
+      && escrow_pool_load (state->pool, (const uint8_t *)image.pool.pool_val,
+                           image.pool.pool_len, &used)
+             == 0)
+    {
+      state->wall_ms = image.wall_ms;
+      control_processes_load (state->processes, &image);
+      control_claims_load (state->claims, &image);
+      control_drains_load (state->drains, image.drained.drained_val,
+                           image.drained.drained_len);
+      status = 0;
+    }
+  XDR_DESTROY (&stream);
+  xdr_free ((xdrproc_t)xdr_control_state_image, (char *)&image);
+  return status;
+}
+
+uint64_t
+control_state_wall_ms (const struct control_state *state)
+{
+  return state->wall_ms;
+}
+
+struct control_bundles *
+control_state_bundles (struct control_state *state)
+{
+  return state->bundles;
+}
+
+struct control_claims *
+control_state_claims (struct control_state *state)
+{
+  return state->claims;
+}
+
+struct control_processes *
+control_state_processes (struct control_state *state)
+{
+  return state->processes;
+}
+
+struct control_drains *
+control_state_drains (struct control_state *state)
+{
+  return state->drains;
+}
+
+struct escrow_pool *
+control_state_pool (struct control_state *state)
+{
+  return state->pool;
+}
--- a/src/wire_consensus.h
+++ b/src/wire_consensus.h
@@ -81,7 +81,6 @@
 typedef struct consensus_wire_vote consensus_wire_vote;
 
 struct consensus_wire_snapshot {
-	consensus_wire_vote vote;
 	u_quad_t log_index;
 	u_quad_t log_term;
 	u_quad_t configuration_index;
--- a/src/wire_consensus.x
+++ b/src/wire_consensus.x
@@ -68,10 +68,9 @@
   unsigned hyper voted_incarnation;
 };
 
-/* A snapshot, in a file or sent in pieces (then without the vote). */
+/* A snapshot, as sent in pieces; in its file a vote goes before it. */
 struct consensus_wire_snapshot
 {
-  consensus_wire_vote vote;
   unsigned hyper log_index;
   unsigned hyper log_term;
   unsigned hyper configuration_index;
--- a/src/wire_consensus_xdr.c
+++ b/src/wire_consensus_xdr.c
@@ -90,8 +90,6 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_consensus_wire_vote (xdrs, &objp->vote))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->log_index))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->log_term))
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -47,6 +47,7 @@
 	wire_name cluster;
 	wire_process process;
 	u_quad_t peers_digest;
+	u_quad_t drained_digest;
 };
 typedef struct control_sync_args control_sync_args;
 
@@ -64,6 +65,11 @@
 		u_int peers_len;
 		wire_process *peers_val;
 	} peers;
+	u_quad_t drained_digest;
+	struct {
+		u_int drained_len;
+		wire_name *drained_val;
+	} drained;
 };
 typedef struct control_sync_result control_sync_result;
 
@@ -211,6 +217,7 @@
 	wire_name cluster;
 	wire_name router;
 	u_quad_t router_incarnation;
+	u_quad_t claim_id;
 	u_quad_t account_id;
 	wire_digest key;
 	bool_t not_run;
@@ -311,6 +318,103 @@
 };
 typedef struct control_member_args control_member_args;
 
+enum control_command_kind {
+	CONTROL_COMMAND_PUSH = 1,
+	CONTROL_COMMAND_TOP_UP = 2,
+	CONTROL_COMMAND_LEDGER = 3,
+	CONTROL_COMMAND_CLAIM = 4,
+	CONTROL_COMMAND_FINISH = 5,
+	CONTROL_COMMAND_DRAIN = 6,
+	CONTROL_COMMAND_REGISTER = 7,
+	CONTROL_COMMAND_LAPSE = 8,
+};
+typedef enum control_command_kind control_command_kind;
+
+struct control_command_body {
+	control_command_kind kind;
+	union {
+		control_push_args push;
+		control_top_up_args top_up;
+		control_ledger_args ledger;
+		control_claim_args claim;
+		control_finish_args finish;
+		control_drain_args drain;
+		wire_process process;
+	} control_command_body_u;
+};
+typedef struct control_command_body control_command_body;
+
+struct control_command {
+	u_quad_t wall_ms;
+	control_command_body body;
+};
+typedef struct control_command control_command;
+
+struct control_bundle_record {
+	u_quad_t bundle_version;
+	char digest[CONTROL_BUNDLE_DIGEST_BYTES];
+	wire_name signer;
+};
+typedef struct control_bundle_record control_bundle_record;
+
+struct control_process_image {
+	wire_process process;
+	bool_t lapsed;
+	u_quad_t lapsed_at_ms;
+	struct {
+		u_int superseded_len;
+		u_quad_t *superseded_val;
+	} superseded;
+};
+typedef struct control_process_image control_process_image;
+
+struct control_claim_image {
+	u_quad_t account_id;
+	wire_digest key;
+	wire_digest body_digest;
+	wire_name router;
+	u_quad_t router_incarnation;
+	u_quad_t claim_id;
+	u_quad_t claimed_at_ms;
+	control_claim_state state;
+	u_int http_status;
+	u_quad_t billed_tokens;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct control_claim_image control_claim_image;
+
+struct control_state_image {
+	u_quad_t wall_ms;
+	struct {
+		u_int accepted_len;
+		control_bundle_record *accepted_val;
+	} accepted;
+	struct {
+		u_int document_len;
+		char *document_val;
+	} document;
+	struct {
+		u_int processes_len;
+		control_process_image *processes_val;
+	} processes;
+	struct {
+		u_int claims_len;
+		control_claim_image *claims_val;
+	} claims;
+	struct {
+		u_int drained_len;
+		wire_name *drained_val;
+	} drained;
+	struct {
+		u_int pool_len;
+		char *pool_val;
+	} pool;
+};
+typedef struct control_state_image control_state_image;
+
 #define CONTROL_PROGRAM 0x20CAC702
 #define CONTROL_VERSION 1
 
@@ -418,6 +522,13 @@
 extern  bool_t xdr_control_status_result (XDR *, control_status_result*);
 extern  bool_t xdr_control_member_change (XDR *, control_member_change*);
 extern  bool_t xdr_control_member_args (XDR *, control_member_args*);
+extern  bool_t xdr_control_command_kind (XDR *, control_command_kind*);
+extern  bool_t xdr_control_command_body (XDR *, control_command_body*);
+extern  bool_t xdr_control_command (XDR *, control_command*);
+extern  bool_t xdr_control_bundle_record (XDR *, control_bundle_record*);
+extern  bool_t xdr_control_process_image (XDR *, control_process_image*);
+extern  bool_t xdr_control_claim_image (XDR *, control_claim_image*);
+extern  bool_t xdr_control_state_image (XDR *, control_state_image*);
 
 #else /* K&R C */
 extern bool_t xdr_control_status ();
@@ -448,6 +559,13 @@
 extern bool_t xdr_control_status_result ();
 extern bool_t xdr_control_member_change ();
 extern bool_t xdr_control_member_args ();
+extern bool_t xdr_control_command_kind ();
+extern bool_t xdr_control_command_body ();
+extern bool_t xdr_control_command ();
+extern bool_t xdr_control_bundle_record ();
+extern bool_t xdr_control_process_image ();
+extern bool_t xdr_control_claim_image ();
+extern bool_t xdr_control_state_image ();
 
 #endif /* K&R C */
 
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -39,12 +39,14 @@
 /* Heartbeat of a session; brings the bundle's changes and the live peers.
    A change is a bundle_delta document (JSON) from bundle_version to
    new_version, or the whole document when full is true.  peers is sent only
-   when peers_digest differs from the caller's. */
+   when peers_digest differs from the caller's; so are the drained targets
+   (drained_digest 0: there are none). */
 struct control_sync_args
 {
   wire_name cluster;
   wire_process process;
   unsigned hyper peers_digest;
+  unsigned hyper drained_digest;
 };
 
 struct control_sync_result
@@ -56,6 +58,8 @@
   opaque document<CONTROL_DOCUMENT_BYTES>;
   unsigned hyper peers_digest;
   wire_process peers<WIRE_PEERS_MAX>;
+  unsigned hyper drained_digest;
+  wire_name drained<WIRE_PEERS_MAX>;
 };
 
 /* Bundles: accepted only as version = accepted version + 1, signed by an
@@ -193,6 +197,7 @@
   wire_name cluster;
   wire_name router;
   unsigned hyper router_incarnation;
+  unsigned hyper claim_id;     /* 0: whichever claim holds the key */
   unsigned hyper account_id;
   wire_digest key;
   bool not_run;
@@ -283,6 +288,86 @@
   control_member member;
 };
 
+/* Commands of the replicated log.  wall_ms is the proposer's wall time. */
+enum control_command_kind
+{
+  CONTROL_COMMAND_PUSH = 1,
+  CONTROL_COMMAND_TOP_UP = 2,
+  CONTROL_COMMAND_LEDGER = 3,
+  CONTROL_COMMAND_CLAIM = 4,
+  CONTROL_COMMAND_FINISH = 5,
+  CONTROL_COMMAND_DRAIN = 6,
+  CONTROL_COMMAND_REGISTER = 7,
+  CONTROL_COMMAND_LAPSE = 8
+};
+
+union control_command_body switch (control_command_kind kind)
+{
+case CONTROL_COMMAND_PUSH:
+  control_push_args push;
+case CONTROL_COMMAND_TOP_UP:
+  control_top_up_args top_up;
+case CONTROL_COMMAND_LEDGER:
+  control_ledger_args ledger;
+case CONTROL_COMMAND_CLAIM:
+  control_claim_args claim;
+case CONTROL_COMMAND_FINISH:
+  control_finish_args finish;
+case CONTROL_COMMAND_DRAIN:
+  control_drain_args drain;
+case CONTROL_COMMAND_REGISTER:
+case CONTROL_COMMAND_LAPSE:
+  wire_process process;
+};
+
+struct control_command
+{
+  unsigned hyper wall_ms;
+  control_command_body body;
+};
+
+/* State that the log was applied to, in a snapshot. */
+struct control_bundle_record
+{
+  unsigned hyper bundle_version;
+  opaque digest[CONTROL_BUNDLE_DIGEST_BYTES];
+  wire_name signer;
+};
+
+struct control_process_image
+{
+  wire_process process;
+  bool lapsed;
+  unsigned hyper lapsed_at_ms;
+  unsigned hyper superseded<>;
+};
+
+struct control_claim_image
+{
+  unsigned hyper account_id;
+  wire_digest key;
+  wire_digest body_digest;
+  wire_name router;
+  unsigned hyper router_incarnation;
+  unsigned hyper claim_id;
+  unsigned hyper claimed_at_ms;
+  control_claim_state state;
+  unsigned int http_status;
+  unsigned hyper billed_tokens;
+  opaque body<CONTROL_ANSWER_BYTES>;
+};
+
+struct control_state_image
+{
+  unsigned hyper wall_ms;
+  control_bundle_record accepted<>;   /* oldest first */
+  opaque document<CONTROL_DOCUMENT_BYTES>;
+  control_process_image processes<>;
+  control_claim_image claims<>;       /* oldest first */
+  wire_name drained<>;
+  opaque pool<>;
+};
+
 program CONTROL_PROGRAM
 {
   version CONTROL_VERSION
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -43,6 +43,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->peers_digest))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->drained_digest))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -66,6 +68,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, WIRE_PEERS_MAX,
 		sizeof (wire_process), (xdrproc_t) xdr_wire_process))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->drained_digest))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->drained.drained_val, (u_int *) &objp->drained.drained_len, WIRE_PEERS_MAX,
+		sizeof (wire_name), (xdrproc_t) xdr_wire_name))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -321,6 +328,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->router_incarnation))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->claim_id))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->account_id))
 			 return FALSE;
 		 if (!xdr_wire_digest (xdrs, &objp->key))
@@ -351,6 +360,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->router_incarnation))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->claim_id))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->account_id))
 			 return FALSE;
 		 if (!xdr_wire_digest (xdrs, &objp->key))
@@ -382,6 +393,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->router_incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->claim_id))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->account_id))
 		 return FALSE;
 	 if (!xdr_wire_digest (xdrs, &objp->key))
@@ -553,3 +566,156 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_control_command_kind (XDR *xdrs, control_command_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_command_body (XDR *xdrs, control_command_body *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_command_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case CONTROL_COMMAND_PUSH:
+		 if (!xdr_control_push_args (xdrs, &objp->control_command_body_u.push))
+			 return FALSE;
+		break;
+	case CONTROL_COMMAND_TOP_UP:
+		 if (!xdr_control_top_up_args (xdrs, &objp->control_command_body_u.top_up))
+			 return FALSE;
+		break;
+	case CONTROL_COMMAND_LEDGER:
+		 if (!xdr_control_ledger_args (xdrs, &objp->control_command_body_u.ledger))
+			 return FALSE;
+		break;
+	case CONTROL_COMMAND_CLAIM:
+		 if (!xdr_control_claim_args (xdrs, &objp->control_command_body_u.claim))
+			 return FALSE;
+		break;
+	case CONTROL_COMMAND_FINISH:
+		 if (!xdr_control_finish_args (xdrs, &objp->control_command_body_u.finish))
+			 return FALSE;
+		break;
+	case CONTROL_COMMAND_DRAIN:
+		 if (!xdr_control_drain_args (xdrs, &objp->control_command_body_u.drain))
+			 return FALSE;
+		break;
+	case CONTROL_COMMAND_REGISTER:
+	case CONTROL_COMMAND_LAPSE:
+		 if (!xdr_wire_process (xdrs, &objp->control_command_body_u.process))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_control_command (XDR *xdrs, control_command *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->wall_ms))
+		 return FALSE;
+	 if (!xdr_control_command_body (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_bundle_record (XDR *xdrs, control_bundle_record *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_u_quad_t (xdrs, &objp->bundle_version))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->digest, CONTROL_BUNDLE_DIGEST_BYTES))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->signer))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_process_image (XDR *xdrs, control_process_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_process (xdrs, &objp->process))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->lapsed))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->lapsed_at_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->superseded.superseded_val, (u_int *) &objp->superseded.superseded_len, ~0,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_claim_image (XDR *xdrs, control_claim_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->account_id))
+		 return FALSE;
+	 if (!xdr_wire_digest (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_wire_digest (xdrs, &objp->body_digest))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->router))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->router_incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->claim_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->claimed_at_ms))
+		 return FALSE;
+	 if (!xdr_control_claim_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->http_status))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->billed_tokens))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, CONTROL_ANSWER_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_state_image (XDR *xdrs, control_state_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->wall_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->accepted.accepted_val, (u_int *) &objp->accepted.accepted_len, ~0,
+		sizeof (control_bundle_record), (xdrproc_t) xdr_control_bundle_record))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->processes.processes_val, (u_int *) &objp->processes.processes_len, ~0,
+		sizeof (control_process_image), (xdrproc_t) xdr_control_process_image))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, ~0,
+		sizeof (control_claim_image), (xdrproc_t) xdr_control_claim_image))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->drained.drained_val, (u_int *) &objp->drained.drained_len, ~0,
+		sizeof (wire_name), (xdrproc_t) xdr_wire_name))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->pool.pool_val, (u_int *) &objp->pool.pool_len, ~0))
+		 return FALSE;
+	return TRUE;
+}
