--- /dev/null
+++ b/tests/test_control_client.c
@@ -0,0 +1,295 @@
+/** @file
+ *  Tests of control's client against a fake control behind relays: leaders
+ *  that change, lost answers, silent and dead members. */
+
+#include <glib.h>
+
+#include "control_client.h"
+#include "link_relay.h"
+#include "test_control_fake.h"
+
+#define MEMBERS 3
+#define PATIENCE_MS 30000
+
+/* Three members, each a relay before the one fake. */
+struct cluster
+{
+  struct control_fake fake;
+  struct link_relay *relays[MEMBERS];
+  char *endpoints[MEMBERS + 1];
+  uint16_t ports[MEMBERS];
+  struct control_client *client;
+};
+
+static void
+start (struct cluster *cluster,
+       void (*answer) (struct control_fake *, struct wire_call *))
+{
+  control_fake_start (&cluster->fake, answer, cluster);
+  uint16_t port = wire_server_port (cluster->fake.server);
+  for (int i = 0; i < MEMBERS; i++)
+    {
+      cluster->relays[i] = link_relay_create ();
+      cluster->ports[i] = link_relay_add (cluster->relays[i], "127.0.0.1", 0,
+                                          "127.0.0.1", port);
+      cluster->endpoints[i]
+          = g_strdup_printf ("127.0.0.1:%u", cluster->ports[i]);
+    }
+  cluster->endpoints[MEMBERS] = NULL;
+  cluster->client
+      = control_client_create ((const char *const *)cluster->endpoints);
+}
+
+static void
+stop (struct cluster *cluster)
+{
+  control_client_destroy (cluster->client);
+  for (int i = 0; i < MEMBERS; i++)
+    {
+      link_relay_destroy (cluster->relays[i]);
+      g_free (cluster->endpoints[i]);
+    }
+  control_fake_stop (&cluster->fake);
+}
+
+static void
+fault (struct cluster *cluster, int member, bool refuse, bool mute)
+{
+  link_relay_set_refuse (cluster->relays[member], refuse);
+  link_relay_set_mute (cluster->relays[member], mute);
+}
+
+static enum wire_status
+top_up (struct cluster *cluster, struct control_top_up_result *result,
+        uint32_t timeout_ms)
+{
+  char cluster_name[] = "test";
+  char id[] = "id-1";
+  char empty[] = "";
+  struct control_top_up_args args
+      = { cluster_name, id, empty, empty, empty, 7 };
+  return control_client_call (cluster->client, CONTROL_TOP_UP,
+                              (xdrproc_t)xdr_control_top_up_args, &args,
+                              (xdrproc_t)xdr_control_top_up_result, result,
+                              sizeof *result, timeout_ms);
+}
+
+static void
+free_result (struct control_top_up_result *result)
+{
+  xdr_free ((xdrproc_t)xdr_control_top_up_result, (char *)result);
+}
+
+static void
+reply (struct wire_call *call, enum control_status status,
+       uint16_t leader_port)
+{
+  char address[] = "127.0.0.1";
+  char empty[] = "";
+  struct control_top_up_result result = { 0 };
+  result.answer.status = status;
+  result.answer.leader_address = leader_port ? address : empty;
+  result.answer.leader_port = leader_port;
+  result.answer.text = empty;
+  result.topped_up_tokens = 7;
+  wire_call_reply (call, (xdrproc_t)xdr_control_top_up_result, &result);
+}
+
+static void
+answer_ok (struct control_fake *fake, struct wire_call *call)
+{
+  (void)fake;
+  reply (call, CONTROL_OK, 0);
+}
+
+/* The first call is answered by a follower that names the third member, which
+   then leads. */
+static void
+answer_redirect (struct control_fake *fake, struct wire_call *call)
+{
+  const struct cluster *cluster = fake->context;
+  if (atomic_load (&fake->calls) == 1)
+    reply (call, CONTROL_NOT_LEADER, cluster->ports[2]);
+  else
+    reply (call, CONTROL_OK, 0);
+}
+
+static void
+test_redirect (void)
+{
+  struct cluster cluster;
+  struct control_top_up_result result;
+  start (&cluster, answer_redirect);
+  for (int i = 0; i < 3; i++)
+    {
+      g_assert_cmpint (top_up (&cluster, &result, PATIENCE_MS), ==, WIRE_OK);
+      g_assert_cmpuint (result.topped_up_tokens, ==, 7);
+      free_result (&result);
+    }
+  /* One call was asked in vain, and the leader is remembered. */
+  g_assert_cmpuint (atomic_load (&cluster.fake.calls), ==, 4);
+  g_assert_cmpuint (link_relay_bytes (cluster.relays[1]), ==, 0);
+  stop (&cluster);
+}
+
+/* A leader that is not in the settings is learnt from a follower. */
+static void
+test_unknown_leader (void)
+{
+  struct cluster cluster;
+  struct control_top_up_result result;
+  start (&cluster, answer_redirect);
+  control_client_destroy (cluster.client);
+  const char *const only_first[] = { cluster.endpoints[0], NULL };
+  cluster.client = control_client_create (only_first);
+  g_assert_cmpint (top_up (&cluster, &result, PATIENCE_MS), ==, WIRE_OK);
+  free_result (&result);
+  g_assert_cmpuint (link_relay_bytes (cluster.relays[2]), >, 0);
+  stop (&cluster);
+}
+
+static void
+test_dead_member (void)
+{
+  struct cluster cluster;
+  struct control_top_up_result result;
+  start (&cluster, answer_ok);
+  fault (&cluster, 0, true, false);
+  fault (&cluster, 1, true, false);
+  g_assert_cmpint (top_up (&cluster, &result, PATIENCE_MS), ==, WIRE_OK);
+  free_result (&result);
+  stop (&cluster);
+}
+
+/* The member's answer is lost: the call goes on to the next member, and was
+   seen twice under the same id. */
+static void
+test_lost_answer (void)
+{
+  struct cluster cluster;
+  struct control_top_up_result result;
+  start (&cluster, answer_ok);
+  fault (&cluster, 0, false, true);
+  g_assert_cmpint (top_up (&cluster, &result, PATIENCE_MS), ==, WIRE_OK);
+  free_result (&result);
+  g_assert_cmpuint (atomic_load (&cluster.fake.calls), ==, 2);
+  stop (&cluster);
+}
+
+/* Every answer is lost: the caller learns that the outcome is not known. */
+static void
+test_all_lost (void)
+{
+  struct cluster cluster;
+  struct control_top_up_result result;
+  start (&cluster, answer_ok);
+  for (int i = 0; i < MEMBERS; i++)
+    fault (&cluster, i, false, true);
+  g_assert_cmpint (top_up (&cluster, &result, 300), ==, WIRE_LOST);
+  free_result (&result);
+  stop (&cluster);
+}
+
+static void
+answer_unavailable (struct control_fake *fake, struct wire_call *call)
+{
+  (void)fake;
+  reply (call, CONTROL_UNAVAILABLE, 0);
+}
+
+static void
+answer_not_leader (struct control_fake *fake, struct wire_call *call)
+{
+  (void)fake;
+  reply (call, CONTROL_NOT_LEADER, 0);
+}
+
+static void
+expect_status (void (*answer) (struct control_fake *, struct wire_call *),
+               enum wire_status expected)
+{
+  struct cluster cluster;
+  struct control_top_up_result result;
+  start (&cluster, answer);
+  g_assert_cmpint (top_up (&cluster, &result, 300), ==, expected);
+  free_result (&result);
+  stop (&cluster);
+}
+
+/* Without a majority a call may still be applied later; from followers alone
+   it surely was not. */
+static void
+test_no_leader (void)
+{
+  expect_status (answer_unavailable, WIRE_LOST);
+  expect_status (answer_not_leader, WIRE_UNSENT);
+}
+
+static void
+answer_refused (struct control_fake *fake, struct wire_call *call)
+{
+  (void)fake;
+  reply (call, CONTROL_REFUSED, 0);
+}
+
+/* A refusal is an answer: it is not asked for again. */
+static void
+test_refusal (void)
+{
+  struct cluster cluster;
+  struct control_top_up_result result;
+  start (&cluster, answer_refused);
+  g_assert_cmpint (top_up (&cluster, &result, PATIENCE_MS), ==, WIRE_OK);
+  g_assert_cmpint (result.answer.status, ==, CONTROL_REFUSED);
+  free_result (&result);
+  g_assert_cmpuint (atomic_load (&cluster.fake.calls), ==, 1);
+  stop (&cluster);
+}
+
+static gpointer
+call_many (gpointer data)
+{
+  struct control_top_up_result result;
+  for (int i = 0; i < 50; i++)
+    {
+      g_assert_cmpint (top_up (data, &result, PATIENCE_MS), ==, WIRE_OK);
+      free_result (&result);
+    }
+  return NULL;
+}
+
+/* Threads share a client while members come and go. */
+static void
+test_threads (void)
+{
+  struct cluster cluster;
+  GThread *threads[6];
+  start (&cluster, answer_ok);
+  for (int i = 0; i < 6; i++)
+    threads[i] = g_thread_new ("caller", call_many, &cluster);
+  for (int i = 0; i < 30; i++)
+    {
+      fault (&cluster, i % MEMBERS, true, false);
+      g_usleep (2000);
+      fault (&cluster, i % MEMBERS, false, false);
+    }
+  for (int i = 0; i < 6; i++)
+    g_thread_join (threads[i]);
+  g_assert_cmpuint (atomic_load (&cluster.fake.calls), >=, 300);
+  stop (&cluster);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/control-client/redirect", test_redirect);
+  g_test_add_func ("/control-client/unknown-leader", test_unknown_leader);
+  g_test_add_func ("/control-client/dead-member", test_dead_member);
+  g_test_add_func ("/control-client/lost-answer", test_lost_answer);
+  g_test_add_func ("/control-client/all-lost", test_all_lost);
+  g_test_add_func ("/control-client/no-leader", test_no_leader);
+  g_test_add_func ("/control-client/refusal", test_refusal);
+  g_test_add_func ("/control-client/threads", test_threads);
+  return g_test_run ();
+}
