--- a/tools/link_http.c
+++ b/tools/link_http.c
@@ -15,6 +15,8 @@
 struct link_http
 {
   struct link_relay *relay;
+  /** In force; only the server's thread uses them. */
+  struct link_settings settings;
   struct MHD_Daemon *daemon;
   uint16_t port;
 };
@@ -50,14 +52,13 @@
   struct link_settings changed = *settings;
   uint64_t delay_ms = changed.delay_ms;
   json_t *document = json_loadb (text, bytes, JSON_REJECT_DUPLICATES, NULL);
-  bool clean
-      = json_is_object (document)
-        && read_number (document, "delay_ms", 60000, &delay_ms)
-        && read_number (document, "bandwidth_bytes_s", UINT32_MAX,
-                        &changed.bandwidth_bytes_s)
-        && read_switch (document, "cut", &changed.cut)
-        && read_switch (document, "freeze_forward", &changed.freeze_forward)
-        && read_switch (document, "freeze_back", &changed.freeze_back);
+  bool clean = json_is_object (document)
+               && read_number (document, "delay_ms", 60000, &delay_ms)
+               && read_number (document, "bandwidth_bytes_s", UINT32_MAX,
+                               &changed.bandwidth_bytes_s)
+               && read_switch (document, "cut", &changed.cut)
+               && read_switch (document, "refuse", &changed.refuse)
+               && read_switch (document, "mute", &changed.mute);
   json_decref (document);
   if (!clean)
     return -1;
@@ -66,21 +67,27 @@
   return 0;
 }
 
+void
+link_settings_apply (const struct link_settings *settings,
+                     struct link_relay *relay)
+{
+  link_relay_set_delay (relay, settings->delay_ms);
+  link_relay_set_bandwidth (relay, settings->bandwidth_bytes_s);
+  link_relay_set_cut (relay, settings->cut);
+  link_relay_set_refuse (relay, settings->refuse);
+  link_relay_set_mute (relay, settings->mute);
+}
+
 static char *
-describe (struct link_relay *relay)
+describe (const struct link_http *http)
 {
-  struct link_settings settings;
-  struct link_counts counts;
-  link_relay_settings (relay, &settings);
-  link_relay_counts (relay, &counts);
+  const struct link_settings *settings = &http->settings;
   json_t *document = json_pack (
-      "{s:I, s:I, s:b, s:b, s:b, s:I, s:I, s:I}", "delay_ms",
-      (json_int_t)settings.delay_ms, "bandwidth_bytes_s",
-      (json_int_t)settings.bandwidth_bytes_s, "cut", settings.cut,
-      "freeze_forward", settings.freeze_forward, "freeze_back",
-      settings.freeze_back, "forward_bytes", (json_int_t)counts.forward_bytes,
-      "back_bytes", (json_int_t)counts.back_bytes, "connections",
-      (json_int_t)counts.connections);
+      "{s:I, s:I, s:b, s:b, s:b, s:I}", "delay_ms",
+      (json_int_t)settings->delay_ms, "bandwidth_bytes_s",
+      (json_int_t)settings->bandwidth_bytes_s, "cut", (int)settings->cut,
+      "refuse", (int)settings->refuse, "mute", (int)settings->mute, "bytes",
+      (json_int_t)link_relay_bytes (http->relay));
   char *text = json_dumps (document, JSON_COMPACT);
   json_decref (document);
   return text;
@@ -101,13 +108,11 @@
 change (struct link_http *http, struct MHD_Connection *connection,
         const GString *body)
 {
-  struct link_settings settings;
-  link_relay_settings (http->relay, &settings);
-  if (link_settings_read (&settings, body->str, body->len) != 0)
+  if (link_settings_read (&http->settings, body->str, body->len) != 0)
     return answer (connection, MHD_HTTP_BAD_REQUEST,
                    strdup ("{\"error\":\"malformed settings\"}"));
-  link_relay_set (http->relay, &settings);
-  return answer (connection, MHD_HTTP_OK, describe (http->relay));
+  link_settings_apply (&http->settings, http->relay);
+  return answer (connection, MHD_HTTP_OK, describe (http));
 }
 
 static enum MHD_Result
@@ -136,7 +141,7 @@
                    strdup ("{\"error\":\"only /link\"}"));
   if (strcmp (method, MHD_HTTP_METHOD_POST) == 0)
     return change (http, connection, body);
-  return answer (connection, MHD_HTTP_OK, describe (http->relay));
+  return answer (connection, MHD_HTTP_OK, describe (http));
 }
 
 static void
@@ -152,7 +157,8 @@
 }
 
 struct link_http *
-link_http_create (const char *address, uint16_t port, struct link_relay *relay)
+link_http_create (const char *address, uint16_t port, struct link_relay *relay,
+                  const struct link_settings *settings)
 {
   struct sockaddr_in name
       = { .sin_family = AF_INET, .sin_port = htons (port) };
@@ -160,6 +166,8 @@
     return NULL;
   struct link_http *http = g_new0 (struct link_http, 1);
   http->relay = relay;
+  http->settings = *settings;
+  link_settings_apply (settings, relay);
   http->daemon = MHD_start_daemon (MHD_USE_AUTO_INTERNAL_THREAD, port, NULL,
                                    NULL, handle, http, MHD_OPTION_SOCK_ADDR,
                                    &name, MHD_OPTION_NOTIFY_COMPLETED,
--- a/tools/link_relay.c
+++ b/tools/link_relay.c
@@ -1,13 +1,11 @@
-/** @file
- *  A TCP relay that stands for a link between availability zones. */
-
 #include "link_relay.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <fcntl.h>
 #include <poll.h>
+#include <stdatomic.h>
+#include <string.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,324 +13,415 @@
 #include <glib.h>
 
 #include "base_clock.h"
-#include "base_settings.h"
-#include "link_pipe.h"
 
-#define LISTEN_BACKLOG 256
-#define IDLE_WAIT_MS 1000
-#define US_A_MS 1000u
+#define READ_BYTES 16384
+/* Bytes held for one way of a connection before reading stops. */
+#define HELD_BYTES_MAX (256u * 1024)
+#define TICK_MS 5
+#define IDLE_MS 100
+#define LISTEN_BACKLOG 128
 
-struct link_port
+/* Bytes on their way, to be written at due_us. */
+struct link_chunk
 {
-  int fd;
-  struct sockaddr_in to;
+  uint64_t due_us;
+  size_t sent;
+  GByteArray *bytes;
+};
+
+/* One way of a connection. */
+struct link_way
+{
+  int from_fd;
+  int to_fd;
+  GQueue chunks;
+  size_t held_bytes;
+  bool ended;
+  bool shut;
 };
 
 struct link_connection
 {
-  int caller_fd;
-  int server_fd;
-  struct link_pipe *forward;
-  struct link_pipe *back;
+  struct link_way forth;
+  struct link_way back;
+  bool failed;
+};
+
+struct link_listener
+{
+  int fd;
+  struct sockaddr_in to;
 };
 
 struct link_relay
 {
   GMutex mutex;
-  struct link_settings settings;
-  struct link_lane forward;
-  struct link_lane back;
-  /** struct link_port. */
-  GPtrArray *ports;
-  /** struct link_connection. */
+  GArray *listeners;
   GPtrArray *connections;
   GArray *poll_set;
-  int wake_fd;
-  bool stopping;
   GThread *thread;
+  int wake_fd;
+  atomic_bool stopping;
+  atomic_bool cut;
+  atomic_bool refuse;
+  atomic_bool mute;
+  _Atomic uint32_t delay_ms;
+  _Atomic uint64_t bytes_per_s;
+  _Atomic uint64_t total_bytes;
+  /* Bytes that each way may send now, and when that was worked out. */
+  double allowance[2];
+  uint64_t allowance_us;
 };
 
+static uint64_t
+now_us (void)
+{
+  return base_clock_now_us (base_clock_system ());
+}
+
 static void
-free_port (gpointer data)
+free_chunk (gpointer data)
 {
-  struct link_port *port = data;
-  close (port->fd);
-  g_free (port);
+  struct link_chunk *chunk = data;
+  g_byte_array_unref (chunk->bytes);
+  g_free (chunk);
 }
 
 static void
 free_connection (gpointer data)
 {
   struct link_connection *connection = data;
-  link_pipe_destroy (connection->forward);
-  link_pipe_destroy (connection->back);
-  close (connection->caller_fd);
-  close (connection->server_fd);
+  g_queue_clear_full (&connection->forth.chunks, free_chunk);
+  g_queue_clear_full (&connection->back.chunks, free_chunk);
+  close (connection->forth.from_fd);
+  close (connection->forth.to_fd);
   g_free (connection);
 }
 
 static void
-wake (struct link_relay *relay)
+init_way (struct link_way *way, int from_fd, int to_fd)
 {
-  uint64_t one = 1;
-  ssize_t put = write (relay->wake_fd, &one, sizeof one);
-  (void)put;
+  way->from_fd = from_fd;
+  way->to_fd = to_fd;
+  g_queue_init (&way->chunks);
 }
 
 static void
-accept_caller (struct link_relay *relay, const struct link_port *port)
+accept_connection (struct link_relay *relay,
+                   const struct link_listener *listener)
 {
-  int yes = 1;
-  int caller_fd = accept4 (port->fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
-  if (caller_fd < 0)
+  int caller
+      = accept4 (listener->fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  if (caller < 0)
     return;
-  int server_fd
-      = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  if (relay->settings.cut || server_fd < 0
-      || (connect (server_fd, (const struct sockaddr *)&port->to,
-                   sizeof port->to)
-              != 0
-          && errno != EINPROGRESS))
+  if (atomic_load (&relay->refuse))
     {
-      close (caller_fd);
-      if (server_fd >= 0)
-        close (server_fd);
+      close (caller);
       return;
     }
-  setsockopt (caller_fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
-  setsockopt (server_fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+  int server = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const struct sockaddr *to = (const struct sockaddr *)&listener->to;
+  if (server < 0 || connect (server, to, sizeof listener->to) != 0)
+    {
+      if (server >= 0)
+        close (server);
+      close (caller);
+      return;
+    }
+  fcntl (server, F_SETFL, fcntl (server, F_GETFL) | O_NONBLOCK);
   struct link_connection *connection = g_new0 (struct link_connection, 1);
-  connection->caller_fd = caller_fd;
-  connection->server_fd = server_fd;
-  connection->forward = link_pipe_create (caller_fd, server_fd);
-  connection->back = link_pipe_create (server_fd, caller_fd);
+  init_way (&connection->forth, caller, server);
+  init_way (&connection->back, server, caller);
   g_ptr_array_add (relay->connections, connection);
 }
 
+static bool
+read_way (struct link_relay *relay, struct link_way *way)
+{
+  guint8 buffer[READ_BYTES];
+  if (way->ended || way->held_bytes >= HELD_BYTES_MAX)
+    return true;
+  ssize_t got = recv (way->from_fd, buffer, sizeof buffer, MSG_DONTWAIT);
+  if (got < 0)
+    return errno == EAGAIN || errno == EINTR;
+  if (got == 0)
+    {
+      way->ended = true;
+      return true;
+    }
+  struct link_chunk *chunk = g_new0 (struct link_chunk, 1);
+  chunk->due_us = now_us () + atomic_load (&relay->delay_ms) * UINT64_C (1000);
+  chunk->bytes = g_byte_array_new ();
+  g_byte_array_append (chunk->bytes, buffer, (guint)got);
+  g_queue_push_tail (&way->chunks, chunk);
+  way->held_bytes += (size_t)got;
+  return true;
+}
+
+/* Writes what is due and allowed; false when the connection failed. */
+static bool
+write_way (struct link_relay *relay, struct link_way *way, double *allowance)
+{
+  struct link_chunk *chunk;
+  uint64_t now = now_us ();
+  bool limited = atomic_load (&relay->bytes_per_s) != 0;
+  while ((chunk = g_queue_peek_head (&way->chunks)) && chunk->due_us <= now)
+    {
+      size_t left = chunk->bytes->len - chunk->sent;
+      if (limited && *allowance < (double)left)
+        left = *allowance < 1 ? 0 : (size_t)*allowance;
+      if (left == 0)
+        return true;
+      ssize_t put = send (way->to_fd, chunk->bytes->data + chunk->sent, left,
+                          MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (put < 0)
+        return errno == EAGAIN || errno == EINTR;
+      chunk->sent += (size_t)put;
+      way->held_bytes -= (size_t)put;
+      *allowance -= (double)put;
+      atomic_fetch_add (&relay->total_bytes, (uint64_t)put);
+      if (chunk->sent == chunk->bytes->len)
+        free_chunk (g_queue_pop_head (&way->chunks));
+    }
+  if (way->ended && !chunk && !way->shut)
+    {
+      shutdown (way->to_fd, SHUT_WR);
+      way->shut = true;
+    }
+  return true;
+}
+
 static void
-add_poll (struct link_relay *relay, int fd, bool wants_read, bool wants_write)
+refill_allowance (struct link_relay *relay)
 {
-  struct pollfd entry = { .fd = fd };
-  entry.events
-      = (short)((wants_read ? POLLIN : 0) | (wants_write ? POLLOUT : 0));
-  /* An entry without events would still report a hang-up again and again. */
-  if (!entry.events)
-    entry.fd = -1;
-  g_array_append_val (relay->poll_set, entry);
+  uint64_t now = now_us ();
+  double rate = (double)atomic_load (&relay->bytes_per_s);
+  double gained = rate * (double)(now - relay->allowance_us) / 1e6;
+  relay->allowance_us = now;
+  for (int i = 0; i < 2; i++)
+    relay->allowance[i] = MIN (relay->allowance[i] + gained, rate / 10 + 1);
 }
 
-/* Fills the poll set; gives the time to wait, in milliseconds. */
-static int
-prepare_round (struct link_relay *relay, uint64_t now_us)
+static void
+move_bytes (struct link_relay *relay)
 {
-  uint64_t wait_us = IDLE_WAIT_MS * US_A_MS;
-  g_array_set_size (relay->poll_set, 0);
-  add_poll (relay, relay->wake_fd, true, false);
-  for (guint i = 0; i < relay->ports->len; i++)
-    add_poll (relay, ((struct link_port *)relay->ports->pdata[i])->fd, true,
-              false);
+  refill_allowance (relay);
   for (guint i = 0; i < relay->connections->len; i++)
     {
       struct link_connection *connection = relay->connections->pdata[i];
-      uint64_t forward_us
-          = link_pipe_due_us (connection->forward, &relay->forward, now_us);
-      uint64_t back_us
-          = link_pipe_due_us (connection->back, &relay->back, now_us);
-      add_poll (relay, connection->caller_fd,
-                link_pipe_wants_read (connection->forward, &relay->forward),
-                back_us == 0);
-      add_poll (relay, connection->server_fd,
-                link_pipe_wants_read (connection->back, &relay->back),
-                forward_us == 0);
-      if (forward_us > 0)
-        wait_us = MIN (wait_us, forward_us);
-      if (back_us > 0)
-        wait_us = MIN (wait_us, back_us);
+      bool mute = atomic_load (&relay->mute);
+      connection->failed
+          = atomic_load (&relay->refuse)
+            || !read_way (relay, &connection->forth)
+            || !read_way (relay, &connection->back)
+            || !write_way (relay, &connection->forth, &relay->allowance[0])
+            || (!mute
+                && !write_way (relay, &connection->back,
+                               &relay->allowance[1]));
+    }
+  for (guint i = relay->connections->len; i > 0; i--)
+    {
+      struct link_connection *connection = relay->connections->pdata[i - 1];
+      if (connection->failed
+          || (connection->forth.shut && connection->back.shut))
+        g_ptr_array_remove_index_fast (relay->connections, i - 1);
     }
-  return (int)((wait_us + US_A_MS - 1) / US_A_MS);
 }
 
+static void
+add_poll (struct link_relay *relay, int fd)
+{
+  struct pollfd entry = { .fd = fd, .events = POLLIN };
+  g_array_append_val (relay->poll_set, entry);
+}
+
+static void
+add_way_poll (struct link_relay *relay, const struct link_way *way)
+{
+  if (!way->ended && way->held_bytes < HELD_BYTES_MAX)
+    add_poll (relay, way->from_fd);
+}
+
+/* Collects what to wait for; whether bytes are held that fall due later. */
 static bool
-move_bytes (struct link_relay *relay, struct link_connection *connection,
-            short caller_events, short server_events, uint64_t now_us)
+fill_poll_set (struct link_relay *relay, bool cut)
 {
-  if ((caller_events & (POLLIN | POLLHUP | POLLERR))
-      && link_pipe_wants_read (connection->forward, &relay->forward)
-      && !link_pipe_read (connection->forward, &relay->forward, now_us))
-    return false;
-  if ((server_events & (POLLIN | POLLHUP | POLLERR))
-      && link_pipe_wants_read (connection->back, &relay->back)
-      && !link_pipe_read (connection->back, &relay->back, now_us))
-    return false;
-  if (!link_pipe_write (connection->forward, &relay->forward, now_us)
-      || !link_pipe_write (connection->back, &relay->back, now_us))
-    return false;
-  return !link_pipe_finished (connection->forward)
-         || !link_pipe_finished (connection->back);
+  bool holding = false;
+  g_array_set_size (relay->poll_set, 0);
+  add_poll (relay, relay->wake_fd);
+  for (guint i = 0; !cut && i < relay->listeners->len; i++)
+    add_poll (relay,
+              g_array_index (relay->listeners, struct link_listener, i).fd);
+  for (guint i = 0; !cut && i < relay->connections->len; i++)
+    {
+      const struct link_connection *connection = relay->connections->pdata[i];
+      add_way_poll (relay, &connection->forth);
+      add_way_poll (relay, &connection->back);
+      holding
+          |= connection->forth.held_bytes + connection->back.held_bytes > 0;
+    }
+  return holding;
 }
 
 static void
-finish_round (struct link_relay *relay, guint polled_ports,
-              guint polled_connections, uint64_t now_us)
+wait_for_work (struct link_relay *relay, bool holding)
 {
-  const struct pollfd *set = (const struct pollfd *)relay->poll_set->data;
-  const struct pollfd *of_connections = set + 1 + polled_ports;
-  for (guint i = polled_connections; i-- > 0;)
+  struct pollfd *set = (struct pollfd *)relay->poll_set->data;
+  poll (set, relay->poll_set->len, holding ? TICK_MS : IDLE_MS);
+  if (set[0].revents)
     {
-      struct link_connection *connection = relay->connections->pdata[i];
-      if (relay->settings.cut
-          || !move_bytes (relay, connection, of_connections[2 * i].revents,
-                          of_connections[2 * i + 1].revents, now_us))
-        g_ptr_array_remove_index_fast (relay->connections, i);
+      uint64_t count;
+      ssize_t got = read (relay->wake_fd, &count, sizeof count);
+      (void)got;
+    }
+}
+
+static void
+accept_all (struct link_relay *relay)
+{
+  for (guint i = 0; i < relay->listeners->len; i++)
+    {
+      const struct link_listener *listener
+          = &g_array_index (relay->listeners, struct link_listener, i);
+      struct pollfd ready = { .fd = listener->fd, .events = POLLIN };
+      while (poll (&ready, 1, 0) == 1)
+        accept_connection (relay, listener);
     }
-  for (guint i = 0; i < polled_ports; i++)
-    if (set[1 + i].revents)
-      accept_caller (relay, relay->ports->pdata[i]);
 }
 
 static gpointer
-run (gpointer data)
+run_relay (gpointer data)
 {
   struct link_relay *relay = data;
-  struct base_clock *clock = base_clock_system ();
-  uint64_t count;
-  g_mutex_lock (&relay->mutex);
-  while (!relay->stopping)
+  while (!atomic_load (&relay->stopping))
     {
-      int wait_ms = prepare_round (relay, base_clock_now_us (clock));
-      guint ports = relay->ports->len;
-      guint connections = relay->connections->len;
-      struct pollfd *set = (struct pollfd *)relay->poll_set->data;
-      guint size = relay->poll_set->len;
-      g_mutex_unlock (&relay->mutex);
-      poll (set, size, wait_ms);
+      bool cut = atomic_load (&relay->cut);
       g_mutex_lock (&relay->mutex);
-      if (set[0].revents)
+      if (!cut)
         {
-          ssize_t got = read (relay->wake_fd, &count, sizeof count);
-          (void)got;
+          accept_all (relay);
+          move_bytes (relay);
         }
-      finish_round (relay, ports, connections, base_clock_now_us (clock));
+      bool holding = fill_poll_set (relay, cut);
+      g_mutex_unlock (&relay->mutex);
+      wait_for_work (relay, holding);
     }
-  g_mutex_unlock (&relay->mutex);
   return NULL;
 }
 
+static void
+wake (struct link_relay *relay)
+{
+  uint64_t one = 1;
+  ssize_t put = write (relay->wake_fd, &one, sizeof one);
+  (void)put;
+}
+
 struct link_relay *
 link_relay_create (void)
 {
   struct link_relay *relay = g_new0 (struct link_relay, 1);
   g_mutex_init (&relay->mutex);
-  relay->ports = g_ptr_array_new_with_free_func (free_port);
+  relay->listeners = g_array_new (FALSE, FALSE, sizeof (struct link_listener));
   relay->connections = g_ptr_array_new_with_free_func (free_connection);
   relay->poll_set = g_array_new (FALSE, TRUE, sizeof (struct pollfd));
   relay->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
-  relay->thread = g_thread_new ("link", run, relay);
+  relay->allowance_us = now_us ();
+  relay->thread = g_thread_new ("link", run_relay, relay);
   return relay;
 }
 
-static bool
-parse_endpoint (const char *endpoint, struct sockaddr_in *name)
+void
+link_relay_destroy (struct link_relay *relay)
 {
-  char address[16];
-  uint16_t port;
-  if (base_endpoint_split (endpoint, address, &port) != 0)
-    {
-      errno = EINVAL;
-      return false;
-    }
-  *name = (struct sockaddr_in){ .sin_family = AF_INET };
-  name->sin_port = htons (port);
-  return inet_pton (AF_INET, address, &name->sin_addr) == 1;
+  if (!relay)
+    return;
+  atomic_store (&relay->stopping, true);
+  wake (relay);
+  g_thread_join (relay->thread);
+  for (guint i = 0; i < relay->listeners->len; i++)
+    close (g_array_index (relay->listeners, struct link_listener, i).fd);
+  g_array_unref (relay->listeners);
+  g_ptr_array_unref (relay->connections);
+  g_array_unref (relay->poll_set);
+  close (relay->wake_fd);
+  g_mutex_clear (&relay->mutex);
+  g_free (relay);
 }
 
-/* Listens on @p name and puts the kernel's port into it; -1 on failure. */
 static int
-listen_on (struct sockaddr_in *name)
+listen_on (const char *address, uint16_t port)
 {
   int yes = 1;
-  socklen_t length = sizeof *name;
+  struct sockaddr_in name
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (fd < 0)
     return -1;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-  if (bind (fd, (struct sockaddr *)name, sizeof *name) == 0
-      && listen (fd, LISTEN_BACKLOG) == 0
-      && getsockname (fd, (struct sockaddr *)name, &length) == 0)
+  if (inet_pton (AF_INET, address, &name.sin_addr) == 1
+      && bind (fd, (struct sockaddr *)&name, sizeof name) == 0
+      && listen (fd, LISTEN_BACKLOG) == 0)
     return fd;
-  int error = errno;
   close (fd);
-  errno = error;
   return -1;
 }
 
 uint16_t
-link_relay_add (struct link_relay *relay, const char *listen, const char *to)
+link_relay_add (struct link_relay *relay, const char *listen_address,
+                uint16_t listen_port, const char *to_address, uint16_t to_port)
 {
-  struct sockaddr_in name;
-  struct sockaddr_in server;
-  if (!parse_endpoint (listen, &name) || !parse_endpoint (to, &server))
+  struct sockaddr_in name = { 0 };
+  socklen_t length = sizeof name;
+  struct link_listener listener
+      = { .fd = listen_on (listen_address, listen_port),
+          .to = { .sin_family = AF_INET, .sin_port = htons (to_port) } };
+  if (listener.fd < 0)
     return 0;
-  int fd = listen_on (&name);
-  if (fd < 0)
-    return 0;
-  struct link_port *port = g_new0 (struct link_port, 1);
-  port->fd = fd;
-  port->to = server;
+  inet_pton (AF_INET, to_address, &listener.to.sin_addr);
+  getsockname (listener.fd, (struct sockaddr *)&name, &length);
   g_mutex_lock (&relay->mutex);
-  g_ptr_array_add (relay->ports, port);
+  g_array_append_val (relay->listeners, listener);
   g_mutex_unlock (&relay->mutex);
   wake (relay);
   return ntohs (name.sin_port);
 }
 
 void
-link_relay_set (struct link_relay *relay, const struct link_settings *settings)
+link_relay_set_delay (struct link_relay *relay, uint32_t delay_ms)
 {
-  g_mutex_lock (&relay->mutex);
-  relay->settings = *settings;
-  relay->forward.delay_us = settings->delay_ms * (uint64_t)US_A_MS;
-  relay->back.delay_us = relay->forward.delay_us;
-  relay->forward.bandwidth_bytes_s = settings->bandwidth_bytes_s;
-  relay->back.bandwidth_bytes_s = settings->bandwidth_bytes_s;
-  relay->forward.frozen = settings->freeze_forward;
-  relay->back.frozen = settings->freeze_back;
-  g_mutex_unlock (&relay->mutex);
-  wake (relay);
+  atomic_store (&relay->delay_ms, delay_ms);
 }
 
 void
-link_relay_settings (struct link_relay *relay, struct link_settings *settings)
+link_relay_set_bandwidth (struct link_relay *relay, uint64_t bytes_per_s)
 {
-  g_mutex_lock (&relay->mutex);
-  *settings = relay->settings;
-  g_mutex_unlock (&relay->mutex);
+  atomic_store (&relay->bytes_per_s, bytes_per_s);
 }
 
 void
-link_relay_counts (struct link_relay *relay, struct link_counts *counts)
+link_relay_set_cut (struct link_relay *relay, bool cut)
 {
-  g_mutex_lock (&relay->mutex);
-  counts->forward_bytes = relay->forward.passed_bytes;
-  counts->back_bytes = relay->back.passed_bytes;
-  counts->connections = relay->connections->len;
-  g_mutex_unlock (&relay->mutex);
+  atomic_store (&relay->cut, cut);
+  wake (relay);
 }
 
 void
-link_relay_destroy (struct link_relay *relay)
+link_relay_set_refuse (struct link_relay *relay, bool refuse)
 {
-  if (!relay)
-    return;
-  g_mutex_lock (&relay->mutex);
-  relay->stopping = true;
-  g_mutex_unlock (&relay->mutex);
+  atomic_store (&relay->refuse, refuse);
   wake (relay);
-  g_thread_join (relay->thread);
-  g_ptr_array_unref (relay->connections);
-  g_ptr_array_unref (relay->ports);
-  g_array_unref (relay->poll_set);
-  close (relay->wake_fd);
-  g_mutex_clear (&relay->mutex);
-  g_free (relay);
+}
+
+void
+link_relay_set_mute (struct link_relay *relay, bool mute)
+{
+  atomic_store (&relay->mute, mute);
+  wake (relay);
+}
+
+uint64_t
+link_relay_bytes (const struct link_relay *relay)
+{
+  return atomic_load (&relay->total_bytes);
 }
