--- a/tools/trial_fleet.c
+++ b/tools/trial_fleet.c
@@ -235,30 +235,22 @@
 
 /* Delay and bandwidth of the brief between two zones. */
 static void
-set_link (struct trial_fleet *fleet, uint32_t from, uint32_t to, bool cut)
+set_link (struct trial_fleet *fleet, struct link_relay *link, uint32_t from,
+          uint32_t to)
 {
   const char *region = trial_layout_region_name (fleet->mix, from);
   bool same = strcmp (region, trial_layout_region_name (fleet->mix, to)) == 0;
-  struct link_settings settings
-      = { .delay_ms = same ? ZONE_DELAY_MS : REGION_DELAY_MS,
-          .bandwidth_bytes_s = same ? 0 : REGION_BYTES_PER_S,
-          .freeze_forward = cut,
-          .freeze_back = cut };
-  link_relay_set (fleet->links[from][to], &settings);
+  link_relay_set_delay (link, same ? ZONE_DELAY_MS : REGION_DELAY_MS);
+  link_relay_set_bandwidth (link, same ? 0 : REGION_BYTES_PER_S);
 }
 
 static void
 add_link_port (struct link_relay *link, const char *listen_address,
                const char *to_address, uint16_t port)
 {
-  char listen[TRIAL_ADDRESS_BYTES + 8];
-  char to[TRIAL_ADDRESS_BYTES + 8];
-  if (port == 0)
-    return;
-  snprintf (listen, sizeof listen, "%s:%u", listen_address, port);
-  snprintf (to, sizeof to, "%s:%u", to_address, port);
-  if (link_relay_add (link, listen, to) == 0)
-    fprintf (stderr, "the link can't listen on %s\n", listen);
+  if (port != 0
+      && link_relay_add (link, listen_address, port, to_address, port) == 0)
+    fprintf (stderr, "the link can't listen on %s:%u\n", listen_address, port);
 }
 
 static void
@@ -266,7 +258,7 @@
 {
   struct link_relay *link = link_relay_create ();
   fleet->links[from][to] = link;
-  set_link (fleet, from, to, false);
+  set_link (fleet, link, from, to);
   for (guint i = 0; i < fleet->nodes->len; i++)
     {
       const struct trial_node *node = fleet->nodes->pdata[i];
@@ -314,8 +306,7 @@
   g_ptr_array_unref (fleet->nodes);
   for (uint32_t from = 0; from < TRIAL_ZONES; from++)
     for (uint32_t to = 0; to < TRIAL_ZONES; to++)
-      if (fleet->links[from][to])
-        link_relay_destroy (fleet->links[from][to]);
+      link_relay_destroy (fleet->links[from][to]);
   trial_operator_destroy (fleet->who);
   g_ptr_array_unref (fleet->endpoints);
   for (uint32_t zone = 0; zone < TRIAL_ZONES; zone++)
@@ -439,8 +430,8 @@
     {
       if (other == zone)
         continue;
-      set_link (fleet, zone, other, cut);
-      set_link (fleet, other, zone, cut);
+      link_relay_set_cut (fleet->links[zone][other], cut);
+      link_relay_set_cut (fleet->links[other][zone], cut);
     }
 }
 
