--- /dev/null
+++ b/src/ctl_bundle_push.c
@@ -0,0 +1,206 @@
+/** @file
+ *  cactusctl bundle push, status and show. */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base_clock.h"
+#include "base_hash.h"
+#include "ctl_cluster.h"
+#include "ctl_document.h"
+#include "ctl_table.h"
+
+#define WAIT_POLL_MS 100
+
+static bool
+find_signature (struct ctl_context *context, const struct bundle *bundle,
+                struct ctl_signature *signature)
+{
+  uint8_t digest[BUNDLE_DIGEST_BYTES];
+  if (context->options.key_file)
+    return ctl_signature_make (context, bundle, signature);
+  char *path = g_strconcat (context->arguments[1], ".sig", NULL);
+  bool found = ctl_signature_read (path, signature);
+  bundle_digest (bundle, digest);
+  if (found && memcmp (digest, signature->digest, sizeof digest) != 0)
+    {
+      ctl_fail (CTL_USAGE,
+                "%s is the signature of other content; sign the document "
+                "again",
+                path);
+      found = false;
+    }
+  g_free (path);
+  return found;
+}
+
+static enum ctl_exit
+send_bundle (struct ctl_context *context, const struct bundle *bundle,
+             const struct ctl_signature *signature)
+{
+  size_t bytes;
+  struct control_push_result result;
+  struct control_push_args args = { 0 };
+  args.cluster = context->options.cluster;
+  args.bundle_version = bundle_version (bundle);
+  args.signer = (char *)signature->signer;
+  memcpy (args.signature, signature->signature, sizeof args.signature);
+  args.document.document_val = (char *)bundle_canonical (bundle, &bytes);
+  args.document.document_len = (u_int)bytes;
+  enum ctl_exit code = ctl_call (
+      context, CONTROL_PUSH, (xdrproc_t)xdr_control_push_args, &args,
+      (xdrproc_t)xdr_control_push_result, &result, sizeof result);
+  xdr_free ((xdrproc_t)xdr_control_push_result, (char *)&result);
+  return code;
+}
+
+/* Names of the live processes that don't run @p version yet; NULL when all
+   do. */
+static GString *
+list_behind (const struct control_status_result *status, uint64_t version)
+{
+  GString *names = NULL;
+  for (u_int i = 0; i < status->processes.processes_len; i++)
+    {
+      const struct wire_process *process = &status->processes.processes_val[i];
+      if (process->kind == WIRE_PROCESS_CONTROL
+          || process->bundle_version >= version)
+        continue;
+      if (!names)
+        names = g_string_new (NULL);
+      g_string_append_printf (names, "%s%s %s (version %" PRIu64 ")",
+                              names->len ? ", " : "",
+                              ctl_process_kind (process->kind), process->host,
+                              (uint64_t)process->bundle_version);
+    }
+  return names;
+}
+
+static uint32_t
+count_followers (const struct control_status_result *status)
+{
+  uint32_t count = 0;
+  for (u_int i = 0; i < status->processes.processes_len; i++)
+    count += status->processes.processes_val[i].kind != WIRE_PROCESS_CONTROL;
+  return count;
+}
+
+/* Waits until every live process runs @p version; @p count tells how many
+   these are. */
+static enum ctl_exit
+wait_in_force (struct ctl_context *context, uint64_t version, uint32_t *count)
+{
+  struct base_clock *clock = base_clock_system ();
+  uint64_t deadline_ms
+      = base_clock_now_ms (clock) + (uint64_t)context->options.timeout_ms;
+  for (;;)
+    {
+      struct control_status_result status;
+      enum ctl_exit code = ctl_need_status (context, &status);
+      if (code != CTL_DONE)
+        return code;
+      GString *behind = list_behind (&status, version);
+      *count = count_followers (&status);
+      ctl_status_free (&status);
+      if (!behind)
+        return CTL_DONE;
+      bool late = base_clock_now_ms (clock) >= deadline_ms;
+      if (late)
+        ctl_fail (CTL_REFUSED,
+                  "version %" PRIu64 " was accepted but after %d ms is not in "
+                  "force at %s; cactusctl bundle status shows when it is",
+                  version, context->options.timeout_ms, behind->str);
+      g_string_free (behind, TRUE);
+      if (late)
+        return CTL_REFUSED;
+      g_usleep (WAIT_POLL_MS * 1000);
+    }
+}
+
+static void
+print_pushed (const struct ctl_context *context, uint64_t version,
+              uint32_t count)
+{
+  if (context->options.json)
+    printf ("{\"version\":%" PRIu64 ",\"in_force\":%s}\n", version,
+            context->options.wait ? "true" : "null");
+  else if (context->options.wait)
+    printf ("version %" PRIu64 " is in force at all %u live process(es)\n",
+            version, count);
+  else
+    printf ("version %" PRIu64 " is accepted\n", version);
+}
+
+enum ctl_exit
+ctl_bundle_push (struct ctl_context *context)
+{
+  struct ctl_signature signature;
+  uint32_t count = 0;
+  enum ctl_exit code = CTL_USAGE;
+  struct bundle *bundle = ctl_document_read (context->arguments[1]);
+  if (!bundle || !find_signature (context, bundle, &signature))
+    goto done;
+  code = send_bundle (context, bundle, &signature);
+  if (code == CTL_DONE && context->options.wait)
+    code = wait_in_force (context, bundle_version (bundle), &count);
+  if (code == CTL_DONE)
+    print_pushed (context, bundle_version (bundle), count);
+done:
+  bundle_unref (bundle);
+  return code;
+}
+
+enum ctl_exit
+ctl_bundle_status (struct ctl_context *context)
+{
+  static const char *const columns[]
+      = { "kind",           "host",    "availability_zone",
+          "bundle_version", "current", NULL };
+  struct control_status_result status;
+  enum ctl_exit code = ctl_need_status (context, &status);
+  if (code != CTL_DONE)
+    return code;
+  struct ctl_table *table = ctl_table_create (columns);
+  for (u_int i = 0; i < status.processes.processes_len; i++)
+    {
+      const struct wire_process *process = &status.processes.processes_val[i];
+      ctl_table_text (table, ctl_process_kind (process->kind));
+      ctl_table_text (table, process->host);
+      ctl_table_text (table, process->availability_zone);
+      ctl_table_number (table, process->bundle_version);
+      ctl_table_switch (table,
+                        process->bundle_version >= status.bundle_version);
+    }
+  if (!context->options.json)
+    printf ("accepted version: %" PRIu64 "\n",
+            (uint64_t)status.bundle_version);
+  ctl_table_print (table, context->options.json);
+  ctl_table_destroy (table);
+  ctl_status_free (&status);
+  return CTL_DONE;
+}
+
+enum ctl_exit
+ctl_bundle_show (struct ctl_context *context)
+{
+  char digest[2 * BUNDLE_DIGEST_BYTES + 1];
+  struct control_bundle_result result;
+  struct control_bundle_args args
+      = { context->options.cluster,
+          (u_quad_t)context->options.bundle_version };
+  enum ctl_exit code = ctl_call (
+      context, CONTROL_BUNDLE, (xdrproc_t)xdr_control_bundle_args, &args,
+      (xdrproc_t)xdr_control_bundle_result, &result, sizeof result);
+  if (code == CTL_DONE)
+    {
+      base_hex_write (digest, (const uint8_t *)result.digest,
+                      BUNDLE_DIGEST_BYTES);
+      fprintf (stderr, "version %" PRIu64 ", digest %s, signed by %s\n",
+               (uint64_t)result.bundle_version, digest, result.signer);
+      printf ("%.*s\n", (int)result.document.document_len,
+              result.document.document_val);
+    }
+  xdr_free ((xdrproc_t)xdr_control_bundle_result, (char *)&result);
+  return code;
+}
--- /dev/null
+++ b/src/ctl_main.c
@@ -0,0 +1,16 @@
+/** @file
+ *  cactusctl: the operators' command line. */
+
+#include <stdio.h>
+
+#include <sodium.h>
+
+#include "ctl_command.h"
+
+int
+main (int argc, char **argv)
+{
+  if (sodium_init () < 0)
+    return ctl_fail (CTL_USAGE, "libsodium can't be started");
+  return (int)ctl_run (argc, argv);
+}
