--- /dev/null
+++ b/tools/control_trial.h
@@ -0,0 +1,68 @@
+#ifndef CONTROL_TRIAL_H
+#define CONTROL_TRIAL_H
+
+/** @file
+ *  A few cactus-control processes on loopback, and calls to them, for tests
+ *  and benchmarks. */
+
+#include "control_client.h"
+#include "fleet_process.h"
+#include "wire_control.h"
+
+/** Name of the cluster of every trial. */
+#define CONTROL_TRIAL_CLUSTER "trial"
+
+/** Members of one replicated log, in folders of their own. */
+struct control_trial
+{
+  char *folder;
+  uint32_t count;
+  struct fleet_process **members;
+  uint16_t *ports;
+  struct control_client *client;
+  /** Signs version 1 and, as operator "root", all later ones. */
+  uint8_t public_key[32];
+  uint8_t secret_key[64];
+};
+
+/** Starts @p count members and waits until one leads; NULL on failure. */
+struct control_trial *control_trial_create (uint32_t count);
+/** Kills the members and removes the folders. */
+void control_trial_destroy (struct control_trial *trial);
+/** Starts a member again (from 0); false when it doesn't serve. */
+bool control_trial_start (struct control_trial *trial, uint32_t member);
+/** Removes the data folder of a member that doesn't run. */
+void control_trial_wipe (struct control_trial *trial, uint32_t member);
+/** Member that says it leads, or -1 when none does within @p limit_ms. */
+int control_trial_leader (struct control_trial *trial, uint32_t limit_ms);
+/** Asks one member for its status; false when it doesn't answer.  The result
+ *  is freed with xdr_free. */
+bool control_trial_status (struct control_trial *trial, uint32_t member,
+                           struct control_status_result *result);
+/** Waits until a member is a voter and has applied all that the leader
+ *  committed; false when it isn't within @p limit_ms. */
+bool control_trial_wait_voter (struct control_trial *trial, uint32_t member,
+                               uint32_t limit_ms);
+
+/** A document of @p version with @p accounts accounts; @p mark goes into one
+ *  of them, so that documents differ.  Freed with g_free. */
+char *control_trial_document (const struct control_trial *trial,
+                              uint64_t version, uint32_t accounts,
+                              uint32_t mark);
+/** Fills the arguments of a signed push; freed with xdr_free. */
+void control_trial_sign (const struct control_trial *trial, uint64_t version,
+                         const char *document, struct control_push_args *args);
+/** Pushes a document of @p version; the answer's status, or -1 when the call
+ *  was lost. */
+int control_trial_push (struct control_trial *trial, uint64_t version,
+                        uint32_t accounts, uint32_t mark);
+/** Tops a budget up under @p id; total of the budget, or 0 on failure. */
+uint64_t control_trial_top_up (struct control_trial *trial, const char *id,
+                               const char *account, uint64_t tokens);
+/** Newest accepted version as a confirmed read; 0 when it fails. */
+uint64_t control_trial_version (struct control_trial *trial);
+/** Total of a budget as a confirmed read; 0 when it fails. */
+uint64_t control_trial_total (struct control_trial *trial,
+                              const char *account);
+
+#endif
