--- /dev/null
+++ b/src/router_answer.h
@@ -0,0 +1,53 @@
+#ifndef ROUTER_ANSWER_H
+#define ROUTER_ANSWER_H
+
+/** @file
+ *  Answers that a router gives of itself: refusals and failures. */
+
+#include <stdint.h>
+
+#include <microhttpd.h>
+
+/** Why a request gets no answer from a target. */
+enum router_refusal
+{
+  ROUTER_REFUSAL_BAD_REQUEST,
+  ROUTER_REFUSAL_BAD_KEY,
+  ROUTER_REFUSAL_NO_RULE,
+  ROUTER_REFUSAL_UNKNOWN_SERVICE,
+  ROUTER_REFUSAL_UNKNOWN_PATH,
+  ROUTER_REFUSAL_METHOD,
+  ROUTER_REFUSAL_TOO_LARGE,
+  ROUTER_REFUSAL_KEY_CONFLICT,
+  ROUTER_REFUSAL_IN_PROGRESS,
+  ROUTER_REFUSAL_ALREADY_BILLED,
+  ROUTER_REFUSAL_OUTCOME_UNKNOWN,
+  ROUTER_REFUSAL_ANSWER_NOT_KEPT,
+  ROUTER_REFUSAL_NO_BUDGET,
+  ROUTER_REFUSAL_OVERLOADED,
+  ROUTER_REFUSAL_QUEUE_TIMEOUT,
+  ROUTER_REFUSAL_NO_TARGET,
+  ROUTER_REFUSAL_LEDGER,
+  ROUTER_REFUSAL_CONTROL,
+  ROUTER_REFUSAL_NO_BUNDLE,
+  ROUTER_REFUSAL_STOPPING,
+  ROUTER_REFUSAL_TARGETS_FAILED_NOT_RUN,
+  ROUTER_REFUSAL_TARGET_FAILED,
+  ROUTER_REFUSAL_DEADLINE
+};
+
+/** Code of a refusal, as in the answer and the metrics. */
+const char *router_refusal_code (enum router_refusal refusal);
+/** HTTP status of a refusal. */
+unsigned int router_refusal_status (enum router_refusal refusal);
+/** JSON of a refusal, freed with free. */
+char *router_refusal_print (enum router_refusal refusal, const char *message);
+/** Whole response to a refusal with its headers.  Retry-After is
+ *  @p retry_after_ms in whole seconds, where 0 takes the refusal's own
+ *  default; @p request_id may be NULL. */
+struct MHD_Response *router_refusal_response (enum router_refusal refusal,
+                                              const char *message,
+                                              const char *request_id,
+                                              uint32_t retry_after_ms);
+
+#endif
--- /dev/null
+++ b/src/router_attempt.c
@@ -0,0 +1,253 @@
+#include "router_attempt.h"
+
+#include <string.h>
+
+#include "base_address_map.h"
+#include "base_clock.h"
+#include "http_sse.h"
+
+#define CONNECT_TIMEOUT_MS 1000L
+#define READ_BUFFER_BYTES 8192L
+#define UPLOAD_BUFFER_BYTES 16384L
+#define EVENT_MAX_BYTES (1024u * 1024)
+#define BODY_MAX_BYTES (16u * 1024 * 1024)
+#define STATUS_OK 200
+#define STATUS_UNAVAILABLE 503
+
+struct router_attempt
+{
+  struct router_poll *loop;
+  struct router_attempt_user *user;
+  CURL *easy;
+  struct curl_slist *headers;
+  struct http_sse *sse;
+  GString *body;
+  char *content_type;
+  uint64_t heard_ms;
+  bool refused;
+  bool is_stream;
+  bool active;
+  bool paused;
+  bool bad;
+};
+
+static void
+pass_event (void *context, const char *data, size_t bytes)
+{
+  struct router_attempt *attempt = context;
+  if (!attempt->bad)
+    attempt->bad = !attempt->user->event (attempt->user, data, bytes);
+}
+
+static bool
+header_value (const char *line, size_t bytes, const char *name, GString *value)
+{
+  size_t name_bytes = strlen (name);
+  if (bytes <= name_bytes || line[name_bytes] != ':'
+      || g_ascii_strncasecmp (line, name, name_bytes) != 0)
+    return false;
+  g_string_assign (value, "");
+  g_string_append_len (value, line + name_bytes + 1,
+                       (gssize)(bytes - name_bytes - 1));
+  g_strstrip (value->str);
+  return true;
+}
+
+static size_t
+take_header (char *line, size_t size, size_t count, void *context)
+{
+  struct router_attempt *attempt = context;
+  size_t bytes = size * count;
+  GString *value = g_string_new (NULL);
+  if (header_value (line, bytes, "Content-Type", value))
+    {
+      g_free (attempt->content_type);
+      attempt->content_type = g_strdup (value->str);
+      attempt->is_stream = g_str_has_prefix (value->str, "text/event-stream");
+    }
+  else if (header_value (line, bytes, "Cactus-Run", value))
+    attempt->refused = strcmp (value->str, "not-run") == 0;
+  g_string_free (value, TRUE);
+  return bytes;
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *context)
+{
+  struct router_attempt *attempt = context;
+  size_t bytes = size * count;
+  attempt->heard_ms = base_clock_now_ms (base_clock_system ());
+  if (attempt->is_stream && router_attempt_status (attempt) == STATUS_OK)
+    attempt->bad |= http_sse_feed (attempt->sse, data, bytes) != 0;
+  else if (attempt->body->len + bytes > BODY_MAX_BYTES)
+    attempt->bad = true;
+  else
+    g_string_append_len (attempt->body, data, (gssize)bytes);
+  return attempt->bad ? 0 : bytes;
+}
+
+static void
+add_header (struct router_attempt *attempt, const char *name,
+            const char *value)
+{
+  char *line = g_strdup_printf ("%s: %s", name, value);
+  attempt->headers = curl_slist_append (attempt->headers, line);
+  g_free (line);
+}
+
+static void
+set_headers (struct router_attempt *attempt,
+             const struct router_attempt_call *call)
+{
+  add_header (attempt, "Cactus-Request-Id", call->request_id);
+  add_header (attempt, "Idempotency-Key", call->key);
+  add_header (attempt, "Cactus-Account", call->account);
+  add_header (attempt, "Cactus-Budget", call->budget);
+  if (call->content_type)
+    add_header (attempt, "Content-Type", call->content_type);
+  attempt->headers = curl_slist_append (attempt->headers, "Expect:");
+  curl_easy_setopt (attempt->easy, CURLOPT_HTTPHEADER, attempt->headers);
+}
+
+static void
+set_request (struct router_attempt *attempt,
+             const struct router_attempt_call *call)
+{
+  char address[16];
+  CURL *easy = attempt->easy;
+  base_address_map (call->address, address);
+  char *url = g_strdup_printf ("http://%s:%u%s", address, (unsigned)call->port,
+                               call->path);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  g_free (url);
+  if (call->body_bytes > 0 || strcmp (call->method, "POST") == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)call->body_bytes);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
+                        call->body ? call->body : "");
+    }
+  if (strcmp (call->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->method);
+}
+
+static void
+set_transfer (struct router_attempt *attempt,
+              const struct router_attempt_call *call)
+{
+  CURL *easy = attempt->easy;
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, attempt);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
+  curl_easy_setopt (easy, CURLOPT_UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, call->reuse ? 0L : 1L);
+}
+
+struct router_attempt *
+router_attempt_create (struct router_poll *loop,
+                       const struct router_attempt_call *call,
+                       struct router_attempt_user *user)
+{
+  struct router_attempt *attempt = g_new0 (struct router_attempt, 1);
+  attempt->loop = loop;
+  attempt->user = user;
+  attempt->sse = http_sse_create (EVENT_MAX_BYTES, pass_event, attempt);
+  attempt->body = g_string_new (NULL);
+  attempt->easy = curl_easy_init ();
+  if (!attempt->easy)
+    goto failed;
+  set_request (attempt, call);
+  set_headers (attempt, call);
+  set_transfer (attempt, call);
+  if (router_poll_add (loop, attempt->easy) != 0)
+    goto failed;
+  attempt->active = true;
+  return attempt;
+failed:
+  router_attempt_destroy (attempt);
+  return NULL;
+}
+
+void
+router_attempt_destroy (struct router_attempt *attempt)
+{
+  if (!attempt)
+    return;
+  if (attempt->active)
+    router_poll_remove (attempt->loop, attempt->easy);
+  curl_easy_cleanup (attempt->easy);
+  curl_slist_free_all (attempt->headers);
+  http_sse_destroy (attempt->sse);
+  g_string_free (attempt->body, TRUE);
+  g_free (attempt->content_type);
+  g_free (attempt);
+}
+
+static enum router_attempt_outcome
+find_outcome (struct router_attempt *attempt, CURLcode code)
+{
+  long sent_bytes = 0;
+  curl_easy_getinfo (attempt->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  if (code == CURLE_OK && attempt->refused
+      && router_attempt_status (attempt) == STATUS_UNAVAILABLE)
+    return ROUTER_ATTEMPT_REFUSED;
+  if (code == CURLE_OK && !http_sse_partial (attempt->sse))
+    return ROUTER_ATTEMPT_WHOLE;
+  return code != CURLE_OK && sent_bytes == 0 ? ROUTER_ATTEMPT_UNSENT
+                                             : ROUTER_ATTEMPT_LOST;
+}
+
+void
+router_attempt_done (CURL *easy, CURLcode code)
+{
+  struct router_attempt *attempt = NULL;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &attempt);
+  attempt->active = false;
+  attempt->user->done (attempt->user, find_outcome (attempt, code));
+}
+
+void
+router_attempt_pause (struct router_attempt *attempt, bool pause)
+{
+  if (attempt->paused == pause || !attempt->active)
+    return;
+  attempt->paused = pause;
+  curl_easy_pause (attempt->easy, pause ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+}
+
+uint32_t
+router_attempt_status (const struct router_attempt *attempt)
+{
+  long status = 0;
+  curl_easy_getinfo (attempt->easy, CURLINFO_RESPONSE_CODE, &status);
+  return (uint32_t)status;
+}
+
+const char *
+router_attempt_content_type (const struct router_attempt *attempt)
+{
+  return attempt->content_type;
+}
+
+const GString *
+router_attempt_body (const struct router_attempt *attempt)
+{
+  return attempt->body;
+}
+
+uint64_t
+router_attempt_heard_ms (const struct router_attempt *attempt)
+{
+  return attempt->heard_ms;
+}
--- /dev/null
+++ b/src/router_finish.c
@@ -0,0 +1,166 @@
+#include "router_finish.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base_clock.h"
+#include "router.h"
+#include "router_ledger.h"
+#include "router_worker.h"
+
+#define JSON_TYPE "application/json"
+#define NUMBER_BYTES 24
+
+void
+router_finish_close (struct router_request *request)
+{
+  struct router *router = request->router;
+  if (request->step == ROUTER_STEP_QUEUED)
+    router_queue_leave (router->queue, request);
+  request->step = ROUTER_STEP_ANSWERED;
+  router_attempt_destroy (request->attempt);
+  request->attempt = NULL;
+  router_queue_release (router->queue, request,
+                        router_worker_reader (request->worker), false);
+  router_worker_drop (request->worker, request);
+}
+
+void
+router_finish_claim (struct router_request *request, bool not_run, bool known)
+{
+  struct router_claim_end end = { 0 };
+  if (!request->holds_claim)
+    return;
+  request->holds_claim = false;
+  end.not_run = not_run;
+  end.known = known;
+  end.billed_tokens = request->billed_tokens;
+  if (known)
+    {
+      const GString *body = router_attempt_body (request->attempt);
+      end.http_status = router_attempt_status (request->attempt);
+      end.content_type = router_attempt_content_type (request->attempt);
+      end.body = body->str;
+      end.body_bytes = body->len;
+    }
+  router_claims_finish (request->router->claims, request, &end);
+}
+
+/* A refusal of a claimed call says whether the call was proven unsent. */
+static void
+give_up (struct router_request *request, enum router_refusal refusal)
+{
+  bool unknown = refusal == ROUTER_REFUSAL_TARGET_FAILED
+                 || refusal == ROUTER_REFUSAL_DEADLINE;
+  router_finish_claim (request, !unknown, false);
+  router_ledger_release (request);
+}
+
+void
+router_finish_refuse (struct router_request *request,
+                      enum router_refusal refusal, uint32_t retry_after_ms,
+                      const char *format, ...)
+{
+  char number[NUMBER_BYTES];
+  va_list arguments;
+  va_start (arguments, format);
+  char *message = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  struct MHD_Response *response = router_refusal_response (
+      refusal, message, request->request_id, retry_after_ms);
+  if (refusal == ROUTER_REFUSAL_ALREADY_BILLED)
+    {
+      snprintf (number, sizeof number, "%" PRIu64,
+                request->rerun_billed_tokens);
+      MHD_add_response_header (response, "Cactus-Billed-Tokens", number);
+    }
+  router_metrics_refused (request->router->metrics,
+                          router_refusal_code (refusal));
+  router_stream_answer (&request->stream, router_refusal_status (refusal),
+                        response);
+  g_free (message);
+  give_up (request, refusal);
+  router_finish_close (request);
+}
+
+void
+router_finish_headers (const struct router_request *request,
+                       struct MHD_Response *response)
+{
+  MHD_add_response_header (response, "Cactus-Request-Id", request->request_id);
+  MHD_add_response_header (response, "Cactus-Run", "ran");
+}
+
+static void
+answer_bytes (struct router_request *request, uint32_t status,
+              const char *content_type, const char *body, size_t bytes)
+{
+  char number[NUMBER_BYTES];
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      bytes, (void *)body, MHD_RESPMEM_MUST_COPY);
+  router_finish_headers (request, response);
+  MHD_add_response_header (response, "Content-Type",
+                           content_type ? content_type : JSON_TYPE);
+  snprintf (number, sizeof number, "%" PRIu64, request->billed_tokens);
+  MHD_add_response_header (response, "Cactus-Billed-Tokens", number);
+  router_stream_answer (&request->stream, status, response);
+}
+
+void
+router_finish_replay (struct router_request *request)
+{
+  const GString *answer = request->claim.answer;
+  char *feed = memchr (answer->str, '\n', answer->len);
+  if (request->claim.http_status == 0 || !feed)
+    {
+      router_finish_refuse (request, ROUTER_REFUSAL_ANSWER_NOT_KEPT, 0,
+                            "the call ran; its answer was not kept");
+      return;
+    }
+  request->billed_tokens = request->claim.billed_tokens;
+  *feed = '\0';
+  answer_bytes (request, request->claim.http_status, answer->str, feed + 1,
+                answer->len - (size_t)(feed + 1 - answer->str));
+  router_ledger_release (request);
+  router_finish_close (request);
+}
+
+void
+router_finish_settle (struct router_request *request, uint64_t used_tokens)
+{
+  router_queue_release (request->router->queue, request,
+                        router_worker_reader (request->worker), false);
+  request->step = ROUTER_STEP_SETTLING;
+  request->settling_ms = base_clock_now_ms (base_clock_system ());
+  router_ledger_settle (request, used_tokens);
+  router_finish_claim (request, false, true);
+  if (!request->settle.open)
+    router_finish_deliver (request);
+}
+
+void
+router_finish_deliver (struct router_request *request)
+{
+  struct router_attempt *attempt = request->attempt;
+  const GString *body = router_attempt_body (attempt);
+  answer_bytes (request, router_attempt_status (attempt),
+                router_attempt_content_type (attempt), body->str, body->len);
+  router_finish_count (request);
+  router_finish_close (request);
+}
+
+void
+router_finish_count (struct router_request *request)
+{
+  uint64_t latency_us = router_request_age_us (request);
+  const struct router_series *both[]
+      = { request->account_series, request->class_series };
+  for (size_t i = 0; i < G_N_ELEMENTS (both); i++)
+    {
+      base_counter_add (both[i]->served, 1);
+      base_counter_add (both[i]->billed_tokens,
+                        request->billed_tokens - request->rerun_billed_tokens);
+      base_histogram_record (both[i]->latency_us, latency_us);
+    }
+}
--- /dev/null
+++ b/src/router_metrics.h
@@ -0,0 +1,48 @@
+#ifndef ROUTER_METRICS_H
+#define ROUTER_METRICS_H
+
+/** @file
+ *  Counters and histograms of a router, by class and client account. */
+
+#include <stdint.h>
+
+#include "base_metrics.h"
+
+/** Metrics of one class or client account. */
+struct router_series
+{
+  /** Requests that got an answer from a target. */
+  struct base_counter *served;
+  /** Tokens billed. */
+  struct base_counter *billed_tokens;
+  /** From arrival to the last byte, in microseconds. */
+  struct base_histogram *latency_us;
+  /** From arrival to the first token, in microseconds; classes only. */
+  struct base_histogram *first_token_us;
+  /** Waiting for a target, in microseconds; classes only. */
+  struct base_histogram *queue_us;
+};
+
+/** Metrics of the whole router. */
+struct router_metrics;
+
+/** Makes the metrics in @p set.  Accounts past @p accounts_max share one
+ *  series, "other", so that memory is bounded. */
+struct router_metrics *router_metrics_create (struct base_metrics *set,
+                                              uint32_t accounts_max);
+/** Frees it, not the set. */
+void router_metrics_destroy (struct router_metrics *metrics);
+/** Series of a class; it stays as long as the metrics. */
+const struct router_series *
+router_metrics_class (struct router_metrics *metrics, const char *name);
+/** Series of a client account. */
+const struct router_series *
+router_metrics_account (struct router_metrics *metrics, const char *name);
+/** Counts a refusal or failure by its code. */
+void router_metrics_refused (struct router_metrics *metrics, const char *code);
+/** Counts a retry at another target. */
+void router_metrics_retried (struct router_metrics *metrics);
+/** Counts a stream that was cut, by reason. */
+void router_metrics_cut (struct router_metrics *metrics, const char *reason);
+
+#endif
--- /dev/null
+++ b/src/router_poll.c
@@ -0,0 +1,183 @@
+#include "router_poll.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base_clock.h"
+
+#define READY_MAX 128
+#define NO_TIMER UINT64_MAX
+/* Idle connections to targets that are kept open. */
+#define IDLE_CONNECTIONS_MAX 1024L
+
+struct router_poll
+{
+  CURLM *multi;
+  int epoll;
+  int wake;
+  uint64_t timer_ms;
+  void (*done) (CURL *easy, CURLcode code);
+};
+
+static uint64_t
+now_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t socket, int what, void *context,
+              void *known)
+{
+  struct router_poll *loop = context;
+  struct epoll_event event = { 0 };
+  (void)easy;
+  event.data.fd = socket;
+  if (what == CURL_POLL_REMOVE)
+    {
+      epoll_ctl (loop->epoll, EPOLL_CTL_DEL, socket, NULL);
+      return 0;
+    }
+  event.events = (what & CURL_POLL_IN ? EPOLLIN : 0u)
+                 | (what & CURL_POLL_OUT ? EPOLLOUT : 0u);
+  epoll_ctl (loop->epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket,
+             &event);
+  curl_multi_assign (loop->multi, socket, loop);
+  return 0;
+}
+
+static int
+set_timer (CURLM *multi, long timeout_ms, void *context)
+{
+  struct router_poll *loop = context;
+  (void)multi;
+  loop->timer_ms
+      = timeout_ms < 0 ? NO_TIMER : now_ms () + (uint64_t)timeout_ms;
+  return 0;
+}
+
+struct router_poll *
+router_poll_create (void (*done) (CURL *easy, CURLcode code))
+{
+  struct router_poll *loop = g_new0 (struct router_poll, 1);
+  struct epoll_event event = { 0 };
+  loop->done = done;
+  loop->timer_ms = NO_TIMER;
+  loop->multi = curl_multi_init ();
+  loop->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  loop->wake = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (!loop->multi || loop->epoll < 0 || loop->wake < 0)
+    {
+      router_poll_destroy (loop);
+      return NULL;
+    }
+  event.events = EPOLLIN;
+  event.data.fd = loop->wake;
+  epoll_ctl (loop->epoll, EPOLL_CTL_ADD, loop->wake, &event);
+  curl_multi_setopt (loop->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (loop->multi, CURLMOPT_SOCKETDATA, loop);
+  curl_multi_setopt (loop->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  curl_multi_setopt (loop->multi, CURLMOPT_TIMERDATA, loop);
+  curl_multi_setopt (loop->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS_MAX);
+  return loop;
+}
+
+void
+router_poll_destroy (struct router_poll *loop)
+{
+  if (!loop)
+    return;
+  if (loop->multi)
+    curl_multi_cleanup (loop->multi);
+  if (loop->epoll >= 0)
+    close (loop->epoll);
+  if (loop->wake >= 0)
+    close (loop->wake);
+  g_free (loop);
+}
+
+int
+router_poll_add (struct router_poll *loop, CURL *easy)
+{
+  return curl_multi_add_handle (loop->multi, easy) == CURLM_OK ? 0 : -1;
+}
+
+void
+router_poll_remove (struct router_poll *loop, CURL *easy)
+{
+  curl_multi_remove_handle (loop->multi, easy);
+}
+
+static void
+take_done (struct router_poll *loop)
+{
+  int left;
+  CURLMsg *message;
+  while ((message = curl_multi_info_read (loop->multi, &left)))
+    {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      CURL *easy = message->easy_handle;
+      CURLcode code = message->data.result;
+      curl_multi_remove_handle (loop->multi, easy);
+      loop->done (easy, code);
+    }
+}
+
+static void
+handle_ready (struct router_poll *loop, const struct epoll_event *event)
+{
+  uint64_t count;
+  int running;
+  int what = 0;
+  if (event->data.fd == loop->wake)
+    {
+      ssize_t got = read (loop->wake, &count, sizeof count);
+      (void)got;
+      return;
+    }
+  if (event->events & (EPOLLIN | EPOLLHUP))
+    what |= CURL_CSELECT_IN;
+  if (event->events & EPOLLOUT)
+    what |= CURL_CSELECT_OUT;
+  if (event->events & EPOLLERR)
+    what |= CURL_CSELECT_ERR;
+  curl_multi_socket_action (loop->multi, event->data.fd, what, &running);
+}
+
+static int
+wait_time (const struct router_poll *loop, uint32_t wait_ms)
+{
+  uint64_t now = now_ms ();
+  if (loop->timer_ms <= now)
+    return 0;
+  return (int)MIN (loop->timer_ms - now, wait_ms);
+}
+
+void
+router_poll_run (struct router_poll *loop, uint32_t wait_ms)
+{
+  struct epoll_event ready[READY_MAX];
+  int running;
+  int count
+      = epoll_wait (loop->epoll, ready, READY_MAX, wait_time (loop, wait_ms));
+  for (int i = 0; i < count; i++)
+    handle_ready (loop, &ready[i]);
+  if (loop->timer_ms <= now_ms ())
+    {
+      loop->timer_ms = NO_TIMER;
+      curl_multi_socket_action (loop->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+  take_done (loop);
+}
+
+void
+router_poll_wake (struct router_poll *loop)
+{
+  uint64_t one = 1;
+  ssize_t sent = write (loop->wake, &one, sizeof one);
+  (void)sent;
+}
--- /dev/null
+++ b/src/router_relay.c
@@ -0,0 +1,231 @@
+#include "router_relay.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "router.h"
+#include "router_finish.h"
+#include "router_ledger.h"
+
+/* Tokens by which the watermark is raised, and how far ahead of delivery the
+   next step is asked for. */
+#define STEP_TOKENS 256
+#define LEAD_TOKENS 128
+#define DONE_TEXT "[DONE]"
+
+static uint64_t
+needed_tokens (const struct router_request *request)
+{
+  return request->body.prompt_bound_tokens + request->relay.delivered_tokens
+         + request->relay.held_tokens;
+}
+
+/* Asks for the next step unless it is asked for already. */
+static void
+ask_ahead (struct router_request *request)
+{
+  struct router_relay *relay = &request->relay;
+  uint64_t before = request->rerun_billed_tokens;
+  uint64_t need = needed_tokens (request);
+  if (request->extend.open || relay->asked_tokens >= request->reserved_tokens
+      || need + LEAD_TOKENS <= relay->asked_tokens)
+    return;
+  relay->asked_tokens = MIN (request->reserved_tokens, need + STEP_TOKENS);
+  if (relay->asked_tokens <= before)
+    relay->granted_tokens = relay->asked_tokens;
+  else
+    router_ledger_extend (request, relay->asked_tokens - before);
+}
+
+void
+router_relay_prepare (struct router_request *request)
+{
+  if (request->relay.asked_tokens == 0)
+    ask_ahead (request);
+}
+
+/* Sends the head of the answer with the first event. */
+static void
+start (struct router_request *request)
+{
+  struct MHD_Response *response = router_stream_response (&request->stream);
+  request->relay.started = true;
+  router_finish_headers (request, response);
+  MHD_add_response_header (response, "Content-Type", "text/event-stream");
+  MHD_add_response_header (response, "Cache-Control", "no-cache");
+  router_stream_answer (&request->stream, MHD_HTTP_OK, response);
+  base_histogram_record (request->class_series->first_token_us,
+                         router_request_age_us (request));
+}
+
+static void
+set_pause (struct router_request *request)
+{
+  if (request->attempt)
+    router_attempt_pause (request->attempt,
+                          request->relay.full || request->relay.held->len > 0);
+}
+
+/* The stream is whole: bills it and says so. */
+static void
+finish (struct router_request *request)
+{
+  char line[64];
+  struct router_relay *relay = &request->relay;
+  uint64_t used
+      = relay->usage_tokens ? relay->usage_tokens : relay->delivered_tokens;
+  router_ledger_settle (request, used);
+  g_snprintf (line, sizeof line, ": cactus-billed-tokens %" PRIu64 "\n\n",
+              request->billed_tokens);
+  router_stream_write (&request->stream, line, strlen (line));
+  router_stream_end (&request->stream, false);
+  router_finish_count (request);
+  router_finish_close (request);
+}
+
+void
+router_relay_flush (struct router_request *request)
+{
+  struct router_relay *relay = &request->relay;
+  if (relay->held->len > 0 && needed_tokens (request) <= relay->granted_tokens)
+    {
+      if (!relay->started)
+        start (request);
+      relay->full = !router_stream_write (&request->stream, relay->held->str,
+                                          relay->held->len);
+      relay->delivered_tokens += relay->held_tokens;
+      relay->held_tokens = 0;
+      g_string_truncate (relay->held, 0);
+    }
+  ask_ahead (request);
+  if (relay->finished && relay->held->len == 0 && request->attempt)
+    finish (request);
+  else
+    set_pause (request);
+}
+
+/* Total of a usage object; 0 when there is none. */
+static uint64_t
+read_usage (const json_t *document)
+{
+  const json_t *usage = json_object_get (document, "usage");
+  json_int_t total
+      = json_integer_value (json_object_get (usage, "total_tokens"));
+  return total > 0 ? (uint64_t)total : 0;
+}
+
+bool
+router_relay_usage (const char *body, size_t bytes, uint64_t *tokens)
+{
+  json_t *document = json_loadb (body, bytes, 0, NULL);
+  *tokens = read_usage (document);
+  bool whole
+      = json_is_array (json_object_get (document, "choices")) && *tokens > 0;
+  json_decref (document);
+  return whole;
+}
+
+static bool
+has_text (const json_t *choice)
+{
+  const json_t *delta = json_object_get (choice, "delta");
+  const char *content = json_string_value (json_object_get (delta, "content"));
+  const char *text = json_string_value (json_object_get (choice, "text"));
+  return (content && *content) || (text && *text)
+         || json_object_get (delta, "tool_calls")
+         || json_object_get (delta, "reasoning_content");
+}
+
+static void
+hold_event (struct router_request *request, const char *data, size_t bytes,
+            uint64_t tokens)
+{
+  struct router_relay *relay = &request->relay;
+  g_string_append (relay->held, "data: ");
+  g_string_append_len (relay->held, data, (gssize)bytes);
+  g_string_append (relay->held, "\n\n");
+  relay->held_tokens += tokens;
+}
+
+/* Reads one chunk of the answer; false when it makes no sense. */
+static bool
+take_chunk (struct router_request *request, const char *data, size_t bytes)
+{
+  json_t *chunk = json_loadb (data, bytes, 0, NULL);
+  const json_t *choices = json_object_get (chunk, "choices");
+  bool good = json_is_array (choices);
+  uint64_t usage = read_usage (chunk);
+  bool empty = json_array_size (choices) == 0;
+  if (usage > 0)
+    request->relay.usage_tokens = usage;
+  if (good && (!empty || request->body.include_usage))
+    hold_event (request, data, bytes,
+                has_text (json_array_get (choices, 0)) ? 1 : 0);
+  json_decref (chunk);
+  return good && needed_tokens (request) <= request->reserved_tokens;
+}
+
+bool
+router_relay_event (struct router_request *request, const char *data,
+                    size_t bytes)
+{
+  bool done
+      = bytes == strlen (DONE_TEXT) && memcmp (data, DONE_TEXT, bytes) == 0;
+  if (!request->body.stream || request->relay.finished)
+    return false;
+  if (done)
+    {
+      hold_event (request, data, bytes, 0);
+      request->relay.finished = true;
+      return true;
+    }
+  if (!take_chunk (request, data, bytes))
+    return false;
+  router_relay_flush (request);
+  return true;
+}
+
+void
+router_relay_granted (struct router_request *request)
+{
+  struct router_relay *relay = &request->relay;
+  enum ledger_status status = request->extend.ledger.result.status;
+  if (status != LEDGER_OK)
+    {
+      router_relay_cut (request, ROUTER_REFUSAL_LEDGER,
+                        "the ledger no longer holds the reservation");
+      return;
+    }
+  relay->granted_tokens = relay->asked_tokens;
+  router_relay_flush (request);
+}
+
+void
+router_relay_room (struct router_request *request)
+{
+  request->relay.full = false;
+  router_relay_flush (request);
+}
+
+void
+router_relay_cut (struct router_request *request, enum router_refusal refusal,
+                  const char *reason)
+{
+  if (!request->relay.started)
+    {
+      router_finish_refuse (request, refusal, 0, "%s", reason);
+      return;
+    }
+  char *error = router_refusal_print (refusal, reason);
+  router_ledger_settle (request, request->relay.delivered_tokens);
+  char *tail
+      = g_strdup_printf ("data: %s\n\n: cactus-billed-tokens %" PRIu64 "\n\n",
+                         error, request->billed_tokens);
+  router_stream_write (&request->stream, tail, strlen (tail));
+  router_stream_end (&request->stream, true);
+  router_metrics_cut (request->router->metrics, router_refusal_code (refusal));
+  g_free (tail);
+  free (error);
+  router_finish_close (request);
+}
--- /dev/null
+++ b/src/router_request.h
@@ -0,0 +1,198 @@
+#ifndef ROUTER_REQUEST_H
+#define ROUTER_REQUEST_H
+
+/** @file
+ *  One request of a caller, from its head to its bill. */
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <ck_stack.h>
+#include <glib.h>
+
+#include "admission.h"
+#include "bundle.h"
+#include "ledger_client.h"
+#include "registry.h"
+#include "router_attempt.h"
+#include "router_body.h"
+#include "router_claims.h"
+#include "router_metrics.h"
+#include "router_stream.h"
+
+/** Targets that one request avoids at most. */
+#define ROUTER_AVOID_MAX 8
+/** Size of a request id with its terminator, in bytes. */
+#define ROUTER_REQUEST_ID_BYTES 33
+
+struct router;
+struct router_worker;
+struct router_request;
+
+/** What may happen to a request; bits of one mask. */
+enum router_event
+{
+  /** Its head and body were read. */
+  ROUTER_EVENT_START = 1,
+  /** An operation at the ledger was answered. */
+  ROUTER_EVENT_LEDGER = 2,
+  /** A call to control was answered. */
+  ROUTER_EVENT_CLAIM = 4,
+  /** The queue chose a target for it. */
+  ROUTER_EVENT_ADMITTED = 8,
+  /** It waited past its limit. */
+  ROUTER_EVENT_EXPIRED = 16,
+  /** No target is left that it could wait for. */
+  ROUTER_EVENT_NO_TARGET = 32,
+  /** The caller's side has room again. */
+  ROUTER_EVENT_ROOM = 64,
+  /** The caller left, or got the whole answer. */
+  ROUTER_EVENT_LEFT = 128
+};
+
+/** Where a request stands. */
+enum router_step
+{
+  ROUTER_STEP_NEW,
+  ROUTER_STEP_RESERVING,
+  ROUTER_STEP_CLAIMING,
+  ROUTER_STEP_QUEUED,
+  ROUTER_STEP_SENDING,
+  /** Waits for the settlement before a whole answer. */
+  ROUTER_STEP_SETTLING,
+  /** The caller has its final answer, or left. */
+  ROUTER_STEP_ANSWERED
+};
+
+/** An operation at the ledger. */
+struct router_ledger_op
+{
+  struct ledger_request ledger;
+  struct router_request *request;
+  /** Submitted and not yet taken in by the worker. */
+  bool open;
+  atomic_bool answered;
+};
+
+/** A target that was chosen. */
+struct router_choice
+{
+  struct registry_load *load;
+  char target[CACTUS_NAME_BYTES + 1];
+  char address[16];
+  uint16_t port;
+};
+
+/** What the caller sent; fixed once the request is posted. */
+struct router_head
+{
+  char *method;
+  /** Path as sent, with its query. */
+  char *uri;
+  char *path;
+  char *content_type;
+  char *bearer;
+  char *key;
+  char *budget;
+  char *class_name;
+  GString *body;
+  uint64_t arrived_us;
+};
+
+/** The answer under way. */
+struct router_relay
+{
+  /** Events that the ledger has not authorised yet, and their tokens. */
+  GString *held;
+  uint64_t held_tokens;
+  /** Tokens given to the caller. */
+  uint64_t delivered_tokens;
+  /** Tokens authorised by the ledger, and asked for. */
+  uint64_t granted_tokens;
+  uint64_t asked_tokens;
+  /** Usage as the target says; 0: not said. */
+  uint64_t usage_tokens;
+  bool started;
+  bool finished;
+  /** The caller's side is full. */
+  bool full;
+};
+
+/** A request; fields below head are its worker's alone, but for those of the
+ *  queue while it waits there. */
+struct router_request
+{
+  struct router_attempt_user attempt_user;
+  struct router *router;
+  struct router_worker *worker;
+  _Atomic uint32_t references;
+  _Atomic uint32_t events;
+  ck_stack_entry_t inbox_link;
+  struct router_stream stream;
+  struct router_head head;
+
+  GList link;
+  enum router_step step;
+  bool left;
+  bool registered;
+  struct bundle *bundle;
+  const struct bundle_account *account;
+  const struct bundle_service *service;
+  const struct bundle_rule *rule;
+  const struct bundle_class *request_class;
+  const struct router_series *account_series;
+  const struct router_series *class_series;
+  struct router_body body;
+  char *target_body;
+  size_t target_body_bytes;
+  char request_id[ROUTER_REQUEST_ID_BYTES];
+  char key[2 * CACTUS_NAME_BYTES];
+  uint8_t key_digest[CACTUS_DIGEST_BYTES];
+  uint8_t body_digest[CACTUS_DIGEST_BYTES];
+  bool idempotent;
+  /** An attempt was sent whose outcome is not known. */
+  bool maybe_ran;
+  /** The key was billed by earlier runs, and how much. */
+  uint32_t reruns;
+  uint64_t rerun_billed_tokens;
+  uint32_t max_tokens;
+  uint64_t reserved_tokens;
+  uint64_t billed_tokens;
+  uint64_t deadline_ms;
+  uint64_t checked_ms;
+  uint64_t settling_ms;
+  struct router_ledger_op reserve;
+  struct router_ledger_op extend;
+  struct router_ledger_op settle;
+  /** A reservation is held that must be settled or released. */
+  bool holds_tokens;
+  struct router_claim claim;
+  bool holds_claim;
+
+  struct admission_entry entry;
+  uint64_t queued_us;
+  struct router_choice choice;
+  char avoid[ROUTER_AVOID_MAX][CACTUS_NAME_BYTES + 1];
+  uint32_t avoid_count;
+  uint32_t attempts;
+  uint64_t sent_ms;
+  struct router_attempt *attempt;
+  struct router_relay relay;
+};
+
+/** Makes a request for a connection; the caller owns one reference. */
+struct router_request *
+router_request_create (struct router *router,
+                       struct MHD_Connection *connection);
+/** Adds a reference. */
+struct router_request *router_request_ref (struct router_request *request);
+/** Drops a reference; the last one frees. */
+void router_request_unref (struct router_request *request);
+/** Tells the request's worker of an event; from any thread. */
+void router_request_post (struct router_request *request,
+                          enum router_event event);
+/** Microseconds since the request came in. */
+uint64_t router_request_age_us (const struct router_request *request);
+
+#endif
--- /dev/null
+++ b/src/router_serve.c
@@ -0,0 +1,326 @@
+#include "router_serve.h"
+
+#include <string.h>
+
+#include "base_clock.h"
+#include "router.h"
+#include "router_finish.h"
+#include "router_ledger.h"
+#include "router_relay.h"
+#include "router_worker.h"
+
+#define STATUS_OK 200
+#define STATUS_CLIENT_ERROR 400
+#define STATUS_SERVER_ERROR 500
+#define DEFAULT_BUDGET "default"
+
+static bool
+is_model (const struct router_request *request)
+{
+  return request->service->kind == BUNDLE_SERVICE_MODEL;
+}
+
+/* Why the request could not be served by any target. */
+static void
+refuse_failed (struct router_request *request)
+{
+  if (request->maybe_ran)
+    router_finish_refuse (request, ROUTER_REFUSAL_TARGET_FAILED, 0,
+                          "the target failed; the request may have run");
+  else
+    router_finish_refuse (request, ROUTER_REFUSAL_TARGETS_FAILED_NOT_RUN, 0,
+                          "no target took the request");
+}
+
+void
+router_serve_no_target (struct router_request *request)
+{
+  if (request->attempts > 0)
+    refuse_failed (request);
+  else
+    router_finish_refuse (request, ROUTER_REFUSAL_NO_TARGET, 0,
+                          "no target of %s is known here",
+                          request->service->name);
+}
+
+static void
+admit (struct router_request *request)
+{
+  uint32_t retry_after_ms = 0;
+  struct router *router = request->router;
+  request->queued_us = base_clock_now_us (base_clock_system ());
+  request->step = ROUTER_STEP_QUEUED;
+  switch (router_queue_enter (router->queue, request,
+                              router_worker_reader (request->worker),
+                              &retry_after_ms))
+    {
+    case ROUTER_QUEUE_CHOSEN:
+      router_serve_send (request);
+      break;
+    case ROUTER_QUEUE_WAITING:
+      break;
+    case ROUTER_QUEUE_NO_TARGET:
+      router_serve_no_target (request);
+      break;
+    case ROUTER_QUEUE_REFUSED:
+      router_finish_refuse (request, ROUTER_REFUSAL_OVERLOADED, retry_after_ms,
+                            "too many requests wait");
+      break;
+    }
+}
+
+void
+router_serve_reserved (struct router_request *request)
+{
+  if (request->idempotent)
+    {
+      admit (request);
+      return;
+    }
+  request->step = ROUTER_STEP_CLAIMING;
+  router_claims_claim (request->router->claims, request);
+}
+
+/* The claim is this router's: it dispatches, or frees the claim. */
+static void
+use_claim (struct router_request *request)
+{
+  request->holds_claim = true;
+  if (request->left)
+    {
+      router_finish_claim (request, true, false);
+      router_ledger_release (request);
+      router_finish_close (request);
+    }
+  else if (!request->holds_tokens && request->reserved_tokens > 0)
+    router_finish_refuse (request, ROUTER_REFUSAL_IN_PROGRESS, 0,
+                          "a request with this key is under way");
+  else
+    admit (request);
+}
+
+static void
+refuse_claim (struct router_request *request)
+{
+  const struct router_claim *claim = &request->claim;
+  /* A lost claim may be held in this router's name; it will not be used. */
+  request->holds_claim = claim->wire == WIRE_LOST;
+  if (claim->wire == WIRE_OK && claim->status == CONTROL_CONFLICT)
+    router_finish_refuse (request, ROUTER_REFUSAL_KEY_CONFLICT, 0,
+                          "this key was used with another request");
+  else
+    router_finish_refuse (request, ROUTER_REFUSAL_CONTROL, 0,
+                          "control can't record the call now");
+}
+
+void
+router_serve_claimed (struct router_request *request)
+{
+  const struct router_claim *claim = &request->claim;
+  if (claim->wire != WIRE_OK || claim->status != CONTROL_OK)
+    {
+      refuse_claim (request);
+      return;
+    }
+  switch (claim->state)
+    {
+    case CONTROL_CLAIM_GRANTED:
+      use_claim (request);
+      break;
+    case CONTROL_CLAIM_DONE:
+      router_finish_replay (request);
+      break;
+    case CONTROL_CLAIM_RUNNING:
+      router_finish_refuse (request, ROUTER_REFUSAL_IN_PROGRESS, 0,
+                            "a call with this key is under way");
+      break;
+    case CONTROL_CLAIM_UNKNOWN:
+    default:
+      router_finish_refuse (request, ROUTER_REFUSAL_OUTCOME_UNKNOWN, 0,
+                            "a call with this key may have run; it will not "
+                            "be run again");
+      break;
+    }
+}
+
+static void
+avoid_target (struct router_request *request)
+{
+  if (request->avoid_count == ROUTER_AVOID_MAX)
+    return;
+  g_strlcpy (request->avoid[request->avoid_count++], request->choice.target,
+             CACTUS_NAME_BYTES + 1);
+}
+
+static uint32_t
+left_ms (const struct router_request *request)
+{
+  uint64_t now = base_clock_now_ms (base_clock_system ());
+  return request->deadline_ms > now ? (uint32_t)(request->deadline_ms - now)
+                                    : 0;
+}
+
+/* An attempt failed before any byte went to the caller. */
+static void
+retry (struct router_request *request, enum retry_progress progress)
+{
+  request->maybe_ran |= progress == RETRY_SENT;
+  avoid_target (request);
+  router_attempt_destroy (request->attempt);
+  request->attempt = NULL;
+  router_queue_release (request->router->queue, request,
+                        router_worker_reader (request->worker), true);
+  enum retry_decision decision
+      = retry_decide (request->router->retry, progress, request->idempotent,
+                      request->attempts, left_ms (request));
+  if (decision != RETRY_AGAIN || request->left)
+    {
+      refuse_failed (request);
+      return;
+    }
+  router_metrics_retried (request->router->metrics);
+  admit (request);
+}
+
+static void
+fail (struct router_request *request, enum retry_progress progress,
+      const char *reason)
+{
+  if (!request->relay.started)
+    {
+      retry (request, progress);
+      return;
+    }
+  router_queue_release (request->router->queue, request,
+                        router_worker_reader (request->worker), true);
+  router_relay_cut (request, ROUTER_REFUSAL_TARGET_FAILED, reason);
+}
+
+void
+router_serve_abandon (struct router_request *request, const char *reason)
+{
+  fail (request, RETRY_SENT, reason);
+}
+
+/* Whole answers of model targets must say what they used. */
+static void
+take_whole (struct router_request *request)
+{
+  uint64_t used = 0;
+  const GString *body = router_attempt_body (request->attempt);
+  if (!is_model (request))
+    router_finish_settle (request, request->service->call_tokens);
+  else if (router_relay_usage (body->str, body->len, &used))
+    router_finish_settle (request, used);
+  else
+    fail (request, RETRY_SENT, "the target's answer makes no sense");
+}
+
+static void
+take_answer (struct router_request *request)
+{
+  uint32_t status = router_attempt_status (request->attempt);
+  bool refused = status >= STATUS_CLIENT_ERROR;
+  if (request->relay.finished)
+    router_relay_flush (request);
+  else if (status >= STATUS_SERVER_ERROR && request->idempotent)
+    fail (request, RETRY_SENT, "the target failed");
+  else if (is_model (request) && refused)
+    {
+      router_ledger_release (request);
+      router_finish_settle (request, 0);
+    }
+  else if (is_model (request) && (status != STATUS_OK || request->body.stream))
+    fail (request, RETRY_SENT, "the target's answer makes no sense");
+  else
+    take_whole (request);
+}
+
+static bool
+take_event (struct router_attempt_user *user, const char *data, size_t bytes)
+{
+  return router_relay_event ((struct router_request *)user, data, bytes);
+}
+
+static void
+take_done (struct router_attempt_user *user,
+           enum router_attempt_outcome outcome)
+{
+  struct router_request *request = (struct router_request *)user;
+  switch (outcome)
+    {
+    case ROUTER_ATTEMPT_WHOLE:
+      take_answer (request);
+      break;
+    case ROUTER_ATTEMPT_UNSENT:
+      fail (request, RETRY_UNSENT, "the target was not reached");
+      break;
+    case ROUTER_ATTEMPT_REFUSED:
+      fail (request, RETRY_REFUSED, "the target refused the request");
+      break;
+    case ROUTER_ATTEMPT_LOST:
+      fail (request, RETRY_SENT, "the connection to the target was lost");
+      break;
+    }
+}
+
+static void
+fill_call (struct router_request *request, struct router_attempt_call *call)
+{
+  const struct router_head *head = &request->head;
+  call->address = request->choice.address;
+  call->port = request->choice.port;
+  call->method = head->method;
+  call->path = head->uri;
+  call->content_type = head->content_type;
+  call->request_id = request->request_id;
+  call->key = request->key;
+  call->account = request->account->name;
+  call->budget = head->budget ? head->budget : DEFAULT_BUDGET;
+  call->body = head->body->str;
+  call->body_bytes = head->body->len;
+  call->reuse = request->idempotent;
+  call->timeout_ms = left_ms (request);
+  if (is_model (request))
+    {
+      call->content_type = "application/json";
+      call->body = request->target_body;
+      call->body_bytes = request->target_body_bytes;
+    }
+  else if (request->service->call_timeout_ms > 0)
+    call->timeout_ms
+        = MIN (call->timeout_ms, request->service->call_timeout_ms);
+}
+
+void
+router_serve_send (struct router_request *request)
+{
+  struct router_attempt_call call = { 0 };
+  uint64_t now_us = base_clock_now_us (base_clock_system ());
+  request->attempt_user.event = take_event;
+  request->attempt_user.done = take_done;
+  if (request->attempts++ == 0)
+    {
+      retry_budget_earn (request->router->retry);
+      base_histogram_record (request->class_series->queue_us,
+                             now_us - request->queued_us);
+    }
+  request->step = ROUTER_STEP_SENDING;
+  request->sent_ms = now_us / 1000;
+  if (left_ms (request) == 0)
+    {
+      router_finish_refuse (request, ROUTER_REFUSAL_QUEUE_TIMEOUT, 0,
+                            "the deadline passed before a target was free");
+      return;
+    }
+  fill_call (request, &call);
+  request->attempt = router_attempt_create (
+      router_worker_poll (request->worker), &call, &request->attempt_user);
+  if (!request->attempt)
+    {
+      retry (request, RETRY_UNSENT);
+      return;
+    }
+  if (request->body.stream)
+    router_relay_prepare (request);
+}
--- /dev/null
+++ b/src/router_session.c
@@ -0,0 +1,75 @@
+#include "router_session.h"
+
+#include <inttypes.h>
+
+#include "base_log.h"
+#include "base_settings.h"
+
+#define LEDGERS_MAX 64
+
+static void
+take_bundle (struct control_session_user *user, struct bundle *bundle)
+{
+  struct router_session *session = (struct router_session *)user;
+  base_log (BASE_LOG_NOTICE, "bundle in force version=%" PRIu64,
+            bundle_version (bundle));
+  router_set_bundle (session->router, bundle);
+}
+
+static void
+fill_ledger (struct ledger_endpoint *ledger, const struct wire_process *peer)
+{
+  g_strlcpy (ledger->name, peer->host, sizeof ledger->name);
+  g_strlcpy (ledger->availability_zone, peer->availability_zone,
+             sizeof ledger->availability_zone);
+  g_strlcpy (ledger->region, peer->region, sizeof ledger->region);
+  g_strlcpy (ledger->address, peer->address, sizeof ledger->address);
+  ledger->port = (uint16_t)peer->rpc_port;
+}
+
+static void
+take_peers (struct control_session_user *user,
+            const struct wire_process *peers, uint32_t count)
+{
+  struct router_session *session = (struct router_session *)user;
+  struct ledger_endpoint *ledgers
+      = g_new0 (struct ledger_endpoint, LEDGERS_MAX);
+  uint32_t found = 0;
+  for (uint32_t i = 0; i < count && found < LEDGERS_MAX; i++)
+    if (peers[i].kind == WIRE_PROCESS_LEDGER)
+      fill_ledger (&ledgers[found++], &peers[i]);
+  if (!session->fixed_ledgers)
+    ledger_client_set_ledgers (session->router->ledger, ledgers, found);
+  g_free (ledgers);
+}
+
+void
+router_session_init (struct router_session *session, struct router *router)
+{
+  session->user.bundle = take_bundle;
+  session->user.peers = take_peers;
+  session->router = router;
+  session->fixed_ledgers = false;
+}
+
+void
+router_session_fix_ledgers (struct router_session *session,
+                            const char *const *endpoints)
+{
+  const struct router_identity *identity = &session->router->identity;
+  struct ledger_endpoint *ledgers
+      = g_new0 (struct ledger_endpoint, LEDGERS_MAX);
+  uint32_t count = 0;
+  for (; count < LEDGERS_MAX && endpoints[count]; count++)
+    {
+      struct ledger_endpoint *ledger = &ledgers[count];
+      g_strlcpy (ledger->name, endpoints[count], sizeof ledger->name);
+      g_strlcpy (ledger->availability_zone, identity->availability_zone,
+                 sizeof ledger->availability_zone);
+      g_strlcpy (ledger->region, identity->region, sizeof ledger->region);
+      base_endpoint_split (endpoints[count], ledger->address, &ledger->port);
+    }
+  session->fixed_ledgers = true;
+  ledger_client_set_ledgers (session->router->ledger, ledgers, count);
+  g_free (ledgers);
+}
--- /dev/null
+++ b/src/router_steps.c
@@ -0,0 +1,135 @@
+#include "router_steps.h"
+
+#include "router.h"
+#include "router_begin.h"
+#include "router_finish.h"
+#include "router_ledger.h"
+#include "router_relay.h"
+#include "router_serve.h"
+
+#define CALLER_CHECK_MS 250
+#define SETTLE_WAIT_MS 2000
+
+static void
+take_ledger_answers (struct router_request *request)
+{
+  if (router_ledger_take (&request->reserve)
+      && request->step == ROUTER_STEP_RESERVING)
+    router_begin_reserved (request);
+  if (router_ledger_take (&request->extend)
+      && request->step == ROUTER_STEP_SENDING)
+    router_relay_granted (request);
+  if (router_ledger_take (&request->settle)
+      && request->step == ROUTER_STEP_SETTLING)
+    router_finish_deliver (request);
+}
+
+/* A caller that leaves ends its request, but a claimed call that is under way
+   goes on, so that its outcome is known. */
+static void
+take_left (struct router_request *request)
+{
+  request->left = true;
+  switch (request->step)
+    {
+    case ROUTER_STEP_QUEUED:
+      router_finish_claim (request, true, false);
+      router_ledger_release (request);
+      router_finish_close (request);
+      break;
+    case ROUTER_STEP_SENDING:
+      if (!request->idempotent)
+        break;
+      if (request->relay.started)
+        router_ledger_settle (request, request->relay.delivered_tokens);
+      else
+        router_ledger_release (request);
+      router_finish_close (request);
+      break;
+    case ROUTER_STEP_NEW:
+    case ROUTER_STEP_RESERVING:
+    case ROUTER_STEP_CLAIMING:
+    case ROUTER_STEP_SETTLING:
+    case ROUTER_STEP_ANSWERED:
+      break;
+    }
+}
+
+static void
+take_queue_events (struct router_request *request, uint32_t events)
+{
+  if (request->step != ROUTER_STEP_QUEUED)
+    return;
+  if (events & ROUTER_EVENT_ADMITTED)
+    router_serve_send (request);
+  else if (events & ROUTER_EVENT_NO_TARGET)
+    router_serve_no_target (request);
+  else if (events & ROUTER_EVENT_EXPIRED)
+    router_finish_refuse (request, ROUTER_REFUSAL_QUEUE_TIMEOUT, 0,
+                          "no target became free in time");
+}
+
+void
+router_steps_handle (struct router_request *request, uint32_t events)
+{
+  if (events & ROUTER_EVENT_START)
+    router_begin (request);
+  if (events & ROUTER_EVENT_LEFT)
+    take_left (request);
+  if (events & ROUTER_EVENT_LEDGER)
+    take_ledger_answers (request);
+  if ((events & ROUTER_EVENT_CLAIM) && request->step == ROUTER_STEP_CLAIMING)
+    router_serve_claimed (request);
+  take_queue_events (request, events);
+  if ((events & ROUTER_EVENT_ROOM) && request->step == ROUTER_STEP_SENDING)
+    router_relay_room (request);
+}
+
+static void
+end_by_deadline (struct router_request *request)
+{
+  if (request->step == ROUTER_STEP_QUEUED)
+    router_finish_refuse (request, ROUTER_REFUSAL_QUEUE_TIMEOUT, 0,
+                          "no target became free in time");
+  else if (request->step == ROUTER_STEP_SENDING)
+    router_relay_cut (request, ROUTER_REFUSAL_DEADLINE,
+                      "the deadline of the class passed");
+}
+
+/* A target that is alive but slow. */
+static void
+check_target (struct router_request *request, uint64_t now_ms)
+{
+  uint32_t first_ms = request->request_class->first_token_ms;
+  uint32_t stall_ms = request->router->options.stall_ms;
+  uint64_t heard_ms = router_attempt_heard_ms (request->attempt);
+  if (!request->body.stream)
+    return;
+  if (heard_ms == 0 && first_ms > 0 && now_ms > request->sent_ms + first_ms)
+    router_serve_abandon (request, "the target's first token is late");
+  else if (heard_ms > 0 && now_ms > heard_ms + stall_ms
+           && request->relay.held->len == 0 && !request->relay.full)
+    router_serve_abandon (request, "the target stopped in its answer");
+}
+
+void
+router_steps_sweep (struct router_request *request, uint64_t now_ms)
+{
+  if (now_ms >= request->checked_ms + CALLER_CHECK_MS)
+    {
+      request->checked_ms = now_ms;
+      if (!request->left && router_stream_caller_left (&request->stream))
+        {
+          take_left (request);
+          return;
+        }
+    }
+  if (request->deadline_ms > 0 && now_ms >= request->deadline_ms
+      && request->step != ROUTER_STEP_SETTLING)
+    end_by_deadline (request);
+  else if (request->step == ROUTER_STEP_SENDING && request->attempt)
+    check_target (request, now_ms);
+  else if (request->step == ROUTER_STEP_SETTLING
+           && now_ms >= request->settling_ms + SETTLE_WAIT_MS)
+    router_finish_deliver (request);
+}
--- /dev/null
+++ b/src/router_steps.h
@@ -0,0 +1,16 @@
+#ifndef ROUTER_STEPS_H
+#define ROUTER_STEPS_H
+
+/** @file
+ *  Steps of a request by event and time, on its worker's thread. */
+
+#include <stdint.h>
+
+#include "router_request.h"
+
+/** Handles a set of events (enum router_event). */
+void router_steps_handle (struct router_request *request, uint32_t events);
+/** Checks deadlines, and whether the caller is still there. */
+void router_steps_sweep (struct router_request *request, uint64_t now_ms);
+
+#endif
--- a/tools/target_announcer.c
+++ b/tools/target_announcer.c
@@ -5,7 +5,9 @@
 #include <curl/curl.h>
 #include <jansson.h>
 
+#include "base_address_map.h"
 #include "base_clock.h"
+#include "base_settings.h"
 #include "cactus_config.h"
 
 #define ANNOUNCE_TIMEOUT_MS 1000L
@@ -56,7 +58,13 @@
 static void
 announce (const char *router, const char *text)
 {
-  char *url = g_strdup_printf ("http://%s/targets/announce", router);
+  char address[16];
+  char mapped[16];
+  uint16_t port;
+  base_endpoint_split (router, address, &port);
+  base_address_map (address, mapped);
+  char *url = g_strdup_printf ("http://%s:%u/targets/announce", mapped,
+                               (unsigned)port);
   CURL *easy = curl_easy_init ();
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_POSTFIELDS, text);
--- a/tools/target_main.c
+++ b/tools/target_main.c
@@ -15,6 +15,7 @@
 
 #define LEAVE_POLL_US 20000
 #define LEAVE_MIN_POLLS 25
+#define ORACLE_INTERVAL_NS 200000000L
 
 struct target_settings
 {
@@ -25,6 +26,7 @@
   char *http;
   char **routers;
   char *ready_file;
+  char *oracle_file;
   uint64_t slots;
   uint64_t queue_limit;
   uint64_t first_token_ms;
@@ -52,6 +54,8 @@
     "Routers to announce to" },
   { "ready-file", BASE_SETTING_STRING, &settings.ready_file, NULL, false, 0, 0,
     "File to write the ports to" },
+  { "oracle-file", BASE_SETTING_STRING, &settings.oracle_file, NULL, false, 0,
+    0, "File that the served runs are written to" },
   { "slots", BASE_SETTING_NUMBER, &settings.slots, "16", false, 1, 100000,
     "Requests served at once" },
   { "queue-limit", BASE_SETTING_NUMBER, &settings.queue_limit, "64", false, 0,
@@ -71,15 +75,17 @@
   { 0 }
 };
 
+/* Waits for a signal and keeps the file of runs fresh meanwhile. */
 static void
-wait_for_stop (void)
+wait_for_stop (struct target_oracle *oracle)
 {
+  struct timespec wait = { .tv_nsec = ORACLE_INTERVAL_NS };
   sigset_t signals;
-  int number;
   sigemptyset (&signals);
   sigaddset (&signals, SIGTERM);
   sigaddset (&signals, SIGINT);
-  sigwait (&signals, &number);
+  while (sigtimedwait (&signals, NULL, &wait) < 0)
+    target_oracle_save (oracle, settings.oracle_file);
 }
 
 static void
@@ -108,7 +114,8 @@
 }
 
 static void
-serve (struct target_server *server, struct target_engine *engine)
+serve (struct target_server *server, struct target_engine *engine,
+       struct target_oracle *oracle)
 {
   static const char *const no_routers[] = { NULL };
   struct target_identity identity = { settings.target,
@@ -130,10 +137,11 @@
   http_ready_file_write (settings.ready_file, 0, identity.port);
   base_log (BASE_LOG_NOTICE, "target serves service=%s port=%u",
             settings.service, identity.port);
-  wait_for_stop ();
+  wait_for_stop (oracle);
   base_log (BASE_LOG_NOTICE, "target leaves");
   target_announcer_leave (announcer);
   finish_work (engine);
+  target_oracle_save (oracle, settings.oracle_file);
   target_announcer_destroy (announcer);
 }
 
@@ -159,7 +167,7 @@
       base_log (BASE_LOG_ERROR, "can't listen http=%s", settings.http);
       goto done;
     }
-  serve (server, engine);
+  serve (server, engine, oracle);
   target_server_destroy (server);
   status = EXIT_SUCCESS;
 done:
--- a/tools/target_oracle.c
+++ b/tools/target_oracle.c
@@ -1,8 +1,12 @@
 #include "target_oracle.h"
 
+#include <stdlib.h>
+
 #include <glib.h>
 #include <jansson.h>
 
+#include "base_log.h"
+
 struct oracle_run
 {
   char *key;
@@ -17,6 +21,8 @@
 {
   GMutex mutex;
   GHashTable *runs;
+  uint64_t changes;
+  uint64_t saved_changes;
 };
 
 static void
@@ -71,6 +77,7 @@
       g_hash_table_insert (oracle->runs, g_strdup (name), run);
     }
   uint32_t runs = ++run->runs;
+  oracle->changes++;
   g_mutex_unlock (&oracle->mutex);
   g_free (name);
   return runs;
@@ -83,6 +90,7 @@
   char *name = run_name (key, account);
   g_mutex_lock (&oracle->mutex);
   struct oracle_run *run = g_hash_table_lookup (oracle->runs, name);
+  oracle->changes++;
   if (run)
     {
       run->tokens += tokens;
@@ -116,3 +124,18 @@
   json_decref (list);
   return text;
 }
+
+void
+target_oracle_save (struct target_oracle *oracle, const char *path)
+{
+  g_mutex_lock (&oracle->mutex);
+  bool changed = oracle->changes != oracle->saved_changes;
+  oracle->saved_changes = oracle->changes;
+  g_mutex_unlock (&oracle->mutex);
+  if (!path || !changed)
+    return;
+  char *text = target_oracle_print (oracle);
+  if (!g_file_set_contents (path, text, -1, NULL))
+    base_log (BASE_LOG_WARNING, "oracle not written path=%s", path);
+  free (text);
+}
--- a/tools/target_oracle.h
+++ b/tools/target_oracle.h
@@ -23,5 +23,8 @@
  *  "complete","complete_runs"}, freed with free; complete says whether any
  *  run of the key was whole, complete_runs how many were. */
 char *target_oracle_print (struct target_oracle *oracle);
+/** Writes the same to @p path in one step where it changed since the last
+ *  time; NULL does nothing. */
+void target_oracle_save (struct target_oracle *oracle, const char *path);
 
 #endif
