Keep a frozen peer from holding up the serving loop

Cause: the library waits up to two seconds in each reply that a peer does not take, with all other calls waiting behind it, and leaves half a reply. Change: the listening socket's send buffer, inherited by connections, holds a whole reply of up to about 200 KB, so that sending never waits. Before (buffer of 16 KB): test_wire /wire/frozen-peer got no whole reply and ended by its time limit. Left: replies over that size (a whole bundle of thousands of accounts) need to be sent in pieces.

--- a/src/wire_server.c
+++ b/src/wire_server.c
@@ -17,6 +17,9 @@
 #include "cactus_config.h"
 
 #define LISTEN_BACKLOG 1024
+/* Send buffer of a connection, inherited from the listening socket: replies up
+   to about this size never wait for a peer that is frozen or cut off. */
+#define SEND_BUFFER_BYTES 212992
 #define PROGRAMS_MAX 8
 
 /* The library gives one dispatcher a program and no context, so the one
@@ -83,6 +86,7 @@
 listen_on (const char *address, uint16_t port)
 {
   int yes = 1;
+  int send_buffer = SEND_BUFFER_BYTES;
   struct sockaddr_in name
       = { .sin_family = AF_INET, .sin_port = htons (port) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -90,6 +94,7 @@
     return -1;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer);
   if (inet_pton (AF_INET, address, &name.sin_addr) != 1)
     errno = EINVAL;
   else if (bind (fd, (struct sockaddr *)&name, sizeof name) == 0
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "wire_client.h"
+#include "wire_control.h"
 #include "wire_ledger.h"
 #include "wire_server.h"
 
@@ -87,10 +88,14 @@
 static int
 connect_raw (uint16_t port, const char *bytes, size_t count)
 {
+  int few = 2048;
+  struct timeval limit = { .tv_sec = 30 };
   struct sockaddr_in name
       = { .sin_family = AF_INET, .sin_port = htons (port) };
   name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   int fd = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &few, sizeof few);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   g_assert_cmpint (connect (fd, (struct sockaddr *)&name, sizeof name), ==, 0);
   g_assert_cmpint (send (fd, bytes, count, 0), ==, (ssize_t)count);
   return fd;
@@ -123,6 +128,85 @@
   wire_server_destroy (server);
 }
 
+#define BIG_REPLY_BYTES 190000
+
+/* Answers a bills call with many bytes, and a budget call with few. */
+static void
+answer_by_size (struct wire_handler *handler, struct wire_call *call)
+{
+  (void)handler;
+  if (wire_call_procedure (call) == LEDGER_BILLS)
+    {
+      static char document[BIG_REPLY_BYTES];
+      char empty[1] = "";
+      struct control_bundle_result big = { .signer = empty };
+      big.answer.leader_address = empty;
+      big.answer.text = empty;
+      big.document.document_val = document;
+      big.document.document_len = sizeof document;
+      wire_call_reply (call, (xdrproc_t)xdr_control_bundle_result, &big);
+      return;
+    }
+  struct ledger_budget_args args = { 0 };
+  struct ledger_budget_result small = { 0 };
+  g_assert_true (
+      wire_call_args (call, (xdrproc_t)xdr_ledger_budget_args, &args));
+  small.free_tokens = args.budget_id;
+  wire_call_reply (call, (xdrproc_t)xdr_ledger_budget_result, &small);
+}
+
+static void
+call_budget (uint16_t port, uint64_t id)
+{
+  struct ledger_budget_args args = { id };
+  struct ledger_budget_result result;
+  struct wire_client *client
+      = wire_client_create ("127.0.0.1", port, LEDGER_PROGRAM, LEDGER_VERSION);
+  g_assert_cmpint (wire_client_call (client, LEDGER_BUDGET,
+                                     (xdrproc_t)xdr_ledger_budget_args, &args,
+                                     (xdrproc_t)xdr_ledger_budget_result,
+                                     &result, sizeof result, 60000),
+                   ==, WIRE_OK);
+  g_assert_cmpuint (result.free_tokens, ==, id);
+  wire_client_destroy (client);
+}
+
+/* A peer that takes no bytes holds up nobody, and gets its whole reply when
+   it reads at last: the server did not give it up. */
+static void
+test_frozen_peer (void)
+{
+  static const uint32_t words[]
+      = { 0x80000028, 7, 0, 2, LEDGER_PROGRAM, LEDGER_VERSION, LEDGER_BILLS,
+          0,          0, 0, 0 };
+  struct wire_program program = { LEDGER_PROGRAM, LEDGER_VERSION };
+  struct wire_handler handler = { .call = answer_by_size };
+  uint32_t call[G_N_ELEMENTS (words)];
+  for (size_t i = 0; i < G_N_ELEMENTS (words); i++)
+    call[i] = htonl (words[i]);
+  struct wire_server *server
+      = wire_server_create ("127.0.0.1", 0, &program, 1, &handler);
+  atomic_store (&stopping, false);
+  GThread *thread = g_thread_new ("server", serve, server);
+  uint16_t port = wire_server_port (server);
+  int frozen = connect_raw (port, (const char *)call, sizeof call);
+  call_budget (port, 1);
+  call_budget (port, 2);
+  size_t got = 0;
+  char buffer[16384];
+  while (got < BIG_REPLY_BYTES)
+    {
+      ssize_t bytes = recv (frozen, buffer, sizeof buffer, 0);
+      g_assert_cmpint (bytes, >, 0);
+      got += (size_t)bytes;
+    }
+  close (frozen);
+  atomic_store (&stopping, true);
+  wire_server_wake (server);
+  g_thread_join (thread);
+  wire_server_destroy (server);
+}
+
 static void
 test_unsent (void)
 {
@@ -143,6 +227,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/wire/calls", test_calls);
+  g_test_add_func ("/wire/frozen-peer", test_frozen_peer);
   g_test_add_func ("/wire/unsent", test_unsent);
   return g_test_run ();
 }
