--- /dev/null
+++ b/src/gossip_rounds.c
@@ -0,0 +1,265 @@
+#include "gossip_state.h"
+
+#include "cactus_config.h"
+#include "wire_client.h"
+#include "wire_gossip.h"
+
+#define PEERS_MAX 1024
+/* Deadlines of calls inside a zone and to other zones. */
+#define ZONE_TIMEOUT_MS 300
+#define RELAY_TIMEOUT_MS CACTUS_CALL_TIMEOUT_MS
+/* Time for which calls are refused after a standstill. */
+#define REFUSE_MS 1000
+#define ROUND_US (CACTUS_GOSSIP_INTERVAL_MS * 1000)
+
+static void
+client_free (gpointer data)
+{
+  wire_client_destroy (data);
+}
+
+static struct wire_client *
+client_of (struct gossip_caller *caller, const struct gossip_peer *peer)
+{
+  char key[32];
+  g_snprintf (key, sizeof key, "%s:%u", peer->address, peer->port);
+  struct wire_client *client = g_hash_table_lookup (caller->clients, key);
+  if (client)
+    return client;
+  client = wire_client_create (peer->address, peer->port, GOSSIP_PROGRAM,
+                               GOSSIP_VERSION);
+  g_hash_table_insert (caller->clients, g_strdup (key), client);
+  return client;
+}
+
+static void
+note_result (struct gossip *gossip, const struct gossip_peer *peer,
+             bool failed)
+{
+  uint64_t now_ms = base_clock_now_ms (gossip->clock);
+  base_counter_add (failed ? gossip->failures : gossip->calls, 1);
+  g_mutex_lock (&gossip->mutex);
+  gossip_peers_note (gossip->peers, peer->host, failed, now_ms);
+  g_mutex_unlock (&gossip->mutex);
+}
+
+static enum wire_status
+call_exchange (struct gossip_caller *caller, const struct gossip_peer *peer,
+               struct gossip_exchange_args *args,
+               struct gossip_exchange_result *result)
+{
+  enum wire_status status
+      = wire_client_call (client_of (caller, peer), GOSSIP_EXCHANGE,
+                          (xdrproc_t)xdr_gossip_exchange_args, args,
+                          (xdrproc_t)xdr_gossip_exchange_result, result,
+                          sizeof *result, caller->timeout_ms);
+  note_result (caller->gossip, peer, status != WIRE_OK);
+  return status;
+}
+
+/* Asks the peer for its bundle when that is newer than ours. */
+static void
+fetch_bundle (struct gossip_caller *caller, const struct gossip_peer *peer,
+              uint64_t peer_version)
+{
+  struct gossip *gossip = caller->gossip;
+  struct gossip_bundles *bundles = gossip->bundles;
+  uint64_t version = bundles ? bundles->version (bundles) : UINT64_MAX;
+  if (peer_version <= version)
+    return;
+  struct gossip_bundle_args args = { gossip->cluster, version };
+  struct gossip_bundle_result result;
+  enum wire_status status
+      = wire_client_call (client_of (caller, peer), GOSSIP_BUNDLE,
+                          (xdrproc_t)xdr_gossip_bundle_args, &args,
+                          (xdrproc_t)xdr_gossip_bundle_result, &result,
+                          sizeof result, CACTUS_CALL_TIMEOUT_MS);
+  if (status == WIRE_OK && result.bundle_version > version
+      && result.document.document_len > 0)
+    bundles->offer (bundles, result.document.document_val,
+                    result.document.document_len);
+  xdr_free ((xdrproc_t)xdr_gossip_bundle_result, (char *)&result);
+}
+
+/* Sends one call and takes its answer; true when @p repair is due. */
+static bool
+exchange_once (struct gossip_caller *caller, const struct gossip_peer *peer,
+               struct gossip_exchange_args *args,
+               struct gossip_exchange_args *repair)
+{
+  struct gossip *gossip = caller->gossip;
+  struct gossip_exchange_result result;
+  bool due = false;
+  uint64_t sent_ms = base_clock_now_ms (gossip->clock);
+  if (call_exchange (caller, peer, args, &result) == WIRE_OK)
+    {
+      uint64_t now_ms = base_clock_now_ms (gossip->clock);
+      due = gossip_core_take (gossip->core, peer, &result, sent_ms, now_ms,
+                              repair);
+      if (result.accepted)
+        fetch_bundle (caller, peer, result.bundle_version);
+    }
+  xdr_free ((xdrproc_t)xdr_gossip_exchange_result, (char *)&result);
+  return due;
+}
+
+static void
+exchange (struct gossip_caller *caller, const struct gossip_peer *peer)
+{
+  struct gossip *gossip = caller->gossip;
+  struct gossip_exchange_args args;
+  struct gossip_exchange_args repair;
+  struct gossip_exchange_args more;
+  gossip_core_offer (gossip->core, peer, base_clock_now_ms (gossip->clock),
+                     &args);
+  if (exchange_once (caller, peer, &args, &repair))
+    {
+      if (exchange_once (caller, peer, &repair, &more))
+        xdr_free ((xdrproc_t)xdr_gossip_exchange_args, (char *)&more);
+      xdr_free ((xdrproc_t)xdr_gossip_exchange_args, (char *)&repair);
+    }
+  xdr_free ((xdrproc_t)xdr_gossip_exchange_args, (char *)&args);
+}
+
+/* Notes that the rounds go on.  After a standstill, calls are refused for a
+   while, since the oldest may lie in the sockets. */
+static void
+tick (struct gossip *gossip)
+{
+  uint64_t now_ms = base_clock_now_ms (gossip->clock);
+  if (now_ms > atomic_load (&gossip->ticked_ms) + GOSSIP_FROZEN_MS)
+    {
+      base_counter_add (gossip->frozen, 1);
+      atomic_store (&gossip->refuse_until_ms, now_ms + REFUSE_MS);
+    }
+  atomic_store (&gossip->ticked_ms, now_ms);
+}
+
+/* Tells all of the zone of departures that targets told here. */
+static void
+tell_departures (struct gossip_caller *caller, struct gossip_peer *peers)
+{
+  struct gossip *gossip = caller->gossip;
+  struct gossip_exchange_args args;
+  uint64_t now_ms = base_clock_now_ms (gossip->clock);
+  if (!gossip_core_departures (gossip->core, now_ms, &args))
+    return;
+  g_mutex_lock (&gossip->mutex);
+  size_t count = gossip_peers_zone (gossip->peers, &gossip->random, now_ms,
+                                    peers, PEERS_MAX);
+  g_mutex_unlock (&gossip->mutex);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct gossip_exchange_result result;
+      call_exchange (caller, &peers[i], &args, &result);
+      xdr_free ((xdrproc_t)xdr_gossip_exchange_result, (char *)&result);
+      tick (gossip);
+    }
+  xdr_free ((xdrproc_t)xdr_gossip_exchange_args, (char *)&args);
+}
+
+/* Waits for the next round; false at the end.  A departure ends the wait of
+   the zone's thread without a new round. */
+static bool
+wait_round (struct gossip *gossip, gint64 until_us, bool for_departures)
+{
+  g_mutex_lock (&gossip->mutex);
+  while (!gossip->stopping && !(for_departures && gossip->departing)
+         && g_cond_wait_until (&gossip->wake, &gossip->mutex, until_us))
+    ;
+  bool going_on = !gossip->stopping;
+  if (for_departures)
+    gossip->departing = false;
+  g_mutex_unlock (&gossip->mutex);
+  return going_on;
+}
+
+static void
+zone_round (struct gossip_caller *caller, struct gossip_peer *peers)
+{
+  struct gossip *gossip = caller->gossip;
+  gossip_core_round (gossip->core);
+  g_mutex_lock (&gossip->mutex);
+  size_t count = gossip_peers_zone (gossip->peers, &gossip->random,
+                                    base_clock_now_ms (gossip->clock), peers,
+                                    GOSSIP_ZONE_FANOUT);
+  g_mutex_unlock (&gossip->mutex);
+  for (size_t i = 0; i < count; i++)
+    exchange (caller, &peers[i]);
+}
+
+static gpointer
+run_zone (gpointer data)
+{
+  struct gossip_caller *caller = data;
+  struct gossip_peer *peers = g_new (struct gossip_peer, PEERS_MAX);
+  gint64 next_us = g_get_monotonic_time ();
+  do
+    {
+      tick (caller->gossip);
+      tell_departures (caller, peers);
+      if (g_get_monotonic_time () >= next_us)
+        {
+          zone_round (caller, peers);
+          next_us = g_get_monotonic_time () + ROUND_US;
+        }
+    }
+  while (wait_round (caller->gossip, next_us, true));
+  g_free (peers);
+  return NULL;
+}
+
+static gpointer
+run_relay (gpointer data)
+{
+  struct gossip_caller *caller = data;
+  struct gossip *gossip = caller->gossip;
+  struct gossip_peer *peers = g_new (struct gossip_peer, PEERS_MAX);
+  do
+    {
+      g_mutex_lock (&gossip->mutex);
+      size_t count = gossip_peers_relay (gossip->peers, &gossip->random,
+                                         base_clock_now_ms (gossip->clock),
+                                         peers, PEERS_MAX);
+      g_mutex_unlock (&gossip->mutex);
+      for (size_t i = 0; i < count; i++)
+        exchange (caller, &peers[i]);
+    }
+  while (wait_round (gossip, g_get_monotonic_time () + ROUND_US, false));
+  g_free (peers);
+  return NULL;
+}
+
+static void
+start_caller (struct gossip *gossip, struct gossip_caller *caller,
+              const char *name, GThreadFunc run, uint32_t timeout_ms)
+{
+  caller->gossip = gossip;
+  caller->timeout_ms = timeout_ms;
+  caller->clients
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, client_free);
+  caller->thread = g_thread_new (name, run, caller);
+}
+
+static void
+end_caller (struct gossip_caller *caller)
+{
+  g_thread_join (caller->thread);
+  g_hash_table_destroy (caller->clients);
+}
+
+void
+gossip_rounds_start (struct gossip *gossip)
+{
+  start_caller (gossip, &gossip->zone, "gossip-zone", run_zone,
+                ZONE_TIMEOUT_MS);
+  start_caller (gossip, &gossip->relay, "gossip-relay", run_relay,
+                RELAY_TIMEOUT_MS);
+}
+
+void
+gossip_rounds_join (struct gossip *gossip)
+{
+  end_caller (&gossip->zone);
+  end_caller (&gossip->relay);
+}
--- /dev/null
+++ b/src/gossip_serve.c
@@ -0,0 +1,84 @@
+#include "gossip_shell.h"
+
+#include <string.h>
+
+#include "gossip_state.h"
+#include "wire_gossip.h"
+
+static bool
+frozen (struct gossip *gossip, uint64_t now_ms)
+{
+  return now_ms > atomic_load (&gossip->ticked_ms) + GOSSIP_FROZEN_MS
+         || now_ms < atomic_load (&gossip->refuse_until_ms);
+}
+
+static void
+handle_exchange (struct gossip *gossip, struct wire_call *call)
+{
+  struct gossip_exchange_args args = { 0 };
+  struct gossip_exchange_result result = { 0 };
+  uint64_t now_ms = base_clock_now_ms (gossip->clock);
+  if (!wire_call_args (call, (xdrproc_t)xdr_gossip_exchange_args, &args))
+    {
+      wire_call_fail (call);
+      goto out;
+    }
+  if (!frozen (gossip, now_ms))
+    gossip_core_answer (gossip->core, &args, now_ms, &result);
+  if (gossip->bundles)
+    result.bundle_version = gossip->bundles->version (gossip->bundles);
+  wire_call_reply (call, (xdrproc_t)xdr_gossip_exchange_result, &result);
+out:
+  xdr_free ((xdrproc_t)xdr_gossip_exchange_args, (char *)&args);
+  xdr_free ((xdrproc_t)xdr_gossip_exchange_result, (char *)&result);
+}
+
+/* Fills the result with the bundle in force when it is newer than asked. */
+static void
+fill_bundle (struct gossip *gossip, const struct gossip_bundle_args *args,
+             struct gossip_bundle_result *result)
+{
+  size_t bytes = 0;
+  if (!gossip->bundles || strcmp (args->cluster, gossip->cluster) != 0)
+    return;
+  result->bundle_version = gossip->bundles->version (gossip->bundles);
+  if (result->bundle_version <= args->have_version)
+    return;
+  result->document.document_val
+      = gossip->bundles->document (gossip->bundles, &bytes);
+  result->document.document_len = (u_int)bytes;
+}
+
+static void
+handle_bundle (struct gossip *gossip, struct wire_call *call)
+{
+  struct gossip_bundle_args args = { 0 };
+  struct gossip_bundle_result result = { 0 };
+  if (!wire_call_args (call, (xdrproc_t)xdr_gossip_bundle_args, &args))
+    {
+      wire_call_fail (call);
+      goto out;
+    }
+  fill_bundle (gossip, &args, &result);
+  wire_call_reply (call, (xdrproc_t)xdr_gossip_bundle_result, &result);
+out:
+  xdr_free ((xdrproc_t)xdr_gossip_bundle_args, (char *)&args);
+  xdr_free ((xdrproc_t)xdr_gossip_bundle_result, (char *)&result);
+}
+
+void
+gossip_handle_call (struct gossip *gossip, struct wire_call *call)
+{
+  switch (wire_call_procedure (call))
+    {
+    case GOSSIP_EXCHANGE:
+      handle_exchange (gossip, call);
+      break;
+    case GOSSIP_BUNDLE:
+      handle_bundle (gossip, call);
+      break;
+    default:
+      wire_call_fail (call);
+      break;
+    }
+}
--- a/src/registry.c
+++ b/src/registry.c
@@ -13,6 +13,10 @@
 
 /* Lapse times for which a leaving record is remembered. */
 #define LEAVING_LAPSES 20
+/* Least time between changes that are fresh reports alone, in ms. */
+#define REFRESH_MS 1000
+/* How much slower records of other zones change and lapse. */
+#define FOREIGN_PATIENCE 4
 
 /* A table that readers may still use. */
 struct retired_table
@@ -84,14 +88,32 @@
   g_free (registry);
 }
 
+void
+registry_set_home (struct registry *registry, const char *availability_zone)
+{
+  g_mutex_lock (&registry->mutex);
+  g_strlcpy (registry->home, availability_zone, sizeof registry->home);
+  g_mutex_unlock (&registry->mutex);
+}
+
+/* Factor by which a record may be older, for the way it comes. */
+static uint64_t
+patience (const struct registry *registry,
+          const struct registry_record *record)
+{
+  if (registry->home[0] == '\0'
+      || strcmp (registry->home, record->availability_zone) == 0)
+    return 1;
+  return FOREIGN_PATIENCE;
+}
+
 static uint64_t
 lapse_at (const struct registry *registry,
           const struct registry_record *record)
 {
-  uint64_t life_ms = registry->lapse_ms;
-  if (record->leaving)
-    life_ms *= LEAVING_LAPSES;
-  return record->heard_ms + life_ms;
+  uint64_t lapses
+      = record->leaving ? LEAVING_LAPSES : patience (registry, record);
+  return record->heard_ms + lapses * registry->lapse_ms;
 }
 
 static void
@@ -194,7 +216,24 @@
     g_hash_table_remove (registry->by_identity, &entry->identity);
 }
 
-/* Puts the entry under its service, its identity and the newest change. */
+/* Gives the entry the newest change number, unless it differs from its last
+   change by a fresh report alone. */
+static void
+note_change (struct registry *registry, struct registry_entry *entry,
+             bool identity_changed)
+{
+  uint64_t refresh_ms = REFRESH_MS * patience (registry, &entry->record);
+  if (!identity_changed
+      && entry->record.heard_ms < entry->changed_heard_ms + refresh_ms)
+    return;
+  if (entry->change != 0)
+    g_queue_unlink (&registry->by_change, &entry->link);
+  entry->change = ++registry->change;
+  entry->changed_heard_ms = entry->record.heard_ms;
+  g_queue_push_tail_link (&registry->by_change, &entry->link);
+}
+
+/* Puts the entry under its service and its identity. */
 static void
 index_entry (struct registry *registry, struct registry_entry *entry)
 {
@@ -207,16 +246,14 @@
     }
   entry->service->dirty = true;
   uint64_t identity = registry_identity (&entry->record);
-  if (identity != entry->identity)
+  bool identity_changed = identity != entry->identity;
+  if (identity_changed)
     {
       forget_identity (registry, entry);
       entry->identity = identity;
       g_hash_table_replace (registry->by_identity, &entry->identity, entry);
     }
-  if (entry->change != 0)
-    g_queue_unlink (&registry->by_change, &entry->link);
-  entry->change = ++registry->change;
-  g_queue_push_tail_link (&registry->by_change, &entry->link);
+  note_change (registry, entry, identity_changed);
 }
 
 static struct registry_entry *
--- a/src/registry.h
+++ b/src/registry.h
@@ -102,6 +102,10 @@
 
 /** Makes an empty registry; records lapse @p lapse_ms after heard_ms. */
 struct registry *registry_create (uint32_t lapse_ms);
+/** Names the own availability zone.  Records of other zones, which come by
+ *  relays, count as changed and lapse four times as slowly. */
+void registry_set_home (struct registry *registry,
+                        const char *availability_zone);
 /** Frees it; no reader may be registered any more. */
 void registry_destroy (struct registry *registry);
 
@@ -124,8 +128,9 @@
 /** Number of records of targets that aren't leaving. */
 size_t registry_count (struct registry *registry);
 /** Copies up to @p limit records that changed after change number
- *  @p after, for gossip; sets @p after to the newest number given.  Each
- *  record's heard_ms is as stored.  Number copied. */
+ *  @p after, for gossip; fresh reports of a target that is otherwise the same
+ *  count as a change once a second; sets @p after to the newest number given.
+ * Each record's heard_ms is as stored.  Number copied. */
 size_t registry_changes (struct registry *registry, uint64_t *after,
                          struct registry_record *records, size_t limit);
 /** Copies up to @p limit records from position @p start on (wrapping), for
@@ -133,6 +138,8 @@
 size_t registry_slice (struct registry *registry, size_t start,
                        struct registry_record *records, size_t limit);
 
+/** Number of services that have records. */
+size_t registry_service_count (struct registry *registry);
 /** Number of the newest change. */
 uint64_t registry_change_number (struct registry *registry);
 /** Hash of what a target's reports leave unchanged: names, place, address,
--- a/src/registry_query.c
+++ b/src/registry_query.c
@@ -30,6 +30,15 @@
   return live;
 }
 
+size_t
+registry_service_count (struct registry *registry)
+{
+  g_mutex_lock (&registry->mutex);
+  size_t count = g_hash_table_size (registry->services);
+  g_mutex_unlock (&registry->mutex);
+  return count;
+}
+
 uint64_t
 registry_change_number (struct registry *registry)
 {
--- a/src/registry_state.h
+++ b/src/registry_state.h
@@ -18,6 +18,8 @@
   struct registry_record record;
   uint64_t identity;
   uint64_t change;
+  /** heard_ms of the record at that change. */
+  uint64_t changed_heard_ms;
   /** Position in the registry's array. */
   guint index;
   struct registry_load *load;
@@ -46,6 +48,8 @@
 struct registry
 {
   uint32_t lapse_ms;
+  /** The own availability zone; empty: all are. */
+  char home[CACTUS_NAME_BYTES + 1];
   GMutex mutex;
   ck_epoch_t epoch;
   /** Record of whichever thread writes; under the mutex. */
--- a/src/wire_gossip.h
+++ b/src/wire_gossip.h
@@ -16,6 +16,7 @@
 
 #include "wire_common.h"
 #define GOSSIP_RECORDS_MAX 1024
+#define GOSSIP_LOADS_MAX 4096
 #define GOSSIP_DOCUMENT_BYTES 8388608
 
 struct gossip_target {
@@ -36,25 +37,31 @@
 };
 typedef struct gossip_target gossip_target;
 
-struct gossip_digest {
-	u_quad_t target_hash;
-	u_quad_t incarnation;
-	u_quad_t sequence;
-	bool_t leaving;
+struct gossip_load {
+	u_quad_t identity;
+	u_int sequence;
+	u_int report;
 };
-typedef struct gossip_digest gossip_digest;
+typedef struct gossip_load gossip_load;
 
 struct gossip_exchange_args {
-	wire_name cluster;
-	wire_process router;
+	u_quad_t cluster_hash;
+	wire_name host;
+	wire_name availability_zone;
+	wire_name region;
+	bool_t repair;
 	struct {
 		u_int records_len;
 		gossip_target *records_val;
 	} records;
 	struct {
-		u_int digests_len;
-		gossip_digest *digests_val;
-	} digests;
+		u_int loads_len;
+		gossip_load *loads_val;
+	} loads;
+	struct {
+		u_int wanted_len;
+		u_quad_t *wanted_val;
+	} wanted;
 };
 typedef struct gossip_exchange_args gossip_exchange_args;
 
@@ -65,6 +72,10 @@
 		u_int records_len;
 		gossip_target *records_val;
 	} records;
+	struct {
+		u_int loads_len;
+		gossip_load *loads_val;
+	} loads;
 	struct {
 		u_int wanted_len;
 		u_quad_t *wanted_val;
@@ -113,7 +124,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_gossip_target (XDR *, gossip_target*);
-extern  bool_t xdr_gossip_digest (XDR *, gossip_digest*);
+extern  bool_t xdr_gossip_load (XDR *, gossip_load*);
 extern  bool_t xdr_gossip_exchange_args (XDR *, gossip_exchange_args*);
 extern  bool_t xdr_gossip_exchange_result (XDR *, gossip_exchange_result*);
 extern  bool_t xdr_gossip_bundle_args (XDR *, gossip_bundle_args*);
@@ -121,7 +132,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_gossip_target ();
-extern bool_t xdr_gossip_digest ();
+extern bool_t xdr_gossip_load ();
 extern bool_t xdr_gossip_exchange_args ();
 extern bool_t xdr_gossip_exchange_result ();
 extern bool_t xdr_gossip_bundle_args ();
--- a/src/wire_gossip.x
+++ b/src/wire_gossip.x
@@ -2,6 +2,7 @@
 %#include "wire_common.h"
 
 const GOSSIP_RECORDS_MAX = 1024;
+const GOSSIP_LOADS_MAX = 4096;
 const GOSSIP_DOCUMENT_BYTES = 8388608;
 
 /* One target as last heard.  (incarnation, sequence) orders records of one
@@ -24,22 +25,31 @@
   unsigned int weight;
 };
 
-struct gossip_digest
+/* What changes with each report of a target whose names, place and slots the
+   other side knows already; identity is the hash of those. */
+struct gossip_load
 {
-  unsigned hyper target_hash;
-  unsigned hyper incarnation;
-  unsigned hyper sequence;
-  bool leaving;
+  unsigned hyper identity;
+  unsigned int sequence;
+  /* age in units of 4 ms << 20 | running << 10 | queued; what doesn't fit
+     goes as a whole record */
+  unsigned int report;
 };
 
-/* Push-pull: the caller sends what it has newer than last sent to this peer
-   and digests of a slice of the rest; the answer brings what is newer. */
+/* Push-pull: the caller sends the loads that changed lately and a slice of the
+   rest; the answer brings those that are newer on the other side.  Either side
+   names the identities that it wants as whole records; a second call (repair)
+   carries them at once. */
 struct gossip_exchange_args
 {
-  wire_name cluster;
-  wire_process router;
+  unsigned hyper cluster_hash;
+  wire_name host;
+  wire_name availability_zone;
+  wire_name region;
+  bool repair;
   gossip_target records<GOSSIP_RECORDS_MAX>;
-  gossip_digest digests<GOSSIP_RECORDS_MAX>;
+  gossip_load loads<GOSSIP_LOADS_MAX>;
+  unsigned hyper wanted<GOSSIP_LOADS_MAX>;
 };
 
 struct gossip_exchange_result
@@ -47,8 +57,8 @@
   bool accepted;
   unsigned hyper bundle_version;
   gossip_target records<GOSSIP_RECORDS_MAX>;
-  /* Hashes of the digests that the answering side wants whole. */
-  unsigned hyper wanted<GOSSIP_RECORDS_MAX>;
+  gossip_load loads<GOSSIP_LOADS_MAX>;
+  unsigned hyper wanted<GOSSIP_LOADS_MAX>;
 };
 
 struct gossip_bundle_args
--- a/src/wire_gossip_xdr.c
+++ b/src/wire_gossip_xdr.c
@@ -126,17 +126,15 @@
 }
 
 bool_t
-xdr_gossip_digest (XDR *xdrs, gossip_digest *objp)
+xdr_gossip_load (XDR *xdrs, gossip_load *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->target_hash))
+	 if (!xdr_u_quad_t (xdrs, &objp->identity))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+	 if (!xdr_u_int (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->leaving))
+	 if (!xdr_u_int (xdrs, &objp->report))
 		 return FALSE;
 	return TRUE;
 }
@@ -146,15 +144,24 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_wire_name (xdrs, &objp->cluster))
+	 if (!xdr_u_quad_t (xdrs, &objp->cluster_hash))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->host))
 		 return FALSE;
-	 if (!xdr_wire_process (xdrs, &objp->router))
+	 if (!xdr_wire_name (xdrs, &objp->availability_zone))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->region))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->repair))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, GOSSIP_RECORDS_MAX,
 		sizeof (gossip_target), (xdrproc_t) xdr_gossip_target))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->digests.digests_val, (u_int *) &objp->digests.digests_len, GOSSIP_RECORDS_MAX,
-		sizeof (gossip_digest), (xdrproc_t) xdr_gossip_digest))
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, GOSSIP_LOADS_MAX,
+		sizeof (gossip_load), (xdrproc_t) xdr_gossip_load))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->wanted.wanted_val, (u_int *) &objp->wanted.wanted_len, GOSSIP_LOADS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
 	return TRUE;
 }
@@ -171,7 +178,10 @@
 	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, GOSSIP_RECORDS_MAX,
 		sizeof (gossip_target), (xdrproc_t) xdr_gossip_target))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->wanted.wanted_val, (u_int *) &objp->wanted.wanted_len, GOSSIP_RECORDS_MAX,
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, GOSSIP_LOADS_MAX,
+		sizeof (gossip_load), (xdrproc_t) xdr_gossip_load))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->wanted.wanted_val, (u_int *) &objp->wanted.wanted_len, GOSSIP_LOADS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
 	return TRUE;
