--- a/src/ctl_budget.c
+++ b/src/ctl_budget.c
@@ -9,7 +9,7 @@
 #include <sodium.h>
 
 #include "base_hash.h"
-#include "ctl_command.h"
+#include "ctl_accepted.h"
 #include "ctl_table.h"
 
 #define ID_BYTES 16
@@ -54,6 +54,22 @@
             id, (uint64_t)result->topped_up_tokens);
 }
 
+/* Tokens of an account that is not there could never be spent. */
+static enum ctl_exit
+check_account (struct ctl_context *context)
+{
+  struct bundle *bundle = NULL;
+  const char *name = context->arguments[1];
+  enum ctl_exit code = ctl_accepted_bundle (context, &bundle);
+  if (code == CTL_DONE && !bundle_account (bundle, name))
+    code = ctl_fail (CTL_REFUSED,
+                     "the accepted bundle has no account \"%s\"; push a "
+                     "version that has it first",
+                     name);
+  bundle_unref (bundle);
+  return code;
+}
+
 enum ctl_exit
 ctl_budget_top_up (struct ctl_context *context)
 {
@@ -63,6 +79,9 @@
   uint64_t tokens;
   if (!read_tokens (context->arguments[2], &tokens))
     return CTL_USAGE;
+  enum ctl_exit code = check_account (context);
+  if (code != CTL_DONE)
+    return code;
   char *id = choose_id (context);
   args.cluster = context->options.cluster;
   args.top_up_id = id;
@@ -72,9 +91,9 @@
   args.account = context->arguments[1];
   args.budget = context->options.budget;
   args.tokens = tokens;
-  enum ctl_exit code = ctl_call (
-      context, CONTROL_TOP_UP, (xdrproc_t)xdr_control_top_up_args, &args,
-      (xdrproc_t)xdr_control_top_up_result, &result, sizeof result);
+  code = ctl_call (context, CONTROL_TOP_UP, (xdrproc_t)xdr_control_top_up_args,
+                   &args, (xdrproc_t)xdr_control_top_up_result, &result,
+                   sizeof result);
   if (code == CTL_DONE)
     print_topped_up (context, id, &result);
   else if (code == CTL_UNREACHABLE && !context->options.id)
@@ -94,12 +113,15 @@
           "free_tokens",    "reserved_tokens",
           "spent_tokens",   "written_off_tokens",
           "reported_at_ms", NULL };
+  char incarnation[17];
   struct ctl_table *table = ctl_table_create (columns);
   for (u_int i = 0; i < result->shares.shares_len; i++)
     {
       const struct control_share *share = &result->shares.shares_val[i];
       ctl_table_text (table, share->ledger);
-      ctl_table_number (table, share->incarnation);
+      g_snprintf (incarnation, sizeof incarnation, "%016lx",
+                  (unsigned long)share->incarnation);
+      ctl_table_text (table, incarnation);
       ctl_table_number (table, share->granted_tokens);
       ctl_table_number (table, share->returned_tokens);
       ctl_table_number (table, share->free_tokens);
--- a/src/ctl_status.c
+++ b/src/ctl_status.c
@@ -5,21 +5,35 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base_settings.h"
 #include "ctl_cluster.h"
 #include "ctl_table.h"
 
-static const char *
-member_role (const struct control_status_result *status)
+/* The member at @p endpoint as the status lists it, or NULL. */
+static const struct control_member *
+find_member (const struct control_status_result *status, const char *endpoint)
 {
-  if (status->leader)
-    return "leader";
+  char address[16];
+  uint16_t port = 0;
+  base_endpoint_split (endpoint, address, &port);
   for (u_int i = 0; i < status->members.members_len; i++)
     {
       const struct control_member *member = &status->members.members_val[i];
-      if (strcmp (member->name, status->member) == 0)
-        return member->voter ? "voter" : "learner";
+      if (member->port == port && strcmp (member->address, address) == 0)
+        return member;
     }
-  return "not a member";
+  return NULL;
+}
+
+static const char *
+member_role (const struct control_status_result *status,
+             const struct control_member *member)
+{
+  if (status->leader)
+    return "leader";
+  if (!member)
+    return "not a member";
+  return member->voter ? "voter" : "learner";
 }
 
 static void
@@ -28,9 +42,12 @@
             const struct control_status_result *status)
 {
   bool answered = outcome == WIRE_OK && status->answer.status == CONTROL_OK;
+  const struct control_member *member = find_member (status, endpoint);
   ctl_table_text (table, endpoint);
   ctl_table_text (table, answered ? status->member : "");
-  ctl_table_text (table, answered ? member_role (status) : "no answer");
+  ctl_table_text (table, member ? member->name : "");
+  ctl_table_text (table,
+                  answered ? member_role (status, member) : "no answer");
   ctl_table_number (table, status->term);
   ctl_table_number (table, status->commit_index);
   ctl_table_number (table, status->applied_index);
@@ -94,10 +111,10 @@
 enum ctl_exit
 ctl_status (struct ctl_context *context)
 {
-  static const char *const member_columns[]
-      = { "endpoint",   "member",         "role",
-          "term",       "commit_index",   "applied_index",
-          "last_index", "bundle_version", NULL };
+  static const char *const member_columns[] = {
+    "endpoint",     "host",          "member",     "role",           "term",
+    "commit_index", "applied_index", "last_index", "bundle_version", NULL
+  };
   static const char *const process_columns[]
       = { "kind",     "host",      "availability_zone", "region", "address",
           "rpc_port", "http_port", "bundle_version",    NULL };
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -192,6 +192,10 @@
   struct session session;
   start (&session, 0);
   run (&session, "budget top-up mar 1000 --id first");
+  write_document (&session, "one.json", 1, 1);
+  run (&session, "bundle push one.json --operator ana --key-file ana.key");
+  run (&session, "budget top-up sol 1000 --id first");
+  run (&session, "budget top-up mar 1000 --id first");
   run (&session, "budget top-up mar 1000 --id first");
   run (&session, "budget top-up mar 500 --id second --json");
   run (&session, "budget top-up mar -5");
