--- a/src/base_metrics.c
+++ b/src/base_metrics.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <math.h>
 #include <stdatomic.h>
+#include <string.h>
 
 /* Buckets: values below 16 exactly, then 16 for each power of two. */
 #define LINEAR_BITS 4
@@ -95,6 +96,19 @@
   g_free (metrics);
 }
 
+/* Where a metric goes, so that all of a name are printed as one group. */
+static gint
+place_of (const struct base_metrics *metrics, const char *name)
+{
+  for (guint i = metrics->list->len; i-- > 0;)
+    {
+      const struct metric *metric = metrics->list->pdata[i];
+      if (strcmp (metric->name, name) == 0)
+        return (gint)i + 1;
+    }
+  return (gint)metrics->list->len;
+}
+
 static void *
 find_or_add (struct base_metrics *metrics, const char *name,
              const char *labels, enum metric_kind kind, size_t bytes)
@@ -113,7 +127,7 @@
       metric->labels = g_strdup (labels);
       metric->kind = kind;
       metric->value = g_malloc0 (bytes);
-      g_ptr_array_add (metrics->list, metric);
+      g_ptr_array_insert (metrics->list, place_of (metrics, name), metric);
       g_hash_table_insert (metrics->by_name, key, metric);
     }
   g_mutex_unlock (&metrics->mutex);
--- a/src/base_settings.c
+++ b/src/base_settings.c
@@ -41,7 +41,7 @@
     return -1;
   char *end = NULL;
   unsigned long number = strtoul (colon + 1, &end, 10);
-  if (end == colon + 1 || *end || number > UINT16_MAX)
+  if (!g_ascii_isdigit (colon[1]) || *end || number > UINT16_MAX)
     return -1;
   *port = (uint16_t)number;
   return 0;
@@ -53,7 +53,7 @@
 {
   char *end = NULL;
   uint64_t number = strtoull (text, &end, 10);
-  if (end == text || *end || *text == '-')
+  if (!g_ascii_isdigit (*text) || *end)
     base_findings_add (findings, place, "\"%s\" is not a whole number", text);
   else if (number < setting->minimum || number > setting->maximum)
     base_findings_add (findings, place,
