--- a/tools/capacity_slopes.c
+++ b/tools/capacity_slopes.c
@@ -30,12 +30,16 @@
 }
 
 static struct slope_entry *
-find_entry (const struct capacity_slopes *slopes, const char *name)
+find_entry (const struct capacity_slopes *slopes, const char *name,
+            const char *sizes, bool whole)
 {
   for (guint i = 0; i < slopes->entries->len; i++)
     {
       struct slope_entry *entry = slopes->entries->pdata[i];
-      if (strcmp (entry->slope.name, name) == 0)
+      if (strcmp (entry->slope.name, name) != 0)
+        continue;
+      if (whole ? strcmp (entry->slope.sizes, sizes) == 0
+                : strstr (entry->slope.sizes, sizes) != NULL)
         return entry;
     }
   return NULL;
@@ -48,7 +52,8 @@
   json_t *member = json_object_get (line, name);
   if (json_is_string (member))
     return g_strdup (json_string_value (member));
-  char *dumped = member ? json_dumps (member, JSON_ENCODE_ANY) : NULL;
+  char *dumped
+      = member ? json_dumps (member, JSON_ENCODE_ANY | JSON_COMPACT) : NULL;
   char *text = g_strdup (dumped ? dumped : "");
   free (dumped);
   return text;
@@ -67,18 +72,20 @@
       base_findings_add (findings, place, "slope %s has no number", name);
       return;
     }
-  struct slope_entry *entry = find_entry (slopes, name);
+  char *sizes = member_text (line, "sizes");
+  struct slope_entry *entry = find_entry (slopes, name, sizes, true);
   if (!entry)
     {
       entry = g_new0 (struct slope_entry, 1);
       entry->slope.name = g_strdup (name);
       entry->slope.unit = member_text (line, "unit");
-      entry->slope.sizes = member_text (line, "sizes");
+      entry->slope.sizes = g_strdup (sizes);
       entry->values = g_array_new (FALSE, FALSE, sizeof (double));
       g_ptr_array_add (slopes->entries, entry);
     }
   double number = json_number_value (value);
   g_array_append_val (entry->values, number);
+  g_free (sizes);
 }
 
 static gint
@@ -138,9 +145,10 @@
 }
 
 const struct capacity_slope *
-capacity_slopes_find (const struct capacity_slopes *slopes, const char *name)
+capacity_slopes_find (const struct capacity_slopes *slopes, const char *name,
+                      const char *sizes)
 {
-  struct slope_entry *entry = find_entry (slopes, name);
+  struct slope_entry *entry = find_entry (slopes, name, sizes, false);
   return entry ? &entry->slope : NULL;
 }
 
--- a/tools/capacity_slopes.h
+++ b/tools/capacity_slopes.h
@@ -31,9 +31,11 @@
                                               struct base_findings *findings);
 /** Frees them. */
 void capacity_slopes_destroy (struct capacity_slopes *slopes);
-/** Slope of that name, or NULL when it was not measured. */
+/** Slope of that name measured at sizes whose text contains @p sizes ("" for
+ *  any), the first one; NULL when it was not measured. */
 const struct capacity_slope *
-capacity_slopes_find (const struct capacity_slopes *slopes, const char *name);
+capacity_slopes_find (const struct capacity_slopes *slopes, const char *name,
+                      const char *sizes);
 /** Slope at @p index in order of first measurement, or NULL past the last. */
 const struct capacity_slope *
 capacity_slopes_at (const struct capacity_slopes *slopes, uint32_t index);
