--- a/src/ledger_server.c
+++ b/src/ledger_server.c
@@ -374,6 +374,8 @@
   server->base.round = end_round;
   server->options = *options;
   server->pending = g_array_new (FALSE, FALSE, sizeof (struct pending_batch));
+  /* Until an exchange fails, a refusal may pass. */
+  server->connected = options->control != NULL;
   ledger_metrics_open (&server->metrics);
   if (open_store (server, findings) != 0)
     goto fail;
