Fuzz the replicated log against a single list

Faults found by it and mended here: - a member whose removal was appended but not committed never stood for election, though it alone held the newest entries: no leader any more; - a crash between term and entry of the founding left a log that could not be founded again; the term is now persisted with the entry; - a new folder that knows only the founders was never readmitted when the leader was none of them: hello is forwarded to the leader.

--- a/src/consensus.c
+++ b/src/consensus.c
@@ -80,6 +80,8 @@
       free (entry->data.data_val);
       return true;
     }
+  if (entry->term > consensus->vote.term)
+    consensus->vote = (struct consensus_wire_vote){ .term = entry->term };
   consensus_log_truncate (consensus->log, entry->index);
   consensus_log_append (consensus->log, entry);
   return true;
@@ -199,7 +201,7 @@
     consensus_leader_tick (consensus, now_ms);
   else if (now_ms >= consensus->election_due_ms)
     {
-      if (consensus_votes (consensus))
+      if (consensus_may_campaign (consensus))
         consensus_campaign (consensus, now_ms, true);
       else
         consensus_reset_election (consensus, now_ms);
--- a/src/consensus_election.c
+++ b/src/consensus_election.c
@@ -9,6 +9,21 @@
         + base_random_below (&consensus->random, (uint64_t)shortest + 1);
 }
 
+bool
+consensus_may_campaign (const struct consensus *consensus)
+{
+  uint64_t configured_at = 0;
+  /* A removal that is not committed yet binds only those who count votes:
+     the removed member may be the only one with the newest entries. */
+  const struct consensus_configuration *committed
+      = consensus_log_configuration_at (
+          consensus->log, consensus->commit_index, &configured_at);
+  return consensus_votes (consensus)
+         || consensus_configuration_votes (committed,
+                                           consensus->options.member_id,
+                                           consensus->options.incarnation);
+}
+
 static void
 set_vote (struct consensus *consensus, uint64_t term, uint64_t member,
           uint64_t incarnation)
@@ -36,13 +51,14 @@
   consensus_reset_election (consensus, now_ms);
 }
 
-/* Whether the votes gathered, with the own one, make a majority. */
+/* Whether the votes gathered, with the own one of a voter, make a majority.
+ */
 static bool
 has_majority (struct consensus *consensus)
 {
   const struct consensus_configuration *members
       = consensus_log_configuration (consensus->log);
-  uint32_t votes = 1;
+  uint32_t votes = consensus_votes (consensus);
   for (uint32_t i = 0; i < consensus->peer_count; i++)
     {
       const struct consensus_peer *peer = &consensus->peers[i];
--- a/src/consensus_membership.c
+++ b/src/consensus_membership.c
@@ -64,12 +64,27 @@
   propose_members (consensus, &members);
 }
 
+/* Tells the leader, whom a new folder may not know. */
+static void
+forward_hello (struct consensus *consensus,
+               const struct consensus_wire_message *message)
+{
+  if (consensus->leader == 0 || consensus->leader == message->from_member)
+    return;
+  struct consensus_wire_message *forward
+      = consensus_send (consensus, consensus->leader, 0, CONSENSUS_HELLO);
+  forward->from_member = message->from_member;
+  forward->from_incarnation = message->from_incarnation;
+}
+
 void
 consensus_on_hello (struct consensus *consensus, uint64_t now_ms,
                     const struct consensus_wire_message *message)
 {
   if (consensus->phase == CONSENSUS_LEADER)
     readmit (consensus, now_ms, message);
+  else
+    forward_hello (consensus, message);
   struct consensus_wire_message *answer
       = consensus_send (consensus, message->from_member,
                         message->from_incarnation, CONSENSUS_HELLO_ANSWER);
@@ -98,9 +113,9 @@
     }
   if (!consensus_configuration_find (&members, consensus->options.member_id))
     return;
+  /* The term is persisted with the entry alone, so that a crash leaves both
+     or neither. */
   consensus->vote.term = 1;
-  consensus->effects.vote = consensus->vote;
-  consensus->effects.vote_changed = true;
   char *data = consensus_configuration_encode (&members, &bytes);
   consensus_append_own (consensus, CONSENSUS_ENTRY_CONFIGURATION, data, bytes);
 }
--- a/src/consensus_state.h
+++ b/src/consensus_state.h
@@ -102,6 +102,8 @@
 /** Whether this member is a voter of the newest configuration. */
 bool consensus_votes (const struct consensus *consensus);
 
+/** Whether this member may stand for election. */
+bool consensus_may_campaign (const struct consensus *consensus);
 /** Follows @p leader (0: none) in @p term. */
 void consensus_follow (struct consensus *consensus, uint64_t now_ms,
                        uint64_t term, uint64_t leader);
--- /dev/null
+++ b/tools/consensus_sim.c
@@ -0,0 +1,542 @@
+#include "consensus_sim.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base_hash.h"
+#include "consensus_sim_disk.h"
+
+#define ELECTION_MS 300
+#define HEARTBEAT_MS 75
+#define SETTLE_STEP_MS 5
+
+/* A message under way. */
+struct consensus_sim_packet
+{
+  uint64_t due_ms;
+  struct consensus_wire_message *message;
+};
+
+/* State of the application, as kept in snapshots. */
+struct sim_state
+{
+  uint64_t applied;
+  uint64_t chain;
+};
+
+static void
+free_packet (gpointer data)
+{
+  struct consensus_sim_packet *packet = data;
+  consensus_message_free (packet->message);
+  g_free (packet);
+}
+
+static bool
+chance (struct consensus_sim *sim, uint32_t per_thousand)
+{
+  return base_random_below (&sim->random, 1000) < per_thousand;
+}
+
+static void trace (struct consensus_sim *sim, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+static void
+trace (struct consensus_sim *sim, const char *format, ...)
+{
+  va_list arguments;
+  if (!sim->trace)
+    return;
+  g_string_append_printf (sim->trace, "%" PRIu64 " ", sim->now_ms);
+  va_start (arguments, format);
+  g_string_append_vprintf (sim->trace, format, arguments);
+  va_end (arguments);
+  g_string_append_c (sim->trace, '\n');
+}
+
+struct consensus_sim *
+consensus_sim_create (uint64_t seed, uint32_t founders)
+{
+  struct consensus_sim *sim = g_new0 (struct consensus_sim, 1);
+  base_random_seed (&sim->random, seed);
+  sim->founders = founders;
+  sim->longest_delay_ms = 10;
+  sim->network = g_ptr_array_new_with_free_func (free_packet);
+  sim->committed_terms = g_array_new (FALSE, TRUE, sizeof (uint64_t));
+  sim->committed_chains = g_array_new (FALSE, TRUE, sizeof (uint64_t));
+  sim->committed_in = g_array_new (FALSE, TRUE, sizeof (uint64_t));
+  /* Index 0 stands before the first entry. */
+  g_array_set_size (sim->committed_terms, 1);
+  g_array_set_size (sim->committed_chains, 1);
+  g_array_set_size (sim->committed_in, 1);
+  sim->leaders
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+    {
+      struct consensus_sim_member *member = &sim->members[id];
+      member->id = id;
+      member->incarnation = base_random_next (&sim->random) | 1;
+      member->exists = id <= founders;
+      member->reads = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+      consensus_sim_disk_init (&member->disk);
+    }
+  for (uint64_t id = 1; id <= founders; id++)
+    consensus_sim_start (sim, id);
+  return sim;
+}
+
+void
+consensus_sim_destroy (struct consensus_sim *sim)
+{
+  for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+    {
+      consensus_destroy (sim->members[id].consensus);
+      consensus_sim_disk_clear (&sim->members[id].disk);
+      g_array_unref (sim->members[id].reads);
+    }
+  g_ptr_array_unref (sim->network);
+  g_array_unref (sim->committed_terms);
+  g_array_unref (sim->committed_chains);
+  g_array_unref (sim->committed_in);
+  g_hash_table_unref (sim->leaders);
+  if (sim->trace)
+    g_string_free (sim->trace, TRUE);
+  g_free (sim);
+}
+
+static uint64_t
+chain_at (const struct consensus_sim *sim, uint64_t index)
+{
+  return g_array_index (sim->committed_chains, uint64_t, index);
+}
+
+/* Takes the application's state from a snapshot and checks it. */
+static void
+load_state (struct consensus_sim *sim, struct consensus_sim_member *member,
+            GBytes *snapshot)
+{
+  struct consensus_wire_snapshot wire = { 0 };
+  struct sim_state state;
+  g_assert_true (consensus_snapshot_decode (snapshot, &wire));
+  g_assert_cmpuint (wire.state.state_len, ==, sizeof state);
+  memcpy (&state, wire.state.state_val, sizeof state);
+  g_assert_cmpuint (state.applied, ==, wire.log_index);
+  xdr_free ((xdrproc_t)xdr_consensus_wire_snapshot, (char *)&wire);
+  if (state.applied > consensus_sim_committed (sim)
+      || chain_at (sim, state.applied) != state.chain)
+    g_error ("member %" PRIu64 " took a snapshot that is not the list's",
+             member->id);
+  member->applied = state.applied;
+  member->chain = state.chain;
+}
+
+void
+consensus_sim_start (struct consensus_sim *sim, uint64_t id)
+{
+  struct consensus_sim_member *member = &sim->members[id];
+  struct consensus_options options = { .member_id = id,
+                                       .incarnation = member->incarnation,
+                                       .election_ms = ELECTION_MS,
+                                       .heartbeat_ms = HEARTBEAT_MS };
+  options.seed = base_random_next (&sim->random);
+  member->exists = true;
+  for (uint64_t i = 1; i <= CONSENSUS_SIM_MEMBERS; i++)
+    {
+      struct consensus_member other
+          = { .id = i, .role = CONSENSUS_VOTER, .port = (uint16_t)i };
+      if (sim->members[i].exists)
+        consensus_configuration_add (&options.bootstrap, &other);
+    }
+  member->applied = 0;
+  member->chain = 0;
+  member->frozen_until_ms = 0;
+  member->consensus = consensus_create (&options);
+  consensus_sim_disk_load (&member->disk, member->consensus);
+  if (member->disk.snapshot)
+    load_state (sim, member, member->disk.snapshot);
+  consensus_start (member->consensus, sim->now_ms);
+  trace (sim, "start %" PRIu64, id);
+}
+
+void
+consensus_sim_crash (struct consensus_sim *sim, uint64_t id)
+{
+  struct consensus_sim_member *member = &sim->members[id];
+  consensus_sim_disk_persist_part (&member->disk, member->consensus,
+                                   &sim->random);
+  consensus_destroy (member->consensus);
+  member->consensus = NULL;
+  g_array_set_size (member->reads, 0);
+  trace (sim, "crash %" PRIu64, id);
+}
+
+void
+consensus_sim_wipe (struct consensus_sim *sim, uint64_t id)
+{
+  struct consensus_sim_member *member = &sim->members[id];
+  consensus_sim_disk_clear (&member->disk);
+  consensus_sim_disk_init (&member->disk);
+  member->incarnation = base_random_next (&sim->random) | 1;
+  trace (sim, "wipe %" PRIu64, id);
+}
+
+bool
+consensus_sim_awake (const struct consensus_sim *sim, uint64_t id)
+{
+  const struct consensus_sim_member *member = &sim->members[id];
+  return member->consensus && sim->now_ms >= member->frozen_until_ms;
+}
+
+/* One leader a term, and it holds every entry committed in earlier terms.  A
+   candidate may learn late that it won, when a later term has begun. */
+static void
+check_leader (struct consensus_sim *sim, struct consensus_sim_member *member)
+{
+  if (!consensus_is_leader (member->consensus))
+    return;
+  uint64_t term = consensus_term (member->consensus);
+  uint64_t *known = g_hash_table_lookup (sim->leaders, &term);
+  if (known && *known != member->incarnation)
+    g_error ("two leaders in term %" PRIu64, term);
+  if (known)
+    return;
+  g_hash_table_insert (sim->leaders, g_memdup2 (&term, sizeof term),
+                       g_memdup2 (&member->incarnation, sizeof (uint64_t)));
+  sim->elections++;
+  trace (sim, "lead %" PRIu64 " term %" PRIu64, member->id, term);
+  uint64_t committed = consensus_sim_committed (sim);
+  for (uint64_t index = consensus_base_index (member->consensus) + 1;
+       index <= committed; index++)
+    {
+      const struct consensus_wire_entry *entry
+          = consensus_entry (member->consensus, index);
+      if (g_array_index (sim->committed_in, uint64_t, index) >= term)
+        continue;
+      if (!entry
+          || entry->term
+                 != g_array_index (sim->committed_terms, uint64_t, index))
+        g_error ("the leader of term %" PRIu64 " lacks committed entry "
+                 "%" PRIu64,
+                 term, index);
+    }
+}
+
+void
+consensus_sim_tick (struct consensus_sim *sim, uint64_t id)
+{
+  struct consensus_sim_member *member = &sim->members[id];
+  consensus_tick (member->consensus, sim->now_ms);
+  check_leader (sim, member);
+}
+
+static struct consensus_wire_message *
+copy_message (struct consensus_wire_message *message)
+{
+  XDR stream;
+  u_int bytes
+      = (u_int)xdr_sizeof ((xdrproc_t)xdr_consensus_wire_message, message);
+  char *data = g_malloc (bytes);
+  struct consensus_wire_message *copy
+      = g_new0 (struct consensus_wire_message, 1);
+  xdrmem_create (&stream, data, bytes, XDR_ENCODE);
+  g_assert_true (xdr_consensus_wire_message (&stream, message));
+  XDR_DESTROY (&stream);
+  xdrmem_create (&stream, data, bytes, XDR_DECODE);
+  g_assert_true (xdr_consensus_wire_message (&stream, copy));
+  XDR_DESTROY (&stream);
+  g_free (data);
+  return copy;
+}
+
+static void
+post (struct consensus_sim *sim, struct consensus_wire_message *message)
+{
+  struct consensus_sim_packet *packet
+      = g_new0 (struct consensus_sim_packet, 1);
+  packet->message = message;
+  packet->due_ms
+      = sim->now_ms
+        + base_random_below (&sim->random, sim->longest_delay_ms + 1);
+  g_ptr_array_add (sim->network, packet);
+}
+
+/* Hands messages to the network, which may lose or double them. */
+static void
+send_messages (struct consensus_sim *sim, GPtrArray *messages)
+{
+  for (guint i = 0; i < messages->len; i++)
+    {
+      struct consensus_wire_message *message = messages->pdata[i];
+      uint64_t from = message->from_member;
+      uint64_t to = message->to_member;
+      messages->pdata[i] = NULL;
+      message->cluster = strdup ("");
+      if (to > CONSENSUS_SIM_MEMBERS
+          || sim->cut_until_ms[from][to] > sim->now_ms
+          || chance (sim, sim->loss))
+        {
+          consensus_message_free (message);
+          continue;
+        }
+      if (chance (sim, sim->duplicate))
+        post (sim, copy_message (message));
+      post (sim, message);
+    }
+  g_ptr_array_set_size (messages, 0);
+}
+
+static uint64_t
+chain_of (uint64_t before, const struct consensus_wire_entry *entry)
+{
+  uint64_t parts[4]
+      = { before, entry->term, entry->kind,
+          base_hash64 (entry->data.data_val, entry->data.data_len) };
+  return base_hash64 (parts, sizeof parts);
+}
+
+/* Adds a newly committed entry to the single list. */
+static void
+extend_list (struct consensus_sim *sim,
+             const struct consensus_wire_entry *entry, uint64_t chain,
+             uint64_t committed_in)
+{
+  uint64_t term = entry->term;
+  g_array_append_val (sim->committed_in, committed_in);
+  g_array_append_val (sim->committed_terms, term);
+  g_array_append_val (sim->committed_chains, chain);
+  if (entry->kind != CONSENSUS_ENTRY_CONFIGURATION)
+    return;
+  sim->members_changed++;
+  consensus_configuration_decode (&sim->committed_members,
+                                  entry->data.data_val, entry->data.data_len);
+}
+
+static void
+apply (struct consensus_sim *sim, struct consensus_sim_member *member,
+       const struct consensus_wire_entry *entry)
+{
+  g_assert_cmpuint (entry->index, ==, member->applied + 1);
+  member->chain = chain_of (member->chain, entry);
+  member->applied = entry->index;
+  if (entry->index > consensus_sim_committed (sim))
+    {
+      extend_list (sim, entry, member->chain,
+                   consensus_term (member->consensus));
+      trace (sim, "commit %" PRIu64 " term %" PRIu64 " kind %u by %" PRIu64,
+             (uint64_t)entry->index, (uint64_t)entry->term, entry->kind,
+             member->id);
+    }
+  else if (chain_at (sim, entry->index) != member->chain)
+    g_error ("member %" PRIu64 " applied another entry at %" PRIu64,
+             member->id, (uint64_t)entry->index);
+}
+
+static void
+check_reads (struct consensus_sim *sim, struct consensus_sim_member *member,
+             GArray *reads)
+{
+  for (guint i = 0; i < reads->len; i++)
+    {
+      const struct consensus_read *read
+          = &g_array_index (reads, struct consensus_read, i);
+      uint64_t needed = g_array_index (member->reads, uint64_t, read->id - 1);
+      if (!read->confirmed)
+        continue;
+      sim->reads_confirmed++;
+      if (read->index < needed)
+        g_error ("a read at member %" PRIu64 " missed entry %" PRIu64,
+                 member->id, needed);
+    }
+}
+
+void
+consensus_sim_round (struct consensus_sim *sim, uint64_t id)
+{
+  struct consensus_sim_member *member = &sim->members[id];
+  struct consensus *consensus = member->consensus;
+  struct consensus_effects *effects = consensus_effects (consensus);
+  const struct consensus_wire_entry *entry;
+  consensus_flush (consensus, sim->now_ms);
+  send_messages (sim, effects->early_messages);
+  bool unsynced = effects->vote_changed || effects->snapshot_installed
+                  || effects->persist_from > 0;
+  if (unsynced && chance (sim, sim->crash_before_sync))
+    {
+      consensus_sim_crash (sim, id);
+      return;
+    }
+  bool installed = effects->snapshot_installed;
+  consensus_sim_disk_persist (&member->disk, consensus, effects);
+  consensus_persisted (consensus, sim->now_ms);
+  if (installed)
+    {
+      sim->snapshots_installed++;
+      load_state (sim, member, member->disk.snapshot);
+    }
+  send_messages (sim, effects->early_messages);
+  send_messages (sim, effects->messages);
+  while ((entry = consensus_next_applied (consensus)))
+    apply (sim, member, entry);
+  check_reads (sim, member, effects->reads);
+  consensus_effects_clear (consensus);
+  check_leader (sim, member);
+}
+
+bool
+consensus_sim_deliver (struct consensus_sim *sim)
+{
+  if (sim->network->len == 0)
+    return false;
+  guint place = (guint)base_random_below (&sim->random, sim->network->len);
+  for (guint i = 0; i < sim->network->len; i++)
+    {
+      guint at = (place + i) % sim->network->len;
+      struct consensus_sim_packet *packet = sim->network->pdata[at];
+      uint64_t to = packet->message->to_member;
+      bool gone = !sim->members[to].consensus;
+      if (!gone
+          && (packet->due_ms > sim->now_ms || !consensus_sim_awake (sim, to)))
+        continue;
+      packet = g_ptr_array_steal_index_fast (sim->network, at);
+      if (!gone)
+        {
+          consensus_step (sim->members[to].consensus, sim->now_ms,
+                          packet->message);
+          check_leader (sim, &sim->members[to]);
+        }
+      free_packet (packet);
+      return true;
+    }
+  return false;
+}
+
+void
+consensus_sim_propose (struct consensus_sim *sim, uint64_t id)
+{
+  uint64_t value = base_random_next (&sim->random);
+  if (consensus_propose (sim->members[id].consensus, &value, sizeof value) > 0)
+    sim->proposals++;
+}
+
+void
+consensus_sim_read (struct consensus_sim *sim, uint64_t id)
+{
+  struct consensus_sim_member *member = &sim->members[id];
+  uint64_t needed = consensus_sim_committed (sim);
+  uint64_t read = consensus_read_begin (member->consensus, sim->now_ms);
+  if (read == 0)
+    return;
+  g_assert_cmpuint (read, ==, member->reads->len + 1);
+  g_array_append_val (member->reads, needed);
+}
+
+void
+consensus_sim_compact (struct consensus_sim *sim, uint64_t id)
+{
+  struct consensus_sim_member *member = &sim->members[id];
+  consensus_sim_round (sim, id);
+  struct sim_state state = { member->applied, member->chain };
+  if (!member->consensus
+      || state.applied == consensus_base_index (member->consensus))
+    return;
+  GBytes *snapshot
+      = consensus_compact (member->consensus, &state, sizeof state);
+  consensus_sim_disk_compact (&member->disk, snapshot, state.applied);
+}
+
+void
+consensus_sim_settle (struct consensus_sim *sim, uint64_t duration_ms)
+{
+  uint64_t end_ms = sim->now_ms + duration_ms;
+  memset (sim->cut_until_ms, 0, sizeof sim->cut_until_ms);
+  sim->loss = 0;
+  sim->crash_before_sync = 0;
+  for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+    {
+      sim->members[id].frozen_until_ms = 0;
+      if (sim->members[id].exists && !sim->members[id].consensus)
+        consensus_sim_start (sim, id);
+    }
+  while (sim->now_ms < end_ms)
+    {
+      sim->now_ms += SETTLE_STEP_MS;
+      for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+        if (sim->members[id].consensus)
+          {
+            consensus_sim_tick (sim, id);
+            consensus_sim_round (sim, id);
+          }
+      while (consensus_sim_deliver (sim))
+        ;
+    }
+}
+
+uint64_t
+consensus_sim_committed (const struct consensus_sim *sim)
+{
+  return sim->committed_terms->len - 1;
+}
+
+uint64_t
+consensus_sim_leader (const struct consensus_sim *sim)
+{
+  uint64_t leader = 0;
+  uint64_t term = 0;
+  for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+    {
+      const struct consensus *consensus = sim->members[id].consensus;
+      if (consensus && consensus_is_leader (consensus)
+          && consensus_term (consensus) > term)
+        {
+          leader = id;
+          term = consensus_term (consensus);
+        }
+    }
+  return leader;
+}
+
+/* Whether voters whose disk is still there make a majority without @p id, also
+   once those that rejoin are voters again. */
+static bool
+stands_without (struct consensus_sim *sim,
+                const struct consensus_configuration *members, uint64_t id)
+{
+  uint32_t voters = 0;
+  uint32_t rejoining = 0;
+  uint32_t living_voters = 0;
+  uint32_t living_rejoining = 0;
+  for (uint32_t i = 0; i < members->count; i++)
+    {
+      const struct consensus_member *member = &members->members[i];
+      bool lives
+          = member->id != id
+            && member->incarnation == sim->members[member->id].incarnation;
+      bool rejoins = member->role == CONSENSUS_REJOINING;
+      bool votes = member->role == CONSENSUS_VOTER;
+      voters += votes;
+      rejoining += rejoins;
+      living_voters += votes && lives;
+      living_rejoining += rejoins && lives;
+    }
+  return living_voters > voters / 2
+         && living_voters + living_rejoining > (voters + rejoining) / 2;
+}
+
+bool
+consensus_sim_can_lose (struct consensus_sim *sim, uint64_t id)
+{
+  if (sim->committed_members.count == 0
+      || !stands_without (sim, &sim->committed_members, id))
+    return false;
+  for (uint64_t i = 1; i <= CONSENSUS_SIM_MEMBERS; i++)
+    {
+      const struct consensus *consensus = sim->members[i].consensus;
+      if (sim->members[i].exists && !consensus)
+        return false;
+      if (consensus && consensus_members (consensus)->count > 0
+          && !stands_without (sim, consensus_members (consensus), id))
+        return false;
+    }
+  return true;
+}
