--- /dev/null
+++ b/tests/test_control_state.c
@@ -0,0 +1,447 @@
+/** @file
+ *  Tests of what the replicated log is applied to: bundles, top-ups, claims,
+ *  sessions, and their snapshot. */
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <sodium.h>
+
+#include "base_hash.h"
+#include "base_random.h"
+#include "control_state.h"
+#include "control_trial.h"
+
+#define DAY_MS (UINT64_C (24) * 60 * 60 * 1000)
+#define FUZZ_STEPS 20000
+#define FUZZ_KEYS 250
+#define FUZZ_ROUTERS 4
+
+/* A state and the keys that sign for it. */
+struct fixture
+{
+  struct control_state *state;
+  struct control_trial keys;
+  uint64_t wall_ms;
+};
+
+static void
+set_up (struct fixture *fixture, gconstpointer data)
+{
+  uint8_t seed[32] = { 3 };
+  (void)data;
+  g_assert_cmpint (sodium_init (), >=, 0);
+  crypto_sign_seed_keypair (fixture->keys.public_key, fixture->keys.secret_key,
+                            seed);
+  fixture->state = control_state_create ();
+  fixture->wall_ms = 1000000;
+}
+
+static void
+tear_down (struct fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  control_state_destroy (fixture->state);
+}
+
+/* Applies the command through its encoded form. */
+static void
+apply (struct fixture *fixture, struct control_command *command,
+       struct control_outcome *outcome)
+{
+  uint32_t bytes = 0;
+  command->wall_ms = fixture->wall_ms;
+  char *data = control_command_encode (command, &bytes);
+  g_assert_true (
+      control_state_apply_bytes (fixture->state, data, bytes, outcome));
+  g_free (data);
+}
+
+static void
+push (struct fixture *fixture, uint64_t version, uint32_t mark,
+      bool good_signature, struct control_outcome *outcome)
+{
+  struct control_command command = { .body.kind = CONTROL_COMMAND_PUSH };
+  struct control_push_args *args = &command.body.control_command_body_u.push;
+  char *document = control_trial_document (&fixture->keys, version, 3, mark);
+  control_trial_sign (&fixture->keys, version, document, args);
+  if (!good_signature)
+    args->signature[5] ^= 1;
+  apply (fixture, &command, outcome);
+  xdr_free ((xdrproc_t)xdr_control_push_args, (char *)args);
+  g_free (document);
+}
+
+static void
+check_push (struct fixture *fixture, uint64_t version, uint32_t mark,
+            bool good_signature, enum control_status status,
+            uint64_t accepted_version)
+{
+  struct control_outcome outcome;
+  push (fixture, version, mark, good_signature, &outcome);
+  g_assert_cmpint (outcome.result.push.answer.status, ==, status);
+  g_assert_cmpuint (outcome.result.push.accepted_version, ==,
+                    accepted_version);
+  control_outcome_clear (&outcome);
+}
+
+static void
+test_versions (struct fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  check_push (fixture, 2, 0, true, CONTROL_CONFLICT, 0);
+  check_push (fixture, 1, 0, true, CONTROL_OK, 1);
+  check_push (fixture, 3, 0, true, CONTROL_CONFLICT, 1);
+  check_push (fixture, 2, 0, false, CONTROL_REFUSED, 1);
+  check_push (fixture, 2, 0, true, CONTROL_OK, 2);
+  check_push (fixture, 3, 0, true, CONTROL_OK, 3);
+  /* Sent again after a lost answer: the same answer, nothing goes back. */
+  check_push (fixture, 2, 0, true, CONTROL_OK, 2);
+  g_assert_cmpuint (
+      control_bundles_version (control_state_bundles (fixture->state)), ==, 3);
+}
+
+static void
+test_operators_race (struct fixture *fixture, gconstpointer data)
+{
+  char hex[2 * BUNDLE_DIGEST_BYTES + 1];
+  struct control_outcome first;
+  struct control_outcome second;
+  (void)data;
+  check_push (fixture, 1, 0, true, CONTROL_OK, 1);
+  push (fixture, 2, 7, true, &first);
+  push (fixture, 2, 8, true, &second);
+  const struct control_push_result *lost = &second.result.push;
+  g_assert_cmpint (first.result.push.answer.status, ==, CONTROL_OK);
+  g_assert_cmpint (lost->answer.status, ==, CONTROL_CONFLICT);
+  /* The loser learns what was accepted and by whom. */
+  base_hex_write (hex, (const uint8_t *)first.result.push.accepted_digest,
+                  BUNDLE_DIGEST_BYTES);
+  g_assert_nonnull (strstr (lost->answer.text, hex));
+  g_assert_nonnull (strstr (lost->answer.text, "root"));
+  g_assert_cmpmem (lost->accepted_digest, BUNDLE_DIGEST_BYTES,
+                   first.result.push.accepted_digest, BUNDLE_DIGEST_BYTES);
+  control_outcome_clear (&first);
+  control_outcome_clear (&second);
+}
+
+static void
+check_top_up (struct fixture *fixture, const char *id, uint64_t tokens,
+              enum control_status status, uint64_t total)
+{
+  struct control_outcome outcome;
+  struct control_command command = { .body.kind = CONTROL_COMMAND_TOP_UP };
+  struct control_top_up_args *args
+      = &command.body.control_command_body_u.top_up;
+  args->cluster = strdup ("c");
+  args->top_up_id = strdup (id);
+  args->operator_name = strdup ("root");
+  args->account = strdup ("lonja");
+  args->budget = strdup ("default");
+  args->tokens = tokens;
+  apply (fixture, &command, &outcome);
+  g_assert_cmpint (outcome.result.top_up.answer.status, ==, status);
+  g_assert_cmpuint (outcome.result.top_up.topped_up_tokens, ==, total);
+  control_outcome_clear (&outcome);
+  xdr_free ((xdrproc_t)xdr_control_top_up_args, (char *)args);
+}
+
+static void
+test_top_ups (struct fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  check_top_up (fixture, "a", 100, CONTROL_OK, 100);
+  check_top_up (fixture, "b", 50, CONTROL_OK, 150);
+  check_top_up (fixture, "a", 100, CONTROL_OK, 100);
+  check_top_up (fixture, "a", 101, CONTROL_CONFLICT, 0);
+  check_top_up (fixture, "c", 1, CONTROL_OK, 151);
+}
+
+static enum control_status
+send_process (struct fixture *fixture, enum control_command_kind kind,
+              const char *host, uint64_t incarnation)
+{
+  struct control_outcome outcome;
+  struct control_command command = { .body.kind = kind };
+  struct wire_process *process = &command.body.control_command_body_u.process;
+  process->kind = WIRE_PROCESS_ROUTER;
+  process->host = strdup (host);
+  process->availability_zone = strdup ("bilbao");
+  process->region = strdup ("cantabrico");
+  process->address = strdup ("127.0.0.1");
+  process->incarnation = incarnation;
+  apply (fixture, &command, &outcome);
+  enum control_status status = outcome.result.answer.status;
+  control_outcome_clear (&outcome);
+  xdr_free ((xdrproc_t)xdr_wire_process, (char *)process);
+  return status;
+}
+
+/* Claims @p key; the state, or 0 when it was refused. */
+static int
+claim (struct fixture *fixture, const char *router, uint64_t incarnation,
+       uint64_t claim_id, uint8_t key)
+{
+  struct control_outcome outcome;
+  struct control_command command = { .body.kind = CONTROL_COMMAND_CLAIM };
+  struct control_claim_args *args = &command.body.control_command_body_u.claim;
+  args->cluster = strdup ("c");
+  args->router = strdup (router);
+  args->router_incarnation = incarnation;
+  args->claim_id = claim_id;
+  args->account_id = 5;
+  args->key[0] = (char)key;
+  apply (fixture, &command, &outcome);
+  const struct control_claim_result *result = &outcome.result.claim;
+  int state = result->answer.status == CONTROL_OK ? (int)result->state : 0;
+  if (state == CONTROL_CLAIM_DONE)
+    g_assert_cmpuint (result->http_status, ==, 200);
+  control_outcome_clear (&outcome);
+  xdr_free ((xdrproc_t)xdr_control_claim_args, (char *)args);
+  return state;
+}
+
+static enum control_status
+finish (struct fixture *fixture, const char *router, uint64_t incarnation,
+        uint64_t claim_id, uint8_t key, bool not_run)
+{
+  struct control_outcome outcome;
+  struct control_command command = { .body.kind = CONTROL_COMMAND_FINISH };
+  struct control_finish_args *args
+      = &command.body.control_command_body_u.finish;
+  args->cluster = strdup ("c");
+  args->router = strdup (router);
+  args->router_incarnation = incarnation;
+  args->claim_id = claim_id;
+  args->account_id = 5;
+  args->key[0] = (char)key;
+  args->not_run = not_run;
+  args->known = true;
+  args->http_status = 200;
+  args->body.body_val = strdup ("ok");
+  args->body.body_len = 2;
+  apply (fixture, &command, &outcome);
+  enum control_status status = outcome.result.answer.status;
+  control_outcome_clear (&outcome);
+  xdr_free ((xdrproc_t)xdr_control_finish_args, (char *)args);
+  return status;
+}
+
+static void
+test_claims (struct fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  /* Without a session nobody would end the claim. */
+  g_assert_cmpint (claim (fixture, "r", 1, 1, 9), ==, 0);
+  send_process (fixture, CONTROL_COMMAND_REGISTER, "r", 1);
+  g_assert_cmpint (claim (fixture, "r", 1, 1, 9), ==, CONTROL_CLAIM_GRANTED);
+  g_assert_cmpint (claim (fixture, "r", 1, 1, 9), ==, CONTROL_CLAIM_GRANTED);
+  g_assert_cmpint (claim (fixture, "r", 1, 2, 9), ==, CONTROL_CLAIM_RUNNING);
+  g_assert_cmpint (finish (fixture, "r", 1, 1, 9, false), ==, CONTROL_OK);
+  g_assert_cmpint (claim (fixture, "r", 1, 3, 9), ==, CONTROL_CLAIM_DONE);
+  g_assert_cmpint (finish (fixture, "r", 1, 1, 9, true), ==, CONTROL_OK);
+  g_assert_cmpint (claim (fixture, "r", 1, 4, 9), ==, CONTROL_CLAIM_DONE);
+  fixture->wall_ms += DAY_MS;
+  g_assert_cmpint (claim (fixture, "r", 1, 5, 9), ==, CONTROL_CLAIM_GRANTED);
+}
+
+static void
+test_claim_not_run (struct fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  send_process (fixture, CONTROL_COMMAND_REGISTER, "r", 1);
+  g_assert_cmpint (claim (fixture, "r", 1, 1, 9), ==, CONTROL_CLAIM_GRANTED);
+  g_assert_cmpint (finish (fixture, "r", 1, 1, 9, true), ==, CONTROL_OK);
+  g_assert_cmpint (claim (fixture, "r", 1, 2, 9), ==, CONTROL_CLAIM_GRANTED);
+  /* The finish of claim 1 again, late: claim 2 is not freed by it. */
+  g_assert_cmpint (finish (fixture, "r", 1, 1, 9, true), ==, CONTROL_CONFLICT);
+  g_assert_cmpint (claim (fixture, "r", 1, 3, 9), ==, CONTROL_CLAIM_RUNNING);
+}
+
+static void
+test_router_lapses (struct fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  send_process (fixture, CONTROL_COMMAND_REGISTER, "r", 1);
+  send_process (fixture, CONTROL_COMMAND_REGISTER, "s", 2);
+  g_assert_cmpint (claim (fixture, "r", 1, 1, 9), ==, CONTROL_CLAIM_GRANTED);
+  send_process (fixture, CONTROL_COMMAND_LAPSE, "r", 1);
+  g_assert_cmpint (claim (fixture, "s", 2, 1, 9), ==, CONTROL_CLAIM_UNKNOWN);
+  g_assert_cmpint (claim (fixture, "r", 1, 2, 8), ==, 0);
+  /* It was only frozen: its outcome is told, but the key is never freed. */
+  g_assert_cmpint (finish (fixture, "r", 1, 1, 9, true), ==, CONTROL_OK);
+  g_assert_cmpint (claim (fixture, "s", 2, 2, 9), ==, CONTROL_CLAIM_UNKNOWN);
+  g_assert_cmpint (finish (fixture, "r", 1, 1, 9, false), ==, CONTROL_OK);
+  g_assert_cmpint (claim (fixture, "s", 2, 3, 9), ==, CONTROL_CLAIM_DONE);
+}
+
+static void
+test_router_restarts (struct fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  send_process (fixture, CONTROL_COMMAND_REGISTER, "r", 1);
+  g_assert_cmpint (claim (fixture, "r", 1, 1, 9), ==, CONTROL_CLAIM_GRANTED);
+  g_assert_cmpint (send_process (fixture, CONTROL_COMMAND_REGISTER, "r", 2),
+                   ==, CONTROL_OK);
+  g_assert_cmpint (claim (fixture, "r", 2, 1, 9), ==, CONTROL_CLAIM_UNKNOWN);
+  /* The former process thaws: it is fenced. */
+  g_assert_cmpint (send_process (fixture, CONTROL_COMMAND_REGISTER, "r", 1),
+                   ==, CONTROL_FENCED);
+  g_assert_cmpint (claim (fixture, "r", 1, 2, 8), ==, 0);
+}
+
+static void
+check_same (struct control_state *left, struct control_state *right)
+{
+  uint32_t left_bytes = 0;
+  uint32_t right_bytes = 0;
+  char *left_data = control_state_save (left, &left_bytes);
+  char *right_data = control_state_save (right, &right_bytes);
+  g_assert_cmpmem (left_data, left_bytes, right_data, right_bytes);
+  g_free (left_data);
+  g_free (right_data);
+}
+
+/* Goes on from a snapshot, as a member does that restarts. */
+static void
+reload (struct fixture *fixture)
+{
+  uint32_t bytes = 0;
+  char *data = control_state_save (fixture->state, &bytes);
+  struct control_state *copy = control_state_create ();
+  g_assert_cmpint (control_state_load (copy, data, bytes), ==, 0);
+  check_same (fixture->state, copy);
+  control_state_destroy (fixture->state);
+  fixture->state = copy;
+  g_free (data);
+}
+
+static void
+test_snapshot (struct fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  check_push (fixture, 1, 0, true, CONTROL_OK, 1);
+  check_push (fixture, 2, 1, true, CONTROL_OK, 2);
+  check_top_up (fixture, "a", 100, CONTROL_OK, 100);
+  send_process (fixture, CONTROL_COMMAND_REGISTER, "r", 1);
+  g_assert_cmpint (claim (fixture, "r", 1, 1, 9), ==, CONTROL_CLAIM_GRANTED);
+  reload (fixture);
+  check_push (fixture, 1, 0, true, CONTROL_OK, 1);
+  check_push (fixture, 2, 9, true, CONTROL_CONFLICT, 2);
+  check_top_up (fixture, "a", 100, CONTROL_OK, 100);
+  g_assert_cmpint (claim (fixture, "r", 1, 2, 9), ==, CONTROL_CLAIM_RUNNING);
+  check_push (fixture, 3, 0, true, CONTROL_OK, 3);
+}
+
+/* What the fuzz knows of a key: who may run it, and whether it ever ran. */
+struct model_key
+{
+  bool granted;
+  uint64_t router;
+  uint64_t incarnation;
+  uint64_t claim_id;
+  bool may_have_run;
+};
+
+/* A router of the fuzz. */
+struct model_router
+{
+  uint64_t incarnation;
+  uint64_t claims;
+};
+
+static void
+fuzz_claim (struct fixture *fixture, struct model_router *routers,
+            uint64_t router, struct model_key *keys, uint8_t key)
+{
+  char name[8];
+  struct model_key *known = &keys[key];
+  struct model_router *caller = &routers[router];
+  g_snprintf (name, sizeof name, "r%u", (unsigned)router);
+  uint64_t claim_id = ++caller->claims;
+  int state = claim (fixture, name, caller->incarnation, claim_id, key);
+  if (state != CONTROL_CLAIM_GRANTED)
+    return;
+  /* A second grant is right only when the first was proven not to run. */
+  g_assert_false (known->granted);
+  g_assert_false (known->may_have_run);
+  *known = (struct model_key){ true, router, caller->incarnation, claim_id,
+                               false };
+}
+
+static void
+fuzz_finish (struct fixture *fixture, struct model_key *known, uint8_t key,
+             bool not_run)
+{
+  char name[8];
+  if (!known->granted)
+    return;
+  g_snprintf (name, sizeof name, "r%u", (unsigned)known->router);
+  known->may_have_run = known->may_have_run || !not_run;
+  enum control_status status = finish (fixture, name, known->incarnation,
+                                       known->claim_id, key, not_run);
+  if (status == CONTROL_OK && !known->may_have_run)
+    known->granted = false;
+}
+
+static void
+test_fuzz (struct fixture *fixture, gconstpointer data)
+{
+  struct base_random random;
+  struct model_key keys[FUZZ_KEYS] = { 0 };
+  struct model_router routers[FUZZ_ROUTERS] = { 0 };
+  uint64_t incarnation = 0;
+  uint64_t granted = 0;
+  (void)data;
+  base_random_seed (&random, 11);
+  for (uint32_t step = 0; step < FUZZ_STEPS; step++)
+    {
+      char name[8];
+      uint64_t router = base_random_below (&random, FUZZ_ROUTERS);
+      uint8_t key = (uint8_t)base_random_below (&random, FUZZ_KEYS);
+      uint64_t dice = base_random_below (&random, 100);
+      g_snprintf (name, sizeof name, "r%u", (unsigned)router);
+      if (dice < 6)
+        {
+          routers[router].incarnation = ++incarnation;
+          send_process (fixture, CONTROL_COMMAND_REGISTER, name, incarnation);
+        }
+      else if (dice < 10)
+        send_process (fixture, CONTROL_COMMAND_LAPSE, name,
+                      routers[router].incarnation);
+      else if (dice < 14)
+        send_process (fixture, CONTROL_COMMAND_REGISTER, name,
+                      routers[router].incarnation);
+      else if (dice < 60)
+        fuzz_claim (fixture, routers, router, keys, key);
+      else if (dice < 90)
+        fuzz_finish (fixture, &keys[key], key,
+                     base_random_below (&random, 20) > 0);
+      else if (dice < 91)
+        reload (fixture);
+      granted += keys[key].granted;
+    }
+  g_assert_cmpuint (granted, >, 100);
+}
+
+#define ADD(name, function)                                                   \
+  g_test_add ("/control/state/" name, struct fixture, NULL, set_up, function, \
+              tear_down)
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  ADD ("versions", test_versions);
+  ADD ("operators_race", test_operators_race);
+  ADD ("top_ups", test_top_ups);
+  ADD ("claims", test_claims);
+  ADD ("claim_not_run", test_claim_not_run);
+  ADD ("router_lapses", test_router_lapses);
+  ADD ("router_restarts", test_router_restarts);
+  ADD ("snapshot", test_snapshot);
+  ADD ("fuzz", test_fuzz);
+  return g_test_run ();
+}
