--- a/src/registry.c
+++ b/src/registry.c
@@ -2,29 +2,20 @@
 
 #include <ck_epoch.h>
 #include <glib.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "base_hash.h"
 #include "registry_load.h"
 #include "registry_record.h"
 #include "registry_state.h"
 #include "registry_view.h"
 
-/* Lapse times for which a leaving record is remembered. */
-#define LEAVING_LAPSES 20
+/* Lapse times for which leaving and lapsed records are remembered. */
+#define MEMORY_LAPSES 20
 /* Least time between changes that are fresh reports alone, in ms. */
 #define REFRESH_MS 1000
 /* How much slower records of other zones change and lapse. */
 #define FOREIGN_PATIENCE 4
 
-/* A table that readers may still use. */
-struct retired_table
-{
-  ck_epoch_entry_t entry;
-  struct registry_table *table;
-};
-
 static void
 service_free (gpointer data)
 {
@@ -107,84 +98,15 @@
   return FOREIGN_PATIENCE;
 }
 
-static uint64_t
-lapse_at (const struct registry *registry,
-          const struct registry_record *record)
+uint64_t
+registry_lapse_at (const struct registry *registry,
+                   const struct registry_record *record)
 {
   uint64_t lapses
-      = record->leaving ? LEAVING_LAPSES : patience (registry, record);
+      = record->leaving ? MEMORY_LAPSES : patience (registry, record);
   return record->heard_ms + lapses * registry->lapse_ms;
 }
 
-static void
-retire_table (ck_epoch_entry_t *entry)
-{
-  struct retired_table *retired = (struct retired_table *)entry;
-  registry_table_destroy (retired->table);
-  g_free (retired);
-}
-
-static void
-add_target (const struct registry *registry,
-            const struct registry_entry *entry, GArray *targets)
-{
-  struct registry_target target = { .record = entry->record };
-  target.drained
-      = g_hash_table_contains (registry->drained, entry->record.target);
-  target.lapse_at_ms = lapse_at (registry, &entry->record);
-  target.target_hash = base_hash_string (entry->record.target);
-  target.load = entry->load;
-  g_array_append_val (targets, target);
-}
-
-static void
-rebuild_service (struct registry *registry, struct registry_service *service)
-{
-  GArray *targets
-      = g_array_new (FALSE, FALSE, sizeof (struct registry_target));
-  for (guint i = 0; i < service->entries->len; i++)
-    {
-      const struct registry_entry *entry
-          = g_ptr_array_index (service->entries, i);
-      if (!entry->record.leaving)
-        add_target (registry, entry, targets);
-    }
-  if (service->view)
-    registry_view_unref (service->view);
-  service->view = NULL;
-  if (targets->len > 0)
-    service->view = registry_view_build (service->name, targets);
-  service->dirty = false;
-  g_array_free (targets, TRUE);
-}
-
-/* Swaps the table for one with the views of changed services rebuilt. */
-static void
-publish (struct registry *registry)
-{
-  GHashTableIter iter;
-  gpointer value;
-  GPtrArray *views = g_ptr_array_new ();
-  g_hash_table_iter_init (&iter, registry->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct registry_service *service = value;
-      if (service->dirty)
-        rebuild_service (registry, service);
-      if (service->view)
-        g_ptr_array_add (views, service->view);
-      if (service->entries->len == 0)
-        g_hash_table_iter_remove (&iter);
-    }
-  struct retired_table *retired = g_new0 (struct retired_table, 1);
-  retired->table = registry->table;
-  __atomic_store_n (&registry->table, registry_table_build (views),
-                    __ATOMIC_RELEASE);
-  ck_epoch_call (&registry->writer->record, &retired->entry, retire_table);
-  ck_epoch_poll (&registry->writer->record);
-  g_ptr_array_free (views, TRUE);
-}
-
 static struct registry_service *
 service_of (struct registry *registry, const char *name)
 {
@@ -216,6 +138,14 @@
     g_hash_table_remove (registry->by_identity, &entry->identity);
 }
 
+static void
+unlink_change (struct registry *registry, struct registry_entry *entry)
+{
+  if (entry->change != 0)
+    g_queue_unlink (&registry->by_change, &entry->link);
+  entry->change = 0;
+}
+
 /* Gives the entry the newest change number, unless it differs from its last
    change by a fresh report alone. */
 static void
@@ -226,8 +156,7 @@
   if (!identity_changed
       && entry->record.heard_ms < entry->changed_heard_ms + refresh_ms)
     return;
-  if (entry->change != 0)
-    g_queue_unlink (&registry->by_change, &entry->link);
+  unlink_change (registry, entry);
   entry->change = ++registry->change;
   entry->changed_heard_ms = entry->record.heard_ms;
   g_queue_push_tail_link (&registry->by_change, &entry->link);
@@ -256,6 +185,12 @@
   note_change (registry, entry, identity_changed);
 }
 
+static bool
+entry_live (const struct registry_entry *entry)
+{
+  return !entry->record.leaving && !entry->lapsed;
+}
+
 static struct registry_entry *
 entry_new (struct registry *registry, const struct registry_record *record)
 {
@@ -266,7 +201,7 @@
   entry->index = registry->entries->len;
   g_ptr_array_add (registry->entries, entry);
   g_hash_table_insert (registry->by_target, entry->record.target, entry);
-  registry->live += !record->leaving;
+  registry->live += entry_live (entry);
   return entry;
 }
 
@@ -279,9 +214,10 @@
       registry_load_unref (entry->load);
       entry->load = registry_load_create ();
     }
-  registry->live += entry->record.leaving;
-  registry->live -= record->leaving;
+  registry->live -= entry_live (entry);
   entry->record = *record;
+  entry->lapsed = false;
+  registry->live += entry_live (entry);
 }
 
 /* Takes in one record without publishing. */
@@ -291,7 +227,7 @@
 {
   if (!registry_record_valid (record))
     return REGISTRY_BAD;
-  if (lapse_at (registry, record) <= now_ms)
+  if (registry_lapse_at (registry, record) <= now_ms)
     return REGISTRY_STALE;
   struct registry_entry *entry
       = g_hash_table_lookup (registry->by_target, record->target);
@@ -322,7 +258,7 @@
         outcomes[i] = outcome;
     }
   if (taken > 0)
-    publish (registry);
+    registry_publish (registry);
   g_mutex_unlock (&registry->mutex);
   return taken;
 }
@@ -342,33 +278,66 @@
   struct registry_entry *last
       = g_ptr_array_index (registry->entries, registry->entries->len - 1);
   detach_service (entry);
-  g_queue_unlink (&registry->by_change, &entry->link);
+  unlink_change (registry, entry);
   forget_identity (registry, entry);
   g_hash_table_remove (registry->by_target, entry->record.target);
   g_ptr_array_remove_index_fast (registry->entries, entry->index);
   last->index = entry->index;
-  registry->live -= !entry->record.leaving;
+  registry->live -= entry_live (entry);
   entry_free (entry);
 }
 
+/* Hides a lapsed record; late copies of it and of what came before it stay
+   stale. */
+static void
+hide_entry (struct registry *registry, struct registry_entry *entry)
+{
+  registry->live -= entry_live (entry);
+  entry->lapsed = true;
+  entry->service->dirty = true;
+  unlink_change (registry, entry);
+  forget_identity (registry, entry);
+  entry->identity = 0;
+}
+
+static uint64_t
+forget_at (const struct registry *registry, const struct registry_entry *entry)
+{
+  return entry->record.heard_ms + (uint64_t)MEMORY_LAPSES * registry->lapse_ms;
+}
+
+/* Hides or drops the entry when its time has come; whether it did. */
+static bool
+lapse_entry (struct registry *registry, struct registry_entry *entry,
+             uint64_t now_ms)
+{
+  if (forget_at (registry, entry) <= now_ms)
+    {
+      bool shown = !entry->lapsed;
+      drop_entry (registry, entry);
+      return shown;
+    }
+  if (entry->lapsed)
+    return false;
+  if (registry_lapse_at (registry, &entry->record) <= now_ms)
+    {
+      hide_entry (registry, entry);
+      return true;
+    }
+  registry_load_sample (entry->load, now_ms);
+  return false;
+}
+
 size_t
 registry_lapse (struct registry *registry, uint64_t now_ms)
 {
   size_t dropped = 0;
   g_mutex_lock (&registry->mutex);
   for (guint i = registry->entries->len; i-- > 0;)
-    {
-      struct registry_entry *entry = g_ptr_array_index (registry->entries, i);
-      if (lapse_at (registry, &entry->record) <= now_ms)
-        {
-          drop_entry (registry, entry);
-          dropped++;
-        }
-      else
-        registry_load_sample (entry->load, now_ms);
-    }
+    dropped += lapse_entry (registry, g_ptr_array_index (registry->entries, i),
+                            now_ms);
   if (dropped > 0)
-    publish (registry);
+    registry_publish (registry);
   else
     ck_epoch_poll (&registry->writer->record);
   g_mutex_unlock (&registry->mutex);
@@ -388,6 +357,6 @@
   g_hash_table_iter_init (&iter, registry->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((struct registry_service *)value)->dirty = true;
-  publish (registry);
+  registry_publish (registry);
   g_mutex_unlock (&registry->mutex);
 }
--- a/src/registry.h
+++ b/src/registry.h
@@ -119,8 +119,9 @@
 size_t registry_merge_all (struct registry *registry,
                            const struct registry_record *records, size_t count,
                            uint64_t now_ms, enum registry_outcome *outcomes);
-/** Drops lapsed records; leaving records are kept for 20 lapse times so that
- *  late copies can't bring the target back.  Number dropped. */
+/** Drops lapsed records; for 20 lapse times their order is remembered, and
+ *  leaving records are kept, so that late copies can't bring a target back.
+ *  Number dropped. */
 size_t registry_lapse (struct registry *registry, uint64_t now_ms);
 /** Replaces the set of targets that operators drain; names are copied. */
 void registry_set_drained (struct registry *registry, const char *const *names,
--- a/src/registry_query.c
+++ b/src/registry_query.c
@@ -83,14 +83,15 @@
 registry_slice (struct registry *registry, size_t start,
                 struct registry_record *records, size_t limit)
 {
+  size_t count = 0;
   g_mutex_lock (&registry->mutex);
   size_t total = registry->entries->len;
-  size_t count = MIN (limit, total);
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < total && count < limit; i++)
     {
       const struct registry_entry *entry
           = g_ptr_array_index (registry->entries, (start + i) % total);
-      records[i] = entry->record;
+      if (!entry->lapsed)
+        records[count++] = entry->record;
     }
   g_mutex_unlock (&registry->mutex);
   return count;
@@ -102,10 +103,11 @@
 {
   g_mutex_lock (&registry->mutex);
   const struct registry_entry *entry = g_hash_table_lookup (table, key);
-  if (entry)
+  bool found = entry && !entry->lapsed;
+  if (found)
     *record = entry->record;
   g_mutex_unlock (&registry->mutex);
-  return entry != NULL;
+  return found;
 }
 
 bool
--- a/src/registry_state.h
+++ b/src/registry_state.h
@@ -18,6 +18,9 @@
   struct registry_record record;
   uint64_t identity;
   uint64_t change;
+  /** Whether the record lapsed: it is kept for the order of late copies and
+   *  shown to nobody. */
+  bool lapsed;
   /** heard_ms of the record at that change. */
   uint64_t changed_heard_ms;
   /** Position in the registry's array. */
@@ -72,5 +75,11 @@
 /** A reader with a record of the epoch, a recycled one where there is one;
  *  under the mutex. */
 struct registry_reader *registry_reader_new (struct registry *registry);
+/** Monotonic time at which the record lapses, in ms. */
+uint64_t registry_lapse_at (const struct registry *registry,
+                            const struct registry_record *record);
+/** Swaps the table for one with the views of changed services rebuilt; under
+ *  the mutex. */
+void registry_publish (struct registry *registry);
 
 #endif
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -175,6 +175,10 @@
   leaving.leaving = true;
   put (&a, &old, 2000);
   put (&b, &leaving, 1000);
+  /* B's departure is no late change: A learns of it by the answer to its own
+     old copy. */
+  for (int i = 0; i < 4; i++)
+    gossip_core_round (b.core);
   exchange (&a, &b, 2000, 2000);
   assert_known (&a, &leaving, 1000);
   assert_known (&b, &leaving, 1000);
