--- a/src/registry.c
+++ b/src/registry.c
@@ -39,7 +39,7 @@
   struct registry *registry = g_new0 (struct registry, 1);
   GPtrArray *no_views = g_ptr_array_new ();
   registry->lapse_ms = lapse_ms;
-  g_mutex_init (&registry->mutex);
+  pthread_mutex_init (&registry->mutex, NULL);
   ck_epoch_init (&registry->epoch);
   registry->writer = registry_reader_new (registry);
   registry->entries = g_ptr_array_new ();
@@ -75,16 +75,16 @@
       registry->readers = reader->next;
       free (reader);
     }
-  g_mutex_clear (&registry->mutex);
+  pthread_mutex_destroy (&registry->mutex);
   g_free (registry);
 }
 
 void
 registry_set_home (struct registry *registry, const char *availability_zone)
 {
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   g_strlcpy (registry->home, availability_zone, sizeof registry->home);
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
 }
 
 /* Factor by which a record may be older, for the way it comes. */
@@ -248,7 +248,7 @@
                     uint64_t now_ms, enum registry_outcome *outcomes)
 {
   size_t taken = 0;
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   for (size_t i = 0; i < count; i++)
     {
       enum registry_outcome outcome
@@ -259,7 +259,7 @@
     }
   if (taken > 0)
     registry_publish (registry);
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return taken;
 }
 
@@ -332,7 +332,7 @@
 registry_lapse (struct registry *registry, uint64_t now_ms)
 {
   size_t dropped = 0;
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   for (guint i = registry->entries->len; i-- > 0;)
     dropped += lapse_entry (registry, g_ptr_array_index (registry->entries, i),
                             now_ms);
@@ -340,7 +340,7 @@
     registry_publish (registry);
   else
     ck_epoch_poll (&registry->writer->record);
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return dropped;
 }
 
@@ -350,7 +350,7 @@
 {
   GHashTableIter iter;
   gpointer value;
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   g_hash_table_remove_all (registry->drained);
   for (size_t i = 0; i < count; i++)
     g_hash_table_add (registry->drained, g_strdup (names[i]));
@@ -358,5 +358,5 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((struct registry_service *)value)->dirty = true;
   registry_publish (registry);
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
 }
--- a/src/registry_publish.c
+++ b/src/registry_publish.c
@@ -7,12 +7,16 @@
 {
   ck_epoch_entry_t entry;
   struct registry_table *table;
+  struct registry *registry;
 };
 
 static void
 retire_table (ck_epoch_entry_t *entry)
 {
   struct retired_table *retired = (struct retired_table *)entry;
+  for (struct registry_reader *reader = retired->registry->readers; reader;
+       reader = reader->next)
+    __atomic_load_n (&reader->ended, __ATOMIC_ACQUIRE);
   registry_table_destroy (retired->table);
   g_free (retired);
 }
@@ -70,6 +74,7 @@
     }
   struct retired_table *retired = g_new0 (struct retired_table, 1);
   retired->table = registry->table;
+  retired->registry = registry;
   __atomic_store_n (&registry->table, registry_table_build (views),
                     __ATOMIC_RELEASE);
   ck_epoch_call (&registry->writer->record, &retired->entry, retire_table);
--- a/src/registry_query.c
+++ b/src/registry_query.c
@@ -24,27 +24,27 @@
 size_t
 registry_count (struct registry *registry)
 {
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   size_t live = registry->live;
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return live;
 }
 
 size_t
 registry_service_count (struct registry *registry)
 {
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   size_t count = g_hash_table_size (registry->services);
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return count;
 }
 
 uint64_t
 registry_change_number (struct registry *registry)
 {
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   uint64_t change = registry->change;
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return change;
 }
 
@@ -67,7 +67,7 @@
                   struct registry_record *records, size_t limit)
 {
   size_t count = 0;
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   for (GList *link = first_change (registry, *after); link && count < limit;
        link = link->next)
     {
@@ -75,7 +75,7 @@
       records[count++] = entry->record;
       *after = entry->change;
     }
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return count;
 }
 
@@ -84,7 +84,7 @@
                 struct registry_record *records, size_t limit)
 {
   size_t count = 0;
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   size_t total = registry->entries->len;
   for (size_t i = 0; i < total && count < limit; i++)
     {
@@ -93,7 +93,7 @@
       if (!entry->lapsed)
         records[count++] = entry->record;
     }
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return count;
 }
 
@@ -101,12 +101,12 @@
 copy_found (struct registry *registry, GHashTable *table, gconstpointer key,
             struct registry_record *record)
 {
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   const struct registry_entry *entry = g_hash_table_lookup (table, key);
   bool found = entry && !entry->lapsed;
   if (found)
     *record = entry->record;
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return found;
 }
 
@@ -127,9 +127,9 @@
 struct registry_reader *
 registry_reader_create (struct registry *registry)
 {
-  g_mutex_lock (&registry->mutex);
+  pthread_mutex_lock (&registry->mutex);
   struct registry_reader *reader = registry_reader_new (registry);
-  g_mutex_unlock (&registry->mutex);
+  pthread_mutex_unlock (&registry->mutex);
   return reader;
 }
 
@@ -152,5 +152,6 @@
 void
 registry_read_end (struct registry_reader *reader)
 {
+  __atomic_store_n (&reader->ended, reader->ended + 1, __ATOMIC_RELEASE);
   ck_epoch_end (&reader->record, NULL);
 }
--- a/src/registry_state.h
+++ b/src/registry_state.h
@@ -4,6 +4,8 @@
 /** @file
  *  State of a registry, shared by the files that write and that query it. */
 
+#include <pthread.h>
+
 #include <ck_epoch.h>
 #include <glib.h>
 
@@ -44,6 +46,9 @@
 struct registry_reader
 {
   ck_epoch_record_t record;
+  /** Number of reads that ended; orders them before the freeing of what they
+   *  read in C11's terms too, so that thread sanitizers can check it. */
+  uint64_t ended;
   struct registry *registry;
   struct registry_reader *next;
 };
@@ -53,7 +58,7 @@
   uint32_t lapse_ms;
   /** The own availability zone; empty: all are. */
   char home[CACTUS_NAME_BYTES + 1];
-  GMutex mutex;
+  pthread_mutex_t mutex;
   ck_epoch_t epoch;
   /** Record of whichever thread writes; under the mutex. */
   struct registry_reader *writer;
