--- a/src/registry_state.h
+++ b/src/registry_state.h
@@ -4,6 +4,8 @@
 /** @file
  *  State of a registry, shared by the files that write and that query it. */
 
+#include <pthread.h>
+
 #include <ck_epoch.h>
 #include <glib.h>
 
@@ -18,6 +20,9 @@
   struct registry_record record;
   uint64_t identity;
   uint64_t change;
+  /** Whether the record lapsed: it is kept for the order of late copies and
+   *  shown to nobody. */
+  bool lapsed;
   /** heard_ms of the record at that change. */
   uint64_t changed_heard_ms;
   /** Position in the registry's array. */
@@ -41,6 +46,9 @@
 struct registry_reader
 {
   ck_epoch_record_t record;
+  /** Number of reads that ended; orders them before the freeing of what they
+   *  read in C11's terms too, so that thread sanitizers can check it. */
+  uint64_t ended;
   struct registry *registry;
   struct registry_reader *next;
 };
@@ -50,7 +58,7 @@
   uint32_t lapse_ms;
   /** The own availability zone; empty: all are. */
   char home[CACTUS_NAME_BYTES + 1];
-  GMutex mutex;
+  pthread_mutex_t mutex;
   ck_epoch_t epoch;
   /** Record of whichever thread writes; under the mutex. */
   struct registry_reader *writer;
@@ -72,5 +80,11 @@
 /** A reader with a record of the epoch, a recycled one where there is one;
  *  under the mutex. */
 struct registry_reader *registry_reader_new (struct registry *registry);
+/** Monotonic time at which the record lapses, in ms. */
+uint64_t registry_lapse_at (const struct registry *registry,
+                            const struct registry_record *record);
+/** Swaps the table for one with the views of changed services rebuilt; under
+ *  the mutex. */
+void registry_publish (struct registry *registry);
 
 #endif
