Make differences of bundles by walking both in order

Cause: bench_bundle with 6,800 accounts: 41 ms a difference, on the thread that also keeps control's heartbeats.

Change: a bundle knows where each entry stands in its canonical text, so that a difference compares bytes and parses nothing; 12 bytes more an entry.

--- a/src/bundle.c
+++ b/src/bundle.c
@@ -26,6 +26,9 @@
   bundle->account_bits = g_ptr_array_new_with_free_func (g_free);
   bundle->operators
       = g_array_new (FALSE, TRUE, sizeof (struct bundle_operator));
+  for (int i = 0; i < BUNDLE_SECTION_COUNT; i++)
+    bundle->entries[i]
+        = g_array_new (FALSE, TRUE, sizeof (struct bundle_entry));
   return bundle;
 }
 
@@ -39,6 +42,8 @@
   g_array_unref (bundle->accounts);
   g_array_unref (bundle->keys);
   g_array_unref (bundle->operators);
+  for (int i = 0; i < BUNDLE_SECTION_COUNT; i++)
+    g_array_unref (bundle->entries[i]);
   g_string_chunk_free (bundle->names);
   g_free (bundle->canonical);
   g_free (bundle);
--- a/src/bundle_data.h
+++ b/src/bundle_data.h
@@ -43,6 +43,30 @@
   uint8_t key[BUNDLE_DIGEST_BYTES];
 };
 
+/** Where an entry of a section stands in the canonical text. */
+struct bundle_entry
+{
+  /** Bytes of "name":value. */
+  uint32_t start;
+  uint32_t end;
+  /** Bytes of the name with its quotes. */
+  uint32_t name_bytes;
+};
+
+/** The sections of a document. */
+enum bundle_section
+{
+  BUNDLE_SECTION_ACCOUNTS,
+  BUNDLE_SECTION_CLASSES,
+  BUNDLE_SECTION_OPERATORS,
+  BUNDLE_SECTION_RULES,
+  BUNDLE_SECTION_SERVICES,
+  BUNDLE_SECTION_COUNT
+};
+
+/** Names of the sections, in order. */
+extern const char *const bundle_section_names[BUNDLE_SECTION_COUNT];
+
 struct bundle
 {
   atomic_uint references;
@@ -50,6 +74,8 @@
   char *canonical;
   size_t canonical_bytes;
   uint8_t digest[BUNDLE_DIGEST_BYTES];
+  /** Entries of each section in order of names: struct bundle_entry. */
+  GArray *entries[BUNDLE_SECTION_COUNT];
   /** Names live here. */
   GStringChunk *names;
   /** Sorted by name: struct bundle_account. */
--- a/src/bundle_difference.c
+++ b/src/bundle_difference.c
@@ -15,46 +15,91 @@
   return json_loadb (bundle->canonical, bundle->canonical_bytes, 0, NULL);
 }
 
-/* Entries of one section that were added or changed, and null for those that
-   were removed. */
-static json_t *
-section_changes (json_t *old_section, json_t *new_section)
+/* The entries of one section of a bundle, in order; empty for no bundle. */
+struct entry_list
 {
-  const char *name;
-  json_t *value;
-  json_t *changes = json_object ();
-  json_object_foreach (new_section, name, value)
-  {
-    if (!json_equal (value, json_object_get (old_section, name)))
-      json_object_set (changes, name, value);
-  }
-  json_object_foreach (old_section, name, value)
-  {
-    if (!json_object_get (new_section, name))
-      json_object_set_new (changes, name, json_null ());
-  }
-  return changes;
+  const char *text;
+  const struct bundle_entry *entries;
+  guint count;
+  guint next;
+};
+
+static struct entry_list
+list_entries (const struct bundle *bundle, int section)
+{
+  struct entry_list list = { 0 };
+  if (!bundle)
+    return list;
+  list.text = bundle->canonical;
+  list.entries = (const struct bundle_entry *)bundle->entries[section]->data;
+  list.count = bundle->entries[section]->len;
+  return list;
 }
 
-static json_t *
-all_changes (const struct bundle *old_bundle, const struct bundle *new_bundle)
+static const struct bundle_entry *
+peek (const struct entry_list *list)
+{
+  return list->next < list->count ? &list->entries[list->next] : NULL;
+}
+
+/* Order of the next entries by name; an ended list comes last. */
+static int
+compare_next (const struct entry_list *left, const struct entry_list *right)
 {
-  json_t *old_document = parse_canonical (old_bundle);
-  json_t *new_document = parse_canonical (new_bundle);
-  json_t *all = json_object ();
-  for (size_t i = 0; bundle_sections[i]; i++)
+  const struct bundle_entry *a = peek (left);
+  const struct bundle_entry *b = peek (right);
+  if (!a || !b)
+    return a ? -1 : 1;
+  uint32_t bytes = MIN (a->name_bytes, b->name_bytes) - 1;
+  int order = memcmp (left->text + a->start, right->text + b->start, bytes);
+  if (order != 0)
+    return order;
+  return a->name_bytes < b->name_bytes ? -1 : a->name_bytes > b->name_bytes;
+}
+
+static bool
+next_equal (const struct entry_list *left, const struct entry_list *right)
+{
+  const struct bundle_entry *a = peek (left);
+  const struct bundle_entry *b = peek (right);
+  return a->end - a->start == b->end - b->start
+         && memcmp (left->text + a->start, right->text + b->start,
+                    a->end - a->start)
+                == 0;
+}
+
+/* Writes the next entry, or its name and null when it was removed. */
+static void
+append_change (GString *changes, const struct entry_list *list, bool removed)
+{
+  const struct bundle_entry *entry = peek (list);
+  const char *text = list->text + entry->start;
+  if (changes->len > 0)
+    g_string_append_c (changes, ',');
+  if (!removed)
+    g_string_append_len (changes, text, entry->end - entry->start);
+  else
+    g_string_append_printf (changes, "%.*s:null", (int)entry->name_bytes,
+                            text);
+}
+
+/* Entries of one section that were added or changed, and null for those that
+   were removed. */
+static GString *
+section_changes (struct entry_list old_list, struct entry_list new_list)
+{
+  GString *changes = g_string_new (NULL);
+  while (peek (&old_list) || peek (&new_list))
     {
-      const char *section = bundle_sections[i];
-      json_t *changes
-          = section_changes (json_object_get (old_document, section),
-                             json_object_get (new_document, section));
-      if (json_object_size (changes) > 0)
-        json_object_set (all, section, changes);
-      json_decref (changes);
+      int order = compare_next (&old_list, &new_list);
+      if (order < 0)
+        append_change (changes, &old_list, true);
+      else if (order > 0 || !next_equal (&old_list, &new_list))
+        append_change (changes, &new_list, false);
+      old_list.next += order <= 0;
+      new_list.next += order >= 0;
     }
-  json_decref (old_document);
-  json_decref (new_document);
-  return all;
+  return changes;
 }
 
 char *
@@ -62,21 +107,25 @@
                    const struct bundle *new_bundle)
 {
   char digest[2 * BUNDLE_DIGEST_BYTES + 1];
+  const char *comma = "";
+  GString *text = g_string_new ("{\"changes\":{");
   base_hex_write (digest, new_bundle->digest, BUNDLE_DIGEST_BYTES);
-  json_t *difference = json_object ();
-  json_int_t from = old_bundle ? (json_int_t)old_bundle->version : 0;
-  json_object_set_new (difference, "from", json_integer (from));
-  json_object_set_new (difference, "to",
-                       json_integer ((json_int_t)new_bundle->version));
-  json_object_set_new (difference, "digest", json_string (digest));
-  json_object_set_new (difference, "changes",
-                       all_changes (old_bundle, new_bundle));
-  char *dumped = json_dumps (difference, JSON_SORT_KEYS | JSON_COMPACT
-                                             | JSON_ENSURE_ASCII);
-  char *text = g_strdup (dumped);
-  free (dumped);
-  json_decref (difference);
-  return text;
+  for (int i = 0; i < BUNDLE_SECTION_COUNT; i++)
+    {
+      GString *changes = section_changes (list_entries (old_bundle, i),
+                                          list_entries (new_bundle, i));
+      if (changes->len > 0)
+        {
+          g_string_append_printf (text, "%s\"%s\":{%s}", comma,
+                                  bundle_section_names[i], changes->str);
+          comma = ",";
+        }
+      g_string_free (changes, TRUE);
+    }
+  g_string_append_printf (
+      text, "},\"digest\":\"%s\",\"from\":%" PRIu64 ",\"to\":%" PRIu64 "}",
+      digest, old_bundle ? old_bundle->version : 0, new_bundle->version);
+  return g_string_free (text, FALSE);
 }
 
 static void
@@ -161,9 +210,9 @@
   document = parse_canonical (old_bundle);
   json_object_set (document, "version", json_object_get (parsed, "to"));
   json_t *changes = json_object_get (parsed, "changes");
-  for (size_t i = 0; bundle_sections[i]; i++)
-    change_section (document, bundle_sections[i],
-                    json_object_get (changes, bundle_sections[i]));
+  for (int i = 0; i < BUNDLE_SECTION_COUNT; i++)
+    change_section (document, bundle_section_names[i],
+                    json_object_get (changes, bundle_section_names[i]));
   bundle = check_outcome (bundle_read_json (document, findings), parsed,
                           findings);
 done:
--- a/src/bundle_read.c
+++ b/src/bundle_read.c
@@ -3,20 +3,19 @@
 
 #include "bundle_reader.h"
 
-#include <stdlib.h>
-#include <string.h>
-
-#include <sodium.h>
-
 #define VERSION_MAX INT64_MAX
 
-const char *const bundle_sections[]
-    = { "operators", "accounts", "services", "classes", "rules", NULL };
-
 static const char *const document_members[]
     = { "version", "operators", "accounts", "services",
         "classes", "rules",     NULL };
 
+/** A section and the function that reads it. */
+struct section_reader
+{
+  const char *name;
+  void (*read) (struct bundle_reader *reader, json_t *section);
+};
+
 static void
 read_version (struct bundle_reader *reader, json_t *document)
 {
@@ -34,41 +33,24 @@
 static void
 read_sections (struct bundle_reader *reader, json_t *document)
 {
-  void (*const readers[]) (struct bundle_reader *, json_t *)
-      = { bundle_read_operators, bundle_read_accounts, bundle_read_services,
-          bundle_read_classes, bundle_read_rules };
-  for (size_t i = 0; bundle_sections[i]; i++)
+  static const struct section_reader readers[]
+      = { { "operators", bundle_read_operators },
+          { "accounts", bundle_read_accounts },
+          { "services", bundle_read_services },
+          { "classes", bundle_read_classes },
+          { "rules", bundle_read_rules } };
+  for (size_t i = 0; i < G_N_ELEMENTS (readers); i++)
     {
-      json_t *section = json_object_get (document, bundle_sections[i]);
-      size_t mark = bundle_reader_enter (reader, bundle_sections[i]);
+      json_t *section = json_object_get (document, readers[i].name);
+      size_t mark = bundle_reader_enter (reader, readers[i].name);
       if (section && !json_is_object (section))
         bundle_reader_find (reader, "must be an object");
       else if (section)
-        readers[i](reader, section);
+        readers[i].read (reader, section);
       bundle_reader_leave (reader, mark);
     }
 }
 
-/* A document with every section, so that an absent one and an empty one have
-   the same digest. */
-static void
-make_canonical (struct bundle *bundle, json_t *document)
-{
-  json_t *whole = json_copy (document);
-  for (size_t i = 0; bundle_sections[i]; i++)
-    if (!json_object_get (whole, bundle_sections[i]))
-      json_object_set_new (whole, bundle_sections[i], json_object ());
-  char *text
-      = json_dumps (whole, JSON_SORT_KEYS | JSON_COMPACT | JSON_ENSURE_ASCII);
-  bundle->canonical = g_strdup (text);
-  bundle->canonical_bytes = strlen (text);
-  free (text);
-  json_decref (whole);
-  crypto_generichash (bundle->digest, sizeof bundle->digest,
-                      (const unsigned char *)bundle->canonical,
-                      bundle->canonical_bytes, NULL, 0);
-}
-
 struct bundle *
 bundle_read_json (json_t *document, struct base_findings *findings)
 {
@@ -86,7 +68,7 @@
       bundle_unref (reader.bundle);
       return NULL;
     }
-  make_canonical (reader.bundle, document);
+  bundle_canonical_make (reader.bundle, document);
   return reader.bundle;
 }
 
--- a/src/bundle_reader.h
+++ b/src/bundle_reader.h
@@ -64,7 +64,8 @@
 /** Reads a parsed document; takes no reference to it. */
 struct bundle *bundle_read_json (json_t *document,
                                  struct base_findings *findings);
-/** Names of the document's sections, ended by NULL. */
-extern const char *const bundle_sections[];
+/** Writes the canonical text of a document that was read without findings,
+ *  its digest, and where the entries stand. */
+void bundle_canonical_make (struct bundle *bundle, json_t *document);
 
 #endif
