--- a/src/ctl_bundle_push.c
+++ b/src/ctl_bundle_push.c
@@ -86,10 +86,19 @@
   return count;
 }
 
-/* Waits until every live process runs @p version; @p count tells how many
-   these are. */
+/** What --wait saw in the end. */
+struct rollout
+{
+  /** Live processes that follow bundles. */
+  uint32_t process_count;
+  /** Newest accepted version, which may be above the one that was pushed. */
+  uint64_t accepted_version;
+};
+
+/* Waits until every live process runs @p version. */
 static enum ctl_exit
-wait_in_force (struct ctl_context *context, uint64_t version, uint32_t *count)
+wait_in_force (struct ctl_context *context, uint64_t version,
+               struct rollout *rollout)
 {
   struct base_clock *clock = base_clock_system ();
   uint64_t deadline_ms
@@ -101,7 +110,8 @@
       if (code != CTL_DONE)
         return code;
       GString *behind = list_behind (&status, version);
-      *count = count_followers (&status);
+      rollout->process_count = count_followers (&status);
+      rollout->accepted_version = status.bundle_version;
       ctl_status_free (&status);
       if (!behind)
         return CTL_DONE;
@@ -120,32 +130,36 @@
 
 static void
 print_pushed (const struct ctl_context *context, uint64_t version,
-              uint32_t count)
+              const struct rollout *rollout)
 {
   if (context->options.json)
     printf ("{\"version\":%" PRIu64 ",\"in_force\":%s}\n", version,
             context->options.wait ? "true" : "null");
-  else if (context->options.wait)
-    printf ("version %" PRIu64 " is in force at all %u live process(es)\n",
-            version, count);
-  else
+  else if (!context->options.wait)
     printf ("version %" PRIu64 " is accepted\n", version);
+  else if (rollout->accepted_version > version)
+    printf ("version %" PRIu64 " was accepted before; by now version %" PRIu64
+            " is\n",
+            version, rollout->accepted_version);
+  else
+    printf ("version %" PRIu64 " is in force at all %u live process(es)\n",
+            version, rollout->process_count);
 }
 
 enum ctl_exit
 ctl_bundle_push (struct ctl_context *context)
 {
   struct ctl_signature signature;
-  uint32_t count = 0;
+  struct rollout rollout = { 0 };
   enum ctl_exit code = CTL_USAGE;
   struct bundle *bundle = ctl_document_read (context->arguments[1]);
   if (!bundle || !find_signature (context, bundle, &signature))
     goto done;
   code = send_bundle (context, bundle, &signature);
   if (code == CTL_DONE && context->options.wait)
-    code = wait_in_force (context, bundle_version (bundle), &count);
+    code = wait_in_force (context, bundle_version (bundle), &rollout);
   if (code == CTL_DONE)
-    print_pushed (context, bundle_version (bundle), count);
+    print_pushed (context, bundle_version (bundle), &rollout);
 done:
   bundle_unref (bundle);
   return code;
