--- /dev/null
+++ b/bench/bench_router.c
@@ -0,0 +1,208 @@
+/** @file
+ *  What a router adds: latency over calling the target directly, processor
+ *  time a request and a token, memory a stream.  --json prints one JSON line
+ *  a slope, --seconds N sets the length of each part. */
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "bench_callers.h"
+#include "router_call.h"
+#include "router_rig.h"
+
+#define PATH "/v1/completions"
+#define WHOLE_BODY                                                            \
+  "{\"model\":\"" ROUTER_RIG_MODEL "\",\"prompt\":\"price of hake at the "    \
+  "northern ports\",\"max_tokens\":16}"
+#define STREAM_BODY                                                           \
+  "{\"model\":\"" ROUTER_RIG_MODEL "\",\"prompt\":\"price of hake at the "    \
+  "northern ports\",\"max_tokens\":4000,\"stream\":true}"
+#define SETTLE_US 1500000
+/* Connections are made and shares of the budget reach the ledger meanwhile. */
+#define WARM_UP_MS 2000
+
+static bool json_wanted;
+static uint32_t seconds = 5;
+
+static void
+print_slope (const char *name, const char *unit, double value,
+             const char *sizes)
+{
+  if (json_wanted)
+    printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.3f,"
+            "\"sizes\":\"%s\"}\n",
+            name, unit, value, sizes);
+  else
+    printf ("%-34s %12.2f %-16s %s\n", name, value, unit, sizes);
+}
+
+static const char *const fast_target[] = { "--slots",
+                                           "20000",
+                                           "--queue-limit",
+                                           "0",
+                                           "--call-ms",
+                                           "0",
+                                           "--token-rate",
+                                           "1000000",
+                                           "--first-token-ms",
+                                           "10",
+                                           "--threads",
+                                           "4",
+                                           NULL };
+static const char *const slow_target[] = {
+  "--slots", "20000",           "--queue-limit", "0",         "--token-rate",
+  "1",       "--answer-tokens", "4000",          "--threads", "4",
+  NULL
+};
+static const char *const token_target[] = {
+  "--slots", "20000",           "--queue-limit", "0",         "--token-rate",
+  "100",     "--answer-tokens", "4000",          "--threads", "4",
+  NULL
+};
+static const char *const no_arguments[] = { NULL };
+
+/* Shows why requests were refused, if any were. */
+static void
+show_refusals (struct router_rig *rig)
+{
+  struct router_call_options call = { .path = "/metrics" };
+  struct router_call_result result
+      = router_call (router_rig_port (rig), &call);
+  char **lines = g_strsplit (result.body->str, "\n", -1);
+  for (char **line = lines; *line; line++)
+    if (g_str_has_prefix (*line, "cactus_router_refused_total"))
+      fprintf (stderr, "%s\n", *line);
+  g_strfreev (lines);
+  router_call_clear (&result);
+}
+
+/* Calls the target directly and through the router at once. */
+static void
+bench_latency (uint32_t rate)
+{
+  char sizes[96];
+  char name[64];
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, fast_target);
+  int router = fleet_process_id (router_rig_router (rig));
+  struct bench_series direct = { .port = fleet_process_http_port (target),
+                                 .path = PATH,
+                                 .body = WHOLE_BODY,
+                                 .api_key = ROUTER_RIG_KEY,
+                                 .rate = rate,
+                                 .duration_ms = seconds * 1000 };
+  struct bench_series routed = direct;
+  routed.port = router_rig_port (rig);
+  struct bench_series warm_up = routed;
+  warm_up.duration_ms = WARM_UP_MS;
+  bench_series_run (&warm_up, NULL);
+  bench_series_clear (&warm_up);
+  uint64_t cpu = bench_process_cpu_us (router);
+  bench_series_run (&direct, &routed);
+  cpu = bench_process_cpu_us (router) - cpu;
+  snprintf (sizes, sizeof sizes,
+            "%" PRIu32 "/s each way, %" PRIu64 " direct, %" PRIu64
+            " routed, %" PRIu64 " failed",
+            rate, direct.good, routed.good, direct.bad + routed.bad);
+  const double shares[] = { 0.5, 0.99 };
+  for (size_t i = 0; i < G_N_ELEMENTS (shares); i++)
+    {
+      uint32_t without = bench_series_quantile (&direct, shares[i]);
+      uint32_t with = bench_series_quantile (&routed, shares[i]);
+      uint32_t percent = (uint32_t)(shares[i] * 100);
+      snprintf (name, sizeof name, "direct_p%" PRIu32 "_%" PRIu32, percent,
+                rate);
+      print_slope (name, "us", without, sizes);
+      snprintf (name, sizeof name, "routed_p%" PRIu32 "_%" PRIu32, percent,
+                rate);
+      print_slope (name, "us", with, sizes);
+      snprintf (name, sizeof name, "router_added_p%" PRIu32 "_%" PRIu32,
+                percent, rate);
+      print_slope (name, "us", (double)with - without, sizes);
+    }
+  snprintf (name, sizeof name, "router_request_cpu_%" PRIu32, rate);
+  print_slope (name, "us/request", (double)cpu / (double)MAX (routed.good, 1),
+               sizes);
+  show_refusals (rig);
+  bench_series_clear (&direct);
+  bench_series_clear (&routed);
+  router_rig_destroy (rig);
+}
+
+static void
+bench_memory (void)
+{
+  static const uint32_t counts[] = { 500, 2000 };
+  char sizes[64];
+  struct router_rig *rig = router_rig_create (no_arguments);
+  router_rig_target (rig, "t1", ROUTER_RIG_MODEL, slow_target);
+  int router = fleet_process_id (router_rig_router (rig));
+  uint64_t empty = bench_process_memory_bytes (router);
+  print_slope ("router_memory_idle", "bytes", (double)empty, "0 streams");
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      struct bench_streams *streams = bench_streams_open (
+          router_rig_port (rig), PATH, STREAM_BODY, ROUTER_RIG_KEY, counts[i]);
+      bench_streams_read (streams, 1000);
+      uint64_t full = bench_process_memory_bytes (router);
+      snprintf (sizes, sizeof sizes, "%" PRIu32 " streams, %" PRIu64 " bytes",
+                counts[i], full);
+      print_slope ("router_stream_memory", "bytes/stream",
+                   (double)(full - empty) / counts[i], sizes);
+      bench_streams_close (streams);
+      g_usleep (SETTLE_US);
+    }
+  router_rig_destroy (rig);
+}
+
+/* Streams at 100 tokens a second each; tokens are counted by the target. */
+static void
+bench_tokens (uint32_t count)
+{
+  char sizes[96];
+  struct router_rig *rig = router_rig_create (no_arguments);
+  router_rig_target (rig, "t1", ROUTER_RIG_MODEL, token_target);
+  int router = fleet_process_id (router_rig_router (rig));
+  struct bench_streams *streams = bench_streams_open (
+      router_rig_port (rig), PATH, STREAM_BODY, ROUTER_RIG_KEY, count);
+  bench_streams_read (streams, 500);
+  uint64_t cpu = bench_process_cpu_us (router);
+  uint64_t events = bench_streams_tokens (streams);
+  bench_streams_read (streams, seconds * 1000);
+  cpu = bench_process_cpu_us (router) - cpu;
+  events = bench_streams_tokens (streams) - events;
+  snprintf (sizes, sizeof sizes, "%" PRIu32 " streams, %" PRIu64 " tokens/s",
+            count, events / seconds);
+  print_slope ("router_tokens_per_core", "tokens/s/core",
+               (double)events * 1e6 / (double)MAX (cpu, 1), sizes);
+  print_slope ("router_token_cpu", "us/token",
+               (double)cpu / (double)MAX (events, 1), sizes);
+  bench_streams_close (streams);
+  router_rig_destroy (rig);
+}
+
+int
+main (int argc, char **argv)
+{
+  for (int i = 1; i < argc; i++)
+    {
+      json_wanted |= strcmp (argv[i], "--json") == 0;
+      if (strcmp (argv[i], "--seconds") == 0 && i + 1 < argc)
+        seconds = (uint32_t)MAX (1, atoi (argv[i + 1]));
+    }
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  bench_latency (200);
+  bench_latency (1000);
+  bench_memory ();
+  bench_tokens (200);
+  curl_global_cleanup ();
+  return EXIT_SUCCESS;
+}
--- a/src/router.h
+++ b/src/router.h
@@ -18,6 +18,7 @@
 #include "router_metrics.h"
 #include "router_queue.h"
 
+struct gossip;
 struct router_worker;
 
 /** Who a router is; strings stay the caller's. */
@@ -56,6 +57,8 @@
   struct router_queue *queue;
   struct router_worker **workers;
   _Atomic uint32_t next_worker;
+  /** Told of leaving targets; NULL until it is started. */
+  _Atomic (struct gossip *) gossip;
   struct base_counter *open_gauge;
   _Atomic uint32_t open;
   atomic_bool draining;
--- a/src/router_answer.c
+++ b/src/router_answer.c
@@ -83,6 +83,12 @@
   return texts[refusal].status;
 }
 
+const char *
+router_refusal_run (enum router_refusal refusal)
+{
+  return texts[refusal].run;
+}
+
 char *
 router_refusal_print (enum router_refusal refusal, const char *message)
 {
--- a/src/router_answer.h
+++ b/src/router_answer.h
@@ -40,6 +40,8 @@
 const char *router_refusal_code (enum router_refusal refusal);
 /** HTTP status of a refusal. */
 unsigned int router_refusal_status (enum router_refusal refusal);
+/** What a refusal says of the run: "not-run", "ran" or "unknown". */
+const char *router_refusal_run (enum router_refusal refusal);
 /** JSON of a refusal, freed with free. */
 char *router_refusal_print (enum router_refusal refusal, const char *message);
 /** Whole response to a refusal with its headers.  Retry-After is
--- a/src/router_callers.c
+++ b/src/router_callers.c
@@ -159,8 +159,8 @@
     case CALL_REQUEST:
       return serve_request (callers, connection, call);
     case CALL_ANNOUNCE:
-      return router_targets_announce (router->registry, connection,
-                                      call->body->str, call->body->len);
+      return router_targets_announce (router, connection, call->body->str,
+                                      call->body->len);
     case CALL_TARGETS:
       return router_targets_list (router->registry, connection);
     case CALL_STATUS:
--- a/src/router_finish.c
+++ b/src/router_finish.c
@@ -57,6 +57,15 @@
   router_ledger_release (request);
 }
 
+/* A request that was sent to some target can't be refused as not run. */
+static enum router_refusal
+truthful (const struct router_request *request, enum router_refusal refusal)
+{
+  bool not_run = strcmp (router_refusal_run (refusal), "not-run") == 0;
+  return request->maybe_ran && not_run ? ROUTER_REFUSAL_TARGET_FAILED
+                                       : refusal;
+}
+
 void
 router_finish_refuse (struct router_request *request,
                       enum router_refusal refusal, uint32_t retry_after_ms,
@@ -64,6 +73,7 @@
 {
   char number[NUMBER_BYTES];
   va_list arguments;
+  refusal = truthful (request, refusal);
   va_start (arguments, format);
   char *message = g_strdup_vprintf (format, arguments);
   va_end (arguments);
--- a/src/router_ledger.c
+++ b/src/router_ledger.c
@@ -28,6 +28,7 @@
         enum ledger_op_kind kind)
 {
   op->open = true;
+  op->submitted_us = base_clock_now_us (base_clock_system ());
   atomic_store (&op->answered, false);
   op->ledger.done = note_answer;
   op->ledger.op.kind = kind;
@@ -97,11 +98,24 @@
   submit (request, &request->settle, LEDGER_RELEASE);
 }
 
+static void
+note_wait (const struct router_ledger_op *op)
+{
+  struct router_metrics *metrics = op->request->router->metrics;
+  uint64_t wait_us
+      = base_clock_now_us (base_clock_system ()) - op->submitted_us;
+  if (op == &op->request->reserve)
+    router_metrics_reserved (metrics, wait_us);
+  else if (op == &op->request->settle)
+    router_metrics_settled (metrics, wait_us);
+}
+
 bool
 router_ledger_take (struct router_ledger_op *op)
 {
   if (!op->open || !atomic_load (&op->answered))
     return false;
   op->open = false;
+  note_wait (op);
   return true;
 }
--- a/src/router_metrics.c
+++ b/src/router_metrics.c
@@ -14,6 +14,8 @@
   GHashTable *classes;
   GHashTable *accounts;
   struct base_counter *retries;
+  struct base_histogram *reserve_us;
+  struct base_histogram *settle_us;
 };
 
 struct router_metrics *
@@ -29,6 +31,10 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   metrics->retries
       = base_metrics_counter (set, "cactus_router_retries_total", NULL);
+  metrics->reserve_us
+      = base_metrics_histogram (set, "cactus_router_reserve_us", NULL);
+  metrics->settle_us
+      = base_metrics_histogram (set, "cactus_router_settle_us", NULL);
   return metrics;
 }
 
@@ -123,6 +129,18 @@
   count_by (metrics, "cactus_router_refused_total", "code", code);
 }
 
+void
+router_metrics_reserved (struct router_metrics *metrics, uint64_t wait_us)
+{
+  base_histogram_record (metrics->reserve_us, wait_us);
+}
+
+void
+router_metrics_settled (struct router_metrics *metrics, uint64_t wait_us)
+{
+  base_histogram_record (metrics->settle_us, wait_us);
+}
+
 void
 router_metrics_retried (struct router_metrics *metrics)
 {
--- a/src/router_metrics.h
+++ b/src/router_metrics.h
@@ -40,6 +40,12 @@
 router_metrics_account (struct router_metrics *metrics, const char *name);
 /** Counts a refusal or failure by its code. */
 void router_metrics_refused (struct router_metrics *metrics, const char *code);
+/** Records how long the ledger took to answer a reservation, in
+ *  microseconds. */
+void router_metrics_reserved (struct router_metrics *metrics,
+                              uint64_t wait_us);
+/** Records how long it took to answer a settlement or release. */
+void router_metrics_settled (struct router_metrics *metrics, uint64_t wait_us);
 /** Counts a retry at another target. */
 void router_metrics_retried (struct router_metrics *metrics);
 /** Counts a stream that was cut, by reason. */
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -73,6 +73,7 @@
   /** Submitted and not yet taken in by the worker. */
   bool open;
   atomic_bool answered;
+  uint64_t submitted_us;
 };
 
 /** A target that was chosen. */
--- a/src/router_session.c
+++ b/src/router_session.c
@@ -11,8 +11,6 @@
 take_bundle (struct control_session_user *user, struct bundle *bundle)
 {
   struct router_session *session = (struct router_session *)user;
-  base_log (BASE_LOG_NOTICE, "bundle in force version=%" PRIu64,
-            bundle_version (bundle));
   router_set_bundle (session->router, bundle);
 }
 
@@ -40,15 +38,21 @@
       fill_ledger (&ledgers[found++], &peers[i]);
   if (!session->fixed_ledgers)
     ledger_client_set_ledgers (session->router->ledger, ledgers, found);
+  base_log (BASE_LOG_NOTICE,
+            "processes changed count=%" PRIu32 " ledgers=%" PRIu32, count,
+            found);
+  gossip_set_peers (session->gossip, peers, count);
   g_free (ledgers);
 }
 
 void
-router_session_init (struct router_session *session, struct router *router)
+router_session_init (struct router_session *session, struct router *router,
+                     struct gossip *gossip)
 {
   session->user.bundle = take_bundle;
   session->user.peers = take_peers;
   session->router = router;
+  session->gossip = gossip;
   session->fixed_ledgers = false;
 }
 
--- a/src/router_session.h
+++ b/src/router_session.h
@@ -5,6 +5,7 @@
  *  What a router learns from control: the configuration and the ledgers. */
 
 #include "control_session.h"
+#include "gossip_shell.h"
 #include "router.h"
 
 /** First member is called by the session; embed it. */
@@ -12,13 +13,14 @@
 {
   struct control_session_user user;
   struct router *router;
+  struct gossip *gossip;
   /** Ledgers come from settings, not from control. */
   bool fixed_ledgers;
 };
 
 /** Prepares it for control_session_create. */
 void router_session_init (struct router_session *session,
-                          struct router *router);
+                          struct router *router, struct gossip *gossip);
 /** Uses the ledgers at these endpoints ("A.B.C.D:PORT", ended by NULL)
  *  instead of those that control names. */
 void router_session_fix_ledgers (struct router_session *session,
--- a/src/router_targets.c
+++ b/src/router_targets.c
@@ -9,6 +9,7 @@
 
 #include "base_clock.h"
 #include "cactus_config.h"
+#include "gossip_shell.h"
 
 #define LIST_MAX 4096
 
@@ -126,17 +127,29 @@
   return text;
 }
 
+static void
+take_record (struct router *router, const struct registry_record *record,
+             struct base_findings *findings)
+{
+  struct gossip *gossip = atomic_load (&router->gossip);
+  enum registry_outcome outcome
+      = registry_merge (router->registry, record, now_ms ());
+  if (outcome == REGISTRY_BAD)
+    base_findings_add (findings, "$", "a value is out of range");
+  else if (outcome == REGISTRY_TAKEN && record->leaving && gossip)
+    gossip_depart (gossip, record);
+}
+
 enum MHD_Result
-router_targets_announce (struct registry *registry,
+router_targets_announce (struct router *router,
                          struct MHD_Connection *connection, const char *body,
                          size_t bytes)
 {
   enum MHD_Result result;
   struct registry_record record;
   struct base_findings *findings = base_findings_create ();
-  if (router_targets_read (&record, body, bytes, now_ms (), findings) == 0
-      && registry_merge (registry, &record, now_ms ()) == REGISTRY_BAD)
-    base_findings_add (findings, "$", "a value is out of range");
+  if (router_targets_read (&record, body, bytes, now_ms (), findings) == 0)
+    take_record (router, &record, findings);
   if (base_findings_count (findings) > 0)
     result
         = answer (connection, MHD_HTTP_BAD_REQUEST, print_findings (findings));
--- a/src/router_worker.c
+++ b/src/router_worker.c
@@ -6,9 +6,11 @@
 #include "router.h"
 #include "router_steps.h"
 
-#define WAIT_MS 10
+#define BUSY_WAIT_MS 10
+#define IDLE_WAIT_MS 200
 #define SWEEP_INTERVAL_MS 20
 #define QUEUE_INTERVAL_MS 10
+#define LAPSE_INTERVAL_MS 500
 
 struct router_worker
 {
@@ -25,6 +27,7 @@
   uint64_t bundle_version;
   uint64_t swept_ms;
   uint64_t ticked_ms;
+  uint64_t lapsed_ms;
 };
 
 CK_STACK_CONTAINER (struct router_request, inbox_link, request_of_link)
@@ -80,6 +83,11 @@
       worker->swept_ms = now_ms;
       sweep (worker, now_ms);
     }
+  if (worker->first && now_ms >= worker->lapsed_ms + LAPSE_INTERVAL_MS)
+    {
+      worker->lapsed_ms = now_ms;
+      registry_lapse (worker->router->registry, now_ms);
+    }
   if (worker->first && worker->bundle
       && now_ms >= worker->ticked_ms + QUEUE_INTERVAL_MS)
     {
@@ -89,6 +97,13 @@
     }
 }
 
+/* Timers matter only while requests are open. */
+static uint32_t
+wait_ms (const struct router_worker *worker)
+{
+  return atomic_load (&worker->router->open) > 0 ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+}
+
 static gpointer
 run_worker (gpointer data)
 {
@@ -96,7 +111,7 @@
   worker->reader = registry_reader_create (worker->router->registry);
   while (!atomic_load (&worker->stopping))
     {
-      router_poll_run (worker->loop, WAIT_MS);
+      router_poll_run (worker->loop, wait_ms (worker));
       router_take_bundle (worker->router, &worker->bundle,
                           &worker->bundle_version);
       handle_inbox (worker);
