Send calls of any size; gather entries into fewer appends

Cause: the serving library does not decode a call of several fragments in its non-blocking mode, and its own calling side cuts records at 64 KB. Before: test_wire /wire/large failed at 66,000 bytes (refused). After: up to 8,000,000 bytes ok.

Cause: each round's entries went out as an append of their own, and each append waits for one sync at the follower, so many callers were no faster than few.

--- a/src/consensus_leader.c
+++ b/src/consensus_leader.c
@@ -3,8 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Most entries sent ahead of a peer's answers. */
-#define PIPELINE_ENTRIES 4096
 /* Bytes after which an append takes no further entry. */
 #define APPEND_BYTES (1024u * 1024)
 /* Time after which an unanswered piece of a snapshot is sent again. */
@@ -24,6 +22,7 @@
       peer->next_index = consensus_log_last (consensus->log) + 1;
       peer->probing = true;
       peer->probe_sent = false;
+      peer->sent_count = 0;
       peer->heard_ms = now_ms;
       peer->round = 0;
       peer->sending_snapshot = false;
@@ -72,8 +71,22 @@
     fill_entries (consensus, peer, message);
   if (peer->probing)
     peer->probe_sent = true;
-  else
-    peer->next_index += message->entries.entries_len;
+  else if (message->entries.entries_len > 0)
+    {
+      peer->next_index += message->entries.entries_len;
+      peer->sent_index[peer->sent_count++] = peer->next_index - 1;
+    }
+}
+
+/* Forgets appends that the peer has answered. */
+static void
+drop_answered (struct consensus_peer *peer)
+{
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < peer->sent_count; i++)
+    if (peer->sent_index[i] > peer->match_index)
+      peer->sent_index[kept++] = peer->sent_index[i];
+  peer->sent_count = kept;
 }
 
 static void
@@ -128,8 +141,8 @@
       return;
     }
   uint64_t last = consensus_log_last (consensus->log);
-  while (peer->next_index <= last
-         && peer->next_index - peer->match_index <= PIPELINE_ENTRIES)
+  /* Few appends under way, so that later entries gather in one. */
+  while (peer->next_index <= last && peer->sent_count < CONSENSUS_PIPELINE)
     {
       send_append (consensus, peer, true);
       heartbeat = false;
@@ -267,6 +280,7 @@
   peer->next_index = MAX (next, peer->match_index + 1);
   peer->probing = true;
   peer->probe_sent = false;
+  peer->sent_count = 0;
   send_to_peer (consensus, peer, now_ms, false);
 }
 
@@ -304,6 +318,7 @@
     peer->match_index = message->log_index;
   if (peer->next_index <= peer->match_index)
     peer->next_index = peer->match_index + 1;
+  drop_answered (peer);
   peer->probing = false;
   peer->sending_snapshot = false;
   consensus_advance_commit (consensus);
--- a/src/consensus_state.h
+++ b/src/consensus_state.h
@@ -17,6 +17,9 @@
   CONSENSUS_LEADER
 };
 
+/** Most appends with entries that a peer has not answered. */
+#define CONSENSUS_PIPELINE 2
+
 /** What is known of another member. */
 struct consensus_peer
 {
@@ -27,6 +30,9 @@
   /** One append at a time until its place in the log is found. */
   bool probing;
   bool probe_sent;
+  /** Last index of each append that is under way, oldest first. */
+  uint32_t sent_count;
+  uint64_t sent_index[CONSENSUS_PIPELINE];
   /** Last answer in this leadership, in milliseconds. */
   uint64_t heard_ms;
   /** Newest heartbeat round that it answered. */
--- a/src/wire_client.c
+++ b/src/wire_client.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -14,6 +13,10 @@
 #include <glib.h>
 
 #include "base_address_map.h"
+#include "cactus_config.h"
+
+/* Set in the mark before the last fragment of a record. */
+#define LAST_FRAGMENT 0x80000000u
 
 struct wire_client
 {
@@ -21,7 +24,9 @@
   struct sockaddr_in address;
   uint32_t program;
   uint32_t version;
-  CLIENT *handle;
+  uint32_t last_xid;
+  /* Connected and non-blocking, or -1. */
+  int fd;
 };
 
 struct wire_client *
@@ -36,6 +41,7 @@
   base_address_map (address, mapped);
   inet_pton (AF_INET, mapped, &client->address.sin_addr);
   client->program = program;
+  client->fd = -1;
   client->version = version;
   return client;
 }
@@ -43,9 +49,9 @@
 static void
 disconnect (struct wire_client *client)
 {
-  if (client->handle)
-    clnt_destroy (client->handle);
-  client->handle = NULL;
+  if (client->fd >= 0)
+    close (client->fd);
+  client->fd = -1;
 }
 
 void
@@ -58,22 +64,41 @@
   g_free (client);
 }
 
+/* Milliseconds until the deadline (monotonic, in microseconds), for poll. */
+static int
+left_ms (gint64 deadline_us)
+{
+  gint64 left_us = deadline_us - g_get_monotonic_time ();
+  return left_us > 0 ? (int)((left_us + 999) / 1000) : 0;
+}
+
+/* Waits until the socket is ready for @p events; 0, or -1 at the deadline. */
+static int
+wait_ready (int fd, short events, gint64 deadline_us)
+{
+  struct pollfd wait = { .fd = fd, .events = events };
+  int ready;
+  do
+    ready = poll (&wait, 1, left_ms (deadline_us));
+  while (ready < 0 && errno == EINTR);
+  return ready == 1 ? 0 : -1;
+}
+
 static int
-wait_connected (int fd, uint32_t timeout_ms)
+wait_connected (int fd, gint64 deadline_us)
 {
-  struct pollfd wait = { .fd = fd, .events = POLLOUT };
   int error = 0;
   socklen_t length = sizeof error;
-  if (poll (&wait, 1, (int)timeout_ms) != 1)
+  if (wait_ready (fd, POLLOUT, deadline_us) != 0)
     return -1;
   if (getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length) != 0)
     return -1;
   return error == 0 ? 0 : -1;
 }
 
-/* A connected, blocking socket, or -1. */
+/* A connected, non-blocking socket, or -1. */
 static int
-connect_socket (const struct sockaddr_in *address, uint32_t timeout_ms)
+connect_socket (const struct sockaddr_in *address, gint64 deadline_us)
 {
   int yes = 1;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
@@ -81,95 +106,202 @@
     return -1;
   int status = connect (fd, (const struct sockaddr *)address, sizeof *address);
   if (status != 0 && errno == EINPROGRESS)
-    status = wait_connected (fd, timeout_ms);
+    status = wait_connected (fd, deadline_us);
   if (status != 0)
-    goto fail;
-  int flags = fcntl (fd, F_GETFL);
-  if (fcntl (fd, F_SETFL, flags & ~O_NONBLOCK) != 0)
-    goto fail;
-  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
-  return fd;
-fail:
-  close (fd);
-  return -1;
-}
-
-static int
-ensure_connected (struct wire_client *client, uint32_t timeout_ms)
-{
-  if (client->handle)
-    return 0;
-  int fd = connect_socket (&client->address, timeout_ms);
-  if (fd < 0)
-    return -1;
-  struct sockaddr_in address = client->address;
-  client->handle
-      = clnttcp_create (&address, client->program, client->version, &fd, 0, 0);
-  if (!client->handle)
     {
       close (fd);
       return -1;
     }
-  clnt_control (client->handle, CLSET_FD_CLOSE, NULL);
-  return 0;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+  return fd;
 }
 
 /* Whether the peer closed the idle connection, so that a call on it would be
    lost though it could have been sent anew. */
 static bool
-peer_closed (struct wire_client *client)
+peer_closed (const struct wire_client *client)
 {
-  int fd = -1;
   char byte;
-  if (!clnt_control (client->handle, CLGET_FD, (char *)&fd))
-    return true;
-  ssize_t got = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ssize_t got = recv (client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got == 0 || (got < 0 && errno != EAGAIN);
 }
 
+static int
+send_all (int fd, const char *data, size_t bytes, gint64 deadline_us)
+{
+  while (bytes > 0)
+    {
+      ssize_t sent = send (fd, data, bytes, MSG_NOSIGNAL);
+      if (sent > 0)
+        {
+          data += sent;
+          bytes -= (size_t)sent;
+        }
+      else if (sent < 0 && errno == EAGAIN)
+        {
+          if (wait_ready (fd, POLLOUT, deadline_us) != 0)
+            return -1;
+        }
+      else if (errno != EINTR)
+        return -1;
+    }
+  return 0;
+}
+
+static int
+receive_all (int fd, char *data, size_t bytes, gint64 deadline_us)
+{
+  while (bytes > 0)
+    {
+      ssize_t got = recv (fd, data, bytes, 0);
+      if (got > 0)
+        {
+          data += got;
+          bytes -= (size_t)got;
+        }
+      else if (got < 0 && errno == EAGAIN)
+        {
+          if (wait_ready (fd, POLLIN, deadline_us) != 0)
+            return -1;
+        }
+      else if (got == 0 || errno != EINTR)
+        return -1;
+    }
+  return 0;
+}
+
+/* Encodes the call as a record of one fragment: the serving library takes no
+   call of several.  NULL when the arguments can't be encoded. */
+static char *
+encode_call (struct wire_client *client, uint32_t procedure,
+             xdrproc_t args_codec, void *args, size_t *bytes)
+{
+  struct rpc_msg call = { 0 };
+  XDR stream;
+  size_t room = BYTES_PER_XDR_UNIT * 16 + xdr_sizeof (args_codec, args);
+  char *record = g_malloc (room);
+  call.rm_xid = ++client->last_xid;
+  call.rm_direction = CALL;
+  call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+  call.rm_call.cb_prog = client->program;
+  call.rm_call.cb_vers = client->version;
+  call.rm_call.cb_proc = procedure;
+  call.rm_call.cb_cred = _null_auth;
+  call.rm_call.cb_verf = _null_auth;
+  xdrmem_create (&stream, record + sizeof (uint32_t),
+                 (u_int)(room - sizeof (uint32_t)), XDR_ENCODE);
+  bool good = xdr_callmsg (&stream, &call) && args_codec (&stream, args);
+  uint32_t length = xdr_getpos (&stream);
+  uint32_t mark = htonl (length | LAST_FRAGMENT);
+  XDR_DESTROY (&stream);
+  memcpy (record, &mark, sizeof mark);
+  *bytes = sizeof mark + length;
+  if (good)
+    return record;
+  g_free (record);
+  return NULL;
+}
+
+/* Receives a record of one or more fragments; NULL when it is lost. */
+static GByteArray *
+receive_record (int fd, gint64 deadline_us)
+{
+  uint32_t mark = 0;
+  GByteArray *record = g_byte_array_new ();
+  while (!(mark & LAST_FRAGMENT))
+    {
+      guint start = record->len;
+      if (receive_all (fd, (char *)&mark, sizeof mark, deadline_us) != 0)
+        goto lost;
+      mark = ntohl (mark);
+      uint32_t length = mark & ~LAST_FRAGMENT;
+      if (length > CACTUS_RPC_RECORD_BYTES - start)
+        goto lost;
+      g_byte_array_set_size (record, start + length);
+      if (receive_all (fd, (char *)record->data + start, length, deadline_us)
+          != 0)
+        goto lost;
+    }
+  return record;
+lost:
+  g_byte_array_unref (record);
+  return NULL;
+}
+
 static enum wire_status
-status_of (enum clnt_stat status)
+status_of (const struct rpc_msg *reply)
 {
-  switch (status)
+  if (reply->rm_reply.rp_stat != MSG_ACCEPTED)
+    return WIRE_REFUSED;
+  switch (reply->acpted_rply.ar_stat)
     {
-    case RPC_SUCCESS:
+    case SUCCESS:
       return WIRE_OK;
-    case RPC_CANTENCODEARGS:
-      return WIRE_UNSENT;
-    case RPC_PROGUNAVAIL:
-    case RPC_PROGVERSMISMATCH:
-    case RPC_PROCUNAVAIL:
-    case RPC_CANTDECODEARGS:
-    case RPC_VERSMISMATCH:
-    case RPC_AUTHERROR:
+    case PROG_UNAVAIL:
+    case PROG_MISMATCH:
+    case PROC_UNAVAIL:
+    case GARBAGE_ARGS:
       return WIRE_REFUSED;
     default:
       return WIRE_LOST;
     }
 }
 
+static enum wire_status
+receive_reply (struct wire_client *client, xdrproc_t result_codec,
+               void *result, gint64 deadline_us)
+{
+  struct rpc_msg reply = { 0 };
+  XDR stream;
+  GByteArray *record = receive_record (client->fd, deadline_us);
+  if (!record)
+    return WIRE_LOST;
+  reply.acpted_rply.ar_verf = _null_auth;
+  reply.acpted_rply.ar_results.where = result;
+  reply.acpted_rply.ar_results.proc = result_codec;
+  xdrmem_create (&stream, (char *)record->data, record->len, XDR_DECODE);
+  bool good
+      = xdr_replymsg (&stream, &reply) && reply.rm_xid == client->last_xid;
+  XDR_DESTROY (&stream);
+  g_byte_array_unref (record);
+  return good ? status_of (&reply) : WIRE_LOST;
+}
+
+/* Sends an encoded call and waits for its answer. */
+static enum wire_status
+exchange (struct wire_client *client, const char *record, size_t bytes,
+          xdrproc_t result_codec, void *result, gint64 deadline_us)
+{
+  enum wire_status status = WIRE_LOST;
+  if (client->fd >= 0 && peer_closed (client))
+    disconnect (client);
+  if (client->fd < 0)
+    client->fd = connect_socket (&client->address, deadline_us);
+  if (client->fd < 0)
+    return WIRE_UNSENT;
+  if (send_all (client->fd, record, bytes, deadline_us) == 0)
+    status = receive_reply (client, result_codec, result, deadline_us);
+  if (status == WIRE_LOST)
+    disconnect (client);
+  return status;
+}
+
 enum wire_status
 wire_client_call (struct wire_client *client, uint32_t procedure,
                   xdrproc_t args_codec, void *args, xdrproc_t result_codec,
                   void *result, size_t result_bytes, uint32_t timeout_ms)
 {
   enum wire_status status = WIRE_UNSENT;
-  struct timeval timeout
-      = { .tv_sec = timeout_ms / 1000, .tv_usec = timeout_ms % 1000 * 1000L };
+  size_t bytes = 0;
   memset (result, 0, result_bytes);
   g_mutex_lock (&client->mutex);
-  if (client->handle && peer_closed (client))
-    disconnect (client);
-  if (ensure_connected (client, timeout_ms) == 0)
-    {
-      enum clnt_stat outcome
-          = clnt_call (client->handle, procedure, args_codec, args,
-                       result_codec, result, timeout);
-      status = status_of (outcome);
-      if (status != WIRE_OK && status != WIRE_REFUSED)
-        disconnect (client);
-    }
+  gint64 deadline_us = g_get_monotonic_time () + timeout_ms * INT64_C (1000);
+  char *record = encode_call (client, procedure, args_codec, args, &bytes);
+  if (record)
+    status
+        = exchange (client, record, bytes, result_codec, result, deadline_us);
   g_mutex_unlock (&client->mutex);
+  g_free (record);
   return status;
 }
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -11,6 +11,7 @@
 
 #include "wire_client.h"
 #include "wire_control.h"
+#include "wire_control.h"
 #include "wire_ledger.h"
 #include "wire_server.h"
 
@@ -207,6 +208,60 @@
   wire_server_destroy (server);
 }
 
+/* Answers a push with the size of its document. */
+static void
+take_document (struct wire_handler *handler, struct wire_call *call)
+{
+  struct control_push_args args = { 0 };
+  u_int bytes = 0;
+  (void)handler;
+  if (!wire_call_args (call, (xdrproc_t)xdr_control_push_args, &args))
+    {
+      wire_call_fail (call);
+      return;
+    }
+  bytes = args.document.document_len;
+  wire_call_reply (call, (xdrproc_t)xdr_u_int, &bytes);
+  xdr_free ((xdrproc_t)xdr_control_push_args, (char *)&args);
+}
+
+/* Calls of more than the library's 64 KB, up to a whole bundle. */
+static void
+test_large (void)
+{
+  static const u_int sizes[] = { 100, 65000, 66000, 1000000, 8000000 };
+  struct wire_program program = { CONTROL_PROGRAM, CONTROL_VERSION };
+  struct wire_handler handler = { .call = take_document };
+  char name[] = "x";
+  atomic_store (&stopping, false);
+  struct wire_server *server
+      = wire_server_create ("127.0.0.1", 0, &program, 1, &handler);
+  g_assert_nonnull (server);
+  GThread *thread = g_thread_new ("server", serve, server);
+  struct wire_client *client
+      = wire_client_create ("127.0.0.1", wire_server_port (server),
+                            CONTROL_PROGRAM, CONTROL_VERSION);
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      struct control_push_args args = { .cluster = name, .signer = name };
+      u_int bytes = 0;
+      args.document.document_len = sizes[i];
+      args.document.document_val = g_malloc0 (sizes[i]);
+      g_assert_cmpint (wire_client_call (client, CONTROL_PUSH,
+                                         (xdrproc_t)xdr_control_push_args,
+                                         &args, (xdrproc_t)xdr_u_int, &bytes,
+                                         sizeof bytes, 60000),
+                       ==, WIRE_OK);
+      g_assert_cmpuint (bytes, ==, sizes[i]);
+      g_free (args.document.document_val);
+    }
+  wire_client_destroy (client);
+  atomic_store (&stopping, true);
+  wire_server_wake (server);
+  g_thread_join (thread);
+  wire_server_destroy (server);
+}
+
 static void
 test_unsent (void)
 {
@@ -228,6 +283,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/wire/calls", test_calls);
   g_test_add_func ("/wire/frozen-peer", test_frozen_peer);
+  g_test_add_func ("/wire/large", test_large);
   g_test_add_func ("/wire/unsent", test_unsent);
   return g_test_run ();
 }
--- a/tools/control_trial.c
+++ b/tools/control_trial.c
@@ -2,6 +2,7 @@
 
 #include <glib/gstdio.h>
 #include <inttypes.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -94,6 +95,7 @@
   struct control_trial *trial = g_new0 (struct control_trial, 1);
   uint8_t seed[32] = { 7 };
   bool started = sodium_init () >= 0;
+  signal (SIGPIPE, SIG_IGN);
   crypto_sign_seed_keypair (trial->public_key, trial->secret_key, seed);
   trial->folder = g_dir_make_tmp ("control-trial-XXXXXX", NULL);
   trial->count = count;
