--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -15,8 +15,7 @@
 #define SWEEP_MS 500
 /* Longest time to hand over before the end. */
 #define HAND_OVER_MS 1000
-/* Entries, and bytes, after which a snapshot replaces the log. */
-#define SNAPSHOT_ENTRIES 16384
+/* Bytes of the log after which a snapshot replaces it. */
 #define SNAPSHOT_TAIL_BYTES (16u * 1024 * 1024)
 
 static uint64_t
@@ -189,7 +188,7 @@
       = consensus_applied_index (consensus) - consensus_base_index (consensus);
   uint32_t bytes = 0;
   if (entries == 0
-      || (entries < SNAPSHOT_ENTRIES
+      || (entries < daemon->options.snapshot_entries
           && control_store_tail_bytes (daemon->store) < SNAPSHOT_TAIL_BYTES))
     return;
   char *state = control_state_save (daemon->state, &bytes);
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -30,6 +30,8 @@
   uint32_t election_ms;
   uint32_t heartbeat_ms;
   uint32_t lease_ms;
+  /** Applied entries after which a snapshot replaces them. */
+  uint64_t snapshot_entries;
   struct base_metrics *metrics;
 };
 
--- a/src/control_main.c
+++ b/src/control_main.c
@@ -38,6 +38,7 @@
   uint64_t election_ms;
   uint64_t heartbeat_ms;
   uint64_t lease_ms;
+  uint64_t snapshot_entries;
 };
 
 static struct control_daemon *the_daemon;
@@ -76,6 +77,7 @@
   options->election_ms = (uint32_t)settings->election_ms;
   options->heartbeat_ms = (uint32_t)settings->heartbeat_ms;
   options->lease_ms = (uint32_t)settings->lease_ms;
+  options->snapshot_entries = settings->snapshot_entries;
   base_endpoint_split (settings->rpc, address, &options->port);
   options->address = address;
   consensus_configuration_parse (&options->members, settings->members,
@@ -180,6 +182,9 @@
       5, 10000, "Interval of the leader's heartbeats, in milliseconds" },
     { "lease-ms", BASE_SETTING_NUMBER, &settings.lease_ms, "5000", false, 100,
       600000, "Life of a session without a heartbeat, in milliseconds" },
+    { "snapshot-entries", BASE_SETTING_NUMBER, &settings.snapshot_entries,
+      "16384", false, 1, 1000000,
+      "Entries of the log after which a snapshot replaces them" },
     { 0 }
   };
   enum base_settings_outcome outcome
--- a/tests/test_control_process.c
+++ b/tests/test_control_process.c
@@ -106,6 +106,37 @@
   control_trial_destroy (trial);
 }
 
+/* Hundreds of changes under small snapshots: a member that slept through them
+   gets a snapshot, and all restart from theirs. */
+static void
+test_snapshots (void)
+{
+  static const char *const arguments[] = { "--snapshot-entries", "50", NULL };
+  struct control_trial *trial = control_trial_create_with (3, arguments);
+  g_assert_nonnull (trial);
+  int leader = control_trial_leader (trial, LIMIT_MS);
+  g_assert_cmpint (leader, >=, 0);
+  uint32_t sleeper = ((uint32_t)leader + 1) % 3;
+  accept_version (trial, 1);
+  fleet_process_kill (trial->members[sleeper]);
+  for (uint64_t version = 2; version <= 200; version++)
+    accept_version (trial, version);
+  g_assert_cmpuint (control_trial_top_up (trial, "s", "lonja", 9), ==, 9);
+  g_assert_true (control_trial_start (trial, sleeper));
+  g_assert_true (control_trial_wait_voter (trial, sleeper, LIMIT_MS));
+  for (uint32_t i = 0; i < 3; i++)
+    fleet_process_kill (trial->members[i]);
+  for (uint32_t i = 0; i < 3; i++)
+    g_assert_true (control_trial_start (trial, i));
+  check_kept (trial, 200, 9);
+  /* Without the one that was never away, so that the snapshot it was sent
+     counts. */
+  fleet_process_kill (trial->members[leader]);
+  check_kept (trial, 200, 9);
+  accept_version (trial, 201);
+  control_trial_destroy (trial);
+}
+
 static void
 test_hand_over (void)
 {
@@ -130,6 +161,7 @@
   g_test_add_func ("/control/process/leader_killed", test_leader_killed);
   g_test_add_func ("/control/process/leader_frozen", test_leader_frozen);
   g_test_add_func ("/control/process/folder_lost", test_folder_lost);
+  g_test_add_func ("/control/process/snapshots", test_snapshots);
   g_test_add_func ("/control/process/hand_over", test_hand_over);
   return g_test_run ();
 }
--- a/tools/control_trial.c
+++ b/tools/control_trial.c
@@ -42,7 +42,8 @@
 
 static struct fleet_process *
 describe_member (const struct control_trial *trial, uint32_t member,
-                 const char *members, const char *root_key)
+                 const char *members, const char *root_key,
+                 const char *const *more)
 {
   char *name = g_strdup_printf ("control-%u", member + 1);
   char *id = g_strdup_printf ("%u", member + 1);
@@ -55,10 +56,16 @@
                               "--data-dir",  data,
                               "--members",   members,
                               "--root-key",  root_key,
-                              "--member-id", id,
-                              NULL };
+                              "--member-id", id };
+  GPtrArray *all = g_ptr_array_new ();
+  for (size_t i = 0; i < G_N_ELEMENTS (arguments); i++)
+    g_ptr_array_add (all, (char *)arguments[i]);
+  for (; more && *more; more++)
+    g_ptr_array_add (all, (char *)*more);
+  g_ptr_array_add (all, NULL);
   struct fleet_process *process = fleet_process_create (
-      name, "cactus-control", arguments, trial->folder);
+      name, "cactus-control", (const char *const *)all->pdata, trial->folder);
+  g_ptr_array_unref (all);
   g_free (name);
   g_free (id);
   g_free (rpc);
@@ -67,13 +74,13 @@
 }
 
 static void
-describe_members (struct control_trial *trial)
+describe_members (struct control_trial *trial, const char *const *more)
 {
   char root_key[65];
   char *members = members_text (trial);
   base_hex_write (root_key, trial->public_key, 32);
   for (uint32_t i = 0; i < trial->count; i++)
-    trial->members[i] = describe_member (trial, i, members, root_key);
+    trial->members[i] = describe_member (trial, i, members, root_key, more);
   g_free (members);
 }
 
@@ -90,7 +97,7 @@
 }
 
 struct control_trial *
-control_trial_create (uint32_t count)
+control_trial_create_with (uint32_t count, const char *const *arguments)
 {
   struct control_trial *trial = g_new0 (struct control_trial, 1);
   uint8_t seed[32] = { 7 };
@@ -103,7 +110,7 @@
   trial->ports = g_new0 (uint16_t, count);
   for (uint32_t i = 0; i < count; i++)
     trial->ports[i] = fleet_free_port ("127.0.0.1");
-  describe_members (trial);
+  describe_members (trial, arguments);
   trial->client = make_client (trial);
   for (uint32_t i = 0; started && i < count; i++)
     started = control_trial_start (trial, i);
@@ -113,6 +120,12 @@
   return NULL;
 }
 
+struct control_trial *
+control_trial_create (uint32_t count)
+{
+  return control_trial_create_with (count, NULL);
+}
+
 static void
 remove_folder (const char *folder)
 {
--- a/tools/control_trial.h
+++ b/tools/control_trial.h
@@ -27,6 +27,10 @@
 
 /** Starts @p count members and waits until one leads; NULL on failure. */
 struct control_trial *control_trial_create (uint32_t count);
+/** The same with @p arguments, ended by NULL, given to each member besides.
+ */
+struct control_trial *control_trial_create_with (uint32_t count,
+                                                 const char *const *arguments);
 /** Kills the members and removes the folders. */
 void control_trial_destroy (struct control_trial *trial);
 /** Starts a member again (from 0); false when it doesn't serve. */
