Read from the thawed leader itself in the process test

The test asked whoever leads; with the majority check of reads and check-quorum taken out on a scratch copy it still passed. Reads now wait at the frozen leader and are the first thing it finds: with both taken out it answers version 1 and the test fails; with them in it passes.

--- a/tests/test_control_process.c
+++ b/tests/test_control_process.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "control_trial.h"
+#include "wire_client.h"
 
 #define LIMIT_MS 20000
 
@@ -59,6 +60,33 @@
   control_trial_destroy (trial);
 }
 
+/* A read sent to one member only, whoever leads. */
+struct direct_read
+{
+  uint16_t port;
+  /** Version that was answered; 0 when none was. */
+  uint64_t version;
+};
+
+static gpointer
+read_directly (gpointer data)
+{
+  struct direct_read *read = data;
+  char cluster[] = CONTROL_TRIAL_CLUSTER;
+  struct control_bundle_args args = { .cluster = cluster };
+  struct control_bundle_result result;
+  struct wire_client *client = wire_client_create (
+      "127.0.0.1", read->port, CONTROL_PROGRAM, CONTROL_VERSION);
+  enum wire_status status = wire_client_call (
+      client, CONTROL_BUNDLE, (xdrproc_t)xdr_control_bundle_args, &args,
+      (xdrproc_t)xdr_control_bundle_result, &result, sizeof result, LIMIT_MS);
+  if (status == WIRE_OK && result.answer.status == CONTROL_OK)
+    read->version = result.bundle_version;
+  xdr_free ((xdrproc_t)xdr_control_bundle_result, (char *)&result);
+  wire_client_destroy (client);
+  return NULL;
+}
+
 static void
 test_leader_frozen (void)
 {
@@ -68,13 +96,24 @@
   int frozen = control_trial_leader (trial, LIMIT_MS);
   g_assert_cmpint (frozen, >=, 0);
   struct fleet_process *leader = trial->members[frozen];
+  struct direct_read reads[4] = { 0 };
+  GThread *threads[G_N_ELEMENTS (reads)];
   g_assert_true (fleet_process_signal (leader, SIGSTOP));
+  /* Reads that wait at the frozen leader are the first thing it finds. */
+  for (size_t i = 0; i < G_N_ELEMENTS (reads); i++)
+    {
+      reads[i].port = trial->ports[frozen];
+      threads[i] = g_thread_new ("read", read_directly, &reads[i]);
+    }
   accept_version (trial, 2);
   g_assert_cmpuint (control_trial_top_up (trial, "b", "lonja", 50), ==, 50);
   g_assert_true (fleet_process_signal (leader, SIGCONT));
-  /* Whichever member is asked first, nothing old is answered. */
-  for (int i = 0; i < 20; i++)
-    check_kept (trial, 2, 50);
+  for (size_t i = 0; i < G_N_ELEMENTS (reads); i++)
+    {
+      g_thread_join (threads[i]);
+      g_assert_cmpuint (reads[i].version, !=, 1);
+    }
+  check_kept (trial, 2, 50);
   accept_version (trial, 3);
   check_kept (trial, 3, 50);
   control_trial_destroy (trial);
