Let the demo wait for sessions, targets and readiness

Change: the demo waits for nine live processes, twelve targets and /readyz, shortens streams, and shows Retry-After; bills name the budget.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,6 +45,40 @@
   mv "$1.new" "$1"
 }
 
+# Waits until command "$@" succeeds, for at most 20 s.
+wait_for() {
+  tries=200
+  until "$@"; do
+    tries=$((tries - 1))
+    [ "$tries" -gt 0 ] || return 1
+    sleep 0.1
+  done
+}
+
+live_processes() {
+  [ "$($ctl bundle status --json 2>/dev/null | grep -c '"kind"')" -ge 9 ]
+}
+
+seen_targets() {
+  [ "$($ctl target list --json 2>/dev/null | grep -c '"target"')" -ge 12 ]
+}
+
+ready() {
+  curl -s -f --max-time 2 -o "$work/ready" "http://$1/readyz"
+}
+
+# Prints the body; of a stream the first two and the last four lines.
+show_body() {
+  grep . "$work/body" | cut -c 1-200 | sed 's/^/  /' >"$work/shown"
+  if [ "$(wc -l <"$work/shown")" -le 6 ]; then
+    cat "$work/shown"
+  else
+    head -n 2 "$work/shown"
+    echo "  ... $(($(wc -l <"$work/shown") - 6)) more chunks ..."
+    tail -n 4 "$work/shown"
+  fi
+}
+
 # call ROUTER KEY PATH BODY [HEADER...]: prints status, Cactus headers, body.
 call() {
   router=$1
@@ -57,9 +91,8 @@
     -H "Authorization: Bearer $key" -H 'Content-Type: application/json' \
     "$@" --data "$body" "http://$router$path" || fail "no answer from $router"
   head -n 1 "$work/head" | tr -d '\r'
-  grep -i '^cactus-' "$work/head" | tr -d '\r' | sed 's/^/  /' || true
-  cut -c 1-300 "$work/body" | sed 's/^/  /'
-  echo
+  grep -iE '^(cactus-|retry-after)' "$work/head" | tr -d '\r' | sed 's/^/  /' || true
+  show_body
 }
 
 expect() {
@@ -83,6 +116,8 @@
 near=$(echo "$CACTUS_ROUTERS" | cut -d , -f 1)
 far=$(echo "$CACTUS_ROUTERS" | cut -d , -f 5)
 
+wait_for live_processes || fail "not all processes have a session"
+
 say "the bundle is signed, pushed and in force everywhere"
 $ctl bundle push "$work/bundle.json" --wait --timeout-ms 30000 \
   --operator root --key-file "$work/root.key" 2>/dev/null || fail "bundle push"
@@ -93,12 +128,9 @@
 $ctl budget top-up nimman 20000 --id demo-1 --operator nok || fail "top-up again"
 $ctl budget top-up lamphun 40 --id demo-2 --operator nok || fail "top-up"
 
-tries=100
-while [ "$($ctl target list --json | grep -c '"target"')" -lt 12 ]; do
-  tries=$((tries - 1))
-  [ "$tries" -gt 0 ] || fail "not all targets were seen"
-  sleep 0.1
-done
+wait_for seen_targets || fail "not all targets were seen"
+wait_for ready "$near" || fail "router $near is not ready"
+wait_for ready "$far" || fail "router $far is not ready"
 say "targets as the routers see them"
 $ctl target list
 
--- a/src/ctl_bills.c
+++ b/src/ctl_bills.c
@@ -16,6 +16,8 @@
 {
   struct ledger_bills_args range;
   const struct bundle *bundle;
+  /** Budget whose name is shown; others by their id. */
+  const char *budget;
   struct ctl_table *table;
   uint64_t total_tokens;
   uint64_t count;
@@ -54,6 +56,16 @@
   return g_strdup_printf ("%016lx", (unsigned long)account_id);
 }
 
+/* Name of a budget where it is the one asked for, or its id. */
+static char *
+name_budget (const struct bills_query *query, const char *account,
+             uint64_t budget_id)
+{
+  if (base_budget_id (account, query->budget) == budget_id)
+    return g_strdup (query->budget);
+  return g_strdup_printf ("%016lx", (unsigned long)budget_id);
+}
+
 static char *
 write_time (uint64_t time_ms)
 {
@@ -70,11 +82,10 @@
           const struct ledger_bill *bill)
 {
   char key[2 * WIRE_DIGEST_BYTES + 1];
-  char budget[17];
   char *account = name_account (query->bundle, bill->account_id);
+  char *budget = name_budget (query, account, bill->budget_id);
   char *time = write_time (bill->settled_at_ms);
   base_hex_write (key, (const uint8_t *)bill->key, WIRE_DIGEST_BYTES);
-  g_snprintf (budget, sizeof budget, "%016lx", (unsigned long)bill->budget_id);
   ctl_table_text (query->table, time);
   ctl_table_text (query->table, account);
   ctl_table_text (query->table, budget);
@@ -85,6 +96,7 @@
   query->total_tokens += bill->tokens;
   query->count++;
   g_free (account);
+  g_free (budget);
   g_free (time);
 }
 
@@ -153,8 +165,8 @@
 ctl_bills (struct ctl_context *context)
 {
   static const char *const columns[]
-      = { "settled_at", "account",     "budget_id", "key",
-          "ledger",     "written_off", "tokens",    NULL };
+      = { "settled_at", "account",     "budget", "key",
+          "ledger",     "written_off", "tokens", NULL };
   struct control_status_result status = { 0 };
   struct bundle *bundle = NULL;
   struct bills_query query = { 0 };
@@ -166,6 +178,7 @@
   if (code != CTL_DONE)
     goto done;
   query.bundle = bundle;
+  query.budget = context->options.budget;
   query.table = ctl_table_create (columns);
   code = read_ledgers (&query, &status);
   ctl_table_print (query.table, context->options.json);
--- a/src/ctl_command.c
+++ b/src/ctl_command.c
@@ -17,7 +17,8 @@
     = { "budget", "id", "operator", NULL };
 static const char *const budget_options[] = { "budget", NULL };
 static const char *const member_options[] = { "address", NULL };
-static const char *const bills_options[] = { "account", "from", "to", NULL };
+static const char *const bills_options[]
+    = { "account", "budget", "from", "to", NULL };
 
 const struct ctl_command ctl_commands[]
     = { { "bundle keygen", "NAME", "Makes an operator's key pair",
