--- a/bench/bench_bundle.c
+++ b/bench/bench_bundle.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -49,6 +50,15 @@
   return text;
 }
 
+/* Largest resident size of the process so far. */
+static long
+peak_kib (void)
+{
+  struct rusage usage;
+  getrusage (RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
 static void
 measure_reading (const char *text)
 {
@@ -63,8 +73,8 @@
   size_t held = mallinfo2 ().uordblks - before;
   bundle_canonical (bundle, &bytes);
   printf ("accounts %d\ndocument_bytes %zu\nheld_bytes %zu\n"
-          "read_ms %.2f\n",
-          ACCOUNTS, bytes, held, read_ms);
+          "read_ms %.2f\npeak_kib %ld\n",
+          ACCOUNTS, bytes, held, read_ms, peak_kib ());
   bundle_unref (bundle);
 }
 
@@ -127,6 +137,7 @@
   struct bundle *second = read_text (second_text);
   measure_change (first, second);
   measure_lookups (first);
+  printf ("peak_kib %ld\n", peak_kib ());
   bundle_unref (first);
   bundle_unref (second);
   free (first_text);
