Keep trial callers in their availability zone

Cause: callers that went round all zones hid what a cut zone can't serve. Change: each caller asks the routers of its own zone only, retries included.

--- a/tools/load_call.h
+++ b/tools/load_call.h
@@ -31,6 +31,8 @@
 struct load_call
 {
   struct load_plan plan;
+  /** Availability zone of the caller, as a number. */
+  uint32_t zone;
   /** Moment of arrival and of the present attempt, in ms. */
   uint64_t arrived_ms;
   uint64_t attempt_ms;
--- a/tools/load_main.c
+++ b/tools/load_main.c
@@ -94,8 +94,8 @@
 static void
 run_load (const struct load_mix *mix)
 {
-  struct load_run *run
-      = load_run_create (mix, seed, (const char *const *)routers);
+  struct load_run *run = load_run_create (
+      mix, seed, (const char *const *)routers, g_strv_length (routers));
   load_run_set_rate (run, rate * 1000);
   load_run_for (run, duration_ms);
   uint32_t open = load_run_drain (run, DRAIN_LIMIT_MS);
--- a/tools/load_run.c
+++ b/tools/load_run.c
@@ -13,6 +13,8 @@
   struct base_random random;
   char **routers;
   uint32_t router_count;
+  /* Routers of one availability zone stand next to each other. */
+  uint32_t group;
   uint64_t router_mask;
   uint32_t next_router;
   CURLM *multi;
@@ -32,13 +34,14 @@
 
 struct load_run *
 load_run_create (const struct load_mix *mix, uint64_t seed,
-                 const char *const *routers)
+                 const char *const *routers, uint32_t group)
 {
   struct load_run *run = g_new0 (struct load_run, 1);
   run->mix = mix;
   base_random_seed (&run->random, seed);
   run->routers = g_strdupv ((char **)routers);
   run->router_count = g_strv_length (run->routers);
+  run->group = group;
   run->router_mask = UINT64_MAX;
   run->multi = curl_multi_init ();
   run->finished = g_ptr_array_new_with_free_func (free_call);
@@ -71,22 +74,24 @@
   run->router_mask = mask;
 }
 
+/* A router of the zone's that takes callers, or its first one. */
 static const char *
-choose_router (struct load_run *run)
+choose_router (struct load_run *run, uint32_t zone)
 {
-  for (uint32_t i = 0; i < run->router_count; i++)
+  uint32_t first = zone * run->group;
+  for (uint32_t i = 0; i < run->group; i++)
     {
-      uint32_t at = run->next_router++ % run->router_count;
+      uint32_t at = first + run->next_router++ % run->group;
       if (run->router_mask >> at & 1)
         return run->routers[at];
     }
-  return run->routers[0];
+  return run->routers[first];
 }
 
 static void
 send_call (struct load_run *run, struct load_call *call, uint64_t now_ms)
 {
-  load_call_prepare (call, choose_router (run), now_ms);
+  load_call_prepare (call, choose_router (run, call->zone), now_ms);
   curl_multi_add_handle (run->multi, call->easy);
   run->open++;
 }
@@ -109,6 +114,8 @@
       load_plan_draw (run->mix, &run->random, run->number++, &plan);
       struct load_call *call
           = load_call_create (run->mix, &plan, now_us / 1000);
+      uint32_t zones = run->router_count / run->group;
+      call->zone = (uint32_t)base_random_below (&run->random, zones);
       send_call (run, call, now_us / 1000);
       run->next_arrival_us += draw_gap_us (run);
     }
--- a/tools/load_run.h
+++ b/tools/load_run.h
@@ -14,9 +14,11 @@
 
 struct load_run;
 
-/** Makes a run; @p routers ("A.B.C.D:PORT", ended by NULL) is copied. */
+/** Makes a run; @p routers ("A.B.C.D:PORT", ended by NULL) is copied.  Each
+ *  @p group routers in a row are those of one availability zone, and a caller
+ *  asks only those of its own. */
 struct load_run *load_run_create (const struct load_mix *mix, uint64_t seed,
-                                  const char *const *routers);
+                                  const char *const *routers, uint32_t group);
 /** Frees it with its calls. */
 void load_run_destroy (struct load_run *run);
 /** Sets the rate of arrivals, in thousandths of a request a second. */
--- a/tools/trial_main.c
+++ b/tools/trial_main.c
@@ -90,7 +90,8 @@
   if (!trial_fleet_start (fleet)
       || !trial_fleet_top_up (fleet, scenario->top_up_tokens))
     goto done;
-  run = load_run_create (mix, seed, trial_fleet_routers (fleet));
+  run = load_run_create (mix, seed, trial_fleet_routers (fleet),
+                         (uint32_t)routers);
   load_run_for (run, WARM_UP_MS);
   counts[0] = trial_scenario_play (scenario, fleet, run);
   counts[1] = load_run_drain (run, DRAIN_LIMIT_MS);
