--- a/tools/load_call.c
+++ b/tools/load_call.c
@@ -250,7 +250,6 @@
 {
   return call->attempts < ATTEMPTS_MAX
          && (call->http_status == 503 || call->http_status == 429
-             || call->http_status == 402
              || (call->http_status == 409
                  && strcmp (call->error_code, "already_billed") != 0));
 }
--- a/tools/load_report.c
+++ b/tools/load_report.c
@@ -45,7 +45,8 @@
 static bool
 budget_refusal (const struct load_call *call)
 {
-  return call->outcome == LOAD_REFUSED && call->http_status == 402;
+  return call->outcome == LOAD_REFUSED
+         && strcmp (call->error_code, "budget_exhausted") == 0;
 }
 
 static void
