--- a/tools/link_relay.c
+++ b/tools/link_relay.c
@@ -13,33 +13,12 @@
 #include <glib.h>
 
 #include "base_clock.h"
+#include "link_way.h"
 
-#define READ_BYTES 16384
-/* Bytes held for one way of a connection before reading stops. */
-#define HELD_BYTES_MAX (256u * 1024)
 #define TICK_MS 5
 #define IDLE_MS 100
 #define LISTEN_BACKLOG 128
 
-/* Bytes on their way, to be written at due_us. */
-struct link_chunk
-{
-  uint64_t due_us;
-  size_t sent;
-  GByteArray *bytes;
-};
-
-/* One way of a connection. */
-struct link_way
-{
-  int from_fd;
-  int to_fd;
-  GQueue chunks;
-  size_t held_bytes;
-  bool ended;
-  bool shut;
-};
-
 struct link_connection
 {
   struct link_way forth;
@@ -79,33 +58,17 @@
   return base_clock_now_us (base_clock_system ());
 }
 
-static void
-free_chunk (gpointer data)
-{
-  struct link_chunk *chunk = data;
-  g_byte_array_unref (chunk->bytes);
-  g_free (chunk);
-}
-
 static void
 free_connection (gpointer data)
 {
   struct link_connection *connection = data;
-  g_queue_clear_full (&connection->forth.chunks, free_chunk);
-  g_queue_clear_full (&connection->back.chunks, free_chunk);
+  link_way_clear (&connection->forth);
+  link_way_clear (&connection->back);
   close (connection->forth.from_fd);
   close (connection->forth.to_fd);
   g_free (connection);
 }
 
-static void
-init_way (struct link_way *way, int from_fd, int to_fd)
-{
-  way->from_fd = from_fd;
-  way->to_fd = to_fd;
-  g_queue_init (&way->chunks);
-}
-
 static void
 accept_connection (struct link_relay *relay,
                    const struct link_listener *listener)
@@ -130,67 +93,11 @@
     }
   fcntl (server, F_SETFL, fcntl (server, F_GETFL) | O_NONBLOCK);
   struct link_connection *connection = g_new0 (struct link_connection, 1);
-  init_way (&connection->forth, caller, server);
-  init_way (&connection->back, server, caller);
+  link_way_init (&connection->forth, caller, server);
+  link_way_init (&connection->back, server, caller);
   g_ptr_array_add (relay->connections, connection);
 }
 
-static bool
-read_way (struct link_relay *relay, struct link_way *way)
-{
-  guint8 buffer[READ_BYTES];
-  if (way->ended || way->held_bytes >= HELD_BYTES_MAX)
-    return true;
-  ssize_t got = recv (way->from_fd, buffer, sizeof buffer, MSG_DONTWAIT);
-  if (got < 0)
-    return errno == EAGAIN || errno == EINTR;
-  if (got == 0)
-    {
-      way->ended = true;
-      return true;
-    }
-  struct link_chunk *chunk = g_new0 (struct link_chunk, 1);
-  chunk->due_us = now_us () + atomic_load (&relay->delay_ms) * UINT64_C (1000);
-  chunk->bytes = g_byte_array_new ();
-  g_byte_array_append (chunk->bytes, buffer, (guint)got);
-  g_queue_push_tail (&way->chunks, chunk);
-  way->held_bytes += (size_t)got;
-  return true;
-}
-
-/* Writes what is due and allowed; false when the connection failed. */
-static bool
-write_way (struct link_relay *relay, struct link_way *way, double *allowance)
-{
-  struct link_chunk *chunk;
-  uint64_t now = now_us ();
-  bool limited = atomic_load (&relay->bytes_per_s) != 0;
-  while ((chunk = g_queue_peek_head (&way->chunks)) && chunk->due_us <= now)
-    {
-      size_t left = chunk->bytes->len - chunk->sent;
-      if (limited && *allowance < (double)left)
-        left = *allowance < 1 ? 0 : (size_t)*allowance;
-      if (left == 0)
-        return true;
-      ssize_t put = send (way->to_fd, chunk->bytes->data + chunk->sent, left,
-                          MSG_DONTWAIT | MSG_NOSIGNAL);
-      if (put < 0)
-        return errno == EAGAIN || errno == EINTR;
-      chunk->sent += (size_t)put;
-      way->held_bytes -= (size_t)put;
-      *allowance -= (double)put;
-      atomic_fetch_add (&relay->total_bytes, (uint64_t)put);
-      if (chunk->sent == chunk->bytes->len)
-        free_chunk (g_queue_pop_head (&way->chunks));
-    }
-  if (way->ended && !chunk && !way->shut)
-    {
-      shutdown (way->to_fd, SHUT_WR);
-      way->shut = true;
-    }
-  return true;
-}
-
 static void
 refill_allowance (struct link_relay *relay)
 {
@@ -202,22 +109,35 @@
     relay->allowance[i] = MIN (relay->allowance[i] + gained, rate / 10 + 1);
 }
 
+/* Moves one connection's bytes; false when it failed. */
+static bool
+move_connection (struct link_relay *relay, struct link_connection *connection)
+{
+  uint64_t passed_bytes = 0;
+  uint32_t delay_ms = atomic_load (&relay->delay_ms);
+  bool limited = atomic_load (&relay->bytes_per_s) != 0;
+  bool works = link_way_read (&connection->forth, delay_ms)
+               && link_way_read (&connection->back, delay_ms)
+               && link_way_write (&connection->forth,
+                                  limited ? &relay->allowance[0] : NULL,
+                                  &passed_bytes);
+  if (works && !atomic_load (&relay->mute))
+    works = link_way_write (&connection->back,
+                            limited ? &relay->allowance[1] : NULL,
+                            &passed_bytes);
+  atomic_fetch_add (&relay->total_bytes, passed_bytes);
+  return works;
+}
+
 static void
 move_bytes (struct link_relay *relay)
 {
+  bool refuse = atomic_load (&relay->refuse);
   refill_allowance (relay);
   for (guint i = 0; i < relay->connections->len; i++)
     {
       struct link_connection *connection = relay->connections->pdata[i];
-      bool mute = atomic_load (&relay->mute);
-      connection->failed
-          = atomic_load (&relay->refuse)
-            || !read_way (relay, &connection->forth)
-            || !read_way (relay, &connection->back)
-            || !write_way (relay, &connection->forth, &relay->allowance[0])
-            || (!mute
-                && !write_way (relay, &connection->back,
-                               &relay->allowance[1]));
+      connection->failed = refuse || !move_connection (relay, connection);
     }
   for (guint i = relay->connections->len; i > 0; i--)
     {
@@ -238,7 +158,7 @@
 static void
 add_way_poll (struct link_relay *relay, const struct link_way *way)
 {
-  if (!way->ended && way->held_bytes < HELD_BYTES_MAX)
+  if (link_way_wants_read (way))
     add_poll (relay, way->from_fd);
 }
 
