--- a/src/escrow_ledger_exchange.c
+++ b/src/escrow_ledger_exchange.c
@@ -69,7 +69,8 @@
   args->returns.returns_len = count;
   args->returns.returns_val = malloc (bytes + 1);
   g_assert (args->returns.returns_val);
-  memcpy (args->returns.returns_val, ledger->returns->data, bytes);
+  if (bytes > 0)
+    memcpy (args->returns.returns_val, ledger->returns->data, bytes);
   fill_demands (ledger, now_ms, MIN (demands_max, CONTROL_BATCH_MAX), args);
 }
 
