--- a/tools/link_main.c
+++ b/tools/link_main.c
@@ -23,6 +23,19 @@
   uint64_t bandwidth_bytes_s;
 };
 
+static uint16_t
+add_port (struct link_relay *relay, const char *listen, const char *to)
+{
+  char listen_address[16];
+  char to_address[16];
+  uint16_t listen_port = 0;
+  uint16_t to_port = 0;
+  base_endpoint_split (listen, listen_address, &listen_port);
+  base_endpoint_split (to, to_address, &to_port);
+  return link_relay_add (relay, listen_address, listen_port, to_address,
+                         to_port);
+}
+
 /* Adds every pair of ports; the JSON list of ports, or NULL. */
 static GString *
 add_ports (struct link_relay *relay, const struct link_options *options)
@@ -36,8 +49,8 @@
   GString *ports = g_string_new (NULL);
   for (char **listen = options->listen; *listen; listen++)
     {
-      uint16_t port = link_relay_add (relay, *listen,
-                                      options->to[listen - options->listen]);
+      uint16_t port
+          = add_port (relay, *listen, options->to[listen - options->listen]);
       if (port == 0)
         {
           base_log (BASE_LOG_ERROR, "listen-failed endpoint=%s error=\"%s\"",
@@ -73,11 +86,14 @@
   int number = 0;
   int status = 1;
   struct link_http *http = NULL;
+  const struct link_settings faults
+      = { .delay_ms = (uint32_t)options->delay_ms,
+          .bandwidth_bytes_s = options->bandwidth_bytes_s };
   GString *ports = add_ports (relay, options);
   if (!ports)
     return 1;
   base_endpoint_split (options->http, address, &port);
-  http = link_http_create (address, port, relay);
+  http = link_http_create (address, port, relay, &faults);
   if (!http || !write_ready (options, ports, link_http_port (http)))
     {
       base_log (BASE_LOG_ERROR, "start-failed error=\"%s\"",
@@ -126,10 +142,6 @@
   sigaddset (&stop_signals, SIGINT);
   pthread_sigmask (SIG_BLOCK, &stop_signals, NULL);
   struct link_relay *relay = link_relay_create ();
-  const struct link_settings faults
-      = { .delay_ms = (uint32_t)options.delay_ms,
-          .bandwidth_bytes_s = options.bandwidth_bytes_s };
-  link_relay_set (relay, &faults);
   status = serve (relay, &options, &stop_signals);
   link_relay_destroy (relay);
 done:
--- a/tools/link_relay.h
+++ b/tools/link_relay.h
@@ -2,53 +2,39 @@
 #define LINK_RELAY_H
 
 /** @file
- *  A TCP relay that stands for a link between availability zones: it delays,
- *  limits, cuts and freezes.  One thread a relay. */
+ *  A TCP relay that stands for a link between two availability zones: it
+ *  delays, limits bandwidth and can be cut silently.  Runs on its own
+ *  thread. */
 
 #include <stdbool.h>
 #include <stdint.h>
 
-/** A relay with one or more listening ports. */
 struct link_relay;
 
-/** What a link does to its traffic. */
-struct link_settings
-{
-  /** One-way delay, in milliseconds. */
-  uint32_t delay_ms;
-  /** Bandwidth of each direction, in bytes a second; 0: unlimited. */
-  uint64_t bandwidth_bytes_s;
-  /** Open connections are closed and new ones refused. */
-  bool cut;
-  /** Connections stay open but nothing passes towards the server. */
-  bool freeze_forward;
-  /** Nothing passes back from the server. */
-  bool freeze_back;
-};
-
-/** Bytes that passed and connections that are open. */
-struct link_counts
-{
-  uint64_t forward_bytes;
-  uint64_t back_bytes;
-  uint32_t connections;
-};
-
-/** Starts a relay without a port. */
+/** Makes a link without delay or limit. */
 struct link_relay *link_relay_create (void);
-/** Listens on @p listen ("A.B.C.D:PORT", port 0: the kernel picks one) for
- *  the server at @p to.  The port, or 0 with errno set. */
-uint16_t link_relay_add (struct link_relay *relay, const char *listen,
-                         const char *to);
-/** Changes the settings; in force at once. */
-void link_relay_set (struct link_relay *relay,
-                     const struct link_settings *settings);
-/** Settings in force. */
-void link_relay_settings (struct link_relay *relay,
-                          struct link_settings *settings);
-/** Counts so far. */
-void link_relay_counts (struct link_relay *relay, struct link_counts *counts);
-/** Closes everything. */
+/** Stops the thread and closes all connections. */
 void link_relay_destroy (struct link_relay *relay);
+/** Relays connections to @p listen_address:@p listen_port (0: kernel's
+ *  choice) on to @p to_address:@p to_port; the port listened on, or 0 with
+ *  errno set. */
+uint16_t link_relay_add (struct link_relay *relay, const char *listen_address,
+                         uint16_t listen_port, const char *to_address,
+                         uint16_t to_port);
+/** Delays all bytes by @p delay_ms each way. */
+void link_relay_set_delay (struct link_relay *relay, uint32_t delay_ms);
+/** Limits each way to @p bytes_per_s; 0: no limit. */
+void link_relay_set_bandwidth (struct link_relay *relay, uint64_t bytes_per_s);
+/** Cuts the link: bytes and new connections wait unanswered until it is
+ *  healed, as packets that are lost and sent again. */
+void link_relay_set_cut (struct link_relay *relay, bool cut);
+/** Refuses: open connections are closed and new ones ended at once, as by a
+ *  host without the process. */
+void link_relay_set_refuse (struct link_relay *relay, bool refuse);
+/** Loses answers: bytes from the server wait until this is off again, those
+ *  to it pass. */
+void link_relay_set_mute (struct link_relay *relay, bool mute);
+/** Bytes that crossed the link, both ways. */
+uint64_t link_relay_bytes (const struct link_relay *relay);
 
 #endif
