--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -11,7 +11,6 @@
 
 #include "wire_client.h"
 #include "wire_control.h"
-#include "wire_control.h"
 #include "wire_ledger.h"
 #include "wire_server.h"
 
