--- a/bench/bench_base.c
+++ b/bench/bench_base.c
@@ -4,14 +4,12 @@
 
 #include <stdatomic.h>
 #include <stdio.h>
-#include <string.h>
-#include <sys/resource.h>
 
 #include <glib.h>
 #include <glib/gstdio.h>
 
-#include "base_clock.h"
 #include "base_metrics.h"
+#include "bench_slope.h"
 #include "store_log.h"
 #include "wire_client.h"
 #include "wire_ledger.h"
@@ -22,45 +20,16 @@
 #define SYNC_RECORD_BYTES 200
 #define CALLS_EACH 4000
 
-static bool json_wanted;
-
-static void
-print_slope (const char *name, const char *unit, double value,
-             const char *sizes)
-{
-  if (json_wanted)
-    printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.4f,"
-            "\"sizes\":\"%s\"}\n",
-            name, unit, value, sizes);
-  else
-    printf ("%-28s %12.3f %-14s %s\n", name, value, unit, sizes);
-}
-
-static uint64_t
-now_us (void)
-{
-  return base_clock_now_us (base_clock_system ());
-}
-
-static double
-cpu_us (void)
-{
-  struct rusage usage;
-  getrusage (RUSAGE_SELF, &usage);
-  return (double)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1e6
-         + (double)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
-}
-
 static void
 bench_histogram (void)
 {
   struct base_histogram *histogram = base_histogram_create ();
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   for (uint64_t i = 0; i < RECORDS; i++)
     base_histogram_record (histogram, i & 0xffff);
-  double spent = (double)(now_us () - start);
-  print_slope ("histogram_record_ns", "ns/record", spent * 1000 / RECORDS,
-               "20 M records, one thread");
+  double spent = (double)(bench_slope_now_us () - start);
+  bench_slope_print ("histogram_record_ns", "ns/record",
+                     spent * 1000 / RECORDS, "20 M records, one thread");
   base_histogram_destroy (histogram);
 }
 
@@ -86,15 +55,15 @@
   char *folder = g_dir_make_tmp ("cactus-bench-XXXXXX", NULL);
   struct base_findings *findings = base_findings_create ();
   struct store_log *log = store_log_open (folder, 1, findings);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   for (int i = 0; i < SYNCS; i++)
     {
       store_log_append (log, record, sizeof record);
       store_log_sync (log);
     }
-  double spent = (double)(now_us () - start);
-  print_slope ("log_sync_us", "us/sync", spent / SYNCS,
-               "1,000 syncs of one 200-byte record");
+  double spent = (double)(bench_slope_now_us () - start);
+  bench_slope_print ("log_sync_us", "us/sync", spent / SYNCS,
+                     "1,000 syncs of one 200-byte record");
   store_log_close (log);
   remove_log (folder);
   base_findings_destroy (findings);
@@ -143,8 +112,8 @@
   GThread *threads[64];
   char sizes[64];
   char name[64];
-  double cpu = cpu_us ();
-  uint64_t start = now_us ();
+  double cpu = bench_slope_processor_us ();
+  uint64_t start = bench_slope_now_us ();
   for (uint32_t i = 0; i < callers; i++)
     {
       clients[i] = wire_client_create ("127.0.0.1", port, LEDGER_PROGRAM,
@@ -153,14 +122,15 @@
     }
   for (uint32_t i = 0; i < callers; i++)
     g_thread_join (threads[i]);
-  double spent = (double)(now_us () - start);
+  double spent = (double)(bench_slope_now_us () - start);
   double calls = (double)callers * CALLS_EACH;
   snprintf (sizes, sizeof sizes, "%u callers, both sides in one process",
             callers);
   snprintf (name, sizeof name, "rpc_calls_per_s_%u", callers);
-  print_slope (name, "calls/s", calls * 1e6 / spent, sizes);
+  bench_slope_print (name, "calls/s", calls * 1e6 / spent, sizes);
   snprintf (name, sizeof name, "rpc_cpu_us_%u", callers);
-  print_slope (name, "us/call", (cpu_us () - cpu) / calls, sizes);
+  bench_slope_print (name, "us/call",
+                     (bench_slope_processor_us () - cpu) / calls, sizes);
   for (uint32_t i = 0; i < callers; i++)
     wire_client_destroy (clients[i]);
 }
@@ -185,7 +155,7 @@
 int
 main (int argc, char **argv)
 {
-  json_wanted = argc > 1 && strcmp (argv[1], "--json") == 0;
+  bench_slope_open (argc, argv);
   bench_histogram ();
   bench_sync ();
   bench_calls ();
--- a/bench/bench_bundle.c
+++ b/bench/bench_bundle.c
@@ -3,27 +3,20 @@
  *  difference, applying it, and look-ups by key. */
 
 #include <malloc.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/resource.h>
 
 #include <glib.h>
 #include <jansson.h>
 
-#include "base_clock.h"
+#include "bench_slope.h"
 #include "bundle.h"
 #include "test_bundle_edit.h"
 
 #define ACCOUNTS 6800
 #define ROUNDS 20
 #define LOOKUPS 1000000
-
-static uint64_t
-now_us (void)
-{
-  return base_clock_now_us (base_clock_system ());
-}
+#define SIZES "6,800 accounts, one key each"
 
 static struct bundle *
 read_text (const char *text)
@@ -50,31 +43,24 @@
   return text;
 }
 
-/* Largest resident size of the process so far. */
-static long
-peak_kib (void)
-{
-  struct rusage usage;
-  getrusage (RUSAGE_SELF, &usage);
-  return usage.ru_maxrss;
-}
-
 static void
 measure_reading (const char *text)
 {
   size_t bytes;
   malloc_trim (0);
   size_t before = mallinfo2 ().uordblks;
-  uint64_t start_us = now_us ();
+  uint64_t start_us = bench_slope_now_us ();
   for (int i = 0; i < ROUNDS; i++)
     bundle_unref (read_text (text));
-  double read_ms = (double)(now_us () - start_us) / 1000 / ROUNDS;
+  double read_ms = (double)(bench_slope_now_us () - start_us) / 1000 / ROUNDS;
   struct bundle *bundle = read_text (text);
   size_t held = mallinfo2 ().uordblks - before;
   bundle_canonical (bundle, &bytes);
-  printf ("accounts %d\ndocument_bytes %zu\nheld_bytes %zu\n"
-          "read_ms %.2f\npeak_kib %ld\n",
-          ACCOUNTS, bytes, held, read_ms, peak_kib ());
+  bench_slope_print ("bundle_document_bytes", "B/account",
+                     (double)bytes / ACCOUNTS, SIZES);
+  bench_slope_print ("bundle_held_bytes", "B/account", (double)held / ACCOUNTS,
+                     SIZES);
+  bench_slope_print ("bundle_read_ms", "ms", read_ms, SIZES);
   bundle_unref (bundle);
 }
 
@@ -83,14 +69,15 @@
 {
   struct base_findings *findings = base_findings_create ();
   char *difference = NULL;
-  uint64_t start_us = now_us ();
+  uint64_t start_us = bench_slope_now_us ();
   for (int i = 0; i < ROUNDS; i++)
     {
       g_free (difference);
       difference = bundle_difference (first, second);
     }
-  double difference_ms = (double)(now_us () - start_us) / 1000 / ROUNDS;
-  start_us = now_us ();
+  double difference_ms
+      = (double)(bench_slope_now_us () - start_us) / 1000 / ROUNDS;
+  start_us = bench_slope_now_us ();
   for (int i = 0; i < ROUNDS; i++)
     {
       struct bundle *outcome
@@ -98,9 +85,12 @@
       g_assert (outcome);
       bundle_unref (outcome);
     }
-  double apply_ms = (double)(now_us () - start_us) / 1000 / ROUNDS;
-  printf ("difference_bytes %zu\ndifference_ms %.2f\napply_ms %.2f\n",
-          strlen (difference), difference_ms, apply_ms);
+  double apply_ms = (double)(bench_slope_now_us () - start_us) / 1000 / ROUNDS;
+  bench_slope_print ("bundle_change_bytes", "B/change",
+                     (double)strlen (difference), SIZES);
+  bench_slope_print ("bundle_difference_ms", "ms/change", difference_ms,
+                     SIZES);
+  bench_slope_print ("bundle_apply_ms", "ms/change", apply_ms, SIZES);
   g_free (difference);
   base_findings_destroy (findings);
 }
@@ -114,7 +104,7 @@
   g_snprintf (name, sizeof name, "client-%04d", ACCOUNTS / 3);
   base_digest (digest, name, strlen (name));
   const struct bundle_service *service = bundle_service_at (bundle, 0);
-  uint64_t start_us = now_us ();
+  uint64_t start_us = bench_slope_now_us ();
   for (int i = 0; i < LOOKUPS; i++)
     {
       const struct bundle_account *account
@@ -122,14 +112,16 @@
       found += account != NULL;
       found += bundle_rule (bundle, account, service, NULL) != NULL;
     }
-  printf ("key_and_rule_ns %.0f (found %lu)\n",
-          (double)(now_us () - start_us) * 1000 / LOOKUPS,
-          (unsigned long)found);
+  double spent_us = (double)(bench_slope_now_us () - start_us);
+  g_assert (found == LOOKUPS);
+  bench_slope_print ("bundle_lookup_ns", "ns/request",
+                     spent_us * 1000 / LOOKUPS, SIZES);
 }
 
 int
-main (void)
+main (int argc, char **argv)
 {
+  bench_slope_open (argc, argv);
   char *first_text = make_text (1, 1);
   char *second_text = make_text (2, 2);
   measure_reading (first_text);
@@ -137,7 +129,6 @@
   struct bundle *second = read_text (second_text);
   measure_change (first, second);
   measure_lookups (first);
-  printf ("peak_kib %ld\n", peak_kib ());
   bundle_unref (first);
   bundle_unref (second);
   free (first_text);
