--- a/tools/trial_scenario.c
+++ b/tools/trial_scenario.c
@@ -1,6 +1,8 @@
 #include "trial_scenario.h"
 
 #include <signal.h>
+#include <stdatomic.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -235,6 +237,39 @@
   return done;
 }
 
+/* An operator's action, which may take a while, beside the load. */
+struct operator_task
+{
+  const struct trial_event *event;
+  struct trial_fleet *fleet;
+  atomic_bool ended;
+  bool done;
+};
+
+static gpointer
+run_operator (gpointer data)
+{
+  struct operator_task *task = data;
+  if (task->event->action == TRIAL_PUSH)
+    task->done = trial_fleet_push (task->fleet);
+  else
+    task->done = trial_fleet_top_up (task->fleet, task->event->amount);
+  atomic_store (&task->ended, true);
+  return NULL;
+}
+
+static bool
+act_as_operator (const struct trial_event *event, struct trial_fleet *fleet,
+                 struct load_run *run)
+{
+  struct operator_task task = { .event = event, .fleet = fleet };
+  GThread *thread = g_thread_new ("operator", run_operator, &task);
+  while (!atomic_load (&task.ended))
+    load_run_for (run, 20);
+  g_thread_join (thread);
+  return task.done;
+}
+
 static bool
 act (const struct trial_event *event, struct trial_fleet *fleet,
      struct load_run *run, uint64_t *mask)
@@ -249,9 +284,8 @@
       trial_fleet_lose_disk (fleet, event->role, event->zone);
       return true;
     case TRIAL_TOP_UP:
-      return trial_fleet_top_up (fleet, event->amount);
     case TRIAL_PUSH:
-      return trial_fleet_push (fleet);
+      return act_as_operator (event, fleet, run);
     case TRIAL_RATE:
       load_run_set_rate (run, event->amount * 1000);
       return true;
