Send a new want to control at once

A reservation of a budget without tokens here waited for the next urgent exchange (30 ms) and a retry of 25 ms.

--- a/bench/bench_ledger.c
+++ b/bench/bench_ledger.c
@@ -209,36 +209,38 @@
   ledger_client_submit (timed->client, request);
 }
 
-/* Requests come at a fixed rate, however long the answers take: latency. */
+/* Sends requests at a fixed rate, however long the answers take, and prints
+   the latency of their reservations. */
 static void
-bench_open (struct ledger_rig_process *process, struct ledger_client **clients)
+bench_open (struct ledger_rig_process *process, struct ledger_client **clients,
+            uint32_t requests, const char *state)
 {
+  char sizes[80];
   latency_us = base_histogram_create ();
+  atomic_store (&finished, 0);
   double processor = processor_us (process);
   uint64_t start = now_us ();
-  for (uint64_t i = 0; i < OPEN_REQUESTS; i++)
+  for (uint64_t i = 0; i < requests; i++)
     {
       uint64_t due = start + i * 1000000 / OPEN_RATE;
       while (now_us () < due)
         g_usleep (100);
       struct timed_request *timed = g_new0 (struct timed_request, 1);
-      timed->client = clients[i % ROUTERS];
+      timed->client = clients[i / BUDGETS % ROUTERS];
       fill_reserve (timed->client, &timed->base);
       timed->base.done = end_reserve;
       timed->sent_us = now_us ();
       ledger_client_submit (timed->client, &timed->base);
     }
-  while (atomic_load (&finished) < OPEN_REQUESTS)
+  while (atomic_load (&finished) < requests)
     g_usleep (1000);
+  g_snprintf (sizes, sizeof sizes, "1,000 requests/s, 5 routers, %s", state);
   print_slope ("ledger_reserve_p50_us", "us",
-               (double)base_histogram_quantile (latency_us, 0.5),
-               "1,000 requests/s, 5 routers");
+               (double)base_histogram_quantile (latency_us, 0.5), sizes);
   print_slope ("ledger_reserve_p99_us", "us",
-               (double)base_histogram_quantile (latency_us, 0.99),
-               "1,000 requests/s, 5 routers");
+               (double)base_histogram_quantile (latency_us, 0.99), sizes);
   print_slope ("ledger_open_cpu_us", "us/request",
-               (processor_us (process) - processor) / OPEN_REQUESTS,
-               "1,000 requests/s, 5 routers");
+               (processor_us (process) - processor) / requests, sizes);
   base_histogram_destroy (latency_us);
 }
 
@@ -287,7 +289,8 @@
       ledger_client_set_ledgers (clients[i], &endpoint, 1);
     }
   g_usleep (500000);
-  bench_open (&process, clients);
+  bench_open (&process, clients, BUDGETS, "tokens fetched from control");
+  bench_open (&process, clients, OPEN_REQUESTS, "tokens at the ledger");
   bench_closed (rig, &process, clients);
   bench_budgets (rig, &process);
   for (int i = 0; i < ROUTERS; i++)
--- a/src/escrow_demand.c
+++ b/src/escrow_demand.c
@@ -18,6 +18,7 @@
   struct escrow_budget *changed_head;
   struct escrow_budget *changed_tail;
   bool connected;
+  bool new_want;
 };
 
 struct escrow_demand *
@@ -53,6 +54,7 @@
     {
       want = g_new0 (struct escrow_want, 1);
       want->budget_id = budget_id;
+      demand->new_want = true;
       g_hash_table_insert (demand->wants, &want->budget_id, want);
     }
   want->tokens = MAX (want->tokens, tokens);
@@ -104,6 +106,12 @@
   demand->changed_tail = budget;
 }
 
+bool
+escrow_demand_new (const struct escrow_demand *demand)
+{
+  return demand->new_want;
+}
+
 bool
 escrow_demand_urgent (const struct escrow_demand *demand)
 {
@@ -125,6 +133,7 @@
 {
   GHashTableIter iter;
   gpointer value;
+  demand->new_want = false;
   g_hash_table_iter_init (&iter, demand->wants);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/escrow_demand.h
+++ b/src/escrow_demand.h
@@ -50,6 +50,8 @@
 /** The budget changed; control hears of it with a later report. */
 void escrow_demand_changed (struct escrow_demand *demand,
                             struct escrow_budget *budget);
+/** Whether there is a want that escrow_demand_wants did not collect yet. */
+bool escrow_demand_new (const struct escrow_demand *demand);
 /** Whether a want waits for control's answer. */
 bool escrow_demand_urgent (const struct escrow_demand *demand);
 /** Collects the wants that still hold and drops the others. */
--- a/src/escrow_ledger.h
+++ b/src/escrow_ledger.h
@@ -17,7 +17,7 @@
 #include "wire_ledger.h"
 
 /** retry_after_ms of a refusal while more tokens may come at once. */
-#define ESCROW_RETRY_SOON_MS 25
+#define ESCROW_RETRY_SOON_MS 10
 /** retry_after_ms of a final refusal. */
 #define ESCROW_RETRY_LATER_MS 1000
 /** How long a caller's key is kept after its bill, in ms. */
@@ -72,6 +72,8 @@
 /** Whether a refused reservation waits for control's answer, or a return for
  *  its acknowledgement. */
 bool escrow_ledger_urgent (const struct escrow_ledger *ledger);
+/** Whether a reservation was refused for a budget that no report named yet. */
+bool escrow_ledger_new_want (const struct escrow_ledger *ledger);
 /** Tells whether control can be reached, so that a refusal is final when it
  *  can't. */
 void escrow_ledger_set_connected (struct escrow_ledger *ledger,
--- a/src/escrow_ledger_exchange.c
+++ b/src/escrow_ledger_exchange.c
@@ -146,6 +146,12 @@
   return ledger->returns->len > 0 || escrow_demand_urgent (ledger->demand);
 }
 
+bool
+escrow_ledger_new_want (const struct escrow_ledger *ledger)
+{
+  return escrow_demand_new (ledger->demand);
+}
+
 void
 escrow_ledger_set_connected (struct escrow_ledger *ledger, bool connected)
 {
--- a/src/ledger_server.c
+++ b/src/ledger_server.c
@@ -16,9 +16,10 @@
 
 /* Longest wait of a round, in ms. */
 #define ROUND_WAIT_MS 20
-/* Interval of exchanges with control, and between those that something waits
-   for, in ms. */
+/* Interval of exchanges with control, of those that something waits for, and
+   before one that brings a new want, in ms. */
 #define EXCHANGE_INTERVAL_MS 200
+#define EXCHANGE_WANT_MS 3
 #define EXCHANGE_URGENT_MS 30
 /* Most budgets of an exchange that only changed. */
 #define DEMANDS_MAX 64
@@ -222,9 +223,11 @@
   if (!server->exchange || atomic_load (&server->failed)
       || !ledger_exchange_idle (server->exchange))
     return;
-  uint64_t interval_ms = escrow_ledger_urgent (server->ledger)
-                             ? EXCHANGE_URGENT_MS
-                             : EXCHANGE_INTERVAL_MS;
+  uint64_t interval_ms = EXCHANGE_INTERVAL_MS;
+  if (escrow_ledger_new_want (server->ledger))
+    interval_ms = EXCHANGE_WANT_MS;
+  else if (escrow_ledger_urgent (server->ledger))
+    interval_ms = EXCHANGE_URGENT_MS;
   if (now_ms < server->exchanged_ms + interval_ms)
     return;
   server->exchanged_ms = now_ms;
