Home a caller's key on one ledger of the region

A retry through a router of another zone met another ledger and was billed a second time: /ledger_process/one-bill-in-a-region gives status 0 in place of 2 with the former choice by zone and budget. Now callers' keys rank the region's ledgers by key; other requests stay with the zone's ledgers.

--- a/src/ledger_client.c
+++ b/src/ledger_client.c
@@ -14,8 +14,6 @@
 #define NO_BUDGET_WAIT_MS 500
 /* Tiers of ledgers: same zone, same region, elsewhere. */
 #define TIERS 3
-/* Odd multiplier for the rank of a ledger for a budget. */
-#define RANK_SPREAD UINT64_C (0x9e3779b97f4a7c15)
 
 struct ledger_client
 {
@@ -51,21 +49,50 @@
   request->done (request);
 }
 
-/* Whether link @p a goes before link @p b for the budget: nearer tier, then
-   health, then rank, so that a key comes to the same ledger again. */
+/* What decides between ledgers of a tier: the key where a caller gave one, so
+   that a retry through any router of the region meets its bill, else the
+   budget. */
+static uint64_t
+rank_seed (const struct ledger_reserve *reserve)
+{
+  if (!reserve->key_from_caller)
+    return reserve->budget_id;
+  return base_hash64 (reserve->key, sizeof reserve->key) ^ reserve->account_id;
+}
+
+/* Tier of a link for the reservation: the zones of a region count as one for
+   a caller's key. */
+static int
+tier_for (const struct ledger_client *client, uint32_t index,
+          const struct ledger_reserve *reserve)
+{
+  int tier = client->tiers[index];
+  return reserve->key_from_caller && tier == 0 ? 1 : tier;
+}
+
+static uint64_t
+rank_of (const struct ledger_client *client, uint32_t index, uint64_t seed)
+{
+  uint64_t pair[2] = { client->name_hashes[index], seed };
+  return base_hash64 (pair, sizeof pair);
+}
+
+/* Whether link @p a goes before link @p b: one that answers, then the nearer
+   tier, then the rank. */
 static bool
 goes_before (struct ledger_client *client, uint32_t a, uint32_t b,
-             uint64_t budget_id)
+             const struct ledger_reserve *reserve)
 {
   bool healthy_a = ledger_link_healthy (client->links[a]);
   bool healthy_b = ledger_link_healthy (client->links[b]);
+  int tier_a = tier_for (client, a, reserve);
+  int tier_b = tier_for (client, b, reserve);
+  uint64_t seed = rank_seed (reserve);
   if (healthy_a != healthy_b)
     return healthy_a;
-  if (client->tiers[a] != client->tiers[b])
-    return client->tiers[a] < client->tiers[b];
-  uint64_t rank_a = (client->name_hashes[a] ^ budget_id) * RANK_SPREAD;
-  uint64_t rank_b = (client->name_hashes[b] ^ budget_id) * RANK_SPREAD;
-  return rank_a < rank_b;
+  if (tier_a != tier_b)
+    return tier_a < tier_b;
+  return rank_of (client, a, seed) < rank_of (client, b, seed);
 }
 
 /* The best link that the work was not tried at, or -1. */
@@ -73,13 +100,14 @@
 choose_link (struct ledger_client *client, const struct ledger_work *work)
 {
   int best = -1;
-  uint64_t budget_id = work->request->op.ledger_op_u.reserve.budget_id;
+  const struct ledger_reserve *reserve
+      = &work->request->op.ledger_op_u.reserve;
   for (uint32_t i = 0; i < client->link_count; i++)
     {
       if (!ledger_link_named (client->links[i])
           || work->tried & (UINT64_C (1) << i))
         continue;
-      if (best < 0 || goes_before (client, i, (uint32_t)best, budget_id))
+      if (best < 0 || goes_before (client, i, (uint32_t)best, reserve))
         best = (int)i;
     }
   return best;
--- a/tests/test_ledger_process.c
+++ b/tests/test_ledger_process.c
@@ -336,6 +336,57 @@
   ledger_rig_destroy (rig);
 }
 
+/* Routers of two zones of a region: a caller's retry through the other one
+   meets the bill, for every key. */
+static void
+test_one_bill_in_a_region (void)
+{
+  struct ledger_rig *rig = ledger_rig_create ();
+  struct ledger_rig_process processes[2];
+  struct ledger_endpoint endpoints[2];
+  struct ledger_client *clients[2];
+  uint32_t used[2] = { 0 };
+  ledger_rig_top_up (rig, "lonja", "default", BUDGET_TOKENS);
+  for (int i = 0; i < 2; i++)
+    {
+      const char *host = i == 0 ? "a" : "b";
+      g_assert_true (ledger_rig_start (rig, host, &processes[i], NULL));
+      endpoints[i] = ledger_rig_endpoint (host, &processes[i]);
+      g_strlcpy (endpoints[i].availability_zone, host,
+                 sizeof endpoints[i].availability_zone);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      const char *zone = i == 0 ? "a" : "b";
+      clients[i] = ledger_client_create ("cactus", zone, 90 + (uint64_t)i,
+                                         zone, "region");
+      ledger_client_set_ledgers (clients[i], endpoints, 2);
+    }
+  for (uint64_t key = 1; key <= 40; key++)
+    {
+      struct ledger_request held
+          = reserve_request (clients[0], key, 10, DEADLINE_MS);
+      g_assert_true (ledger_rig_call (clients[0], &held));
+      g_assert_cmpint (held.result.status, ==, LEDGER_OK);
+      used[held.ledger]++;
+      g_assert_cmpint (end_request (clients[0], &held, LEDGER_SETTLE, 10), ==,
+                       LEDGER_OK);
+      struct ledger_request again
+          = reserve_request (clients[1], key, 10, DEADLINE_MS);
+      g_assert_true (ledger_rig_call (clients[1], &again));
+      g_assert_cmpint (again.result.status, ==, LEDGER_DUPLICATE_DONE);
+      g_assert_cmpuint (again.result.tokens, ==, 10);
+    }
+  g_assert_cmpuint (used[0], >, 0);
+  g_assert_cmpuint (used[1], >, 0);
+  for (int i = 0; i < 2; i++)
+    {
+      ledger_client_destroy (clients[i], 1000);
+      g_assert_cmpint (ledger_rig_stop (&processes[i], SIGTERM), ==, 0);
+    }
+  ledger_rig_destroy (rig);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -344,5 +395,7 @@
   g_test_add_func ("/ledger_process/damaged-files", test_damaged_files);
   g_test_add_func ("/ledger_process/recall-between-ledgers",
                    test_recall_between_ledgers);
+  g_test_add_func ("/ledger_process/one-bill-in-a-region",
+                   test_one_bill_in_a_region);
   return g_test_run ();
 }
