--- a/src/pick.c
+++ b/src/pick.c
@@ -9,6 +9,12 @@
    the mean, plus a little for loads near 0. */
 #define BOUND_FACTOR 1.25
 #define BOUND_MARGIN 0.05
+/* Targets that a prefix prefers, in this order. */
+#define PREFERRED 3
+/* Samples of two before every target is looked at. */
+#define SAMPLE_TRIALS 3
+/* Most availability zones of one tier. */
+#define GROUPS_MAX 16
 /* Most targets weighed for one request. */
 #define CANDIDATES_MAX 1024
 
@@ -21,6 +27,24 @@
   PICK_TIER_COUNT
 };
 
+/* The groups of one tier. */
+struct pick_tier_targets
+{
+  const struct registry_view *view;
+  uint32_t group_count;
+  uint32_t count;
+  double reported_load;
+  const struct registry_group *groups[GROUPS_MAX];
+};
+
+/* Targets by rendezvous weight for a prefix, the highest first. */
+struct pick_preferred
+{
+  uint32_t count;
+  uint64_t weights[PREFERRED];
+  uint32_t indexes[PREFERRED];
+};
+
 /* Targets of one tier that may get the request. */
 struct pick_candidates
 {
@@ -58,12 +82,150 @@
 }
 
 static void
-add_tier (struct pick_candidates *candidates, const struct registry_view *view,
-          enum pick_tier tier, const struct pick_request *request)
+gather_tier (struct pick_tier_targets *tier, const struct registry_view *view,
+             enum pick_tier nearness, const struct pick_request *request)
 {
+  tier->view = view;
+  tier->group_count = 0;
+  tier->count = 0;
+  tier->reported_load = 0;
   for (size_t i = 0; i < view->group_count; i++)
-    if (tier_of (&view->groups[i], request) == tier)
-      add_group (candidates, view, &view->groups[i], request);
+    {
+      const struct registry_group *group = &view->groups[i];
+      if (tier->group_count == GROUPS_MAX
+          || tier_of (group, request) != nearness)
+        continue;
+      tier->groups[tier->group_count++] = group;
+      tier->count += group->count;
+      tier->reported_load += group->reported_load;
+    }
+}
+
+/* Target at @p index of the tier, which isn't empty. */
+static const struct registry_target *
+target_at (const struct pick_tier_targets *tier, uint32_t index)
+{
+  for (uint32_t i = 0; i < tier->group_count; i++)
+    {
+      const struct registry_group *group = tier->groups[i];
+      if (index < group->count)
+        return &tier->view->targets[group->first + index];
+      index -= group->count;
+    }
+  return tier->view->targets;
+}
+
+/* The target if the request may go there now, else NULL. */
+static const struct registry_target *
+if_free (const struct registry_target *target,
+         const struct pick_request *request)
+{
+  return pick_state_of (target, request) == PICK_STATE_FREE ? target : NULL;
+}
+
+static const struct registry_target *
+less_loaded (const struct registry_target *left,
+             const struct registry_target *right)
+{
+  if (!left || !right)
+    return left ? left : right;
+  return pick_estimate_load (right) < pick_estimate_load (left) ? right : left;
+}
+
+/* Two choices by sampling; NULL when the samples found no free target. */
+static const struct registry_target *
+search_sample (const struct pick_tier_targets *tier,
+               const struct pick_request *request, struct base_random *random)
+{
+  for (int trial = 0; trial < SAMPLE_TRIALS; trial++)
+    {
+      uint32_t first = (uint32_t)base_random_below (random, tier->count);
+      uint32_t second = (uint32_t)base_random_below (random, tier->count - 1);
+      second += second >= first && tier->count > 1;
+      const struct registry_target *target
+          = less_loaded (if_free (target_at (tier, first), request),
+                         if_free (target_at (tier, second), request));
+      if (target && pick_claim_probe (target->load, request->now_ms))
+        return target;
+    }
+  return NULL;
+}
+
+/* Rendezvous weight of a target for a prefix. */
+static uint64_t
+affinity (uint64_t prefix_hash, uint64_t target_hash)
+{
+  struct base_random mix = { prefix_hash ^ target_hash };
+  return base_random_next (&mix);
+}
+
+/* Puts a target among the preferred, which stand by falling weight. */
+static void
+insert_preferred (struct pick_preferred *preferred, uint64_t weight,
+                  uint32_t index)
+{
+  uint32_t place = preferred->count;
+  if (place == PREFERRED)
+    place--;
+  else
+    preferred->count++;
+  for (; place > 0 && preferred->weights[place - 1] < weight; place--)
+    {
+      preferred->weights[place] = preferred->weights[place - 1];
+      preferred->indexes[place] = preferred->indexes[place - 1];
+    }
+  preferred->weights[place] = weight;
+  preferred->indexes[place] = index;
+}
+
+/* The first targets by rendezvous weight for the request's prefix. */
+static void
+find_preferred (struct pick_preferred *preferred,
+                const struct pick_tier_targets *tier, uint64_t prefix_hash)
+{
+  preferred->count = 0;
+  for (uint32_t i = 0; i < tier->group_count; i++)
+    {
+      const struct registry_group *group = tier->groups[i];
+      for (uint32_t j = group->first; j < group->first + group->count; j++)
+        {
+          uint64_t weight = affinity (prefix_hash, tier->view->hashes[j]);
+          if (preferred->count < PREFERRED
+              || weight > preferred->weights[PREFERRED - 1])
+            insert_preferred (preferred, weight, j);
+        }
+    }
+}
+
+/* Whether affinity may choose a target of that load.  The likelihood falls
+   with the load: all routers prefer the same target for a prefix, and what
+   the others sent since the report isn't known here. */
+static bool
+affinity_holds (double load, double bound, struct base_random *random)
+{
+  return load <= bound && base_random_unit (random) < 1 - load;
+}
+
+/* The first preferred target that is free and not too loaded, or NULL. */
+static const struct registry_target *
+search_preferred (const struct pick_tier_targets *tier,
+                  const struct pick_request *request,
+                  struct base_random *random)
+{
+  struct pick_preferred preferred;
+  double bound
+      = BOUND_FACTOR * tier->reported_load / tier->count + BOUND_MARGIN;
+  find_preferred (&preferred, tier, request->prefix_hash);
+  for (uint32_t i = 0; i < preferred.count; i++)
+    {
+      const struct registry_target *target
+          = &tier->view->targets[preferred.indexes[i]];
+      if (if_free (target, request)
+          && affinity_holds (pick_estimate_load (target), bound, random)
+          && pick_claim_probe (target->load, request->now_ms))
+        return target;
+    }
+  return NULL;
 }
 
 static uint32_t
@@ -81,36 +243,6 @@
   return second_load < first_load ? second : first;
 }
 
-/* Rendezvous weight of a target for a prefix. */
-static uint64_t
-affinity (uint64_t prefix_hash, const struct registry_target *target)
-{
-  struct base_random mix = { prefix_hash ^ target->target_hash };
-  return base_random_next (&mix);
-}
-
-/* The target of highest rendezvous weight among those under the bound. */
-static uint32_t
-preferred (const struct pick_candidates *candidates, uint64_t prefix_hash)
-{
-  double sum = 0;
-  uint32_t best = 0;
-  uint64_t best_weight = 0;
-  for (uint32_t i = 0; i < candidates->count; i++)
-    sum += pick_estimate_load (candidates->targets[i]);
-  double bound = BOUND_FACTOR * sum / candidates->count + BOUND_MARGIN;
-  for (uint32_t i = 0; i < candidates->count; i++)
-    {
-      uint64_t weight = affinity (prefix_hash, candidates->targets[i]);
-      if (weight < best_weight
-          || pick_estimate_load (candidates->targets[i]) > bound)
-        continue;
-      best = i;
-      best_weight = weight;
-    }
-  return best;
-}
-
 static uint32_t
 least_reported (const struct pick_candidates *candidates)
 {
@@ -125,7 +257,7 @@
 /* Index of the chosen candidate; there is at least one. */
 static uint32_t
 choose (enum pick_policy policy, const struct pick_candidates *candidates,
-        const struct pick_request *request, struct base_random *random)
+        struct base_random *random)
 {
   switch (policy)
     {
@@ -136,9 +268,6 @@
     case PICK_LEAST_REPORTED:
       return least_reported (candidates);
     case PICK_TWO_CHOICES_AFFINITY:
-      if (request->prefix_hash != 0)
-        return preferred (candidates, request->prefix_hash);
-      return two_choices (candidates, random);
     case PICK_TWO_CHOICES:
     default:
       return two_choices (candidates, random);
@@ -152,7 +281,7 @@
 {
   while (candidates->count > 0)
     {
-      uint32_t index = choose (policy, candidates, request, random);
+      uint32_t index = choose (policy, candidates, random);
       const struct registry_target *target = candidates->targets[index];
       if (pick_claim_probe (target->load, request->now_ms))
         return target;
@@ -162,25 +291,50 @@
   return NULL;
 }
 
+/* Looks at every target of the tier. */
+static const struct registry_target *
+search_all (enum pick_policy policy, const struct pick_tier_targets *tier,
+            const struct pick_request *request, struct base_random *random,
+            bool *full_seen)
+{
+  struct pick_candidates candidates;
+  candidates.count = 0;
+  candidates.full_seen = false;
+  for (uint32_t i = 0; i < tier->group_count; i++)
+    add_group (&candidates, tier->view, tier->groups[i], request);
+  const struct registry_target *target
+      = claim (policy, &candidates, request, random);
+  *full_seen |= candidates.full_seen;
+  return target;
+}
+
 static enum pick_outcome
 pick_near_to_far (enum pick_policy policy, const struct registry_view *view,
                   const struct pick_request *request,
                   struct base_random *random,
                   const struct registry_target **chosen)
 {
-  struct pick_candidates candidates;
-  candidates.full_seen = false;
-  for (enum pick_tier tier = PICK_TIER_ZONE; tier < PICK_TIER_COUNT; tier++)
+  bool full_seen = false;
+  for (enum pick_tier nearness = PICK_TIER_ZONE; nearness < PICK_TIER_COUNT;
+       nearness++)
     {
-      if (tier == PICK_TIER_OTHER && !request->cross_region)
+      struct pick_tier_targets tier;
+      if (nearness == PICK_TIER_OTHER && !request->cross_region)
         break;
-      candidates.count = 0;
-      add_tier (&candidates, view, tier, request);
-      *chosen = claim (policy, &candidates, request, random);
+      gather_tier (&tier, view, nearness, request);
+      if (tier.count == 0)
+        continue;
+      *chosen = NULL;
+      if (policy == PICK_TWO_CHOICES_AFFINITY && request->prefix_hash != 0)
+        *chosen = search_preferred (&tier, request, random);
+      if (!*chosen && policy <= PICK_TWO_CHOICES)
+        *chosen = search_sample (&tier, request, random);
+      if (!*chosen)
+        *chosen = search_all (policy, &tier, request, random, &full_seen);
       if (*chosen)
         return PICK_FOUND;
     }
-  return candidates.full_seen ? PICK_BUSY : PICK_NONE;
+  return full_seen ? PICK_BUSY : PICK_NONE;
 }
 
 enum pick_outcome
--- a/src/pick_estimate.c
+++ b/src/pick_estimate.c
@@ -39,7 +39,7 @@
 double
 pick_reported_load (const struct registry_target *target)
 {
-  return load_of (target, target->record.running + target->record.queued);
+  return registry_record_load (&target->record);
 }
 
 /* A class's part of a limit, at least 1. */
--- a/src/registry.h
+++ b/src/registry.h
@@ -74,6 +74,8 @@
   char region[CACTUS_NAME_BYTES + 1];
   uint32_t first;
   uint32_t count;
+  /** Sum of the reported loads, 1.0 a target whose slots are all taken. */
+  double reported_load;
 };
 
 /** The targets of one service at one moment; immutable.  Targets stand in
@@ -84,8 +86,14 @@
   const struct registry_target *targets;
   size_t group_count;
   const struct registry_group *groups;
+  /** target_hash of each target. */
+  const uint64_t *hashes;
 };
 
+/** Reported load of a record per slot and weight, 1.0 when all slots are
+ *  taken. */
+double registry_record_load (const struct registry_record *record);
+
 struct registry;
 /** A thread's registration for reading. */
 struct registry_reader;
--- a/src/registry_record.c
+++ b/src/registry_record.c
@@ -7,6 +7,7 @@
 
 #define SLOTS_MAX 65535
 #define WEIGHT_MAX 1000
+#define WEIGHT_USUAL 100.0
 #define REQUESTS_MAX 1000000
 
 /* Whether the name is 1 to CACTUS_NAME_BYTES visible ASCII characters that
@@ -69,6 +70,13 @@
   return left->sequence > right->sequence;
 }
 
+double
+registry_record_load (const struct registry_record *record)
+{
+  double room = (double)record->slots * record->weight;
+  return (record->running + record->queued) * WEIGHT_USUAL / room;
+}
+
 uint64_t
 registry_identity (const struct registry_record *record)
 {
--- a/src/registry_view.c
+++ b/src/registry_view.c
@@ -27,15 +27,16 @@
          && strcmp (group->availability_zone, record->availability_zone) == 0;
 }
 
-static void
+static struct registry_group *
 add_group (GArray *groups, const struct registry_record *record,
            uint32_t first)
 {
-  struct registry_group group = { .first = first, .count = 1 };
+  struct registry_group group = { .first = first };
   g_strlcpy (group.region, record->region, sizeof group.region);
   g_strlcpy (group.availability_zone, record->availability_zone,
              sizeof group.availability_zone);
   g_array_append_val (groups, group);
+  return &g_array_index (groups, struct registry_group, groups->len - 1);
 }
 
 /* Groups of sorted targets, freed with g_free. */
@@ -49,10 +50,10 @@
       struct registry_group *last = NULL;
       if (groups->len > 0)
         last = &g_array_index (groups, struct registry_group, groups->len - 1);
-      if (last && same_place (last, &targets[i].record))
-        last->count++;
-      else
-        add_group (groups, &targets[i].record, i);
+      if (!last || !same_place (last, &targets[i].record))
+        last = add_group (groups, &targets[i].record, i);
+      last->count++;
+      last->reported_load += registry_record_load (&targets[i].record);
     }
   *group_count = groups->len;
   return (struct registry_group *)g_array_free (groups, FALSE);
@@ -69,8 +70,13 @@
   g_array_sort (targets, compare_targets);
   struct registry_target *copy
       = g_memdup2 (targets->data, targets->len * sizeof *copy);
+  uint64_t *hashes = g_new (uint64_t, targets->len);
   for (uint32_t i = 0; i < targets->len; i++)
-    registry_load_ref (copy[i].load);
+    {
+      registry_load_ref (copy[i].load);
+      hashes[i] = copy[i].target_hash;
+    }
+  holder->view.hashes = hashes;
   holder->view.count = targets->len;
   holder->view.targets = copy;
   holder->view.groups
@@ -94,6 +100,7 @@
     registry_load_unref (holder->view.targets[i].load);
   g_free ((gpointer)holder->view.targets);
   g_free ((gpointer)holder->view.groups);
+  g_free ((gpointer)holder->view.hashes);
   g_free (holder);
 }
 
--- a/tests/test_registry_fuzz.c
+++ b/tests/test_registry_fuzz.c
@@ -60,6 +60,9 @@
 struct fuzz
 {
   struct base_random random;
+  /* Picks draw from a source of their own, so that the session's text doesn't
+     depend on how a target is chosen. */
+  struct base_random pick_random;
   uint64_t now_ms;
   uint32_t step;
   bool faults;
@@ -96,6 +99,7 @@
 {
   memset (fuzz, 0, sizeof *fuzz);
   base_random_seed (&fuzz->random, SEED);
+  base_random_seed (&fuzz->pick_random, SEED + 1);
   fuzz->now_ms = 1000000;
   fuzz->faults = true;
   fuzz->log = g_string_new (NULL);
@@ -195,8 +199,8 @@
           .slot_percent = 100,
           .now_ms = fuzz->now_ms + below (fuzz, 5000) };
   const struct registry_view *view = registry_read (node->reader, service);
-  if (pick_target (PICK_TWO_CHOICES_AFFINITY, view, &request, &fuzz->random,
-                   &chosen)
+  if (pick_target (PICK_TWO_CHOICES_AFFINITY, view, &request,
+                   &fuzz->pick_random, &chosen)
       == PICK_FOUND)
     {
       uint32_t target = (uint32_t)atoi (chosen->record.target + 1);
