Refuse claims at once while control is out of reach; free what never ran

One order stayed unknown for good, since its router's session had lapsed before it could say that it never dispatched. And an outcome named no claim, so that the late outcome of a first attempt could have freed the claim of a second one of the same router while that was running. Change: outcomes have threads of their own and take turns; after a claim without answer further ones are refused unsent for a second; outcomes name their claim; the attempt that held a claim may free it also after its session lapsed; a claim given up before it comes is not granted when it comes.

--- a/src/control_claims.c
+++ b/src/control_claims.c
@@ -14,6 +14,10 @@
 #define CLAIMS_MAX 200000u
 #define ANSWERS_BYTES_MAX (UINT64_C (128) * 1024 * 1024)
 
+/* State of a key whose last claim was proven not to have run.  It is kept so
+   that a late copy of that claim is not granted. */
+#define CLAIM_FREED ((enum control_claim_state)100)
+
 /* A claimed key; the first two fields are the table's key. */
 struct claim
 {
@@ -142,14 +146,42 @@
   add_claim (claims, claim);
 }
 
+/* Keeps in mind that this claim was given up, before or after it came. */
+static void
+note_freed (struct control_claims *claims,
+            const struct control_finish_args *args, uint64_t now_ms)
+{
+  struct claim *claim = g_new0 (struct claim, 1);
+  if (control_claims_count (claims) >= CLAIMS_MAX)
+    {
+      g_free (claim);
+      return;
+    }
+  claim->account_id = args->account_id;
+  memcpy (claim->key, args->key, sizeof claim->key);
+  claim->router = strdup (args->router);
+  claim->router_incarnation = args->router_incarnation;
+  claim->claim_id = args->claim_id;
+  claim->claimed_at_ms = now_ms;
+  claim->state = CLAIM_FREED;
+  add_claim (claims, claim);
+}
+
+static bool
+is_claim (const struct claim *claim, const char *router, uint64_t incarnation,
+          uint64_t claim_id)
+{
+  return claim->router_incarnation == incarnation
+         && claim->claim_id == claim_id && strcmp (claim->router, router) == 0;
+}
+
 /* Answers for a key that was claimed before. */
 static void
 answer_known (const struct claim *claim, const struct control_claim_args *args,
               struct control_claim_result *result)
 {
-  bool own = claim->router_incarnation == args->router_incarnation
-             && claim->claim_id == args->claim_id
-             && strcmp (claim->router, args->router) == 0;
+  bool own = is_claim (claim, args->router, args->router_incarnation,
+                       args->claim_id);
   if (memcmp (claim->body_digest, args->body_digest, sizeof claim->body_digest)
       != 0)
     {
@@ -175,9 +207,18 @@
                       const struct control_claim_args *args, uint64_t now_ms,
                       struct control_claim_result *result)
 {
-  const struct claim *known = find_claim (claims, args->account_id, args->key);
+  struct claim *known = find_claim (claims, args->account_id, args->key);
   result->state = CONTROL_CLAIM_RUNNING;
-  if (known)
+  if (known && known->state == CLAIM_FREED
+      && !is_claim (known, args->router, args->router_incarnation,
+                    args->claim_id))
+    {
+      drop_claim (claims, known);
+      known = NULL;
+    }
+  if (known && known->state == CLAIM_FREED)
+    set_answer (&result->answer, CONTROL_REFUSED, "the claim was given up");
+  else if (known)
     answer_known (known, args, result);
   else if (control_claims_count (claims) >= CLAIMS_MAX
            || claims->answer_bytes >= ANSWERS_BYTES_MAX)
@@ -212,14 +253,19 @@
   claims->answer_bytes += claim->body_bytes;
 }
 
-/* Ends the owner's claim.  One that became unknown may still become done, but
-   is never freed. */
+/* Ends the owner's claim.  One that became unknown may still become done, or
+   be freed by the one attempt that could have dispatched it. */
 static void
 end_claim (struct control_claims *claims, struct claim *claim,
-           const struct control_finish_args *args)
+           const struct control_finish_args *args, uint64_t now_ms)
 {
-  if (args->not_run && claim->state == CONTROL_CLAIM_RUNNING)
-    drop_claim (claims, claim);
+  if (args->not_run
+      && (claim->state == CONTROL_CLAIM_RUNNING
+          || claim->claim_id == args->claim_id))
+    {
+      drop_claim (claims, claim);
+      note_freed (claims, args, now_ms);
+    }
   else if (args->known && !args->not_run)
     keep_answer (claims, claim, args);
   else
@@ -228,18 +274,25 @@
 
 void
 control_claims_finish (struct control_claims *claims,
-                       const struct control_finish_args *args,
+                       const struct control_finish_args *args, uint64_t now_ms,
                        struct control_answer *result)
 {
   struct claim *claim = find_claim (claims, args->account_id, args->key);
-  if (!claim)
-    set_answer (result, args->not_run ? CONTROL_OK : CONTROL_NOT_FOUND, "");
+  if (!claim && args->not_run)
+    {
+      note_freed (claims, args, now_ms);
+      set_answer (result, CONTROL_OK, "");
+    }
+  else if (!claim || (claim->state == CLAIM_FREED && !args->not_run))
+    set_answer (result, CONTROL_NOT_FOUND, "");
+  else if (claim->state == CLAIM_FREED)
+    set_answer (result, CONTROL_OK, "");
   else if (!owns (claim, args))
     set_answer (result, CONTROL_CONFLICT, "another attempt holds the key");
   else
     {
       if (claim->state != CONTROL_CLAIM_DONE)
-        end_claim (claims, claim, args);
+        end_claim (claims, claim, args, now_ms);
       set_answer (result, CONTROL_OK, "");
     }
 }
--- a/src/control_claims.h
+++ b/src/control_claims.h
@@ -21,10 +21,11 @@
                            const struct control_claim_args *args,
                            uint64_t now_ms,
                            struct control_claim_result *result);
-/** Ends a claim: done, unknown, or freed when it was not run. */
+/** Ends a claim: done, unknown, or freed when it was not run.  A claim that is
+ *  given up before it came is not granted when it comes. */
 void control_claims_finish (struct control_claims *claims,
                             const struct control_finish_args *args,
-                            struct control_answer *result);
+                            uint64_t now_ms, struct control_answer *result);
 /** The router is gone: its running claims become unknown. */
 void control_claims_orphan (struct control_claims *claims, const char *router,
                             uint64_t incarnation);
--- a/src/control_state.c
+++ b/src/control_state.c
@@ -140,7 +140,7 @@
     case CONTROL_COMMAND_FINISH:
       control_claims_finish (state->claims,
                              &body->control_command_body_u.finish,
-                             &outcome->result.answer);
+                             state->wall_ms, &outcome->result.answer);
       break;
     case CONTROL_COMMAND_DRAIN:
       control_drains_set (
--- a/src/router_claims.c
+++ b/src/router_claims.c
@@ -2,15 +2,18 @@
 
 #include <string.h>
 
+#include "base_clock.h"
 #include "base_log.h"
 #include "router_request.h"
 
 #define CLAIM_TIMEOUT_MS 2000
 #define FINISH_TIMEOUT_MS 2000
-/* Time after which the outcome of a call is no longer offered to control,
-   which then takes it for unknown. */
-#define FINISH_GIVE_UP_S 30
 #define FINISH_PAUSE_US 100000
+/* Time after a claim without answer in which further ones are refused unsent,
+   so that they don't queue up behind calls that wait for their deadline. */
+#define UNREACHABLE_MS 1000
+/* Time that a shutdown goes on telling control about calls that ended. */
+#define SHUTDOWN_FINISH_MS 10000
 
 struct router_claims
 {
@@ -19,14 +22,21 @@
   const char *host;
   uint64_t incarnation;
   _Atomic uint64_t next_id;
-  GThreadPool *pool;
+  /* Monotonic time until which control is taken to be out of reach, in ms. */
+  _Atomic uint64_t unreachable_until_ms;
+  /* Monotonic time at which outcomes are given up, in ms; 0: never. */
+  _Atomic uint64_t stop_at_ms;
+  /* Outcomes not yet recorded. */
+  _Atomic uint32_t finishing;
+  GThreadPool *claim_pool;
+  /* Apart, so that outcomes that wait for control hold up no claim. */
+  GThreadPool *finish_pool;
 };
 
 /* One call to control. */
 struct claim_task
 {
   struct router_request *request;
-  bool finish;
   struct control_finish_args args;
 };
 
@@ -37,18 +47,31 @@
   args->cluster = (char *)claims->cluster;
   args->router = (char *)claims->host;
   args->router_incarnation = claims->incarnation;
-  args->claim_id = atomic_fetch_add (&claims->next_id, 1);
+  request->claim.claim_id = atomic_fetch_add (&claims->next_id, 1);
+  args->claim_id = request->claim.claim_id;
   args->account_id = request->account->account_id;
   memcpy (args->key, request->key_digest, CACTUS_DIGEST_BYTES);
   memcpy (args->body_digest, request->body_digest, CACTUS_DIGEST_BYTES);
 }
 
+static uint64_t
+now_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
 static void
 run_claim (struct router_claims *claims, struct router_request *request)
 {
   struct control_claim_args args = { 0 };
   struct control_claim_result result = { 0 };
   struct router_claim *claim = &request->claim;
+  if (now_ms () < atomic_load (&claims->unreachable_until_ms))
+    {
+      claim->wire = WIRE_UNSENT;
+      router_request_post (request, ROUTER_EVENT_CLAIM);
+      return;
+    }
   fill_claim (claims, request, &args);
   claim->wire = control_client_call (claims->client, CONTROL_CLAIM,
                                      (xdrproc_t)xdr_control_claim_args, &args,
@@ -63,6 +86,10 @@
       claim->answer = g_string_new_len (result.body.body_val,
                                         (gssize)result.body.body_len);
     }
+  else
+    {
+      atomic_store (&claims->unreachable_until_ms, now_ms () + UNREACHABLE_MS);
+    }
   xdr_free ((xdrproc_t)xdr_control_claim_result, (char *)&result);
   router_request_post (request, ROUTER_EVENT_CLAIM);
 }
@@ -82,33 +109,45 @@
 }
 
 static void
-run_finish (struct router_claims *claims, struct control_finish_args *args)
+free_task (struct claim_task *task)
 {
-  gint64 until
-      = g_get_monotonic_time () + FINISH_GIVE_UP_S * G_TIME_SPAN_SECOND;
-  while (!send_finish (claims, args))
-    {
-      if (g_get_monotonic_time () > until)
-        {
-          base_log (BASE_LOG_WARNING, "outcome of a claim not recorded");
-          return;
-        }
-      g_usleep (FINISH_PAUSE_US);
-    }
+  router_request_unref (task->request);
+  g_free (task->args.body.body_val);
+  g_free (task);
 }
 
 static void
-run_task (gpointer data, gpointer user_data)
+run_claim_task (gpointer data, gpointer user_data)
+{
+  struct claim_task *task = data;
+  run_claim (user_data, task->request);
+  free_task (task);
+}
+
+/* Offers an outcome to control; one that gets no answer waits for its next
+   turn behind the others. */
+static void
+run_finish_task (gpointer data, gpointer user_data)
 {
   struct claim_task *task = data;
   struct router_claims *claims = user_data;
-  if (task->finish)
-    run_finish (claims, &task->args);
+  uint64_t stop_at_ms = atomic_load (&claims->stop_at_ms);
+  if (send_finish (claims, &task->args))
+    {
+      free_task (task);
+      atomic_fetch_sub (&claims->finishing, 1);
+    }
+  else if (stop_at_ms != 0 && now_ms () >= stop_at_ms)
+    {
+      base_log (BASE_LOG_WARNING, "outcome of a claim not recorded");
+      free_task (task);
+      atomic_fetch_sub (&claims->finishing, 1);
+    }
   else
-    run_claim (claims, task->request);
-  router_request_unref (task->request);
-  g_free (task->args.body.body_val);
-  g_free (task);
+    {
+      g_usleep (FINISH_PAUSE_US);
+      g_thread_pool_push (claims->finish_pool, task, NULL);
+    }
 }
 
 struct router_claims *
@@ -121,17 +160,30 @@
   claims->host = host;
   claims->incarnation = incarnation;
   claims->next_id = 1;
-  claims->pool
-      = g_thread_pool_new (run_task, claims, (gint)threads, FALSE, NULL);
+  claims->claim_pool
+      = g_thread_pool_new (run_claim_task, claims, (gint)threads, FALSE, NULL);
+  claims->finish_pool = g_thread_pool_new (run_finish_task, claims,
+                                           (gint)threads, FALSE, NULL);
   return claims;
 }
 
+/* Tasks put themselves back, so the pool is freed only once it is empty. */
+static void
+wait_finished (struct router_claims *claims)
+{
+  while (atomic_load (&claims->finishing) > 0)
+    g_usleep (FINISH_PAUSE_US);
+}
+
 void
 router_claims_destroy (struct router_claims *claims)
 {
   if (!claims)
     return;
-  g_thread_pool_free (claims->pool, FALSE, TRUE);
+  g_thread_pool_free (claims->claim_pool, FALSE, TRUE);
+  atomic_store (&claims->stop_at_ms, now_ms () + SHUTDOWN_FINISH_MS);
+  wait_finished (claims);
+  g_thread_pool_free (claims->finish_pool, FALSE, TRUE);
   g_free (claims);
 }
 
@@ -141,7 +193,7 @@
 {
   struct claim_task *task = g_new0 (struct claim_task, 1);
   task->request = router_request_ref (request);
-  g_thread_pool_push (claims->pool, task, NULL);
+  g_thread_pool_push (claims->claim_pool, task, NULL);
 }
 
 /* An answer that is too large to keep is recorded without status. */
@@ -171,15 +223,16 @@
   struct claim_task *task = g_new0 (struct claim_task, 1);
   struct control_finish_args *args = &task->args;
   task->request = router_request_ref (request);
-  task->finish = true;
   args->cluster = (char *)claims->cluster;
   args->router = (char *)claims->host;
   args->router_incarnation = claims->incarnation;
+  args->claim_id = request->claim.claim_id;
   args->account_id = request->account->account_id;
   memcpy (args->key, request->key_digest, CACTUS_DIGEST_BYTES);
   args->not_run = end->not_run;
   args->known = end->known;
   args->billed_tokens = end->billed_tokens;
   fill_answer (args, end);
-  g_thread_pool_push (claims->pool, task, NULL);
+  atomic_fetch_add (&claims->finishing, 1);
+  g_thread_pool_push (claims->finish_pool, task, NULL);
 }
--- a/src/router_claims.h
+++ b/src/router_claims.h
@@ -20,6 +20,8 @@
 /** State of a claim under way; embedded in its request. */
 struct router_claim
 {
+  /** Number of the claim within the router's incarnation. */
+  uint64_t claim_id;
   /** Result of the claim; valid once it was answered. */
   enum wire_status wire;
   enum control_status status;
@@ -44,7 +46,8 @@
   size_t body_bytes;
 };
 
-/** Starts @p threads threads that call control through @p client. */
+/** Starts @p threads threads that call control through @p client, and as many
+ *  that tell it how calls ended. */
 struct router_claims *router_claims_create (struct control_client *client,
                                             const char *cluster,
                                             const char *host,
@@ -52,10 +55,11 @@
                                             uint32_t threads);
 /** Waits for the calls under way and stops. */
 void router_claims_destroy (struct router_claims *claims);
-/** Claims the request's key; posts ROUTER_EVENT_CLAIM when answered. */
+/** Claims the request's key; posts ROUTER_EVENT_CLAIM when answered, at once
+ *  and unsent while control is known to be out of reach. */
 void router_claims_claim (struct router_claims *claims,
                           struct router_request *request);
-/** Tells control how the call ended, until it answers. */
+/** Tells control how the call ended, again until it answers. */
 void router_claims_finish (struct router_claims *claims,
                            struct router_request *request,
                            const struct router_claim_end *end);
