--- a/src/escrow_demand.c
+++ b/src/escrow_demand.c
@@ -14,9 +14,11 @@
 {
   /* struct escrow_want by budget_id. */
   GHashTable *wants;
-  /* Changed struct escrow_budget, in the order of their change. */
-  GQueue changed;
+  /* Changed budgets in the order of their change, linked by next_changed. */
+  struct escrow_budget *changed_head;
+  struct escrow_budget *changed_tail;
   bool connected;
+  bool new_want;
 };
 
 struct escrow_demand *
@@ -25,7 +27,6 @@
   struct escrow_demand *demand = g_new0 (struct escrow_demand, 1);
   demand->wants
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  g_queue_init (&demand->changed);
   return demand;
 }
 
@@ -33,7 +34,6 @@
 escrow_demand_destroy (struct escrow_demand *demand)
 {
   g_hash_table_unref (demand->wants);
-  g_queue_clear (&demand->changed);
   g_free (demand);
 }
 
@@ -54,6 +54,7 @@
     {
       want = g_new0 (struct escrow_want, 1);
       want->budget_id = budget_id;
+      demand->new_want = true;
       g_hash_table_insert (demand->wants, &want->budget_id, want);
     }
   want->tokens = MAX (want->tokens, tokens);
@@ -95,10 +96,20 @@
 escrow_demand_changed (struct escrow_demand *demand,
                        struct escrow_budget *budget)
 {
-  if (budget->changed)
+  if (budget->next_changed)
     return;
-  budget->changed = true;
-  g_queue_push_tail (&demand->changed, budget);
+  budget->next_changed = budget;
+  if (demand->changed_tail)
+    demand->changed_tail->next_changed = budget;
+  else
+    demand->changed_head = budget;
+  demand->changed_tail = budget;
+}
+
+bool
+escrow_demand_new (const struct escrow_demand *demand)
+{
+  return demand->new_want;
 }
 
 bool
@@ -122,6 +133,7 @@
 {
   GHashTableIter iter;
   gpointer value;
+  demand->new_want = false;
   g_hash_table_iter_init (&iter, demand->wants);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -136,9 +148,14 @@
 struct escrow_budget *
 escrow_demand_next (struct escrow_demand *demand)
 {
-  struct escrow_budget *budget = g_queue_pop_head (&demand->changed);
-  if (budget)
-    budget->changed = false;
+  struct escrow_budget *budget = demand->changed_head;
+  if (!budget)
+    return NULL;
+  bool last = budget->next_changed == budget;
+  demand->changed_head = last ? NULL : budget->next_changed;
+  if (last)
+    demand->changed_tail = NULL;
+  budget->next_changed = NULL;
   return budget;
 }
 
