--- a/bench/bench_consensus.c
+++ b/bench/bench_consensus.c
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "base_clock.h"
+#include "control_state.h"
 #include "control_trial.h"
 #include "wire_client.h"
 
@@ -358,6 +359,53 @@
                "3 members");
 }
 
+/* Snapshot of the state with many budgets: size, and time that the member's
+   loop stands still for it. */
+static void
+bench_state (void)
+{
+  char sizes[64];
+  char id[32];
+  char name[] = "x";
+  uint32_t budgets = quick ? 28000 : 280000;
+  uint32_t bytes = 0;
+  struct control_state *state = control_state_create ();
+  struct control_command command = { .body.kind = CONTROL_COMMAND_TOP_UP };
+  struct control_top_up_args *args
+      = &command.body.control_command_body_u.top_up;
+  args->cluster = args->operator_name = args->account = name;
+  args->top_up_id = args->budget = id;
+  args->tokens = 1000000;
+  double rss = process_rss_kb (getpid ());
+  for (uint32_t i = 0; i < budgets; i++)
+    {
+      struct control_outcome outcome;
+      g_snprintf (id, sizeof id, "budget-%06u", i);
+      control_state_apply (state, &command, &outcome);
+      control_outcome_clear (&outcome);
+    }
+  rss = process_rss_kb (getpid ()) - rss;
+  uint64_t start = now_us ();
+  char *data = control_state_save (state, &bytes);
+  uint64_t saved = now_us ();
+  struct control_state *copy = control_state_create ();
+  if (control_state_load (copy, data, bytes) != 0)
+    fail ("the state was not read back");
+  uint64_t loaded = now_us ();
+  g_snprintf (sizes, sizeof sizes, "%u budgets, one top-up each", budgets);
+  print_slope ("control_budget_rss", "bytes/budget", rss * 1024 / budgets,
+               sizes);
+  print_slope ("control_snapshot_budget", "bytes/budget",
+               (double)bytes / budgets, sizes);
+  print_slope ("control_snapshot_save", "ms", (double)(saved - start) / 1e3,
+               sizes);
+  print_slope ("control_snapshot_load", "ms", (double)(loaded - saved) / 1e3,
+               sizes);
+  control_state_destroy (copy);
+  control_state_destroy (state);
+  g_free (data);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -368,6 +416,7 @@
       json_wanted = json_wanted || strcmp (argv[i], "--json") == 0;
       quick = quick || strcmp (argv[i], "--quick") == 0;
     }
+  bench_state ();
   struct control_trial *trial = control_trial_create (3);
   if (!trial)
     fail ("the members did not start");
--- a/src/control_calls.c
+++ b/src/control_calls.c
@@ -245,13 +245,15 @@
            const union call_args *args)
 {
   bool first
-      = control_bundles_version (control_state_bundles (daemon->state)) == 0;
-  bool signed_by_root
-      = daemon->options.has_root_key
-        && control_bundles_root_signed (&args->push, daemon->options.root_key);
+      = args->push.bundle_version == 1
+        && control_bundles_version (control_state_bundles (daemon->state))
+               == 0;
   /* Documents that can't be read are proposed too: the answer lists the
      findings. */
-  if (first && args->push.bundle_version == 1 && !signed_by_root)
+  if (first
+      && !(daemon->options.has_root_key
+           && control_bundles_root_signed (&args->push,
+                                           daemon->options.root_key)))
     {
       control_call_refuse (daemon, call, CONTROL_PUSH, CONTROL_REFUSED,
                            "version 1 is not a valid document signed with "
--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -262,10 +262,10 @@
   atomic_store (&daemon->ready, consensus_leader (daemon->consensus) != 0);
 }
 
+/* Sends, syncs, sends and applies, in this order. */
 static void
-end_round (struct wire_handler *handler)
+carry_out (struct control_daemon *daemon)
 {
-  struct control_daemon *daemon = (struct control_daemon *)handler;
   struct consensus *consensus = daemon->consensus;
   struct consensus_effects *effects = consensus_effects (consensus);
   const struct consensus_wire_entry *entry;
@@ -285,11 +285,23 @@
     apply_entry (daemon, entry, now);
   answer_reads (daemon, effects);
   consensus_effects_clear (consensus);
-  if (!consensus_is_leader (consensus))
+}
+
+static void
+end_round (struct wire_handler *handler)
+{
+  struct control_daemon *daemon = (struct control_daemon *)handler;
+  uint64_t start_us = base_clock_now_us (base_clock_system ());
+  carry_out (daemon);
+  if (daemon->failure != 0)
+    return;
+  if (!consensus_is_leader (daemon->consensus))
     fail_proposals (daemon);
   compact (daemon);
   log_leader (daemon);
   update_counters (daemon);
+  base_histogram_record (daemon->counters.round_us,
+                         base_clock_now_us (base_clock_system ()) - start_us);
 }
 
 static void
@@ -309,6 +321,8 @@
       = base_metrics_counter (metrics, "cactus_control_snapshots_total", NULL);
   counters->leader_changes = base_metrics_counter (
       metrics, "cactus_control_leader_changes_total", NULL);
+  counters->round_us
+      = base_metrics_histogram (metrics, "cactus_control_round_us", NULL);
   counters->leader
       = base_metrics_gauge (metrics, "cactus_control_leader", NULL);
   counters->term = base_metrics_gauge (metrics, "cactus_control_term", NULL);
--- a/src/control_member.h
+++ b/src/control_member.h
@@ -29,6 +29,8 @@
   struct base_counter *claims;
   struct base_counter *snapshots;
   struct base_counter *leader_changes;
+  /** Time from the end of a round's calls to its replies. */
+  struct base_histogram *round_us;
 };
 
 struct control_daemon
