--- a/src/consensus.c
+++ b/src/consensus.c
@@ -312,6 +312,12 @@
                                bytes);
 }
 
+void
+consensus_heartbeat (struct consensus *consensus)
+{
+  consensus->round_wanted = true;
+}
+
 void
 consensus_flush (struct consensus *consensus, uint64_t now_ms)
 {
--- a/src/consensus.h
+++ b/src/consensus.h
@@ -96,6 +96,8 @@
 
 /** Time at which consensus_tick has something to do, in milliseconds. */
 uint64_t consensus_next_due_ms (const struct consensus *consensus);
+/** The leader sends a heartbeat with the next flush, ahead of its time. */
+void consensus_heartbeat (struct consensus *consensus);
 /** Sends what was proposed; called once a round before the effects. */
 void consensus_flush (struct consensus *consensus, uint64_t now_ms);
 /** Effects since the last clearing. */
--- /dev/null
+++ b/src/control_counters.c
@@ -0,0 +1,64 @@
+#include "control_member.h"
+
+#include <inttypes.h>
+
+#include "base_log.h"
+
+static void
+log_leader (struct control_daemon *daemon)
+{
+  uint64_t leader = consensus_leader (daemon->consensus);
+  if (leader == daemon->logged_leader)
+    return;
+  daemon->logged_leader = leader;
+  base_counter_add (daemon->counters.leader_changes, 1);
+  base_log (BASE_LOG_NOTICE, "leader-changed leader=%" PRIu64 " term=%" PRIu64,
+            leader, consensus_term (daemon->consensus));
+}
+
+void
+control_counters_update (struct control_daemon *daemon)
+{
+  struct control_counters *counters = &daemon->counters;
+  log_leader (daemon);
+  base_counter_set (counters->leader, consensus_is_ready (daemon->consensus));
+  base_counter_set (counters->term, consensus_term (daemon->consensus));
+  base_counter_set (
+      counters->bundle_version,
+      control_bundles_version (control_state_bundles (daemon->state)));
+  base_counter_set (
+      counters->claims,
+      control_claims_count (control_state_claims (daemon->state)));
+  base_counter_set (counters->dropped_messages,
+                    control_peers_dropped (daemon->peers));
+  base_counter_set (counters->syncs, control_store_syncs (daemon->store));
+  atomic_store (&daemon->ready, consensus_leader (daemon->consensus) != 0);
+}
+
+void
+control_counters_create (struct control_daemon *daemon)
+{
+  struct base_metrics *metrics = daemon->options.metrics;
+  struct control_counters *counters = &daemon->counters;
+  counters->calls
+      = base_metrics_counter (metrics, "cactus_control_calls_total", NULL);
+  counters->applied
+      = base_metrics_counter (metrics, "cactus_control_applied_total", NULL);
+  counters->syncs
+      = base_metrics_counter (metrics, "cactus_control_syncs_total", NULL);
+  counters->dropped_messages = base_metrics_counter (
+      metrics, "cactus_control_dropped_messages_total", NULL);
+  counters->snapshots
+      = base_metrics_counter (metrics, "cactus_control_snapshots_total", NULL);
+  counters->leader_changes = base_metrics_counter (
+      metrics, "cactus_control_leader_changes_total", NULL);
+  counters->round_us
+      = base_metrics_histogram (metrics, "cactus_control_round_us", NULL);
+  counters->leader
+      = base_metrics_gauge (metrics, "cactus_control_leader", NULL);
+  counters->term = base_metrics_gauge (metrics, "cactus_control_term", NULL);
+  counters->bundle_version
+      = base_metrics_gauge (metrics, "cactus_control_bundle_version", NULL);
+  counters->claims
+      = base_metrics_gauge (metrics, "cactus_control_claims", NULL);
+}
--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -15,8 +15,6 @@
 #define SWEEP_MS 500
 /* Longest time to hand over before the end. */
 #define HAND_OVER_MS 1000
-/* Bytes of the log after which a snapshot replaces it. */
-#define SNAPSHOT_TAIL_BYTES (16u * 1024 * 1024)
 
 static uint64_t
 now_ms (void)
@@ -117,8 +115,8 @@
     }
 }
 
-static void
-send_messages (struct control_daemon *daemon, GPtrArray *messages)
+void
+control_send_messages (struct control_daemon *daemon, GPtrArray *messages)
 {
   for (guint i = 0; i < messages->len; i++)
     {
@@ -128,28 +126,6 @@
   g_ptr_array_set_size (messages, 0);
 }
 
-/* Replaces the state by that of a snapshot; 0 or -1. */
-static int
-load_state (struct control_daemon *daemon, GBytes *snapshot)
-{
-  struct consensus_wire_snapshot wire = { 0 };
-  struct control_state *state = control_state_create ();
-  int status = -1;
-  if (consensus_snapshot_decode (snapshot, &wire))
-    status = control_state_load (state, wire.state.state_val,
-                                 wire.state.state_len);
-  xdr_free ((xdrproc_t)xdr_consensus_wire_snapshot, (char *)&wire);
-  if (status != 0)
-    {
-      base_log (BASE_LOG_ERROR, "snapshot-malformed");
-      control_state_destroy (state);
-      return -1;
-    }
-  control_state_destroy (daemon->state);
-  daemon->state = state;
-  return 0;
-}
-
 /* Persists the effects; the process ends when that fails. */
 static void
 persist (struct control_daemon *daemon, struct consensus_effects *effects,
@@ -164,7 +140,8 @@
       return;
     }
   if (installed
-      && load_state (daemon, consensus_snapshot (daemon->consensus)) != 0)
+      && control_snapshot_load (daemon, consensus_snapshot (daemon->consensus))
+             != 0)
     daemon->failure = -1;
   consensus_persisted (daemon->consensus, now);
 }
@@ -180,29 +157,6 @@
   control_peers_update (daemon->peers, members, daemon->options.member_id);
 }
 
-static void
-compact (struct control_daemon *daemon)
-{
-  struct consensus *consensus = daemon->consensus;
-  uint64_t entries
-      = consensus_applied_index (consensus) - consensus_base_index (consensus);
-  uint32_t bytes = 0;
-  if (entries == 0
-      || (entries < daemon->options.snapshot_entries
-          && control_store_tail_bytes (daemon->store) < SNAPSHOT_TAIL_BYTES))
-    return;
-  char *state = control_state_save (daemon->state, &bytes);
-  consensus_compact (consensus, state, bytes);
-  g_free (state);
-  if (control_store_compact (daemon->store, consensus) != 0)
-    {
-      base_log (BASE_LOG_ERROR, "snapshot-not-written error=%s",
-                g_strerror (errno));
-      daemon->failure = -1;
-    }
-  base_counter_add (daemon->counters.snapshots, 1);
-}
-
 static void
 propose_lapse (void *context, struct control_process *process)
 {
@@ -232,36 +186,6 @@
                            propose_lapse, daemon);
 }
 
-static void
-log_leader (struct control_daemon *daemon)
-{
-  uint64_t leader = consensus_leader (daemon->consensus);
-  if (leader == daemon->logged_leader)
-    return;
-  daemon->logged_leader = leader;
-  base_counter_add (daemon->counters.leader_changes, 1);
-  base_log (BASE_LOG_NOTICE, "leader-changed leader=%" PRIu64 " term=%" PRIu64,
-            leader, consensus_term (daemon->consensus));
-}
-
-static void
-update_counters (struct control_daemon *daemon)
-{
-  struct control_counters *counters = &daemon->counters;
-  base_counter_set (counters->leader, consensus_is_ready (daemon->consensus));
-  base_counter_set (counters->term, consensus_term (daemon->consensus));
-  base_counter_set (
-      counters->bundle_version,
-      control_bundles_version (control_state_bundles (daemon->state)));
-  base_counter_set (
-      counters->claims,
-      control_claims_count (control_state_claims (daemon->state)));
-  base_counter_set (counters->dropped_messages,
-                    control_peers_dropped (daemon->peers));
-  base_counter_set (counters->syncs, control_store_syncs (daemon->store));
-  atomic_store (&daemon->ready, consensus_leader (daemon->consensus) != 0);
-}
-
 /* Sends, syncs, sends and applies, in this order. */
 static void
 carry_out (struct control_daemon *daemon)
@@ -274,13 +198,13 @@
   sweep_sessions (daemon, now);
   consensus_flush (consensus, now);
   update_senders (daemon);
-  send_messages (daemon, effects->early_messages);
+  control_send_messages (daemon, effects->early_messages);
   persist (daemon, effects, now);
   if (daemon->failure != 0)
     return;
   consensus_flush (consensus, now);
-  send_messages (daemon, effects->early_messages);
-  send_messages (daemon, effects->messages);
+  control_send_messages (daemon, effects->early_messages);
+  control_send_messages (daemon, effects->messages);
   while ((entry = consensus_next_applied (consensus)))
     apply_entry (daemon, entry, now);
   answer_reads (daemon, effects);
@@ -297,41 +221,12 @@
     return;
   if (!consensus_is_leader (daemon->consensus))
     fail_proposals (daemon);
-  compact (daemon);
-  log_leader (daemon);
-  update_counters (daemon);
+  control_snapshot_write (daemon);
+  control_counters_update (daemon);
   base_histogram_record (daemon->counters.round_us,
                          base_clock_now_us (base_clock_system ()) - start_us);
 }
 
-static void
-make_counters (struct control_daemon *daemon)
-{
-  struct base_metrics *metrics = daemon->options.metrics;
-  struct control_counters *counters = &daemon->counters;
-  counters->calls
-      = base_metrics_counter (metrics, "cactus_control_calls_total", NULL);
-  counters->applied
-      = base_metrics_counter (metrics, "cactus_control_applied_total", NULL);
-  counters->syncs
-      = base_metrics_counter (metrics, "cactus_control_syncs_total", NULL);
-  counters->dropped_messages = base_metrics_counter (
-      metrics, "cactus_control_dropped_messages_total", NULL);
-  counters->snapshots
-      = base_metrics_counter (metrics, "cactus_control_snapshots_total", NULL);
-  counters->leader_changes = base_metrics_counter (
-      metrics, "cactus_control_leader_changes_total", NULL);
-  counters->round_us
-      = base_metrics_histogram (metrics, "cactus_control_round_us", NULL);
-  counters->leader
-      = base_metrics_gauge (metrics, "cactus_control_leader", NULL);
-  counters->term = base_metrics_gauge (metrics, "cactus_control_term", NULL);
-  counters->bundle_version
-      = base_metrics_gauge (metrics, "cactus_control_bundle_version", NULL);
-  counters->claims
-      = base_metrics_gauge (metrics, "cactus_control_claims", NULL);
-}
-
 /* Opens the data folder and loads what it holds. */
 static int
 open_store (struct control_daemon *daemon, struct base_findings *findings)
@@ -356,7 +251,7 @@
       || control_store_load (daemon->store, daemon->consensus, findings) != 0)
     return -1;
   GBytes *snapshot = consensus_snapshot (daemon->consensus);
-  if (snapshot && load_state (daemon, snapshot) != 0)
+  if (snapshot && control_snapshot_load (daemon, snapshot) != 0)
     {
       base_findings_add (findings, options->data_dir,
                          "the snapshot's state can't be read");
@@ -397,7 +292,7 @@
   daemon->leases = control_leases_create (options->lease_ms);
   daemon->proposals = control_pending_create ();
   daemon->reads = control_pending_create ();
-  make_counters (daemon);
+  control_counters_create (daemon);
   if (open_store (daemon, findings) == 0 && listen_on (daemon, findings) == 0)
     return daemon;
   control_daemon_destroy (daemon);
--- a/src/control_member.h
+++ b/src/control_member.h
@@ -83,5 +83,16 @@
 /** Address of the leader as far as known, for CONTROL_NOT_LEADER. */
 void control_leader_address (struct control_daemon *daemon,
                              struct control_answer *answer);
+/** Sends messages to the other members and takes them over. */
+void control_send_messages (struct control_daemon *daemon,
+                            GPtrArray *messages);
+/** Replaces the state by that of a snapshot; 0 or -1. */
+int control_snapshot_load (struct control_daemon *daemon, GBytes *snapshot);
+/** Writes a snapshot when the log has grown long. */
+void control_snapshot_write (struct control_daemon *daemon);
+/** Makes the counters. */
+void control_counters_create (struct control_daemon *daemon);
+/** Sets the gauges, and logs a change of leader. */
+void control_counters_update (struct control_daemon *daemon);
 
 #endif
--- /dev/null
+++ b/src/control_snapshot.c
@@ -0,0 +1,69 @@
+#include "control_member.h"
+
+#include <errno.h>
+
+#include "base_clock.h"
+#include "base_log.h"
+
+/* Bytes of the log after which a snapshot replaces it. */
+#define SNAPSHOT_TAIL_BYTES (16u * 1024 * 1024)
+
+int
+control_snapshot_load (struct control_daemon *daemon, GBytes *snapshot)
+{
+  struct consensus_wire_snapshot wire = { 0 };
+  struct control_state *state = control_state_create ();
+  int status = -1;
+  if (consensus_snapshot_decode (snapshot, &wire))
+    status = control_state_load (state, wire.state.state_val,
+                                 wire.state.state_len);
+  xdr_free ((xdrproc_t)xdr_consensus_wire_snapshot, (char *)&wire);
+  if (status != 0)
+    {
+      base_log (BASE_LOG_ERROR, "snapshot-malformed");
+      control_state_destroy (state);
+      return -1;
+    }
+  control_state_destroy (daemon->state);
+  daemon->state = state;
+  return 0;
+}
+
+/* Whether the log is long enough for a snapshot.  Members stand still while
+   they write one, so each has a limit of its own. */
+static bool
+wants_snapshot (const struct control_daemon *daemon)
+{
+  const struct consensus *consensus = daemon->consensus;
+  uint64_t entries
+      = consensus_applied_index (consensus) - consensus_base_index (consensus);
+  uint64_t stagger = 8 + daemon->options.member_id % 8;
+  return entries > 0
+         && (entries >= daemon->options.snapshot_entries * stagger / 8
+             || control_store_tail_bytes (daemon->store)
+                    >= SNAPSHOT_TAIL_BYTES / 8 * stagger);
+}
+
+void
+control_snapshot_write (struct control_daemon *daemon)
+{
+  struct consensus *consensus = daemon->consensus;
+  uint32_t bytes = 0;
+  if (!wants_snapshot (daemon))
+    return;
+  /* The followers' patience begins anew before the leader stands still. */
+  consensus_heartbeat (consensus);
+  consensus_flush (consensus, base_clock_now_ms (base_clock_system ()));
+  control_send_messages (daemon,
+                         consensus_effects (consensus)->early_messages);
+  char *state = control_state_save (daemon->state, &bytes);
+  consensus_compact (consensus, state, bytes);
+  g_free (state);
+  if (control_store_compact (daemon->store, consensus) != 0)
+    {
+      base_log (BASE_LOG_ERROR, "snapshot-not-written error=%s",
+                g_strerror (errno));
+      daemon->failure = -1;
+    }
+  base_counter_add (daemon->counters.snapshots, 1);
+}
--- a/tools/consensus_sim.c
+++ b/tools/consensus_sim.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base_hash.h"
 #include "consensus_sim_disk.h"
+#include "consensus_sim_oracle.h"
 
 #define ELECTION_MS 300
 #define HEARTBEAT_MS 75
@@ -18,13 +18,6 @@
   struct consensus_wire_message *message;
 };
 
-/* State of the application, as kept in snapshots. */
-struct sim_state
-{
-  uint64_t applied;
-  uint64_t chain;
-};
-
 static void
 free_packet (gpointer data)
 {
@@ -39,22 +32,6 @@
   return base_random_below (&sim->random, 1000) < per_thousand;
 }
 
-static void trace (struct consensus_sim *sim, const char *format, ...)
-    __attribute__ ((format (printf, 2, 3)));
-
-static void
-trace (struct consensus_sim *sim, const char *format, ...)
-{
-  va_list arguments;
-  if (!sim->trace)
-    return;
-  g_string_append_printf (sim->trace, "%" PRIu64 " ", sim->now_ms);
-  va_start (arguments, format);
-  g_string_append_vprintf (sim->trace, format, arguments);
-  va_end (arguments);
-  g_string_append_c (sim->trace, '\n');
-}
-
 struct consensus_sim *
 consensus_sim_create (uint64_t seed, uint32_t founders)
 {
@@ -105,32 +82,6 @@
   g_free (sim);
 }
 
-static uint64_t
-chain_at (const struct consensus_sim *sim, uint64_t index)
-{
-  return g_array_index (sim->committed_chains, uint64_t, index);
-}
-
-/* Takes the application's state from a snapshot and checks it. */
-static void
-load_state (struct consensus_sim *sim, struct consensus_sim_member *member,
-            GBytes *snapshot)
-{
-  struct consensus_wire_snapshot wire = { 0 };
-  struct sim_state state;
-  g_assert_true (consensus_snapshot_decode (snapshot, &wire));
-  g_assert_cmpuint (wire.state.state_len, ==, sizeof state);
-  memcpy (&state, wire.state.state_val, sizeof state);
-  g_assert_cmpuint (state.applied, ==, wire.log_index);
-  xdr_free ((xdrproc_t)xdr_consensus_wire_snapshot, (char *)&wire);
-  if (state.applied > consensus_sim_committed (sim)
-      || chain_at (sim, state.applied) != state.chain)
-    g_error ("member %" PRIu64 " took a snapshot that is not the list's",
-             member->id);
-  member->applied = state.applied;
-  member->chain = state.chain;
-}
-
 void
 consensus_sim_start (struct consensus_sim *sim, uint64_t id)
 {
@@ -154,9 +105,9 @@
   member->consensus = consensus_create (&options);
   consensus_sim_disk_load (&member->disk, member->consensus);
   if (member->disk.snapshot)
-    load_state (sim, member, member->disk.snapshot);
+    consensus_sim_load_state (sim, member, member->disk.snapshot);
   consensus_start (member->consensus, sim->now_ms);
-  trace (sim, "start %" PRIu64, id);
+  consensus_sim_trace (sim, "start %" PRIu64, id);
 }
 
 void
@@ -168,7 +119,7 @@
   consensus_destroy (member->consensus);
   member->consensus = NULL;
   g_array_set_size (member->reads, 0);
-  trace (sim, "crash %" PRIu64, id);
+  consensus_sim_trace (sim, "crash %" PRIu64, id);
 }
 
 void
@@ -178,7 +129,7 @@
   consensus_sim_disk_clear (&member->disk);
   consensus_sim_disk_init (&member->disk);
   member->incarnation = base_random_next (&sim->random) | 1;
-  trace (sim, "wipe %" PRIu64, id);
+  consensus_sim_trace (sim, "wipe %" PRIu64, id);
 }
 
 bool
@@ -188,46 +139,12 @@
   return member->consensus && sim->now_ms >= member->frozen_until_ms;
 }
 
-/* One leader a term, and it holds every entry committed in earlier terms.  A
-   candidate may learn late that it won, when a later term has begun. */
-static void
-check_leader (struct consensus_sim *sim, struct consensus_sim_member *member)
-{
-  if (!consensus_is_leader (member->consensus))
-    return;
-  uint64_t term = consensus_term (member->consensus);
-  uint64_t *known = g_hash_table_lookup (sim->leaders, &term);
-  if (known && *known != member->incarnation)
-    g_error ("two leaders in term %" PRIu64, term);
-  if (known)
-    return;
-  g_hash_table_insert (sim->leaders, g_memdup2 (&term, sizeof term),
-                       g_memdup2 (&member->incarnation, sizeof (uint64_t)));
-  sim->elections++;
-  trace (sim, "lead %" PRIu64 " term %" PRIu64, member->id, term);
-  uint64_t committed = consensus_sim_committed (sim);
-  for (uint64_t index = consensus_base_index (member->consensus) + 1;
-       index <= committed; index++)
-    {
-      const struct consensus_wire_entry *entry
-          = consensus_entry (member->consensus, index);
-      if (g_array_index (sim->committed_in, uint64_t, index) >= term)
-        continue;
-      if (!entry
-          || entry->term
-                 != g_array_index (sim->committed_terms, uint64_t, index))
-        g_error ("the leader of term %" PRIu64 " lacks committed entry "
-                 "%" PRIu64,
-                 term, index);
-    }
-}
-
 void
 consensus_sim_tick (struct consensus_sim *sim, uint64_t id)
 {
   struct consensus_sim_member *member = &sim->members[id];
   consensus_tick (member->consensus, sim->now_ms);
-  check_leader (sim, member);
+  consensus_sim_check_leader (sim, member);
 }
 
 static struct consensus_wire_message *
@@ -286,70 +203,6 @@
   g_ptr_array_set_size (messages, 0);
 }
 
-static uint64_t
-chain_of (uint64_t before, const struct consensus_wire_entry *entry)
-{
-  uint64_t parts[4]
-      = { before, entry->term, entry->kind,
-          base_hash64 (entry->data.data_val, entry->data.data_len) };
-  return base_hash64 (parts, sizeof parts);
-}
-
-/* Adds a newly committed entry to the single list. */
-static void
-extend_list (struct consensus_sim *sim,
-             const struct consensus_wire_entry *entry, uint64_t chain,
-             uint64_t committed_in)
-{
-  uint64_t term = entry->term;
-  g_array_append_val (sim->committed_in, committed_in);
-  g_array_append_val (sim->committed_terms, term);
-  g_array_append_val (sim->committed_chains, chain);
-  if (entry->kind != CONSENSUS_ENTRY_CONFIGURATION)
-    return;
-  sim->members_changed++;
-  consensus_configuration_decode (&sim->committed_members,
-                                  entry->data.data_val, entry->data.data_len);
-}
-
-static void
-apply (struct consensus_sim *sim, struct consensus_sim_member *member,
-       const struct consensus_wire_entry *entry)
-{
-  g_assert_cmpuint (entry->index, ==, member->applied + 1);
-  member->chain = chain_of (member->chain, entry);
-  member->applied = entry->index;
-  if (entry->index > consensus_sim_committed (sim))
-    {
-      extend_list (sim, entry, member->chain,
-                   consensus_term (member->consensus));
-      trace (sim, "commit %" PRIu64 " term %" PRIu64 " kind %u by %" PRIu64,
-             (uint64_t)entry->index, (uint64_t)entry->term, entry->kind,
-             member->id);
-    }
-  else if (chain_at (sim, entry->index) != member->chain)
-    g_error ("member %" PRIu64 " applied another entry at %" PRIu64,
-             member->id, (uint64_t)entry->index);
-}
-
-static void
-check_reads (struct consensus_sim *sim, struct consensus_sim_member *member,
-             GArray *reads)
-{
-  for (guint i = 0; i < reads->len; i++)
-    {
-      const struct consensus_read *read
-          = &g_array_index (reads, struct consensus_read, i);
-      uint64_t needed = g_array_index (member->reads, uint64_t, read->id - 1);
-      if (!read->confirmed)
-        continue;
-      sim->reads_confirmed++;
-      if (read->index < needed)
-        g_error ("a read at member %" PRIu64 " missed entry %" PRIu64,
-                 member->id, needed);
-    }
-}
-
 void
 consensus_sim_round (struct consensus_sim *sim, uint64_t id)
 {
@@ -372,15 +225,15 @@
   if (installed)
     {
       sim->snapshots_installed++;
-      load_state (sim, member, member->disk.snapshot);
+      consensus_sim_load_state (sim, member, member->disk.snapshot);
     }
   send_messages (sim, effects->early_messages);
   send_messages (sim, effects->messages);
   while ((entry = consensus_next_applied (consensus)))
-    apply (sim, member, entry);
-  check_reads (sim, member, effects->reads);
+    consensus_sim_apply (sim, member, entry);
+  consensus_sim_check_reads (sim, member, effects->reads);
   consensus_effects_clear (consensus);
-  check_leader (sim, member);
+  consensus_sim_check_leader (sim, member);
 }
 
 bool
@@ -403,7 +256,7 @@
         {
           consensus_step (sim->members[to].consensus, sim->now_ms,
                           packet->message);
-          check_leader (sim, &sim->members[to]);
+          consensus_sim_check_leader (sim, &sim->members[to]);
         }
       free_packet (packet);
       return true;
@@ -436,7 +289,7 @@
 {
   struct consensus_sim_member *member = &sim->members[id];
   consensus_sim_round (sim, id);
-  struct sim_state state = { member->applied, member->chain };
+  struct consensus_sim_state state = { member->applied, member->chain };
   if (!member->consensus
       || state.applied == consensus_base_index (member->consensus))
     return;
--- /dev/null
+++ b/tools/consensus_sim_oracle.c
@@ -0,0 +1,148 @@
+#include "consensus_sim_oracle.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include "base_hash.h"
+
+void
+consensus_sim_trace (struct consensus_sim *sim, const char *format, ...)
+{
+  va_list arguments;
+  if (!sim->trace)
+    return;
+  g_string_append_printf (sim->trace, "%" PRIu64 " ", sim->now_ms);
+  va_start (arguments, format);
+  g_string_append_vprintf (sim->trace, format, arguments);
+  va_end (arguments);
+  g_string_append_c (sim->trace, '\n');
+}
+
+static uint64_t
+chain_at (const struct consensus_sim *sim, uint64_t index)
+{
+  return g_array_index (sim->committed_chains, uint64_t, index);
+}
+
+void
+consensus_sim_load_state (struct consensus_sim *sim,
+                          struct consensus_sim_member *member,
+                          GBytes *snapshot)
+{
+  struct consensus_wire_snapshot wire = { 0 };
+  struct consensus_sim_state state;
+  g_assert_true (consensus_snapshot_decode (snapshot, &wire));
+  g_assert_cmpuint (wire.state.state_len, ==, sizeof state);
+  memcpy (&state, wire.state.state_val, sizeof state);
+  g_assert_cmpuint (state.applied, ==, wire.log_index);
+  xdr_free ((xdrproc_t)xdr_consensus_wire_snapshot, (char *)&wire);
+  if (state.applied > consensus_sim_committed (sim)
+      || chain_at (sim, state.applied) != state.chain)
+    g_error ("member %" PRIu64 " took a snapshot that is not the list's",
+             member->id);
+  member->applied = state.applied;
+  member->chain = state.chain;
+}
+
+/* One leader a term, and it holds every entry committed in earlier terms.  A
+   candidate may learn late that it won, when a later term has begun. */
+void
+consensus_sim_check_leader (struct consensus_sim *sim,
+                            struct consensus_sim_member *member)
+{
+  if (!consensus_is_leader (member->consensus))
+    return;
+  uint64_t term = consensus_term (member->consensus);
+  uint64_t *known = g_hash_table_lookup (sim->leaders, &term);
+  if (known && *known != member->incarnation)
+    g_error ("two leaders in term %" PRIu64, term);
+  if (known)
+    return;
+  g_hash_table_insert (sim->leaders, g_memdup2 (&term, sizeof term),
+                       g_memdup2 (&member->incarnation, sizeof (uint64_t)));
+  sim->elections++;
+  consensus_sim_trace (sim, "lead %" PRIu64 " term %" PRIu64, member->id,
+                       term);
+  uint64_t committed = consensus_sim_committed (sim);
+  for (uint64_t index = consensus_base_index (member->consensus) + 1;
+       index <= committed; index++)
+    {
+      const struct consensus_wire_entry *entry
+          = consensus_entry (member->consensus, index);
+      if (g_array_index (sim->committed_in, uint64_t, index) >= term)
+        continue;
+      if (!entry
+          || entry->term
+                 != g_array_index (sim->committed_terms, uint64_t, index))
+        g_error ("the leader of term %" PRIu64 " lacks committed entry "
+                 "%" PRIu64,
+                 term, index);
+    }
+}
+
+static uint64_t
+chain_of (uint64_t before, const struct consensus_wire_entry *entry)
+{
+  uint64_t parts[4]
+      = { before, entry->term, entry->kind,
+          base_hash64 (entry->data.data_val, entry->data.data_len) };
+  return base_hash64 (parts, sizeof parts);
+}
+
+/* Adds a newly committed entry to the single list. */
+static void
+extend_list (struct consensus_sim *sim,
+             const struct consensus_wire_entry *entry, uint64_t chain,
+             uint64_t committed_in)
+{
+  uint64_t term = entry->term;
+  g_array_append_val (sim->committed_in, committed_in);
+  g_array_append_val (sim->committed_terms, term);
+  g_array_append_val (sim->committed_chains, chain);
+  if (entry->kind != CONSENSUS_ENTRY_CONFIGURATION)
+    return;
+  sim->members_changed++;
+  consensus_configuration_decode (&sim->committed_members,
+                                  entry->data.data_val, entry->data.data_len);
+}
+
+void
+consensus_sim_apply (struct consensus_sim *sim,
+                     struct consensus_sim_member *member,
+                     const struct consensus_wire_entry *entry)
+{
+  g_assert_cmpuint (entry->index, ==, member->applied + 1);
+  member->chain = chain_of (member->chain, entry);
+  member->applied = entry->index;
+  if (entry->index > consensus_sim_committed (sim))
+    {
+      extend_list (sim, entry, member->chain,
+                   consensus_term (member->consensus));
+      consensus_sim_trace (
+          sim, "commit %" PRIu64 " term %" PRIu64 " kind %u by %" PRIu64,
+          (uint64_t)entry->index, (uint64_t)entry->term, entry->kind,
+          member->id);
+    }
+  else if (chain_at (sim, entry->index) != member->chain)
+    g_error ("member %" PRIu64 " applied another entry at %" PRIu64,
+             member->id, (uint64_t)entry->index);
+}
+
+void
+consensus_sim_check_reads (struct consensus_sim *sim,
+                           struct consensus_sim_member *member, GArray *reads)
+{
+  for (guint i = 0; i < reads->len; i++)
+    {
+      const struct consensus_read *read
+          = &g_array_index (reads, struct consensus_read, i);
+      uint64_t needed = g_array_index (member->reads, uint64_t, read->id - 1);
+      if (!read->confirmed)
+        continue;
+      sim->reads_confirmed++;
+      if (read->index < needed)
+        g_error ("a read at member %" PRIu64 " missed entry %" PRIu64,
+                 member->id, needed);
+    }
+}
