--- a/src/escrow_ledger_apply.c
+++ b/src/escrow_ledger_apply.c
@@ -212,6 +212,8 @@
     return -1;
   struct escrow_budget *budget
       = escrow_budgets_find (ledger->budgets, done->budget_id);
+  if (!budget || budget->written_off_tokens < done->tokens)
+    return -1;
   budget->written_off_tokens -= done->tokens;
   if (entry->flag)
     budget->spent_tokens += entry->tokens;
--- a/src/escrow_pool_save.c
+++ b/src/escrow_pool_save.c
@@ -166,8 +166,13 @@
 static void
 load_budget (struct escrow_pool *pool, struct escrow_reader *reader)
 {
-  struct pool_budget *budget
-      = pool_budget_need (pool, escrow_get_u64 (reader));
+  uint64_t budget_id = escrow_get_u64 (reader);
+  if (pool_budget_find (pool, budget_id))
+    {
+      reader->failed = true;
+      return;
+    }
+  struct pool_budget *budget = pool_budget_need (pool, budget_id);
   budget->topped_up_tokens = escrow_get_u64 (reader);
   budget->unallocated_tokens = escrow_get_u64 (reader);
   uint32_t shares = escrow_get_u32 (reader);
@@ -182,6 +187,12 @@
   uint64_t content_hash = escrow_get_u64 (reader);
   uint64_t topped_up = escrow_get_u64 (reader);
   uint64_t unallocated = escrow_get_u64 (reader);
+  if (g_hash_table_contains (pool->top_ups, id))
+    {
+      reader->failed = true;
+      g_free (id);
+      return;
+    }
   pool_top_up_add (pool, id, content_hash, topped_up, unallocated);
 }
 
--- a/src/ledger_server.c
+++ b/src/ledger_server.c
@@ -9,6 +9,7 @@
 #include "base_clock.h"
 #include "base_log.h"
 #include "cactus_config.h"
+#include "ledger_batch.h"
 #include "ledger_exchange.h"
 #include "ledger_metrics.h"
 #include "ledger_store.h"
@@ -30,13 +31,6 @@
 /* Interval of tries to open the folder again after a failed write, in ms. */
 #define REOPEN_INTERVAL_MS 2000
 
-/* A batch that is applied and waits for the sync. */
-struct pending_batch
-{
-  struct wire_call *call;
-  struct ledger_batch_result result;
-};
-
 struct ledger_server
 {
   struct wire_handler base;
@@ -46,8 +40,8 @@
   struct escrow_ledger *ledger;
   struct ledger_exchange *exchange;
   struct ledger_metrics metrics;
-  /* struct pending_batch of this round. */
-  GArray *pending;
+  /* Batches of this round. */
+  struct ledger_batches *batches;
   uint64_t incarnation;
   uint64_t round_ms;
   uint64_t exchanged_ms;
@@ -70,58 +64,16 @@
   return base_clock_now_ms (base_clock_system ());
 }
 
-static void
-apply_op (struct ledger_server *server, const struct ledger_batch_args *args,
-          const struct ledger_op *op, struct ledger_op_result *result)
-{
-  memset (result, 0, sizeof *result);
-  if (atomic_load (&server->fenced) && op->kind == LEDGER_RESERVE)
-    result->status = LEDGER_UNAVAILABLE;
-  else
-    escrow_ledger_op (server->ledger, args->incarnation, op, wall_ms (),
-                      result);
-  ledger_metrics_op (&server->metrics, op, result);
-}
-
-/* Applies a batch; its answer waits for the sync. */
-static void
-apply_batch (struct ledger_server *server, struct wire_call *call,
-             const struct ledger_batch_args *args)
-{
-  struct pending_batch pending = { .call = call };
-  struct ledger_batch_result *result = &pending.result;
-  result->ledger_incarnation = server->incarnation;
-  result->lease_ms = CACTUS_LEDGER_LEASE_MS;
-  if (!g_str_equal (args->cluster, server->options.cluster) || !args->router[0]
-      || args->incarnation == 0)
-    result->status = LEDGER_BAD_REQUEST;
-  else if (atomic_load (&server->failed))
-    result->status = LEDGER_UNAVAILABLE;
-  else
-    {
-      u_int count = args->ops.ops_len;
-      escrow_ledger_open_session (server->ledger, args->router,
-                                  args->incarnation, wall_ms ());
-      result->results.results_len = count;
-      result->results.results_val
-          = calloc (count + 1, sizeof (struct ledger_op_result));
-      g_assert (result->results.results_val);
-      for (u_int i = 0; i < count; i++)
-        apply_op (server, args, &args->ops.ops_val[i],
-                  &result->results.results_val[i]);
-    }
-  g_array_append_val (server->pending, pending);
-}
-
 static void
 take_batch (struct ledger_server *server, struct wire_call *call)
 {
-  struct ledger_batch_args args = { 0 };
-  if (wire_call_args (call, (xdrproc_t)xdr_ledger_batch_args, &args))
-    apply_batch (server, call, &args);
-  else
-    wire_call_fail (call);
-  xdr_free ((xdrproc_t)xdr_ledger_batch_args, (char *)&args);
+  struct ledger_batch_place place
+      = { .cluster = server->options.cluster,
+          .incarnation = server->incarnation,
+          .ledger = atomic_load (&server->failed) ? NULL : server->ledger,
+          .fenced = atomic_load (&server->fenced),
+          .now_ms = wall_ms () };
+  ledger_batches_take (server->batches, call, &place, &server->metrics);
 }
 
 static void
@@ -289,24 +241,6 @@
   return true;
 }
 
-static void
-answer_pending (struct ledger_server *server, bool committed)
-{
-  for (guint i = 0; i < server->pending->len; i++)
-    {
-      struct pending_batch *pending
-          = &g_array_index (server->pending, struct pending_batch, i);
-      struct ledger_batch_result refusal = { .status = LEDGER_UNAVAILABLE };
-      bool refuse = !committed && pending->result.status == LEDGER_OK;
-      refusal.ledger_incarnation = server->incarnation;
-      refusal.lease_ms = CACTUS_LEDGER_LEASE_MS;
-      wire_call_reply (pending->call, (xdrproc_t)xdr_ledger_batch_result,
-                       refuse ? &refusal : &pending->result);
-      xdr_free ((xdrproc_t)xdr_ledger_batch_result, (char *)&pending->result);
-    }
-  g_array_set_size (server->pending, 0);
-}
-
 static int
 open_store (struct ledger_server *server, struct base_findings *findings)
 {
@@ -354,7 +288,7 @@
   if (!atomic_load (&server->failed))
     check_sessions (server, now_ms);
   bool committed = commit (server);
-  answer_pending (server, committed);
+  ledger_batches_answer (server->batches, committed, server->incarnation);
   if (committed)
     {
       send_exchange (server, now_ms);
@@ -379,7 +313,7 @@
   server->base.call = take_call;
   server->base.round = end_round;
   server->options = *options;
-  server->pending = g_array_new (FALSE, FALSE, sizeof (struct pending_batch));
+  server->batches = ledger_batches_create ();
   /* Until an exchange fails, a refusal may pass. */
   server->connected = options->control != NULL;
   ledger_metrics_open (&server->metrics);
@@ -415,7 +349,7 @@
   wire_server_destroy (server->wire);
   ledger_store_close (server->store, !atomic_load (&server->failed));
   ledger_metrics_close (&server->metrics);
-  g_array_unref (server->pending);
+  ledger_batches_destroy (server->batches);
   g_free (server);
 }
 
--- a/tests/test_escrow_pool.c
+++ b/tests/test_escrow_pool.c
@@ -217,6 +217,29 @@
   g_byte_array_unref (after);
 }
 
+/* A state that holds the same top-up twice is refused. */
+static void
+test_load_doubled (void)
+{
+  size_t used;
+  const guint entry_bytes = 1 + 2 + 24;
+  struct escrow_pool *pool = escrow_pool_create (ESCROW_POLICY_AT_CONTROL);
+  GByteArray *bytes = g_byte_array_new ();
+  top_up (pool, "t1", 1000, NULL);
+  escrow_pool_save (pool, bytes);
+  escrow_pool_destroy (pool);
+  guint8 *entry
+      = g_memdup2 (bytes->data + bytes->len - entry_bytes, entry_bytes);
+  bytes->data[bytes->len - entry_bytes - 4] = 2;
+  g_byte_array_append (bytes, entry, entry_bytes);
+  pool = escrow_pool_create (ESCROW_POLICY_AT_CONTROL);
+  g_assert_cmpint (escrow_pool_load (pool, bytes->data, bytes->len, &used), ==,
+                   -1);
+  escrow_pool_destroy (pool);
+  g_byte_array_unref (bytes);
+  g_free (entry);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -228,5 +251,6 @@
   g_test_add_func ("/escrow_pool/nothing-left", test_nothing_left);
   g_test_add_func ("/escrow_pool/fencing", test_fencing);
   g_test_add_func ("/escrow_pool/save-and-load", test_save_and_load);
+  g_test_add_func ("/escrow_pool/load-doubled", test_load_doubled);
   return g_test_run ();
 }
