--- a/bench/bench_gossip.c
+++ b/bench/bench_gossip.c
@@ -3,12 +3,14 @@
  *  a router, ages of reports, and time until a departure is known.  Calls are
  *  encoded and decoded as on the wire; sockets are left out. */
 
+#include <malloc.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 
 #include <glib.h>
 
+#include "bench_slope.h"
 #include "cactus_config.h"
 #include "gossip_core.h"
 #include "gossip_peers.h"
@@ -402,15 +404,6 @@
   return outcome;
 }
 
-static void
-print_json (const char *slope, const char *unit, double value, uint32_t zones,
-            uint32_t routers, uint32_t targets)
-{
-  printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.4g,\"sizes\":"
-          "{\"zones\":%u,\"routers_per_zone\":%u,\"targets_per_zone\":%u}}\n",
-          slope, unit, value, zones, routers, targets);
-}
-
 static void
 report (uint32_t zones, uint32_t routers, uint32_t targets, bool json)
 {
@@ -423,14 +416,43 @@
               outcome.departure_ms, outcome.departure_rounds_ms);
       return;
     }
-  print_json ("gossip_bytes", "bytes/s/router", outcome.bytes_s, zones,
-              routers, targets);
-  print_json ("gossip_processor", "percent_core/router",
-              outcome.processor_percent, zones, routers, targets);
-  print_json ("gossip_age_p99", "ms", (double)outcome.age_p99_ms, zones,
+  char sizes[96];
+  g_snprintf (sizes, sizeof sizes, "zones=%u routers=%u targets=%u", zones,
               routers, targets);
-  print_json ("gossip_departure_rounds", "ms",
-              (double)outcome.departure_rounds_ms, zones, routers, targets);
+  bench_slope_print ("gossip_bytes", "B/s", outcome.bytes_s, sizes);
+  bench_slope_print ("gossip_processor", "% core", outcome.processor_percent,
+                     sizes);
+  bench_slope_print ("gossip_age_p99", "ms", (double)outcome.age_p99_ms,
+                     sizes);
+  bench_slope_print ("gossip_departure_rounds", "ms",
+                     (double)outcome.departure_rounds_ms, sizes);
+}
+
+/* Memory of a registry by record, its view included. */
+static void
+report_memory (bool json)
+{
+  const uint32_t count = 1000;
+  struct registry *registry = registry_create (CACTUS_TARGET_LAPSE_MS);
+  struct speaker speaker = { 0 };
+  struct fleet fleet = { .zones = 1, .targets = count, .speakers = &speaker };
+  size_t before = mallinfo2 ().uordblks;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      make_speaker (&fleet, 0);
+      g_snprintf (speaker.record.target, sizeof speaker.record.target, "t%u",
+                  i);
+      g_snprintf (speaker.record.service, sizeof speaker.record.service, "s%u",
+                  i % 14);
+      registry_merge (registry, &speaker.record, 1000);
+    }
+  double bytes = (double)(mallinfo2 ().uordblks - before) / count;
+  if (json)
+    bench_slope_print ("registry_record_bytes", "B/record", bytes,
+                       "records=1000");
+  else
+    printf ("registry: %.0f bytes a record\n", bytes);
+  registry_destroy (registry);
 }
 
 int
@@ -439,6 +461,7 @@
   static const uint32_t routers[] = { 6, 18, 54 };
   static const uint32_t targets[] = { 12, 40, 86 };
   bool json = argc > 1 && strcmp (argv[1], "--json") == 0;
+  bench_slope_open (argc, argv);
   if (!json)
     printf ("zones routers targets  bytes/s  core %%  age p50  age p99 lapsed "
             "%% leave ms  w/o push\n");
@@ -448,5 +471,6 @@
   report (3, 2, 4, json);
   report (3, 18, 40, json);
   report (7, 54, 86, json);
+  report_memory (json);
   return 0;
 }
--- a/bench/bench_pick.c
+++ b/bench/bench_pick.c
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "bench_slope.h"
 #include "cactus_config.h"
 #include "pick.h"
 #include "registry.h"
@@ -423,9 +424,12 @@
       double affinity = pick_ns (PICK_TWO_CHOICES_AFFINITY, sizes[i]);
       double plain = pick_ns (PICK_TWO_CHOICES, sizes[i]);
       if (json)
-        printf ("{\"slope\":\"pick\",\"unit\":\"ns\",\"value\":%.4g,"
-                "\"sizes\":{\"targets\":%u}}\n",
-                affinity, sizes[i]);
+        {
+          char text[32];
+          g_snprintf (text, sizeof text, "targets=%u", sizes[i]);
+          bench_slope_print ("pick", "ns", affinity, text);
+          bench_slope_print ("pick_without_prefix", "ns", plain, text);
+        }
       else
         printf ("%7u %20.0f %12.0f\n", sizes[i], affinity, plain);
     }
@@ -442,11 +446,15 @@
     {
       struct outcome outcome = policy == IDEAL ? ideal : run (policy, load);
       if (json)
-        printf ("{\"slope\":\"first_token_p95_%s\",\"unit\":\"ms\",\"value\":"
-                "%.4g,\"sizes\":{\"load_percent\":%.0f,\"targets\":%d,"
-                "\"routers\":%d}}\n",
-                policy_names[policy], outcome.p95_ms, 100 * load, TARGETS,
-                ROUTERS);
+        {
+          char name[64];
+          char text[64];
+          g_snprintf (name, sizeof name, "first_token_p95_%s",
+                      policy_names[policy]);
+          g_snprintf (text, sizeof text, "load=%.0f targets=%d routers=%d",
+                      100 * load, TARGETS, ROUTERS);
+          bench_slope_print (name, "ms", outcome.p95_ms, text);
+        }
       else
         printf ("%-22s %7.0f %7.0f %8.0f %7.1f\n", policy_names[policy],
                 outcome.p50_ms, outcome.p95_ms,
@@ -458,6 +466,7 @@
 main (int argc, char **argv)
 {
   bool json = argc > 1 && strcmp (argv[1], "--json") == 0;
+  bench_slope_open (argc, argv);
   report_speed (json);
   report_policies (0.7, json);
   report_policies (0.9, json);
