--- a/bench/bench_router.c
+++ b/bench/bench_router.c
@@ -1,7 +1,8 @@
 /** @file
  *  What a router adds: latency over calling the target directly, processor
  *  time a request and a token, memory a stream.  --json prints one JSON line
- *  a slope, --seconds N sets the length of each part. */
+ *  a slope, --seconds N sets the length of each part, --only latency, memory
+ *  or tokens runs one part. */
 
 #include <inttypes.h>
 #include <signal.h>
@@ -29,6 +30,7 @@
 
 static bool json_wanted;
 static uint32_t seconds = 5;
+static const char *only;
 
 static void
 print_slope (const char *name, const char *unit, double value,
@@ -67,16 +69,19 @@
 };
 static const char *const no_arguments[] = { NULL };
 
-/* Shows why requests were refused, if any were. */
+/* Shows why requests were refused, if any were, and the waits for the
+   ledger. */
 static void
-show_refusals (struct router_rig *rig)
+show_waits (struct router_rig *rig)
 {
   struct router_call_options call = { .path = "/metrics" };
   struct router_call_result result
       = router_call (router_rig_port (rig), &call);
   char **lines = g_strsplit (result.body->str, "\n", -1);
   for (char **line = lines; *line; line++)
-    if (g_str_has_prefix (*line, "cactus_router_refused_total"))
+    if (g_str_has_prefix (*line, "cactus_router_refused_total")
+        || strstr (*line, "reserve_us_sum") || strstr (*line, "settle_us_sum")
+        || strstr (*line, "settle_us_count") || strstr (*line, "queue_us_sum"))
       fprintf (stderr, "%s\n", *line);
   g_strfreev (lines);
   router_call_clear (&result);
@@ -130,7 +135,7 @@
   snprintf (name, sizeof name, "router_request_cpu_%" PRIu32, rate);
   print_slope (name, "us/request", (double)cpu / (double)MAX (routed.good, 1),
                sizes);
-  show_refusals (rig);
+  show_waits (rig);
   bench_series_clear (&direct);
   bench_series_clear (&routed);
   router_rig_destroy (rig);
@@ -140,7 +145,7 @@
 bench_memory (void)
 {
   static const uint32_t counts[] = { 500, 2000 };
-  char sizes[64];
+  char sizes[96];
   struct router_rig *rig = router_rig_create (no_arguments);
   router_rig_target (rig, "t1", ROUTER_RIG_MODEL, slow_target);
   int router = fleet_process_id (router_rig_router (rig));
@@ -152,8 +157,9 @@
           router_rig_port (rig), PATH, STREAM_BODY, ROUTER_RIG_KEY, counts[i]);
       bench_streams_read (streams, 1000);
       uint64_t full = bench_process_memory_bytes (router);
-      snprintf (sizes, sizeof sizes, "%" PRIu32 " streams, %" PRIu64 " bytes",
-                counts[i], full);
+      snprintf (sizes, sizeof sizes,
+                "%" PRIu32 " streams, %" PRIu64 " bytes, %" PRIu64 " refused",
+                counts[i], full, bench_streams_refused (streams));
       print_slope ("router_stream_memory", "bytes/stream",
                    (double)(full - empty) / counts[i], sizes);
       bench_streams_close (streams);
@@ -178,8 +184,9 @@
   bench_streams_read (streams, seconds * 1000);
   cpu = bench_process_cpu_us (router) - cpu;
   events = bench_streams_tokens (streams) - events;
-  snprintf (sizes, sizeof sizes, "%" PRIu32 " streams, %" PRIu64 " tokens/s",
-            count, events / seconds);
+  snprintf (sizes, sizeof sizes,
+            "%" PRIu32 " streams, %" PRIu64 " tokens/s, %" PRIu64 " refused",
+            count, events / seconds, bench_streams_refused (streams));
   print_slope ("router_tokens_per_core", "tokens/s/core",
                (double)events * 1e6 / (double)MAX (cpu, 1), sizes);
   print_slope ("router_token_cpu", "us/token",
@@ -188,6 +195,12 @@
   router_rig_destroy (rig);
 }
 
+static bool
+wanted (const char *part)
+{
+  return !only || strcmp (only, part) == 0;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -196,13 +209,20 @@
       json_wanted |= strcmp (argv[i], "--json") == 0;
       if (strcmp (argv[i], "--seconds") == 0 && i + 1 < argc)
         seconds = (uint32_t)MAX (1, atoi (argv[i + 1]));
+      if (strcmp (argv[i], "--only") == 0 && i + 1 < argc)
+        only = argv[i + 1];
     }
   signal (SIGPIPE, SIG_IGN);
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  bench_latency (200);
-  bench_latency (1000);
-  bench_memory ();
-  bench_tokens (200);
+  if (wanted ("latency"))
+    {
+      bench_latency (200);
+      bench_latency (1000);
+    }
+  if (wanted ("memory"))
+    bench_memory ();
+  if (wanted ("tokens"))
+    bench_tokens (200);
   curl_global_cleanup ();
   return EXIT_SUCCESS;
 }
--- a/tools/bench_callers.c
+++ b/tools/bench_callers.c
@@ -185,12 +185,14 @@
   uint32_t begun;
   uint64_t bytes;
   uint64_t line_feeds;
+  uint64_t refused;
 };
 
 /* What one stream's handle points to. */
 struct stream_slot
 {
   struct bench_streams *streams;
+  CURL *easy;
   bool begun;
 };
 
@@ -198,6 +200,10 @@
 count_bytes (char *data, size_t size, size_t count, void *context)
 {
   struct stream_slot *slot = context;
+  long status = 0;
+  curl_easy_getinfo (slot->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (status != 200)
+    return size * count;
   for (size_t i = 0; i < size * count; i++)
     slot->streams->line_feeds += data[i] == '\n';
   if (!slot->begun)
@@ -207,6 +213,19 @@
   return size * count;
 }
 
+/* A stream that was refused is asked for again. */
+static void
+ask_again (struct bench_streams *streams, CURL *easy, CURLcode code)
+{
+  long status = 0;
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  if (code != CURLE_OK || status == 200)
+    g_error ("a stream ended: %s", curl_easy_strerror (code));
+  streams->refused++;
+  curl_multi_remove_handle (streams->multi, easy);
+  curl_multi_add_handle (streams->multi, easy);
+}
+
 static void
 turn (struct bench_streams *streams)
 {
@@ -215,9 +234,8 @@
   CURLMsg *message;
   curl_multi_perform (streams->multi, &running);
   while ((message = curl_multi_info_read (streams->multi, &left)))
-    if (message->msg == CURLMSG_DONE && message->data.result != CURLE_OK)
-      g_error ("a stream failed: %s",
-               curl_easy_strerror (message->data.result));
+    if (message->msg == CURLMSG_DONE)
+      ask_again (streams, message->easy_handle, message->data.result);
   curl_multi_poll (streams->multi, NULL, 0, POLL_MS, NULL);
 }
 
@@ -235,6 +253,7 @@
       struct stream_slot *slot = g_new0 (struct stream_slot, 1);
       CURL *easy = make_call (port, path, body, streams->headers);
       slot->streams = streams;
+      slot->easy = easy;
       curl_easy_setopt (easy, CURLOPT_PRIVATE, slot);
       curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, count_bytes);
       curl_easy_setopt (easy, CURLOPT_WRITEDATA, slot);
@@ -265,6 +284,12 @@
   return streams->line_feeds / 2;
 }
 
+uint64_t
+bench_streams_refused (const struct bench_streams *streams)
+{
+  return streams->refused;
+}
+
 void
 bench_streams_close (struct bench_streams *streams)
 {
--- a/tools/bench_callers.h
+++ b/tools/bench_callers.h
@@ -39,7 +39,7 @@
 struct bench_streams;
 
 /** Opens @p count streams to a server, and waits until each got its first
- *  byte; aborts when one fails. */
+ *  byte; one that is refused is asked for again.  Aborts when one fails. */
 struct bench_streams *bench_streams_open (uint16_t port, const char *path,
                                           const char *body,
                                           const char *api_key, uint32_t count);
@@ -48,6 +48,8 @@
                              uint32_t duration_ms);
 /** Events that came so far; one a token. */
 uint64_t bench_streams_tokens (const struct bench_streams *streams);
+/** Refusals before all streams were open. */
+uint64_t bench_streams_refused (const struct bench_streams *streams);
 /** Closes all. */
 void bench_streams_close (struct bench_streams *streams);
 
