--- a/tests/test_router_process.c
+++ b/tests/test_router_process.c
@@ -311,6 +311,7 @@
 {
   struct router_rig *rig;
   char *prompt;
+  const char *key;
   struct router_call_result result;
   GThread *thread;
 };
@@ -320,7 +321,7 @@
 {
   struct stream_thread *stream = data;
   stream->result
-      = chat (stream->rig, stream->prompt, STREAM_TOKENS, true, NULL);
+      = chat (stream->rig, stream->prompt, STREAM_TOKENS, true, stream->key);
   return NULL;
 }
 
@@ -406,6 +407,59 @@
   router_rig_destroy (rig);
 }
 
+/* Asks again under the key until no attempt of it is under way. */
+static struct router_call_result
+chat_until_free (struct router_rig *rig, const char *prompt, const char *key)
+{
+  struct router_call_result result
+      = chat (rig, prompt, STREAM_TOKENS, true, key);
+  for (int i = 0; i < 100 && result.status == 409; i++)
+    {
+      router_call_clear (&result);
+      g_usleep (200000);
+      result = chat (rig, prompt, STREAM_TOKENS, true, key);
+    }
+  return result;
+}
+
+/* The router dies with a stream open: the retry under its key brings the
+   whole answer, and the key costs no more than was reserved for it. */
+static void
+test_router_dies (void)
+{
+  static const char *const slow[]
+      = { "--token-rate", "20", "--answer-tokens", "40", NULL };
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, slow);
+  struct stream_thread stream
+      = { .rig = rig, .prompt = (char *)"sheet", .key = "key-1" };
+  stream.thread = g_thread_new ("caller", run_stream, &stream);
+  while (router_rig_oracle (target, "runs") == 0)
+    g_usleep (20000);
+  g_usleep (300000);
+  router_rig_restart_router (rig, "t1");
+  g_thread_join (stream.thread);
+  g_assert_false (stream.result.whole);
+  router_call_clear (&stream.result);
+  struct router_call_result result = chat_until_free (rig, "sheet", "key-1");
+  uint64_t used = target_token_count ("sheet") + STREAM_TOKENS;
+  GString *expected
+      = target_answer_text (target_prompt_hash ("sheet"), STREAM_TOKENS);
+  char *text = router_call_text (&result);
+  g_assert_cmpuint (result.status, ==, 200);
+  g_assert_cmpstr (text, ==, expected->str);
+  uint64_t billed = router_rig_billed_at_rest (rig);
+  g_assert_cmpint (router_call_billed (&result), ==, (int64_t)billed);
+  g_assert_cmpuint (billed, >=, used);
+  g_assert_cmpuint (billed, <=,
+                    strlen ("sheetrolecontentuser") + 16 + STREAM_TOKENS);
+  g_free (text);
+  g_string_free (expected, TRUE);
+  router_call_clear (&result);
+  router_rig_destroy (rig);
+}
+
 static struct router_call_result
 order (struct router_rig *rig, const char *key, const char *body)
 {
@@ -537,6 +591,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (streams); i++)
     {
       streams[i].rig = rig;
+      streams[i].key = NULL;
       streams[i].prompt = g_strdup_printf ("sheet %zu", i);
       streams[i].thread = g_thread_new ("caller", run_stream, &streams[i]);
     }
@@ -596,6 +651,7 @@
   g_test_add_func ("/router/truth-after-retry", test_truth_after_retry);
   g_test_add_func ("/router/killed-stream", test_killed_stream);
   g_test_add_func ("/router/retries-of-key", test_retries_of_key);
+  g_test_add_func ("/router/router-dies", test_router_dies);
   g_test_add_func ("/router/order-once", test_order_once);
   g_test_add_func ("/router/order-lost", test_order_lost);
   g_test_add_func ("/router/control-lost", test_control_lost);
--- a/tools/router_rig.c
+++ b/tools/router_rig.c
@@ -216,13 +216,16 @@
   const char *ledger[]
       = { "--cluster", CLUSTER,     "--host", "ledger-1", "--data-dir",
           data,        "--control", NULL,     NULL };
-  const char *router[] = { "--cluster", CLUSTER, "--host", "router-1",
-                           "--control", NULL,    NULL };
+  char *http = g_strdup_printf ("127.0.0.1:%u", fleet_free_port ("127.0.0.1"));
+  const char *router[]
+      = { "--cluster", CLUSTER,  "--host", "router-1", "--control",
+          NULL,        "--http", http,     NULL };
   ledger[7] = rig->control_endpoint;
   router[5] = rig->control_endpoint;
   rig->ledger = start (rig, "ledger", "cactus-ledger", ledger, NULL);
   rig->router = start (rig, "router", "cactus-router", router, arguments);
   g_free (data);
+  g_free (http);
   router_rig_wait_ready (rig);
   return rig;
 }
@@ -292,6 +295,17 @@
   return target;
 }
 
+void
+router_rig_restart_router (struct router_rig *rig, const char *target)
+{
+  fleet_process_kill (rig->router);
+  g_assert_cmpint (fleet_process_start (rig->router), ==, 0);
+  g_assert_true (fleet_process_wait_ready (rig->router, WAIT_MS));
+  router_rig_wait_ready (rig);
+  for (int i = 0; i < TRIES && !router_knows (rig, target); i++)
+    g_usleep (PAUSE_US);
+}
+
 struct fleet_process *
 router_rig_router (struct router_rig *rig)
 {
--- a/tools/router_rig.h
+++ b/tools/router_rig.h
@@ -35,6 +35,9 @@
 struct fleet_process *router_rig_target (struct router_rig *rig,
                                          const char *name, const char *service,
                                          const char *const *arguments);
+/** Kills the router, starts it anew on its port and waits until it knows
+ *  @p target. */
+void router_rig_restart_router (struct router_rig *rig, const char *target);
 /** The router. */
 struct fleet_process *router_rig_router (struct router_rig *rig);
 /** The ledger. */
