--- a/src/cactus_config.h
+++ b/src/cactus_config.h
@@ -19,7 +19,7 @@
 #define CACTUS_RPC_RECORD_BYTES (12u * 1024 * 1024)
 
 /** Interval between a process's heartbeats to control, in milliseconds. */
-#define CACTUS_SYNC_INTERVAL_MS 500
+#define CACTUS_SYNC_INTERVAL_MS 1000
 /** Life of a session with control without a heartbeat, in milliseconds. */
 #define CACTUS_SESSION_LEASE_MS 5000
 /** Life of a router's session with a ledger, in milliseconds. */
