--- a/src/escrow_policy.c
+++ b/src/escrow_policy.c
@@ -48,7 +48,8 @@
   for (uint32_t i = 0; i < budget->share_count; i++)
     {
       struct pool_share *share = &budget->shares[i];
-      uint64_t tokens = MIN (share->want_tokens, budget->unallocated_tokens);
+      uint64_t tokens = MIN (pool_share_report (share)->want_tokens,
+                             budget->unallocated_tokens);
       if (tokens > 0 && pool_ledger_live (pool, share->ledger, now_ms))
         pool_grant (pool, budget, share->ledger, tokens);
     }
@@ -62,7 +63,7 @@
   uint64_t total = 0;
   for (uint32_t i = 0; i < budget->share_count; i++)
     if (pool_ledger_live (pool, budget->shares[i].ledger, now_ms))
-      total += budget->shares[i].spend_rate_tokens;
+      total += pool_share_report (&budget->shares[i])->spend_rate_tokens;
   return total;
 }
 
@@ -72,8 +73,8 @@
 ahead_tokens (const struct escrow_pool *pool, const struct pool_budget *budget,
               const struct pool_share *share, uint64_t now_ms)
 {
-  uint64_t rate = share->spend_rate_tokens;
-  uint64_t have = share->free_tokens + share->in_flight_tokens;
+  uint64_t rate = pool_share_report (share)->spend_rate_tokens;
+  uint64_t have = pool_share_free (share) + share->in_flight_tokens;
   uint64_t target = rate * AHEAD_MINUTES;
   if (pool->policy == ESCROW_POLICY_AT_CONTROL
       || pool->policy == ESCROW_POLICY_EQUAL || rate == 0 || have >= target)
@@ -92,11 +93,13 @@
 spare_tokens (const struct pool_share *share, uint32_t ledger,
               uint64_t keep_minutes)
 {
-  uint64_t keep = share->spend_rate_tokens * keep_minutes;
-  uint64_t used = keep + share->recall_tokens;
+  const struct pool_report *report = pool_share_report (share);
+  uint64_t left = pool_share_free (share);
+  uint64_t used
+      = report->spend_rate_tokens * keep_minutes + report->recall_tokens;
   if (share->ledger < ledger || keep_minutes > 0)
-    used += share->want_tokens;
-  return share->free_tokens > used ? share->free_tokens - used : 0;
+    used += report->want_tokens;
+  return left > used ? left - used : 0;
 }
 
 /* Recalls up to @p needed tokens from the other live ledgers; what no recall
@@ -135,7 +138,7 @@
         return true;
       if (share->ledger != ledger
           && pool_ledger_live (pool, share->ledger, now_ms)
-          && share->free_tokens + share->in_flight_tokens > 0)
+          && pool_share_free (share) + share->in_flight_tokens > 0)
         return true;
     }
   return false;
@@ -147,7 +150,7 @@
 {
   uint64_t total = 0;
   for (uint32_t i = 0; i < budget->share_count; i++)
-    total += budget->shares[i].recall_tokens;
+    total += pool_share_report (&budget->shares[i])->recall_tokens;
   return total;
 }
 
@@ -156,7 +159,7 @@
                         uint32_t ledger, uint64_t now_ms)
 {
   struct pool_share *share = pool_share_need (budget, ledger);
-  uint64_t want = share->want_tokens;
+  uint64_t want = pool_share_report (share)->want_tokens;
   uint64_t plenty = MIN (want * WANT_MULTIPLE, budget->unallocated_tokens / 4);
   if (pool->policy == ESCROW_POLICY_AT_CONTROL)
     plenty = 0;
--- a/src/escrow_pool.c
+++ b/src/escrow_pool.c
@@ -158,6 +158,32 @@
       = MAX (ledger->grant_ack_sequence, grant_ack_sequence);
 }
 
+/* Keeps what the ledger told, unless all its tokens lie idle. */
+static void
+keep_report (struct pool_share *share, const struct control_demand *demand,
+             uint64_t now_ms)
+{
+  uint64_t coming = share->in_flight_tokens;
+  uint64_t recalled = pool_share_report (share)->recall_tokens;
+  uint64_t used = demand->want_tokens + demand->reserved_tokens
+                  + demand->spent_tokens + demand->written_off_tokens
+                  + demand->spend_rate_tokens;
+  pool_share_drop_report (share);
+  if (used == 0 && recalled == 0
+      && demand->free_tokens == pool_share_free (share))
+    return;
+  struct pool_report *report = pool_share_need_report (share);
+  report->recall_tokens = recalled;
+  report->want_tokens
+      = demand->want_tokens > coming ? demand->want_tokens - coming : 0;
+  report->free_tokens = demand->free_tokens;
+  report->reserved_tokens = demand->reserved_tokens;
+  report->spent_tokens = demand->spent_tokens;
+  report->written_off_tokens = demand->written_off_tokens;
+  report->spend_rate_tokens = demand->spend_rate_tokens;
+  report->reported_at_ms = now_ms;
+}
+
 /* Takes one report; true when control has nothing more for the ledger. */
 static bool
 take_demand (struct escrow_pool *pool, uint32_t number,
@@ -167,17 +193,9 @@
   if (!budget)
     return demand->want_tokens > 0;
   struct pool_share *share = pool_share_need (budget, number);
-  uint64_t coming = share->in_flight_tokens;
-  share->want_tokens
-      = demand->want_tokens > coming ? demand->want_tokens - coming : 0;
-  share->free_tokens = demand->free_tokens;
-  share->reserved_tokens = demand->reserved_tokens;
-  share->spent_tokens = demand->spent_tokens;
-  share->written_off_tokens = demand->written_off_tokens;
-  share->spend_rate_tokens = demand->spend_rate_tokens;
-  share->reported_at_ms = now_ms;
+  keep_report (share, demand, now_ms);
   return escrow_policy_reported (pool, budget, number, now_ms)
-         && share->want_tokens > 0;
+         && pool_share_report (share)->want_tokens > 0;
 }
 
 static void
@@ -204,8 +222,9 @@
       uint64_t budget_id = g_array_index (ledger->recalls, uint64_t, i);
       struct pool_budget *budget = pool_budget_find (pool, budget_id);
       struct pool_share *share = pool_share_find (budget, number);
-      add_recall (result, budget_id, share->recall_tokens);
-      share->recall_tokens = 0;
+      struct pool_report *report = pool_share_need_report (share);
+      add_recall (result, budget_id, report->recall_tokens);
+      report->recall_tokens = 0;
     }
   g_array_remove_range (ledger->recalls, 0, count);
 }
@@ -282,22 +301,24 @@
     {
       const struct pool_share *share = &budget->shares[i];
       struct pool_ledger *ledger = pool_ledger_at (pool, share->ledger);
+      const struct pool_report *report = pool_share_report (share);
       struct control_share *shown = &result->shares.shares_val[i];
       shown->ledger = strdup (ledger->name);
       shown->incarnation = ledger->incarnation;
       shown->granted_tokens = share->granted_tokens;
       shown->returned_tokens = share->returned_tokens;
-      shown->free_tokens = share->free_tokens;
-      shown->reserved_tokens = share->reserved_tokens;
-      shown->spent_tokens = share->spent_tokens;
-      shown->written_off_tokens = share->written_off_tokens;
-      shown->reported_at_ms = share->reported_at_ms;
+      shown->free_tokens = pool_share_free (share);
+      shown->reserved_tokens = report->reserved_tokens;
+      shown->spent_tokens = report->spent_tokens;
+      shown->written_off_tokens = report->written_off_tokens;
+      shown->reported_at_ms
+          = share->report ? report->reported_at_ms : ledger->exchanged_at_ms;
       if (ledger->fenced)
         {
           uint64_t held = share->granted_tokens - share->returned_tokens;
           shown->free_tokens = 0;
           shown->reserved_tokens = 0;
-          shown->written_off_tokens = held - MIN (held, share->spent_tokens);
+          shown->written_off_tokens = held - MIN (held, report->spent_tokens);
         }
     }
 }
--- a/src/escrow_pool_save.c
+++ b/src/escrow_pool_save.c
@@ -3,7 +3,7 @@
 #include "escrow_bytes.h"
 #include "escrow_pool_state.h"
 
-#define POOL_FORMAT 1
+#define POOL_FORMAT 2
 
 static gint
 compare_ids (gconstpointer left, gconstpointer right)
@@ -52,6 +52,19 @@
     escrow_put_u64 (bytes, g_array_index (ledger->recalls, uint64_t, i));
 }
 
+static void
+save_report (const struct pool_report *report, GByteArray *bytes)
+{
+  escrow_put_u64 (bytes, report->recall_tokens);
+  escrow_put_u64 (bytes, report->want_tokens);
+  escrow_put_u64 (bytes, report->free_tokens);
+  escrow_put_u64 (bytes, report->reserved_tokens);
+  escrow_put_u64 (bytes, report->spent_tokens);
+  escrow_put_u64 (bytes, report->written_off_tokens);
+  escrow_put_u64 (bytes, report->spend_rate_tokens);
+  escrow_put_u64 (bytes, report->reported_at_ms);
+}
+
 static void
 save_share (const struct pool_share *share, GByteArray *bytes)
 {
@@ -59,14 +72,9 @@
   escrow_put_u64 (bytes, share->granted_tokens);
   escrow_put_u64 (bytes, share->returned_tokens);
   escrow_put_u64 (bytes, share->in_flight_tokens);
-  escrow_put_u64 (bytes, share->recall_tokens);
-  escrow_put_u64 (bytes, share->want_tokens);
-  escrow_put_u64 (bytes, share->free_tokens);
-  escrow_put_u64 (bytes, share->reserved_tokens);
-  escrow_put_u64 (bytes, share->spent_tokens);
-  escrow_put_u64 (bytes, share->written_off_tokens);
-  escrow_put_u64 (bytes, share->spend_rate_tokens);
-  escrow_put_u64 (bytes, share->reported_at_ms);
+  escrow_put_u8 (bytes, share->report != NULL);
+  if (share->report)
+    save_report (share->report, bytes);
 }
 
 static void
@@ -146,6 +154,19 @@
     }
 }
 
+static void
+load_report (struct pool_report *report, struct escrow_reader *reader)
+{
+  report->recall_tokens = escrow_get_u64 (reader);
+  report->want_tokens = escrow_get_u64 (reader);
+  report->free_tokens = escrow_get_u64 (reader);
+  report->reserved_tokens = escrow_get_u64 (reader);
+  report->spent_tokens = escrow_get_u64 (reader);
+  report->written_off_tokens = escrow_get_u64 (reader);
+  report->spend_rate_tokens = escrow_get_u64 (reader);
+  report->reported_at_ms = escrow_get_u64 (reader);
+}
+
 static void
 load_share (struct pool_budget *budget, struct escrow_reader *reader)
 {
@@ -153,14 +174,8 @@
   share->granted_tokens = escrow_get_u64 (reader);
   share->returned_tokens = escrow_get_u64 (reader);
   share->in_flight_tokens = escrow_get_u64 (reader);
-  share->recall_tokens = escrow_get_u64 (reader);
-  share->want_tokens = escrow_get_u64 (reader);
-  share->free_tokens = escrow_get_u64 (reader);
-  share->reserved_tokens = escrow_get_u64 (reader);
-  share->spent_tokens = escrow_get_u64 (reader);
-  share->written_off_tokens = escrow_get_u64 (reader);
-  share->spend_rate_tokens = escrow_get_u64 (reader);
-  share->reported_at_ms = escrow_get_u64 (reader);
+  if (escrow_get_u8 (reader) != 0)
+    load_report (pool_share_need_report (share), reader);
 }
 
 static void
--- a/src/escrow_pool_state.c
+++ b/src/escrow_pool_state.c
@@ -7,6 +7,8 @@
 free_budget (gpointer data)
 {
   struct pool_budget *budget = data;
+  for (uint32_t i = 0; i < budget->share_count; i++)
+    pool_share_drop_report (&budget->shares[i]);
   g_free (budget->shares);
   g_free (budget);
 }
@@ -121,6 +123,40 @@
   return share;
 }
 
+const struct pool_report *
+pool_share_report (const struct pool_share *share)
+{
+  static const struct pool_report idle;
+  return share->report ? share->report : &idle;
+}
+
+struct pool_report *
+pool_share_need_report (struct pool_share *share)
+{
+  if (share->report)
+    return share->report;
+  uint64_t free_tokens = pool_share_free (share);
+  share->report = g_new0 (struct pool_report, 1);
+  share->report->free_tokens = free_tokens;
+  return share->report;
+}
+
+void
+pool_share_drop_report (struct pool_share *share)
+{
+  g_free (share->report);
+  share->report = NULL;
+}
+
+uint64_t
+pool_share_free (const struct pool_share *share)
+{
+  if (share->report)
+    return share->report->free_tokens;
+  return share->granted_tokens - share->returned_tokens
+         - share->in_flight_tokens;
+}
+
 void
 pool_top_up_add (struct escrow_pool *pool, char *id, uint64_t content_hash,
                  uint64_t topped_up_tokens, uint64_t unallocated_tokens)
@@ -154,7 +190,8 @@
   budget->unallocated_tokens -= tokens;
   share->granted_tokens += tokens;
   share->in_flight_tokens += tokens;
-  share->want_tokens -= MIN (share->want_tokens, tokens);
+  if (share->report)
+    share->report->want_tokens -= MIN (share->report->want_tokens, tokens);
   g_array_append_val (entry->grants, grant);
 }
 
@@ -163,7 +200,8 @@
              struct pool_share *share, uint64_t tokens)
 {
   struct pool_ledger *entry = pool_ledger_at (pool, share->ledger);
-  if (share->recall_tokens == 0)
+  struct pool_report *report = pool_share_need_report (share);
+  if (report->recall_tokens == 0)
     g_array_append_val (entry->recalls, budget->budget_id);
-  share->recall_tokens += tokens;
+  report->recall_tokens += tokens;
 }
--- a/src/escrow_pool_state.h
+++ b/src/escrow_pool_state.h
@@ -14,18 +14,11 @@
 /** Silence after which a ledger is taken to be cut off, in ms. */
 #define ESCROW_LEDGER_SILENCE_MS 3000
 
-/** One ledger incarnation's part of a budget. */
-struct pool_share
+/** What a ledger last told about its share, and what it is asked for. */
+struct pool_report
 {
-  uint32_t ledger;
-  /** Totals granted to and returned by the ledger. */
-  uint64_t granted_tokens;
-  uint64_t returned_tokens;
-  /** Granted, but not acknowledged yet. */
-  uint64_t in_flight_tokens;
   /** Asked back, but not sent to the ledger yet. */
   uint64_t recall_tokens;
-  /** As last reported by the ledger. */
   uint64_t want_tokens;
   uint64_t free_tokens;
   uint64_t reserved_tokens;
@@ -35,6 +28,19 @@
   uint64_t reported_at_ms;
 };
 
+/** One ledger incarnation's part of a budget. */
+struct pool_share
+{
+  uint32_t ledger;
+  /** Totals granted to and returned by the ledger. */
+  uint64_t granted_tokens;
+  uint64_t returned_tokens;
+  /** Granted, but not acknowledged yet. */
+  uint64_t in_flight_tokens;
+  /** NULL while all that was acknowledged lies idle at the ledger. */
+  struct pool_report *report;
+};
+
 /** One prepaid budget. */
 struct pool_budget
 {
@@ -100,6 +106,14 @@
  *  of the budget end their life. */
 struct pool_share *pool_share_need (struct pool_budget *budget,
                                     uint32_t ledger);
+/** The share's report; all zeros where all tokens lie idle. */
+const struct pool_report *pool_share_report (const struct pool_share *share);
+/** The share's report, made where there is none. */
+struct pool_report *pool_share_need_report (struct pool_share *share);
+/** Forgets the report. */
+void pool_share_drop_report (struct pool_share *share);
+/** Tokens that lie free at the ledger, as far as is known. */
+uint64_t pool_share_free (const struct pool_share *share);
 /** Adds an accepted top-up; @p id is owned by the pool from then on. */
 void pool_top_up_add (struct escrow_pool *pool, char *id,
                       uint64_t content_hash, uint64_t topped_up_tokens,
