--- a/src/escrow_bytes.c
+++ b/src/escrow_bytes.c
@@ -24,6 +24,18 @@
   g_byte_array_append (bytes, (const guint8 *)&little, sizeof little);
 }
 
+void
+escrow_put_u64s (GByteArray *bytes, const uint64_t *values, size_t count)
+{
+  guint start = bytes->len;
+  g_byte_array_set_size (bytes, start + (guint)(count * sizeof *values));
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t little = GUINT64_TO_LE (values[i]);
+      memcpy (bytes->data + start + i * sizeof little, &little, sizeof little);
+    }
+}
+
 void
 escrow_put_string (GByteArray *bytes, const char *text)
 {
--- a/src/escrow_bytes.h
+++ b/src/escrow_bytes.h
@@ -26,6 +26,8 @@
 void escrow_put_u32 (GByteArray *bytes, uint32_t value);
 /** Appends 64 bits. */
 void escrow_put_u64 (GByteArray *bytes, uint64_t value);
+/** Appends several 64-bit values. */
+void escrow_put_u64s (GByteArray *bytes, const uint64_t *values, size_t count);
 /** Appends a string of at most 255 bytes with its length. */
 void escrow_put_string (GByteArray *bytes, const char *text);
 /** Appends @p count raw bytes. */
--- a/src/escrow_pool_save.c
+++ b/src/escrow_pool_save.c
@@ -3,7 +3,9 @@
 #include "escrow_bytes.h"
 #include "escrow_pool_state.h"
 
-#define POOL_FORMAT 2
+#define POOL_FORMAT 3
+/* Set beside the number of a share's ledger. */
+#define REPORT_FOLLOWS (UINT64_C (1) << 32)
 
 static gint
 compare_ids (gconstpointer left, gconstpointer right)
@@ -55,24 +57,22 @@
 static void
 save_report (const struct pool_report *report, GByteArray *bytes)
 {
-  escrow_put_u64 (bytes, report->recall_tokens);
-  escrow_put_u64 (bytes, report->want_tokens);
-  escrow_put_u64 (bytes, report->free_tokens);
-  escrow_put_u64 (bytes, report->reserved_tokens);
-  escrow_put_u64 (bytes, report->spent_tokens);
-  escrow_put_u64 (bytes, report->written_off_tokens);
-  escrow_put_u64 (bytes, report->spend_rate_tokens);
-  escrow_put_u64 (bytes, report->reported_at_ms);
+  const uint64_t values[]
+      = { report->recall_tokens,     report->want_tokens,
+          report->free_tokens,       report->reserved_tokens,
+          report->spent_tokens,      report->written_off_tokens,
+          report->spend_rate_tokens, report->reported_at_ms };
+  escrow_put_u64s (bytes, values, G_N_ELEMENTS (values));
 }
 
 static void
 save_share (const struct pool_share *share, GByteArray *bytes)
 {
-  escrow_put_u32 (bytes, share->ledger);
-  escrow_put_u64 (bytes, share->granted_tokens);
-  escrow_put_u64 (bytes, share->returned_tokens);
-  escrow_put_u64 (bytes, share->in_flight_tokens);
-  escrow_put_u8 (bytes, share->report != NULL);
+  uint64_t head = share->ledger | (share->report ? REPORT_FOLLOWS : 0);
+  const uint64_t values[]
+      = { head, share->granted_tokens, share->returned_tokens,
+          share->in_flight_tokens };
+  escrow_put_u64s (bytes, values, G_N_ELEMENTS (values));
   if (share->report)
     save_report (share->report, bytes);
 }
@@ -170,11 +170,12 @@
 static void
 load_share (struct pool_budget *budget, struct escrow_reader *reader)
 {
-  struct pool_share *share = pool_share_need (budget, escrow_get_u32 (reader));
+  uint64_t head = escrow_get_u64 (reader);
+  struct pool_share *share = pool_share_need (budget, (uint32_t)head);
   share->granted_tokens = escrow_get_u64 (reader);
   share->returned_tokens = escrow_get_u64 (reader);
   share->in_flight_tokens = escrow_get_u64 (reader);
-  if (escrow_get_u8 (reader) != 0)
+  if (head & REPORT_FOLLOWS)
     load_report (pool_share_need_report (share), reader);
 }
 
