Tell routers which targets are drained

Cause: control sent the set with each heartbeat, but the session did not read it, so that cactusctl target drain changed nothing at a router.

--- a/src/control_session.c
+++ b/src/control_session.c
@@ -24,6 +24,7 @@
   char *cache_path;
   struct wire_process process;
   uint64_t peers_digest;
+  uint64_t drained_digest;
   /** Set when a difference did not fit: the whole document is asked for. */
   bool want_whole;
   /** Status of the last answer, to log changes only. */
@@ -111,6 +112,19 @@
                           result->peers.peers_len);
 }
 
+static void
+take_drained (struct control_session *session,
+              const struct control_sync_result *result)
+{
+  if (result->drained_digest == session->drained_digest)
+    return;
+  session->drained_digest = result->drained_digest;
+  if (session->user && session->user->drained)
+    session->user->drained (session->user,
+                            (const char *const *)result->drained.drained_val,
+                            result->drained.drained_len);
+}
+
 static void
 note_status (struct control_session *session, enum control_status status,
              const char *text)
@@ -137,6 +151,7 @@
   atomic_store (&session->lease_end_ms, sent_ms + lease_ms);
   take_bundle (session, result);
   take_peers (session, result);
+  take_drained (session, result);
 }
 
 static void
@@ -149,6 +164,7 @@
   args.process.bundle_version
       = session->want_whole ? 0 : atomic_load (&session->version);
   args.peers_digest = session->peers_digest;
+  args.drained_digest = session->drained_digest;
   uint64_t sent_ms = base_clock_now_ms (base_clock_system ());
   enum wire_status status = control_client_call (
       session->client, CONTROL_SYNC, (xdrproc_t)xdr_control_sync_args, &args,
--- a/src/control_session.h
+++ b/src/control_session.h
@@ -24,6 +24,9 @@
   /** The list of live processes changed. */
   void (*peers) (struct control_session_user *user,
                  const struct wire_process *peers, uint32_t count);
+  /** The set of targets that operators drain changed; may be NULL. */
+  void (*drained) (struct control_session_user *user,
+                   const char *const *targets, uint32_t count);
 };
 
 /** Starts a session for @p process (copied).  @p cache_path, where not NULL,
--- a/src/router_session.c
+++ b/src/router_session.c
@@ -45,12 +45,22 @@
   g_free (ledgers);
 }
 
+static void
+take_drained (struct control_session_user *user, const char *const *targets,
+              uint32_t count)
+{
+  struct router_session *session = (struct router_session *)user;
+  base_log (BASE_LOG_NOTICE, "drained-targets count=%" PRIu32, count);
+  registry_set_drained (session->router->registry, targets, count);
+}
+
 void
 router_session_init (struct router_session *session, struct router *router,
                      struct gossip *gossip)
 {
   session->user.bundle = take_bundle;
   session->user.peers = take_peers;
+  session->user.drained = take_drained;
   session->router = router;
   session->gossip = gossip;
   session->fixed_ledgers = false;
--- a/tests/test_control_session.c
+++ b/tests/test_control_session.c
@@ -22,6 +22,7 @@
   char *change;
   uint64_t change_version;
   uint64_t peers_digest;
+  uint64_t drained_digest;
   enum control_status status;
   uint32_t lease_ms;
   /** Version that the last caller reported. */
@@ -37,6 +38,9 @@
   uint64_t version;
   uint32_t bundles;
   uint32_t peers;
+  /** Times that the drained targets changed, and how many there are. */
+  uint32_t drain_changes;
+  uint32_t drained;
   bool went_back;
 };
 
@@ -90,6 +94,7 @@
 {
   static char empty[] = "";
   static char name[] = "peer";
+  char *drained = name;
   struct script *script = fake->context;
   struct control_sync_args args = { 0 };
   struct control_sync_result result = { 0 };
@@ -112,6 +117,13 @@
       result.peers.peers_val = &peer;
       result.peers.peers_len = 1;
     }
+  result.drained_digest = script->drained_digest;
+  if (args.drained_digest != script->drained_digest
+      && script->drained_digest != 0)
+    {
+      result.drained.drained_val = &drained;
+      result.drained.drained_len = 1;
+    }
   wire_call_reply (call, (xdrproc_t)xdr_control_sync_result, &result);
   g_mutex_unlock (&script->mutex);
   xdr_free ((xdrproc_t)xdr_control_sync_args, (char *)&args);
@@ -140,6 +152,19 @@
   g_mutex_unlock (&user->mutex);
 }
 
+static void
+take_drained (struct control_session_user *base, const char *const *targets,
+              uint32_t count)
+{
+  struct user *user = (struct user *)base;
+  g_mutex_lock (&user->mutex);
+  user->drain_changes++;
+  user->drained = count;
+  if (count > 0)
+    g_assert_cmpstr (targets[0], ==, "peer");
+  g_mutex_unlock (&user->mutex);
+}
+
 /* One process's session with the fake. */
 struct setting
 {
@@ -159,6 +184,7 @@
   memset (&setting->user, 0, sizeof setting->user);
   setting->user.base.bundle = take_bundle;
   setting->user.base.peers = take_peers;
+  setting->user.base.drained = take_drained;
   setting->session = control_session_create (
       setting->client, "test", &process, setting->cache, &setting->user.base);
 }
@@ -368,6 +394,38 @@
   stop (&setting);
 }
 
+static void
+set_drained (struct setting *setting, uint64_t digest)
+{
+  g_mutex_lock (&setting->script.mutex);
+  setting->script.drained_digest = digest;
+  g_mutex_unlock (&setting->script.mutex);
+}
+
+static void
+check_drained (struct setting *setting, uint32_t changes, uint32_t count)
+{
+  g_mutex_lock (&setting->user.mutex);
+  g_assert_cmpuint (setting->user.drain_changes, ==, changes);
+  g_assert_cmpuint (setting->user.drained, ==, count);
+  g_mutex_unlock (&setting->user.mutex);
+}
+
+/* Each change of the drained targets is told once, also that none is left. */
+static void
+test_drained (void)
+{
+  struct setting setting;
+  start (&setting);
+  set_drained (&setting, 5);
+  wait_calls (&setting, 3);
+  check_drained (&setting, 1, 1);
+  set_drained (&setting, 0);
+  wait_calls (&setting, 3);
+  check_drained (&setting, 2, 0);
+  stop (&setting);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -378,5 +436,6 @@
   g_test_add_func ("/control-session/changes", test_changes);
   g_test_add_func ("/control-session/offer", test_offer);
   g_test_add_func ("/control-session/peers-and-lease", test_peers_and_lease);
+  g_test_add_func ("/control-session/drained", test_drained);
   return g_test_run ();
 }
