--- a/tests/test_control_process.c
+++ b/tests/test_control_process.c
@@ -176,6 +176,71 @@
   control_trial_destroy (trial);
 }
 
+/* Asks once for a change of a member (from 0); the answer's status. */
+static enum control_status
+ask_change (struct control_trial *trial, enum control_member_change change,
+            uint32_t member)
+{
+  struct control_member_args args = { .change = change };
+  struct control_answer answer;
+  char cluster[] = CONTROL_TRIAL_CLUSTER;
+  char address[] = "127.0.0.1";
+  char name[16];
+  g_snprintf (name, sizeof name, "%u", member + 1);
+  args.cluster = cluster;
+  args.member.name = name;
+  args.member.address = address;
+  args.member.port = trial->ports[member];
+  g_assert_cmpint (control_client_call (trial->client, CONTROL_MEMBER_CHANGE,
+                                        (xdrproc_t)xdr_control_member_args,
+                                        &args, (xdrproc_t)xdr_control_answer,
+                                        &answer, sizeof answer, LIMIT_MS),
+                   ==, WIRE_OK);
+  enum control_status status = answer.status;
+  xdr_free ((xdrproc_t)xdr_control_answer, (char *)&answer);
+  return status;
+}
+
+/* Asks until no other change is under way. */
+static void
+change_member (struct control_trial *trial, enum control_member_change change,
+               uint32_t member)
+{
+  enum control_status status = ask_change (trial, change, member);
+  for (int i = 0; i < 200 && status == CONTROL_REFUSED; i++)
+    {
+      g_usleep (50000);
+      status = ask_change (trial, change, member);
+    }
+  g_assert_cmpint (status, ==, CONTROL_OK);
+}
+
+/* A host is replaced: removed, added with an empty folder, promoted; then the
+   new one is needed for a majority. */
+static void
+test_member_replaced (void)
+{
+  struct control_trial *trial = control_trial_create (4);
+  g_assert_nonnull (trial);
+  accept_version (trial, 1);
+  int leader = control_trial_leader (trial, LIMIT_MS);
+  g_assert_cmpint (leader, >=, 0);
+  uint32_t replaced = ((uint32_t)leader + 1) % 4;
+  uint32_t other = ((uint32_t)leader + 2) % 4;
+  change_member (trial, CONTROL_MEMBER_REMOVE, replaced);
+  fleet_process_kill (trial->members[replaced]);
+  control_trial_wipe (trial, replaced);
+  accept_version (trial, 2);
+  change_member (trial, CONTROL_MEMBER_ADD, replaced);
+  g_assert_true (control_trial_start (trial, replaced));
+  change_member (trial, CONTROL_MEMBER_PROMOTE, replaced);
+  g_assert_true (control_trial_wait_voter (trial, replaced, LIMIT_MS));
+  fleet_process_kill (trial->members[other]);
+  accept_version (trial, 3);
+  check_kept (trial, 3, 0);
+  control_trial_destroy (trial);
+}
+
 static void
 test_hand_over (void)
 {
@@ -201,6 +266,7 @@
   g_test_add_func ("/control/process/leader_frozen", test_leader_frozen);
   g_test_add_func ("/control/process/folder_lost", test_folder_lost);
   g_test_add_func ("/control/process/snapshots", test_snapshots);
+  g_test_add_func ("/control/process/member_replaced", test_member_replaced);
   g_test_add_func ("/control/process/hand_over", test_hand_over);
   return g_test_run ();
 }
