--- a/src/control_claims.c
+++ b/src/control_claims.c
@@ -248,6 +248,7 @@
   claim->http_status = args->http_status;
   claim->billed_tokens = args->billed_tokens;
   claim->body_bytes = args->body.body_len;
+  free (claim->body);
   claim->body = malloc (claim->body_bytes + 1);
   memcpy (claim->body, args->body.body_val, claim->body_bytes);
   claims->answer_bytes += claim->body_bytes;
