--- a/tools/trial_scenario.c
+++ b/tools/trial_scenario.c
@@ -107,16 +107,73 @@
 };
 
 static const struct trial_event overload_events[] = {
-  { .at_ms = 5000, .action = TRIAL_RATE, .amount = 600 },
+  { .at_ms = 5000, .action = TRIAL_RATE, .amount = 2500 },
   { .at_ms = 20000, .action = TRIAL_RATE, .amount = 60 },
 };
 
+/* Short scenarios that the tests play. */
+static const struct trial_event check_faults_events[] = {
+  { .at_ms = 1000, .action = TRIAL_CUT, .zone = 2 },
+  { .at_ms = 2000, .action = TRIAL_KILL, .role = TRIAL_ROUTER, .zone = 0 },
+  { .at_ms = 3000, .action = TRIAL_TOP_UP, .amount = 20000 },
+  { .at_ms = 4000, .action = TRIAL_START, .role = TRIAL_ROUTER, .zone = 0 },
+  { .at_ms = 6000, .action = TRIAL_HEAL, .zone = 2 },
+  { .at_ms = 7000, .action = TRIAL_KILL, .role = TRIAL_LEDGER, .zone = 1 },
+  { .at_ms = 8000, .action = TRIAL_START, .role = TRIAL_LEDGER, .zone = 1 },
+  { .at_ms = 9000, .action = TRIAL_FREEZE, .role = TRIAL_CONTROL, .zone = 0 },
+  { .at_ms = 10000, .action = TRIAL_PUSH },
+  { .at_ms = 12000, .action = TRIAL_THAW, .role = TRIAL_CONTROL, .zone = 0 },
+};
+
+static const struct trial_event check_graceful_events[] = {
+  { .at_ms = 1000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_ROUTER,
+    .zone = 0 },
+  { .at_ms = 2000, .action = TRIAL_START, .role = TRIAL_ROUTER, .zone = 0 },
+  { .at_ms = 3000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_ROUTER,
+    .zone = 2 },
+  { .at_ms = 4000, .action = TRIAL_START, .role = TRIAL_ROUTER, .zone = 2 },
+  { .at_ms = 5000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_TARGET,
+    .zone = 1 },
+  { .at_ms = 6000,
+    .action = TRIAL_TERMINATE,
+    .role = TRIAL_CONTROL,
+    .zone = 0 },
+  { .at_ms = 8000, .action = TRIAL_START, .role = TRIAL_CONTROL, .zone = 0 },
+};
+
+static const struct trial_event check_disk_loss_events[] = {
+  { .at_ms = 1000,
+    .action = TRIAL_LOSE_DISK,
+    .role = TRIAL_LEDGER,
+    .zone = 1 },
+  { .at_ms = 2000, .action = TRIAL_TOP_UP, .amount = 20000 },
+  { .at_ms = 4000,
+    .action = TRIAL_LOSE_DISK,
+    .role = TRIAL_CONTROL,
+    .zone = 0 },
+  { .at_ms = 6000, .action = TRIAL_TOP_UP, .amount = 20000 },
+  { .at_ms = 8000, .action = TRIAL_KILL, .role = TRIAL_CONTROL, .zone = 1 },
+  { .at_ms = 9000, .action = TRIAL_START, .role = TRIAL_CONTROL, .zone = 1 },
+};
+
 #define EVENTS(list) list, G_N_ELEMENTS (list)
 
 static const struct trial_scenario scenarios[] = {
   { "steady", "krua-khao", 60, 20000, 10000000, NULL, 0 },
   { "steady-lonja", "lonja", 40, 20000, 10000000, NULL, 0 },
   { "rush", "krua-khao", 150, 20000, 10000000, NULL, 0 },
+  { "check-faults", "krua-khao", 40, 14000, 20000,
+    EVENTS (check_faults_events) },
+  { "check-graceful", "lonja", 40, 10000, 10000000,
+    EVENTS (check_graceful_events) },
+  { "check-disk-loss", "lonja", 40, 11000, 20000,
+    EVENTS (check_disk_loss_events) },
   { "overload", "krua-khao", 60, 25000, 10000000, EVENTS (overload_events) },
   { "scarce", "krua-khao", 60, 30000, 10000, EVENTS (scarce_events) },
   { "cut-zone", "krua-khao", 60, 32000, 100000, EVENTS (cut_zone_events) },
