--- a/tools/load_oracle.c
+++ b/tools/load_oracle.c
@@ -1,6 +1,7 @@
 #include "load_oracle.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <curl/curl.h>
@@ -154,6 +155,9 @@
     oracle->written_off_tokens += bill->tokens;
   else
     add_total (oracle->bills, request, 1);
+  if (total_of (oracle->bills, request) > 1)
+    fprintf (stderr, "billed again: request %s, %" PRIu64 " tokens\n",
+             request, (uint64_t)bill->tokens);
   g_free (request);
   g_free (account);
 }
--- a/tools/trial_fleet.c
+++ b/tools/trial_fleet.c
@@ -8,6 +8,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <curl/curl.h>
 #include <glib/gstdio.h>
 
 #include "link_relay.h"
@@ -18,6 +19,7 @@
 #define READY_LIMIT_MS 20000
 #define OPERATOR_LIMIT_MS 20000
 #define STOP_LIMIT_MS 30000
+#define FAULTS_TIMEOUT_MS 2000L
 /* One-way delays of the brief, in milliseconds. */
 #define REGION_DELAY_MS 30
 #define ZONE_DELAY_MS 1
@@ -435,6 +437,26 @@
     }
 }
 
+bool
+trial_fleet_set_faults (struct trial_fleet *fleet, uint32_t zone,
+                        uint32_t index, const char *faults)
+{
+  const struct trial_node *node = find_node (fleet, TRIAL_TARGET, zone, index);
+  g_return_val_if_fail (node, false);
+  long status = 0;
+  char *url = g_strdup_printf ("http://%s:%u/faults", node->address,
+                               node->http_port);
+  CURL *easy = curl_easy_init ();
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, faults);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, FAULTS_TIMEOUT_MS);
+  if (curl_easy_perform (easy) == CURLE_OK)
+    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_cleanup (easy);
+  g_free (url);
+  return status == 200;
+}
+
 const char *const *
 trial_fleet_routers (const struct trial_fleet *fleet)
 {
--- a/tools/trial_fleet.h
+++ b/tools/trial_fleet.h
@@ -53,6 +53,10 @@
                             uint32_t zone);
 /** Cuts zone @p zone from the others, or heals it. */
 void trial_fleet_cut_zone (struct trial_fleet *fleet, uint32_t zone, bool cut);
+/** Sets the faults of a target (a JSON object); false when it does not take
+ *  them. */
+bool trial_fleet_set_faults (struct trial_fleet *fleet, uint32_t zone,
+                             uint32_t index, const char *faults);
 /** HTTP endpoints of all routers, ended by NULL: zone 0 first. */
 const char *const *trial_fleet_routers (const struct trial_fleet *fleet);
 /** Asks every target and ledger what it served and billed. */
--- a/tools/trial_scenario.c
+++ b/tools/trial_scenario.c
@@ -12,6 +12,8 @@
 #define TERMINATE_LIMIT_MS 30000
 /* Time after which the balancer leaves a dead router out. */
 #define BALANCER_MS 500
+/* Number of the plain service's target in a zone of krua-khao. */
+#define PLAIN_INDEX 3
 
 static const struct trial_event cut_zone_events[] = {
   { .at_ms = 5000, .action = TRIAL_CUT, .zone = 2 },
@@ -117,7 +119,23 @@
   { .at_ms = 2000, .action = TRIAL_KILL, .role = TRIAL_ROUTER, .zone = 0 },
   { .at_ms = 3000, .action = TRIAL_TOP_UP, .amount = 20000 },
   { .at_ms = 4000, .action = TRIAL_START, .role = TRIAL_ROUTER, .zone = 0 },
+  { .at_ms = 4500,
+    .action = TRIAL_FAULTS,
+    .zone = 0,
+    .index = PLAIN_INDEX,
+    .faults = "{\"drop_answer\":true}" },
+  { .at_ms = 5000,
+    .action = TRIAL_FAULTS,
+    .zone = 1,
+    .index = 0,
+    .faults = "{\"reset_after_tokens\":10}" },
   { .at_ms = 6000, .action = TRIAL_HEAL, .zone = 2 },
+  { .at_ms = 6500,
+    .action = TRIAL_FAULTS,
+    .zone = 0,
+    .index = PLAIN_INDEX,
+    .faults = "{}" },
+  { .at_ms = 6600, .action = TRIAL_FAULTS, .zone = 1, .faults = "{}" },
   { .at_ms = 7000, .action = TRIAL_KILL, .role = TRIAL_LEDGER, .zone = 1 },
   { .at_ms = 8000, .action = TRIAL_START, .role = TRIAL_LEDGER, .zone = 1 },
   { .at_ms = 9000, .action = TRIAL_FREEZE, .role = TRIAL_CONTROL, .zone = 0 },
@@ -343,6 +361,9 @@
     case TRIAL_TOP_UP:
     case TRIAL_PUSH:
       return act_as_operator (event, fleet, run);
+    case TRIAL_FAULTS:
+      return trial_fleet_set_faults (fleet, event->zone, event->index,
+                                     event->faults);
     case TRIAL_RATE:
       load_run_set_rate (run, event->amount * 1000);
       return true;
--- a/tools/trial_scenario.h
+++ b/tools/trial_scenario.h
@@ -24,7 +24,9 @@
   TRIAL_LOSE_DISK,
   TRIAL_TOP_UP,
   TRIAL_PUSH,
-  TRIAL_RATE
+  TRIAL_RATE,
+  /** Sets a target's faults. */
+  TRIAL_FAULTS
 };
 
 /** One event; what the last fields mean follows from the action. */
@@ -37,6 +39,8 @@
   uint32_t index;
   /** Tokens of a top-up, or requests a second. */
   uint64_t amount;
+  /** Faults of a target, as JSON. */
+  const char *faults;
 };
 
 /** A scenario. */
