Share budgets out ahead by fair parts; ask back once

The default policy held half of each top-up back at control, where a cut-off zone can't reach it. Now all of it goes out: a quarter evenly, the rest in proportion to spending; a ledger far below its fair part is refilled from those above theirs. A recall that is under way counts as coming, so that a want doesn't ask for the same tokens again (the golden file showed 2,640 and then 2,280 asked back for one want).

--- a/src/escrow_policy.c
+++ b/src/escrow_policy.c
@@ -2,8 +2,12 @@
 
 /* Smallest grant made without a demand, in tokens. */
 #define SPREAD_TOKENS_MIN 1024
-/* A top-up's part that is spread as the floor: one of this many. */
-#define FLOOR_DIVISOR 2
+/* Part of a budget that is shared out evenly as the floor, whatever the
+   demand: one of this many. */
+#define FLOOR_DIVISOR 4
+/* A ledger below one of this many of its fair share is topped up from the
+   others. */
+#define REBALANCE_DIVISOR 2
 /* Time of spending at the reported rate that is granted ahead, in minutes. */
 #define AHEAD_MINUTES 60
 /* Time of spending that a ledger keeps when its idle tokens are recalled, in
@@ -21,24 +25,53 @@
   return live;
 }
 
+/* Sum of the rates of all live ledgers. */
+static uint64_t
+total_rate (const struct escrow_pool *pool, const struct pool_budget *budget,
+            uint64_t now_ms)
+{
+  uint64_t total = 0;
+  for (uint32_t i = 0; i < budget->share_count; i++)
+    if (pool_ledger_live (pool, budget->shares[i].ledger, now_ms))
+      total += pool_share_report (&budget->shares[i])->spend_rate_tokens;
+  return total;
+}
+
+/* A live ledger's part of @p tokens: the floor evenly, the rest in proportion
+   to the rates of spending, or evenly while none is known. */
+static uint64_t
+fair_part (const struct escrow_pool *pool, const struct pool_budget *budget,
+           uint32_t ledger, uint64_t tokens, uint64_t now_ms)
+{
+  const struct pool_share *share = pool_share_find (budget, ledger);
+  uint64_t rate = share ? pool_share_report (share)->spend_rate_tokens : 0;
+  uint64_t rates = total_rate (pool, budget, now_ms);
+  uint32_t live = MAX (count_live (pool, now_ms), 1);
+  if (rates == 0 || pool->policy == ESCROW_POLICY_EQUAL)
+    return tokens / live;
+  uint64_t floor = tokens / FLOOR_DIVISOR;
+  double part = (double)rate / (double)rates;
+  return floor / live + (uint64_t)((double)(tokens - floor) * part);
+}
+
 void
 escrow_policy_topped_up (struct escrow_pool *pool, struct pool_budget *budget,
                          uint64_t tokens, uint64_t now_ms)
 {
-  uint32_t live = count_live (pool, now_ms);
   escrow_policy_serve_wants (pool, budget, now_ms);
-  if (live == 0 || pool->policy == ESCROW_POLICY_AT_CONTROL
+  if (pool->policy == ESCROW_POLICY_AT_CONTROL
       || pool->policy == ESCROW_POLICY_DEMAND)
     return;
   uint64_t spread = MIN (tokens, budget->unallocated_tokens);
-  if (pool->policy == ESCROW_POLICY_DEMAND_FLOOR)
-    spread /= FLOOR_DIVISOR;
-  uint64_t each = spread / live;
-  if (each < SPREAD_TOKENS_MIN)
-    return;
   for (uint32_t i = 0; i < pool->ledgers->len; i++)
-    if (pool_ledger_live (pool, i, now_ms))
-      pool_grant (pool, budget, i, each);
+    {
+      if (!pool_ledger_live (pool, i, now_ms))
+        continue;
+      uint64_t part = fair_part (pool, budget, i, spread, now_ms);
+      part = MIN (part, budget->unallocated_tokens);
+      if (part >= SPREAD_TOKENS_MIN)
+        pool_grant (pool, budget, i, part);
+    }
 }
 
 void
@@ -55,24 +88,52 @@
     }
 }
 
-/* Sum of the rates of all live ledgers. */
+/* Tokens of the budget that live ledgers and control hold free. */
 static uint64_t
-total_rate (const struct escrow_pool *pool, const struct pool_budget *budget,
-            uint64_t now_ms)
+reachable_tokens (const struct escrow_pool *pool,
+                  const struct pool_budget *budget, uint64_t now_ms)
 {
-  uint64_t total = 0;
+  uint64_t total = budget->unallocated_tokens;
   for (uint32_t i = 0; i < budget->share_count; i++)
-    if (pool_ledger_live (pool, budget->shares[i].ledger, now_ms))
-      total += pool_share_report (&budget->shares[i])->spend_rate_tokens;
+    {
+      const struct pool_share *share = &budget->shares[i];
+      if (pool_ledger_live (pool, share->ledger, now_ms))
+        total += pool_share_free (share) + share->in_flight_tokens;
+    }
   return total;
 }
 
+/* Tokens that the ledger lacks to its fair share of all that is reachable. */
+static uint64_t
+missing_tokens (const struct escrow_pool *pool,
+                const struct pool_budget *budget,
+                const struct pool_share *share, uint64_t now_ms)
+{
+  uint64_t total = reachable_tokens (pool, budget, now_ms);
+  uint64_t fair = fair_part (pool, budget, share->ledger, total, now_ms);
+  uint64_t have = pool_share_free (share) + share->in_flight_tokens;
+  return fair > have ? fair - have : 0;
+}
+
+/* Tokens to grant beyond the want under the default policy. */
+static uint64_t
+missing_grant (const struct escrow_pool *pool,
+               const struct pool_budget *budget,
+               const struct pool_share *share, uint64_t now_ms)
+{
+  uint64_t tokens = missing_tokens (pool, budget, share, now_ms);
+  tokens = MIN (tokens, budget->unallocated_tokens);
+  return tokens >= SPREAD_TOKENS_MIN ? tokens : 0;
+}
+
 /* Tokens to grant beyond the want: a part of the unallocated ones that is in
    proportion to the ledger's rate. */
 static uint64_t
 ahead_tokens (const struct escrow_pool *pool, const struct pool_budget *budget,
               const struct pool_share *share, uint64_t now_ms)
 {
+  if (pool->policy == ESCROW_POLICY_DEMAND_FLOOR)
+    return missing_grant (pool, budget, share, now_ms);
   uint64_t rate = pool_share_report (share)->spend_rate_tokens;
   uint64_t have = pool_share_free (share) + share->in_flight_tokens;
   uint64_t target = rate * AHEAD_MINUTES;
@@ -144,16 +205,49 @@
   return false;
 }
 
-/* Tokens already asked back for this budget, not yet sent out. */
+/* Tokens asked back from live ledgers that have not come yet. */
 static uint64_t
-recalled_tokens (const struct pool_budget *budget)
+recalled_tokens (const struct escrow_pool *pool,
+                 const struct pool_budget *budget, uint64_t now_ms)
 {
   uint64_t total = 0;
   for (uint32_t i = 0; i < budget->share_count; i++)
-    total += pool_share_report (&budget->shares[i])->recall_tokens;
+    {
+      const struct pool_report *report
+          = pool_share_report (&budget->shares[i]);
+      if (pool_ledger_live (pool, budget->shares[i].ledger, now_ms))
+        total += report->recall_tokens + report->leaving_tokens;
+    }
   return total;
 }
 
+/* Recalls what other live ledgers hold beyond their fair share, once this one
+   has fallen far below its own. */
+static void
+rebalance (struct escrow_pool *pool, struct pool_budget *budget,
+           uint32_t ledger, uint64_t now_ms)
+{
+  const struct pool_share *own = pool_share_find (budget, ledger);
+  uint64_t total = reachable_tokens (pool, budget, now_ms);
+  uint64_t fair = fair_part (pool, budget, ledger, total, now_ms);
+  uint64_t needed = missing_tokens (pool, budget, own, now_ms);
+  if (needed < SPREAD_TOKENS_MIN || fair - needed >= fair / REBALANCE_DIVISOR)
+    return;
+  for (uint32_t i = 0; i < budget->share_count && needed > 0; i++)
+    {
+      struct pool_share *share = &budget->shares[i];
+      if (share->ledger == ledger
+          || !pool_ledger_live (pool, share->ledger, now_ms))
+        continue;
+      uint64_t keep = fair_part (pool, budget, share->ledger, total, now_ms);
+      uint64_t left = pool_share_free (share);
+      uint64_t tokens = left > keep ? MIN (left - keep, needed) : 0;
+      if (tokens >= SPREAD_TOKENS_MIN)
+        pool_recall (pool, budget, share, tokens);
+      needed -= tokens;
+    }
+}
+
 bool
 escrow_policy_reported (struct escrow_pool *pool, struct pool_budget *budget,
                         uint32_t ledger, uint64_t now_ms)
@@ -168,7 +262,9 @@
   if (tokens > 0)
     pool_grant (pool, budget, ledger, tokens);
   uint64_t unmet = want > tokens ? want - tokens : 0;
-  uint64_t coming = recalled_tokens (budget);
+  uint64_t coming = recalled_tokens (pool, budget, now_ms);
+  if (pool->policy == ESCROW_POLICY_DEMAND_FLOOR && unmet == 0 && coming == 0)
+    rebalance (pool, budget, ledger, now_ms);
   if (unmet <= coming)
     return false;
   uint64_t needed = recall_from_others (pool, budget, ledger, unmet - coming,
--- a/src/escrow_pool.c
+++ b/src/escrow_pool.c
@@ -135,6 +135,23 @@
     }
 }
 
+/* The ledger speaks again: what the last answer asked back comes with this
+   message, or the answer was lost. */
+static void
+forget_leaving (struct escrow_pool *pool, uint32_t number)
+{
+  struct pool_ledger *ledger = pool_ledger_at (pool, number);
+  for (guint i = 0; i < ledger->leaving->len; i++)
+    {
+      uint64_t budget_id = g_array_index (ledger->leaving, uint64_t, i);
+      struct pool_budget *budget = pool_budget_find (pool, budget_id);
+      struct pool_share *share = pool_share_find (budget, number);
+      if (share->report)
+        share->report->leaving_tokens = 0;
+    }
+  g_array_set_size (ledger->leaving, 0);
+}
+
 static void
 drop_acknowledged (struct escrow_pool *pool, uint32_t number,
                    uint64_t grant_ack_sequence)
@@ -224,7 +241,10 @@
       struct pool_share *share = pool_share_find (budget, number);
       struct pool_report *report = pool_share_need_report (share);
       add_recall (result, budget_id, report->recall_tokens);
+      report->leaving_tokens = report->recall_tokens;
+      report->free_tokens -= MIN (report->free_tokens, report->recall_tokens);
       report->recall_tokens = 0;
+      g_array_append_val (ledger->leaving, budget_id);
     }
   g_array_remove_range (ledger->recalls, 0, count);
 }
@@ -261,6 +281,7 @@
   answer (&result->answer, CONTROL_OK, "");
   ledger->exchanged_at_ms = MAX (ledger->exchanged_at_ms, now_ms);
   drop_acknowledged (pool, number, args->grant_ack_sequence);
+  forget_leaving (pool, number);
   take_returns (pool, number, args, now_ms);
   result->recalls.recalls_val
       = calloc (CONTROL_BATCH_MAX, sizeof (struct control_recall));
--- a/src/escrow_pool_save.c
+++ b/src/escrow_pool_save.c
@@ -3,7 +3,7 @@
 #include "escrow_bytes.h"
 #include "escrow_pool_state.h"
 
-#define POOL_FORMAT 3
+#define POOL_FORMAT 4
 /* Set beside the number of a share's ledger. */
 #define REPORT_FOLLOWS (UINT64_C (1) << 32)
 
@@ -30,6 +30,14 @@
   return ids;
 }
 
+static void
+save_ids (const GArray *ids, GByteArray *bytes)
+{
+  escrow_put_u32 (bytes, ids->len);
+  for (guint i = 0; i < ids->len; i++)
+    escrow_put_u64 (bytes, g_array_index (ids, uint64_t, i));
+}
+
 static void
 save_ledger (const struct pool_ledger *ledger, GByteArray *bytes)
 {
@@ -49,19 +57,19 @@
       escrow_put_u64 (bytes, grant->budget_id);
       escrow_put_u64 (bytes, grant->tokens);
     }
-  escrow_put_u32 (bytes, ledger->recalls->len);
-  for (guint i = 0; i < ledger->recalls->len; i++)
-    escrow_put_u64 (bytes, g_array_index (ledger->recalls, uint64_t, i));
+  save_ids (ledger->recalls, bytes);
+  save_ids (ledger->leaving, bytes);
 }
 
 static void
 save_report (const struct pool_report *report, GByteArray *bytes)
 {
   const uint64_t values[]
-      = { report->recall_tokens,     report->want_tokens,
-          report->free_tokens,       report->reserved_tokens,
-          report->spent_tokens,      report->written_off_tokens,
-          report->spend_rate_tokens, report->reported_at_ms };
+      = { report->recall_tokens,      report->leaving_tokens,
+          report->want_tokens,        report->free_tokens,
+          report->reserved_tokens,    report->spent_tokens,
+          report->written_off_tokens, report->spend_rate_tokens,
+          report->reported_at_ms };
   escrow_put_u64s (bytes, values, G_N_ELEMENTS (values));
 }
 
@@ -124,6 +132,17 @@
   g_array_unref (ids);
 }
 
+static void
+load_ids (GArray *ids, struct escrow_reader *reader)
+{
+  uint32_t count = escrow_get_u32 (reader);
+  for (uint32_t i = 0; i < count && !reader->failed; i++)
+    {
+      uint64_t id = escrow_get_u64 (reader);
+      g_array_append_val (ids, id);
+    }
+}
+
 static void
 load_ledger (struct escrow_pool *pool, struct escrow_reader *reader)
 {
@@ -146,18 +165,15 @@
       grant.tokens = escrow_get_u64 (reader);
       g_array_append_val (ledger->grants, grant);
     }
-  uint32_t recalls = escrow_get_u32 (reader);
-  for (uint32_t i = 0; i < recalls && !reader->failed; i++)
-    {
-      uint64_t budget_id = escrow_get_u64 (reader);
-      g_array_append_val (ledger->recalls, budget_id);
-    }
+  load_ids (ledger->recalls, reader);
+  load_ids (ledger->leaving, reader);
 }
 
 static void
 load_report (struct pool_report *report, struct escrow_reader *reader)
 {
   report->recall_tokens = escrow_get_u64 (reader);
+  report->leaving_tokens = escrow_get_u64 (reader);
   report->want_tokens = escrow_get_u64 (reader);
   report->free_tokens = escrow_get_u64 (reader);
   report->reserved_tokens = escrow_get_u64 (reader);
@@ -212,6 +228,21 @@
   pool_top_up_add (pool, id, content_hash, topped_up, unallocated);
 }
 
+/* Whether the ledger has a share of each of the budgets. */
+static bool
+shares_exist (const struct escrow_pool *pool, uint32_t ledger,
+              const GArray *ids)
+{
+  for (guint i = 0; i < ids->len; i++)
+    {
+      struct pool_budget *budget
+          = pool_budget_find (pool, g_array_index (ids, uint64_t, i));
+      if (!budget || !pool_share_find (budget, ledger))
+        return false;
+    }
+  return true;
+}
+
 /* Whether every number in the state that is used as a reference is valid. */
 static bool
 references_valid (const struct escrow_pool *pool)
@@ -238,13 +269,9 @@
           if (!budget || !pool_share_find (budget, i))
             return false;
         }
-      for (guint j = 0; j < ledger->recalls->len; j++)
-        {
-          uint64_t id = g_array_index (ledger->recalls, uint64_t, j);
-          struct pool_budget *budget = pool_budget_find (pool, id);
-          if (!budget || !pool_share_find (budget, i))
-            return false;
-        }
+      if (!shares_exist (pool, i, ledger->recalls)
+          || !shares_exist (pool, i, ledger->leaving))
+        return false;
     }
   return true;
 }
--- a/src/escrow_pool_state.c
+++ b/src/escrow_pool_state.c
@@ -28,6 +28,7 @@
   g_free (ledger->name);
   g_array_unref (ledger->grants);
   g_array_unref (ledger->recalls);
+  g_array_unref (ledger->leaving);
   g_free (ledger);
 }
 
@@ -77,6 +78,7 @@
   ledger->grants
       = g_array_new (FALSE, FALSE, sizeof (struct control_transfer));
   ledger->recalls = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  ledger->leaving = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_ptr_array_add (pool->ledgers, ledger);
   return pool->ledgers->len - 1;
 }
--- a/src/escrow_pool_state.h
+++ b/src/escrow_pool_state.h
@@ -19,6 +19,8 @@
 {
   /** Asked back, but not sent to the ledger yet. */
   uint64_t recall_tokens;
+  /** Asked back with the last answer; no longer among the free tokens. */
+  uint64_t leaving_tokens;
   uint64_t want_tokens;
   uint64_t free_tokens;
   uint64_t reserved_tokens;
@@ -65,6 +67,8 @@
   GArray *grants;
   /** Budgets (uint64_t) whose share has recall_tokens to send. */
   GArray *recalls;
+  /** Budgets (uint64_t) whose share has leaving_tokens. */
+  GArray *leaving;
 };
 
 /** An accepted top-up and its answer. */
