--- a/tools/router_rig.h
+++ b/tools/router_rig.h
@@ -35,6 +35,9 @@
 struct fleet_process *router_rig_target (struct router_rig *rig,
                                          const char *name, const char *service,
                                          const char *const *arguments);
+/** Kills the router, starts it anew on its port and waits until it knows
+ *  @p target. */
+void router_rig_restart_router (struct router_rig *rig, const char *target);
 /** The router. */
 struct fleet_process *router_rig_router (struct router_rig *rig);
 /** The ledger. */
@@ -49,6 +52,8 @@
 void router_rig_faults (struct fleet_process *target, const char *faults);
 /** Tokens that the ledger billed alice in all. */
 uint64_t router_rig_billed (struct router_rig *rig);
+/** Tokens of alice's that the ledger wrote off. */
+uint64_t router_rig_written_off (struct router_rig *rig);
 /** Waits until nothing of alice's is reserved; tokens billed then. */
 uint64_t router_rig_billed_at_rest (struct router_rig *rig);
 /** Sum of a member ("runs", "tokens", "complete_runs") over a target's
