Give each router its own part of the targets first

Cause: at 90 % load and reports 1 s late no policy knew what the other routers had sent; two choices were no better than round robin. Change: pick_request gets the router's rank and number of routers of the zone (gossip_zone_rank); the least loaded of every n-th target goes first, sampling takes the overflow. Affinity's likelihood is 1 - load / 0.9. Shown failing first: test_pick home-part fails with the search left out.

--- a/src/gossip_peers.c
+++ b/src/gossip_peers.c
@@ -146,6 +146,25 @@
   return count;
 }
 
+uint32_t
+gossip_peers_rank (const struct gossip_peers *peers, uint32_t *count)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t rank = 0;
+  *count = 1;
+  g_hash_table_iter_init (&iter, peers->by_host);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct gossip_peer *peer = &((struct peer_state *)value)->peer;
+      if (strcmp (peer->availability_zone, peers->self.availability_zone) != 0)
+        continue;
+      *count += 1;
+      rank += strcmp (peer->host, peers->self.host) < 0;
+    }
+  return rank;
+}
+
 /* Rank of a router among those of its zone for the link to @p zone. */
 static uint64_t
 relay_weight (const char *host, const char *zone)
--- a/src/gossip_peers.h
+++ b/src/gossip_peers.h
@@ -37,6 +37,9 @@
 size_t gossip_peers_zone (struct gossip_peers *peers,
                           struct base_random *random, uint64_t now_ms,
                           struct gossip_peer *chosen, size_t limit);
+/** Place of this router among those of its zone by name, from 0, and their
+ *  number, itself counted. */
+uint32_t gossip_peers_rank (const struct gossip_peers *peers, uint32_t *count);
 /** Copies one relay of each other zone for which this router relays: the few
  *  routers of a zone that talk to another zone are chosen by rendezvous hash
  *  of both.  Number copied. */
--- a/src/gossip_shell.c
+++ b/src/gossip_shell.c
@@ -78,6 +78,15 @@
   g_mutex_unlock (&gossip->mutex);
 }
 
+uint32_t
+gossip_zone_rank (struct gossip *gossip, uint32_t *count)
+{
+  g_mutex_lock (&gossip->mutex);
+  uint32_t rank = gossip_peers_rank (gossip->peers, count);
+  g_mutex_unlock (&gossip->mutex);
+  return rank;
+}
+
 void
 gossip_set_cross_region (struct gossip *gossip, const char *const *services,
                          size_t count)
--- a/src/gossip_shell.h
+++ b/src/gossip_shell.h
@@ -43,6 +43,9 @@
 /** Replaces the peers by the routers among @p processes. */
 void gossip_set_peers (struct gossip *gossip,
                        const struct wire_process *processes, size_t count);
+/** Place of this router among those of its zone, from 0, and their number,
+ *  for pick_request; changes with gossip_set_peers. */
+uint32_t gossip_zone_rank (struct gossip *gossip, uint32_t *count);
 /** Names the services whose targets may be used from other regions; until it
  *  is called, all. */
 void gossip_set_cross_region (struct gossip *gossip,
--- a/src/pick.c
+++ b/src/pick.c
@@ -9,6 +9,10 @@
    the mean, plus a little for loads near 0. */
 #define BOUND_FACTOR 1.25
 #define BOUND_MARGIN 0.05
+/* Load at which affinity doesn't hold any more. */
+#define AFFINITY_LOAD 0.9
+/* Load up to which the router's own part of the targets goes first. */
+#define HOME_LOAD 0.99
 /* Targets that a prefix prefers, in this order. */
 #define PREFERRED 3
 /* Samples of two before every target is looked at. */
@@ -151,6 +155,23 @@
   return NULL;
 }
 
+/* The least loaded of the router's own part of the zone's targets, or NULL.
+   Few others send there, so that the estimate is near the truth. */
+static const struct registry_target *
+search_home (const struct pick_tier_targets *tier,
+             const struct pick_request *request)
+{
+  const struct registry_target *best = NULL;
+  if (request->router_count == 0 || request->router_count > tier->count)
+    return NULL;
+  for (uint32_t i = request->router_rank; i < tier->count;
+       i += request->router_count)
+    best = less_loaded (best, if_free (target_at (tier, i), request));
+  if (!best || pick_estimate_load (best) > HOME_LOAD)
+    return NULL;
+  return pick_claim_probe (best->load, request->now_ms) ? best : NULL;
+}
+
 /* Rendezvous weight of a target for a prefix. */
 static uint64_t
 affinity (uint64_t prefix_hash, uint64_t target_hash)
@@ -203,7 +224,7 @@
 static bool
 affinity_holds (double load, double bound, struct base_random *random)
 {
-  return load <= bound && base_random_unit (random) < 1 - load;
+  return load <= bound && base_random_unit (random) < 1 - load / AFFINITY_LOAD;
 }
 
 /* The first preferred target that is free and not too loaded, or NULL. */
@@ -308,6 +329,25 @@
   return target;
 }
 
+/* Looks where the policy says, then everywhere in the tier. */
+static const struct registry_target *
+search_tier (enum pick_policy policy, enum pick_tier nearness,
+             const struct pick_tier_targets *tier,
+             const struct pick_request *request, struct base_random *random,
+             bool *full_seen)
+{
+  const struct registry_target *target = NULL;
+  if (policy == PICK_TWO_CHOICES_AFFINITY && request->prefix_hash != 0)
+    target = search_preferred (tier, request, random);
+  if (!target && policy <= PICK_TWO_CHOICES && nearness == PICK_TIER_ZONE)
+    target = search_home (tier, request);
+  if (!target && policy <= PICK_TWO_CHOICES)
+    target = search_sample (tier, request, random);
+  if (!target)
+    target = search_all (policy, tier, request, random, full_seen);
+  return target;
+}
+
 static enum pick_outcome
 pick_near_to_far (enum pick_policy policy, const struct registry_view *view,
                   const struct pick_request *request,
@@ -324,13 +364,8 @@
       gather_tier (&tier, view, nearness, request);
       if (tier.count == 0)
         continue;
-      *chosen = NULL;
-      if (policy == PICK_TWO_CHOICES_AFFINITY && request->prefix_hash != 0)
-        *chosen = search_preferred (&tier, request, random);
-      if (!*chosen && policy <= PICK_TWO_CHOICES)
-        *chosen = search_sample (&tier, request, random);
-      if (!*chosen)
-        *chosen = search_all (policy, &tier, request, random, &full_seen);
+      *chosen
+          = search_tier (policy, nearness, &tier, request, random, &full_seen);
       if (*chosen)
         return PICK_FOUND;
     }
--- a/src/pick.h
+++ b/src/pick.h
@@ -40,6 +40,11 @@
   const char *const *avoid;
   uint32_t avoid_count;
   uint64_t now_ms;
+  /** Place of this router among those of its zone (gossip_zone_rank) and
+   *  their number; 0 routers: unknown.  Each router goes to its own part of
+   *  the zone's targets first, whose load it knows without lag. */
+  uint32_t router_rank;
+  uint32_t router_count;
 };
 
 /** Result when no target is chosen. */
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -379,7 +379,12 @@
   struct gossip_peers *peers = gossip_peers_create (&self);
   make_processes (processes);
   processes[1].kind = WIRE_PROCESS_LEDGER;
+  uint32_t routers = 0;
+  g_assert_cmpuint (gossip_peers_rank (peers, &routers), ==, 0);
+  g_assert_cmpuint (routers, ==, 1);
   gossip_peers_set (peers, processes, ZONES * ROUTERS);
+  g_assert_cmpuint (gossip_peers_rank (peers, &routers), ==, 0);
+  g_assert_cmpuint (routers, ==, 9);
   g_assert_cmpuint (gossip_peers_zone (peers, &random, 1000, chosen, 99), ==,
                     8);
   g_assert_cmpuint (gossip_peers_zone (peers, &random, 1000, chosen, 3), ==,
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -249,6 +249,28 @@
   tear_down (&fixture);
 }
 
+/* The router's own part of the zone's targets goes first, then the others. */
+static void
+test_home_part (void)
+{
+  struct fixture fixture;
+  set_up (&fixture, five, 5);
+  fixture.request.router_rank = 1;
+  fixture.request.router_count = 3;
+  for (int i = 0; i < 8; i++)
+    {
+      const char *name = pick_and_take (&fixture);
+      g_assert_true (strcmp (name, "b") == 0 || strcmp (name, "e") == 0);
+    }
+  for (int i = 0; i < 12; i++)
+    {
+      const char *name = pick_and_take (&fixture);
+      g_assert_true (strcmp (name, "b") != 0 && strcmp (name, "e") != 0);
+    }
+  g_assert_cmpstr (pick_and_take (&fixture), ==, "busy");
+  tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -261,5 +283,6 @@
   g_test_add_func ("/pick/failures-together", test_failures_together);
   g_test_add_func ("/pick/affinity", test_affinity);
   g_test_add_func ("/pick/two-choices", test_two_choices);
+  g_test_add_func ("/pick/home-part", test_home_part);
   return g_test_run ();
 }
