--- a/tests/test_router_process.c
+++ b/tests/test_router_process.c
@@ -312,6 +312,7 @@
   struct router_rig *rig;
   char *prompt;
   const char *key;
+  uint32_t tokens;
   struct router_call_result result;
   GThread *thread;
 };
@@ -320,8 +321,9 @@
 run_stream (gpointer data)
 {
   struct stream_thread *stream = data;
+  uint32_t tokens = stream->tokens ? stream->tokens : STREAM_TOKENS;
   stream->result
-      = chat (stream->rig, stream->prompt, STREAM_TOKENS, true, stream->key);
+      = chat (stream->rig, stream->prompt, tokens, true, stream->key);
   return NULL;
 }
 
@@ -577,6 +579,33 @@
   router_rig_destroy (rig);
 }
 
+/* The ledger dies and comes back while a stream is open: the stream waits for
+   its next step, is whole and billed once. */
+static void
+test_ledger_restarts (void)
+{
+  static const char *const steady[]
+      = { "--token-rate", "200", "--answer-tokens", "600", NULL };
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, steady);
+  struct stream_thread stream
+      = { .rig = rig, .prompt = (char *)"sheet", .tokens = 600 };
+  stream.thread = g_thread_new ("caller", run_stream, &stream);
+  while (router_rig_oracle (target, "runs") == 0)
+    g_usleep (20000);
+  g_usleep (300000);
+  fleet_process_kill (router_rig_ledger (rig));
+  g_usleep (1500000);
+  g_assert_cmpint (fleet_process_start (router_rig_ledger (rig)), ==, 0);
+  g_assert_true (fleet_process_wait_ready (router_rig_ledger (rig), 10000));
+  g_thread_join (stream.thread);
+  uint64_t used = check_answer (&stream.result, "sheet", 600);
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, used);
+  g_assert_cmpuint (router_rig_written_off (rig), ==, 0);
+  router_rig_destroy (rig);
+}
+
 /* SIGTERM with streams open: they are finished and billed, new requests are
    told that they were not run, and the router ends with status 0. */
 static void
@@ -593,6 +622,7 @@
     {
       streams[i].rig = rig;
       streams[i].key = NULL;
+      streams[i].tokens = STREAM_TOKENS;
       streams[i].prompt = g_strdup_printf ("sheet %zu", i);
       streams[i].thread = g_thread_new ("caller", run_stream, &streams[i]);
     }
@@ -657,6 +687,7 @@
   g_test_add_func ("/router/order-lost", test_order_lost);
   g_test_add_func ("/router/control-lost", test_control_lost);
   g_test_add_func ("/router/caller-leaves", test_caller_leaves);
+  g_test_add_func ("/router/ledger-restarts", test_ledger_restarts);
   g_test_add_func ("/router/graceful-shutdown", test_graceful_shutdown);
   g_test_add_func ("/router/target-leaves", test_target_leaves);
   int result = g_test_run ();
