--- a/tests/test_router_process.c
+++ b/tests/test_router_process.c
@@ -665,6 +665,34 @@
   router_rig_destroy (rig);
 }
 
+/* A target that an operator drains gets no new work once the router has
+   heard of it. */
+static void
+test_target_drained (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *first
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, no_arguments);
+  router_rig_drain (rig, "t1", true);
+  struct router_call_result result = chat (rig, "a", 5, false, NULL);
+  for (int i = 0; i < 100 && result.status == 200; i++)
+    {
+      router_call_clear (&result);
+      g_usleep (50000);
+      result = chat (rig, "a", 5, false, NULL);
+    }
+  check_refusal (&result, 503, "no_target", "not-run");
+  uint64_t runs = router_rig_oracle (first, "runs");
+  router_rig_target (rig, "t2", ROUTER_RIG_MODEL, no_arguments);
+  for (int i = 0; i < 10; i++)
+    {
+      result = chat (rig, "a", 5, false, NULL);
+      check_answer (&result, "a", 5);
+    }
+  g_assert_cmpuint (router_rig_oracle (first, "runs"), ==, runs);
+  router_rig_destroy (rig);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -690,6 +718,7 @@
   g_test_add_func ("/router/ledger-restarts", test_ledger_restarts);
   g_test_add_func ("/router/graceful-shutdown", test_graceful_shutdown);
   g_test_add_func ("/router/target-leaves", test_target_leaves);
+  g_test_add_func ("/router/target-drained", test_target_drained);
   int result = g_test_run ();
   curl_global_cleanup ();
   return result;
--- a/tools/router_rig.c
+++ b/tools/router_rig.c
@@ -346,6 +346,17 @@
   g_assert_cmpuint (status, ==, 200);
 }
 
+void
+router_rig_drain (struct router_rig *rig, const char *target, bool drain)
+{
+  struct control_answer answer = { 0 };
+  struct control_drain_args args = { .cluster = (char *)CLUSTER,
+                                     .target = (char *)target,
+                                     .drain = drain };
+  call_control (rig, CONTROL_DRAIN, (xdrproc_t)xdr_control_drain_args, &args,
+                (xdrproc_t)xdr_control_answer, &answer, sizeof answer);
+}
+
 void
 router_rig_faults (struct fleet_process *target, const char *faults)
 {
--- a/tools/router_rig.h
+++ b/tools/router_rig.h
@@ -48,6 +48,8 @@
 uint16_t router_rig_port (struct router_rig *rig);
 /** Waits until /readyz of the router says ready; aborts otherwise. */
 void router_rig_wait_ready (struct router_rig *rig);
+/** Has control drain a target, or undrain it. */
+void router_rig_drain (struct router_rig *rig, const char *target, bool drain);
 /** Sets the faults of a target, a JSON object. */
 void router_rig_faults (struct fleet_process *target, const char *faults);
 /** Tokens that the ledger billed alice in all. */
