--- a/src/router_queue.c
+++ b/src/router_queue.c
@@ -163,6 +163,34 @@
   return outcome;
 }
 
+static bool
+may_use (const struct router_queue *queue,
+         const struct router_request *request,
+         const struct registry_target *target)
+{
+  const struct registry_record *record = &target->record;
+  bool near = strcmp (record->region, queue->region) == 0;
+  for (uint32_t i = 0; i < request->avoid_count; i++)
+    if (strcmp (request->avoid[i], record->target) == 0)
+      return false;
+  return !record->leaving && !target->drained
+         && (near || request->rule->cross_region);
+}
+
+bool
+router_queue_has_other (struct router_queue *queue,
+                        const struct router_request *request,
+                        struct registry_reader *reader)
+{
+  bool found = false;
+  const struct registry_view *view
+      = registry_read (reader, request->service->name);
+  for (size_t i = 0; view && !found && i < view->count; i++)
+    found = may_use (queue, request, &view->targets[i]);
+  registry_read_end (reader);
+  return found;
+}
+
 static void
 drop_choice (struct router_request *request, bool failed)
 {
--- a/src/router_queue.h
+++ b/src/router_queue.h
@@ -35,6 +35,11 @@
                                               struct router_request *request,
                                               struct registry_reader *reader,
                                               uint32_t *retry_after_ms);
+/** Whether there is a live target that did not fail the request yet, busy or
+ *  not. */
+bool router_queue_has_other (struct router_queue *queue,
+                             const struct router_request *request,
+                             struct registry_reader *reader);
 /** Takes a request out; a target chosen meanwhile is given back. */
 void router_queue_leave (struct router_queue *queue,
                          struct router_request *request);
--- a/src/router_serve.c
+++ b/src/router_serve.c
@@ -160,6 +160,23 @@
                                     : 0;
 }
 
+/* A target that failed a request it had got is not given it again: the caller
+   hears of it at once. */
+static bool
+may_retry (struct router_request *request, enum retry_progress progress)
+{
+  struct router *router = request->router;
+  if (request->left)
+    return false;
+  if (progress == RETRY_SENT
+      && !router_queue_has_other (router->queue, request,
+                                  router_worker_reader (request->worker)))
+    return false;
+  return retry_decide (router->retry, progress, request->idempotent,
+                       request->attempts, left_ms (request))
+         == RETRY_AGAIN;
+}
+
 /* An attempt failed before any byte went to the caller. */
 static void
 retry (struct router_request *request, enum retry_progress progress)
@@ -170,10 +187,7 @@
   request->attempt = NULL;
   router_queue_release (request->router->queue, request,
                         router_worker_reader (request->worker), true);
-  enum retry_decision decision
-      = retry_decide (request->router->retry, progress, request->idempotent,
-                      request->attempts, left_ms (request));
-  if (decision != RETRY_AGAIN || request->left)
+  if (!may_retry (request, progress))
     {
       refuse_failed (request);
       return;
--- a/tests/test_router_process.c
+++ b/tests/test_router_process.c
@@ -290,7 +290,8 @@
   router_rig_destroy (rig);
 }
 
-/* A target that is alive but slow: the other one answers. */
+/* A target that is alive but slow: the caller hears of it at once, and where
+   there is another one, that answers. */
 static void
 test_slow_target (void)
 {
@@ -300,6 +301,7 @@
   router_rig_faults (target, "{\"delay_ms\":20000}");
   struct router_call_result result = chat (rig, "a", 5, true, NULL);
   check_refusal (&result, 502, "target_failed", "unknown");
+  g_assert_cmpuint (router_rig_oracle (target, "runs"), ==, 1);
   router_rig_target (rig, "t2", ROUTER_RIG_MODEL, no_arguments);
   result = chat (rig, "b", 5, true, NULL);
   uint64_t used = check_answer (&result, "b", 5);
