--- a/src/control_session.c
+++ b/src/control_session.c
@@ -177,6 +177,17 @@
   xdr_free ((xdrproc_t)xdr_control_sync_result, (char *)&result);
 }
 
+/* One heartbeat, and a second one at once when it brought a version, so that
+   control learns what is in force here. */
+static void
+sync_and_report (struct control_session *session)
+{
+  uint64_t version = atomic_load (&session->version);
+  sync_once (session);
+  if (atomic_load (&session->version) != version)
+    sync_once (session);
+}
+
 /* Waits for the next heartbeat, an offer or the end; false at the end. */
 static bool
 wait_next (struct control_session *session, struct bundle **offered)
@@ -204,7 +215,7 @@
     {
       if (offered)
         install (session, offered);
-      sync_once (session);
+      sync_and_report (session);
     }
   while (wait_next (session, &offered));
   bundle_unref (offered);
