--- a/src/escrow_pool_save.c
+++ b/src/escrow_pool_save.c
@@ -3,7 +3,9 @@
 #include "escrow_bytes.h"
 #include "escrow_pool_state.h"
 
-#define POOL_FORMAT 1
+#define POOL_FORMAT 3
+/* Set beside the number of a share's ledger. */
+#define REPORT_FOLLOWS (UINT64_C (1) << 32)
 
 static gint
 compare_ids (gconstpointer left, gconstpointer right)
@@ -52,21 +54,27 @@
     escrow_put_u64 (bytes, g_array_index (ledger->recalls, uint64_t, i));
 }
 
+static void
+save_report (const struct pool_report *report, GByteArray *bytes)
+{
+  const uint64_t values[]
+      = { report->recall_tokens,     report->want_tokens,
+          report->free_tokens,       report->reserved_tokens,
+          report->spent_tokens,      report->written_off_tokens,
+          report->spend_rate_tokens, report->reported_at_ms };
+  escrow_put_u64s (bytes, values, G_N_ELEMENTS (values));
+}
+
 static void
 save_share (const struct pool_share *share, GByteArray *bytes)
 {
-  escrow_put_u32 (bytes, share->ledger);
-  escrow_put_u64 (bytes, share->granted_tokens);
-  escrow_put_u64 (bytes, share->returned_tokens);
-  escrow_put_u64 (bytes, share->in_flight_tokens);
-  escrow_put_u64 (bytes, share->recall_tokens);
-  escrow_put_u64 (bytes, share->want_tokens);
-  escrow_put_u64 (bytes, share->free_tokens);
-  escrow_put_u64 (bytes, share->reserved_tokens);
-  escrow_put_u64 (bytes, share->spent_tokens);
-  escrow_put_u64 (bytes, share->written_off_tokens);
-  escrow_put_u64 (bytes, share->spend_rate_tokens);
-  escrow_put_u64 (bytes, share->reported_at_ms);
+  uint64_t head = share->ledger | (share->report ? REPORT_FOLLOWS : 0);
+  const uint64_t values[]
+      = { head, share->granted_tokens, share->returned_tokens,
+          share->in_flight_tokens };
+  escrow_put_u64s (bytes, values, G_N_ELEMENTS (values));
+  if (share->report)
+    save_report (share->report, bytes);
 }
 
 static void
@@ -146,21 +154,29 @@
     }
 }
 
+static void
+load_report (struct pool_report *report, struct escrow_reader *reader)
+{
+  report->recall_tokens = escrow_get_u64 (reader);
+  report->want_tokens = escrow_get_u64 (reader);
+  report->free_tokens = escrow_get_u64 (reader);
+  report->reserved_tokens = escrow_get_u64 (reader);
+  report->spent_tokens = escrow_get_u64 (reader);
+  report->written_off_tokens = escrow_get_u64 (reader);
+  report->spend_rate_tokens = escrow_get_u64 (reader);
+  report->reported_at_ms = escrow_get_u64 (reader);
+}
+
 static void
 load_share (struct pool_budget *budget, struct escrow_reader *reader)
 {
-  struct pool_share *share = pool_share_need (budget, escrow_get_u32 (reader));
+  uint64_t head = escrow_get_u64 (reader);
+  struct pool_share *share = pool_share_need (budget, (uint32_t)head);
   share->granted_tokens = escrow_get_u64 (reader);
   share->returned_tokens = escrow_get_u64 (reader);
   share->in_flight_tokens = escrow_get_u64 (reader);
-  share->recall_tokens = escrow_get_u64 (reader);
-  share->want_tokens = escrow_get_u64 (reader);
-  share->free_tokens = escrow_get_u64 (reader);
-  share->reserved_tokens = escrow_get_u64 (reader);
-  share->spent_tokens = escrow_get_u64 (reader);
-  share->written_off_tokens = escrow_get_u64 (reader);
-  share->spend_rate_tokens = escrow_get_u64 (reader);
-  share->reported_at_ms = escrow_get_u64 (reader);
+  if (head & REPORT_FOLLOWS)
+    load_report (pool_share_need_report (share), reader);
 }
 
 static void
