--- a/tests/test_router_process.c
+++ b/tests/test_router_process.c
@@ -290,7 +290,8 @@
   router_rig_destroy (rig);
 }
 
-/* A target that is alive but slow: the other one answers. */
+/* A target that is alive but slow: the caller hears of it at once, and where
+   there is another one, that answers. */
 static void
 test_slow_target (void)
 {
@@ -300,6 +301,7 @@
   router_rig_faults (target, "{\"delay_ms\":20000}");
   struct router_call_result result = chat (rig, "a", 5, true, NULL);
   check_refusal (&result, 502, "target_failed", "unknown");
+  g_assert_cmpuint (router_rig_oracle (target, "runs"), ==, 1);
   router_rig_target (rig, "t2", ROUTER_RIG_MODEL, no_arguments);
   result = chat (rig, "b", 5, true, NULL);
   uint64_t used = check_answer (&result, "b", 5);
@@ -312,6 +314,7 @@
   struct router_rig *rig;
   char *prompt;
   const char *key;
+  uint32_t tokens;
   struct router_call_result result;
   GThread *thread;
 };
@@ -320,8 +323,9 @@
 run_stream (gpointer data)
 {
   struct stream_thread *stream = data;
+  uint32_t tokens = stream->tokens ? stream->tokens : STREAM_TOKENS;
   stream->result
-      = chat (stream->rig, stream->prompt, STREAM_TOKENS, true, stream->key);
+      = chat (stream->rig, stream->prompt, tokens, true, stream->key);
   return NULL;
 }
 
@@ -577,6 +581,33 @@
   router_rig_destroy (rig);
 }
 
+/* The ledger dies and comes back while a stream is open: the stream waits for
+   its next step, is whole and billed once. */
+static void
+test_ledger_restarts (void)
+{
+  static const char *const steady[]
+      = { "--token-rate", "200", "--answer-tokens", "600", NULL };
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, steady);
+  struct stream_thread stream
+      = { .rig = rig, .prompt = (char *)"sheet", .tokens = 600 };
+  stream.thread = g_thread_new ("caller", run_stream, &stream);
+  while (router_rig_oracle (target, "runs") == 0)
+    g_usleep (20000);
+  g_usleep (300000);
+  fleet_process_kill (router_rig_ledger (rig));
+  g_usleep (1500000);
+  g_assert_cmpint (fleet_process_start (router_rig_ledger (rig)), ==, 0);
+  g_assert_true (fleet_process_wait_ready (router_rig_ledger (rig), 10000));
+  g_thread_join (stream.thread);
+  uint64_t used = check_answer (&stream.result, "sheet", 600);
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, used);
+  g_assert_cmpuint (router_rig_written_off (rig), ==, 0);
+  router_rig_destroy (rig);
+}
+
 /* SIGTERM with streams open: they are finished and billed, new requests are
    told that they were not run, and the router ends with status 0. */
 static void
@@ -593,6 +624,7 @@
     {
       streams[i].rig = rig;
       streams[i].key = NULL;
+      streams[i].tokens = STREAM_TOKENS;
       streams[i].prompt = g_strdup_printf ("sheet %zu", i);
       streams[i].thread = g_thread_new ("caller", run_stream, &streams[i]);
     }
@@ -635,6 +667,34 @@
   router_rig_destroy (rig);
 }
 
+/* A target that an operator drains gets no new work once the router has
+   heard of it. */
+static void
+test_target_drained (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *first
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, no_arguments);
+  router_rig_drain (rig, "t1", true);
+  struct router_call_result result = chat (rig, "a", 5, false, NULL);
+  for (int i = 0; i < 100 && result.status == 200; i++)
+    {
+      router_call_clear (&result);
+      g_usleep (50000);
+      result = chat (rig, "a", 5, false, NULL);
+    }
+  check_refusal (&result, 503, "no_target", "not-run");
+  uint64_t runs = router_rig_oracle (first, "runs");
+  router_rig_target (rig, "t2", ROUTER_RIG_MODEL, no_arguments);
+  for (int i = 0; i < 10; i++)
+    {
+      result = chat (rig, "a", 5, false, NULL);
+      check_answer (&result, "a", 5);
+    }
+  g_assert_cmpuint (router_rig_oracle (first, "runs"), ==, runs);
+  router_rig_destroy (rig);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -657,8 +717,10 @@
   g_test_add_func ("/router/order-lost", test_order_lost);
   g_test_add_func ("/router/control-lost", test_control_lost);
   g_test_add_func ("/router/caller-leaves", test_caller_leaves);
+  g_test_add_func ("/router/ledger-restarts", test_ledger_restarts);
   g_test_add_func ("/router/graceful-shutdown", test_graceful_shutdown);
   g_test_add_func ("/router/target-leaves", test_target_leaves);
+  g_test_add_func ("/router/target-drained", test_target_drained);
   int result = g_test_run ();
   curl_global_cleanup ();
   return result;
