Keep one bill of a key that two ledgers billed

A key billed elsewhere is answered as billed. Verdicts are synced before the answer, positions start anew after a restart. Not covered: a key whose bill is older than the window of an hour, or whose reservation left the list of ended ones.

--- a/src/escrow_done.h
+++ b/src/escrow_done.h
@@ -18,6 +18,8 @@
   ESCROW_DONE_LOWERED,
   /** Charged, then lowered and billed. */
   ESCROW_DONE_LOWERED_BILLED,
+  /** Billed, then taken back since another ledger billed the key. */
+  ESCROW_DONE_CANCELLED,
   ESCROW_DONE_STATES
 };
 
@@ -34,6 +36,14 @@
   GList link;
 };
 
+/** Whether the reservation's tokens count as a bill. */
+static inline bool
+escrow_done_billed (const struct escrow_done *done)
+{
+  return done->state == ESCROW_DONE_SETTLED
+         || done->state == ESCROW_DONE_LOWERED_BILLED;
+}
+
 /** The reservations that ended lately. */
 struct escrow_dones;
 
--- a/src/escrow_entry.c
+++ b/src/escrow_entry.c
@@ -16,6 +16,7 @@
   FIELD_TOKENS = 64,
   FIELD_FLAG = 128,
   FIELD_ROUTER = 256,
+  FIELD_OTHER = 512,
   FIELDS_REF = FIELD_INCARNATION | FIELD_ID,
   FIELDS_BILL
   = FIELDS_REF | FIELD_ACCOUNT | FIELD_BUDGET | FIELD_KEY | FIELD_TOKENS,
@@ -34,6 +35,8 @@
   [ESCROW_ENTRY_GRANT] = FIELDS_TRANSFER,
   [ESCROW_ENTRY_RETURN] = FIELDS_TRANSFER,
   [ESCROW_ENTRY_RETURN_ACK] = FIELD_ID,
+  [ESCROW_ENTRY_ELSEWHERE]
+  = FIELDS_BILL | FIELD_BODY | FIELD_FLAG | FIELD_OTHER,
 };
 
 void
@@ -60,6 +63,8 @@
     escrow_put_u8 (bytes, entry->flag);
   if (fields & FIELD_ROUTER)
     escrow_put_string (bytes, entry->router);
+  if (fields & FIELD_OTHER)
+    escrow_put_u64 (bytes, entry->other_tokens);
 }
 
 static void
@@ -98,6 +103,8 @@
     entry->flag = escrow_get_u8 (reader) != 0;
   if (fields & FIELD_ROUTER)
     get_router (entry, reader);
+  if (fields & FIELD_OTHER)
+    entry->other_tokens = escrow_get_u64 (reader);
   return reader->failed ? -1 : 0;
 }
 
--- a/src/escrow_entry.h
+++ b/src/escrow_entry.h
@@ -38,6 +38,9 @@
   ESCROW_ENTRY_RETURN,
   /** Control took the returns up to the sequence number in id. */
   ESCROW_ENTRY_RETURN_ACK,
+  /** Another ledger billed the key, other_tokens; flag: the own bill of
+   *  tokens is taken back. */
+  ESCROW_ENTRY_ELSEWHERE,
   ESCROW_ENTRY_KINDS
 };
 
@@ -60,6 +63,7 @@
   uint8_t key[CACTUS_DIGEST_BYTES];
   uint64_t body_hash;
   uint64_t tokens;
+  uint64_t other_tokens;
   bool flag;
   char router[CACTUS_NAME_BYTES + 2];
 };
--- a/src/escrow_key.c
+++ b/src/escrow_key.c
@@ -15,6 +15,7 @@
   GHashTable *table;
   /* Keys that are done or charged, oldest first. */
   GQueue kept;
+  uint64_t last_sequence;
 };
 
 static guint
@@ -135,10 +136,46 @@
   key->state = state;
   key->tokens = tokens;
   key->done_at_ms = now_ms;
+  key->sequence = ++keys->last_sequence;
   g_queue_push_tail_link (&keys->kept, &key->link);
   evict (keys, now_ms);
 }
 
+void
+escrow_keys_elsewhere (struct escrow_keys *keys,
+                       const struct escrow_entry *entry)
+{
+  struct escrow_key *key = lookup (keys, entry->account_id, entry->key);
+  if (!key)
+    {
+      key = insert (keys, entry->account_id, entry->key);
+      key->state = ESCROW_KEY_OPEN;
+    }
+  key->body_hash = entry->body_hash;
+  escrow_keys_keep (keys, key, ESCROW_KEY_ELSEWHERE, entry->other_tokens,
+                    entry->now_ms);
+}
+
+uint32_t
+escrow_keys_done_after (const struct escrow_keys *keys, uint64_t after,
+                        const struct escrow_key **list, uint32_t most)
+{
+  uint32_t count = 0;
+  GList *at = keys->kept.tail;
+  if (!at || ((const struct escrow_key *)at->data)->sequence <= after)
+    return 0;
+  while (at->prev
+         && ((const struct escrow_key *)at->prev->data)->sequence > after)
+    at = at->prev;
+  for (; at && count < most; at = at->next)
+    {
+      const struct escrow_key *key = at->data;
+      if (key->state == ESCROW_KEY_DONE)
+        list[count++] = key;
+    }
+  return count;
+}
+
 uint32_t
 escrow_keys_count (const struct escrow_keys *keys)
 {
@@ -183,9 +220,11 @@
       key->ref.id = escrow_get_u64 (reader);
       key->tokens = escrow_get_u64 (reader);
       key->done_at_ms = escrow_get_u64 (reader);
-      key->state = escrow_get_u8 (reader) == ESCROW_KEY_DONE
-                       ? ESCROW_KEY_DONE
-                       : ESCROW_KEY_CHARGED;
+      uint8_t state = escrow_get_u8 (reader);
+      if (state < ESCROW_KEY_DONE || state > ESCROW_KEY_ELSEWHERE)
+        reader->failed = true;
+      key->state = (enum escrow_key_state)state;
+      key->sequence = ++keys->last_sequence;
       g_queue_push_tail_link (&keys->kept, &key->link);
     }
 }
--- a/src/escrow_key.h
+++ b/src/escrow_key.h
@@ -13,7 +13,9 @@
   ESCROW_KEY_OPEN,
   ESCROW_KEY_DONE,
   /** Its reservation was orphaned and written off: it may be tried again. */
-  ESCROW_KEY_CHARGED
+  ESCROW_KEY_CHARGED,
+  /** Another ledger billed it. */
+  ESCROW_KEY_ELSEWHERE
 };
 
 /** A key of a client account. */
@@ -28,6 +30,8 @@
   /** When it was billed or written off, in ms. */
   uint64_t done_at_ms;
   enum escrow_key_state state;
+  /** Rises with each bill, for keys that are done. */
+  uint64_t sequence;
   /** Place among the keys that are kept for the window. */
   GList link;
 };
@@ -53,6 +57,15 @@
                        uint64_t now_ms);
 /** Forgets the key. */
 void escrow_keys_forget (struct escrow_keys *keys, struct escrow_key *key);
+/** Marks the key as billed by another ledger, made when absent. */
+void escrow_keys_elsewhere (struct escrow_keys *keys,
+                            const struct escrow_entry *entry);
+/** Copies up to @p most done keys whose sequence is above @p after, in order;
+ *  how many. */
+uint32_t escrow_keys_done_after (const struct escrow_keys *keys,
+                                 uint64_t after,
+                                 const struct escrow_key **list,
+                                 uint32_t most);
 /** Number of keys. */
 uint32_t escrow_keys_count (const struct escrow_keys *keys);
 /** Appends the keys that are kept for the window. */
--- a/src/escrow_ledger.c
+++ b/src/escrow_ledger.c
@@ -201,8 +201,10 @@
 escrow_ledger_bill (const struct escrow_ledger *ledger,
                     const struct escrow_entry *entry, struct ledger_bill *bill)
 {
-  if (entry->kind != ESCROW_ENTRY_SETTLE && entry->kind != ESCROW_ENTRY_CHARGE)
+  if (entry->kind != ESCROW_ENTRY_SETTLE && entry->kind != ESCROW_ENTRY_CHARGE
+      && entry->kind != ESCROW_ENTRY_ELSEWHERE)
     return false;
+  bill->cancels = entry->kind == ESCROW_ENTRY_ELSEWHERE;
   bill->account_id = entry->account_id;
   bill->budget_id = entry->budget_id;
   memcpy (bill->key, entry->key, sizeof bill->key);
@@ -213,10 +215,11 @@
       = escrow_dones_find (ledger->dones, entry->ref);
   if (!bill->written_off || !done)
     return true;
-  if (done->state == ESCROW_DONE_LOWERED
-      || done->state == ESCROW_DONE_LOWERED_BILLED)
+  bool lowered_bill = done->state == ESCROW_DONE_LOWERED_BILLED
+                      || done->state == ESCROW_DONE_CANCELLED;
+  if (done->state == ESCROW_DONE_LOWERED || lowered_bill)
     bill->tokens = done->tokens;
-  bill->written_off = done->state != ESCROW_DONE_LOWERED_BILLED;
+  bill->written_off = !lowered_bill;
   return true;
 }
 
--- a/src/escrow_ledger_apply.c
+++ b/src/escrow_ledger_apply.c
@@ -231,6 +231,33 @@
   return 0;
 }
 
+/* Takes an own bill back; its key keeps what the other ledger billed. */
+static int
+take_back (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+{
+  struct escrow_done *done = escrow_dones_find (ledger->dones, entry->ref);
+  struct escrow_budget *budget
+      = escrow_budgets_find (ledger->budgets, entry->budget_id);
+  if (!done || !budget || !escrow_done_billed (done)
+      || done->tokens != entry->tokens || done->budget_id != entry->budget_id
+      || budget->spent_tokens < entry->tokens)
+    return -1;
+  budget->spent_tokens -= entry->tokens;
+  escrow_dones_put (ledger->dones, entry, ESCROW_DONE_CANCELLED);
+  escrow_demand_changed (ledger->demand, budget);
+  return 0;
+}
+
+static int
+apply_elsewhere (struct escrow_ledger *ledger,
+                 const struct escrow_entry *entry)
+{
+  if (entry->flag && take_back (ledger, entry) != 0)
+    return -1;
+  escrow_keys_elsewhere (ledger->keys, entry);
+  return 0;
+}
+
 static int
 apply_grant (struct escrow_ledger *ledger, const struct escrow_entry *entry)
 {
@@ -306,6 +333,8 @@
       return apply_return (ledger, entry);
     case ESCROW_ENTRY_RETURN_ACK:
       return apply_return_ack (ledger, entry);
+    case ESCROW_ENTRY_ELSEWHERE:
+      return apply_elsewhere (ledger, entry);
     default:
       return -1;
     }
--- a/src/escrow_ledger_op.c
+++ b/src/escrow_ledger_op.c
@@ -66,7 +66,7 @@
     return false;
   if (key->body_hash != entry->body_hash)
     answer (result, LEDGER_KEY_CONFLICT, 0);
-  else if (key->state == ESCROW_KEY_DONE)
+  else if (key->state == ESCROW_KEY_DONE || key->state == ESCROW_KEY_ELSEWHERE)
     answer (result, LEDGER_DUPLICATE_DONE, key->tokens);
   else if (key->state == ESCROW_KEY_OPEN)
     {
@@ -170,7 +170,8 @@
   const struct escrow_done *done = escrow_dones_find (ledger->dones, ref);
   bool billed = done
                 && (done->state == ESCROW_DONE_SETTLED
-                    || done->state == ESCROW_DONE_LOWERED_BILLED);
+                    || done->state == ESCROW_DONE_LOWERED_BILLED
+                    || done->state == ESCROW_DONE_CANCELLED);
   bool freed
       = done
         && (done->state == ESCROW_DONE_RELEASED
--- /dev/null
+++ b/src/escrow_reconcile.c
@@ -0,0 +1,102 @@
+#include "escrow_reconcile.h"
+
+#include <string.h>
+
+#include "escrow_ledger_state.h"
+
+uint32_t
+escrow_reconcile_list (const struct escrow_ledger *ledger, uint64_t after,
+                       struct ledger_settled *list, uint32_t most,
+                       uint64_t *next)
+{
+  const struct escrow_key **keys = g_new (const struct escrow_key *, most);
+  uint32_t count = escrow_keys_done_after (ledger->keys, after, keys, most);
+  *next = after;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      list[i].account_id = keys[i]->account_id;
+      memcpy (list[i].key, keys[i]->key, sizeof list[i].key);
+      list[i].body_hash = keys[i]->body_hash;
+      list[i].tokens = keys[i]->tokens;
+      list[i].settled_at_ms = keys[i]->done_at_ms;
+      *next = keys[i]->sequence;
+    }
+  g_free (keys);
+  return count;
+}
+
+/* Writes that another ledger billed the key, taking the own bill back where
+   there is one.  False when the own bill is too old to be found. */
+static bool
+yield_to (struct escrow_ledger *ledger, const struct escrow_key *own,
+          const struct ledger_settled *settled, uint64_t other_tokens,
+          uint64_t now_ms)
+{
+  struct escrow_entry entry
+      = { .kind = ESCROW_ENTRY_ELSEWHERE, .now_ms = now_ms };
+  entry.account_id = settled->account_id;
+  memcpy (entry.key, settled->key, sizeof entry.key);
+  entry.body_hash = settled->body_hash;
+  entry.other_tokens = other_tokens;
+  if (own)
+    {
+      const struct escrow_done *done
+          = escrow_dones_find (ledger->dones, own->ref);
+      if (!done || !escrow_done_billed (done))
+        return false;
+      entry.ref = own->ref;
+      entry.budget_id = done->budget_id;
+      entry.tokens = done->tokens;
+      entry.flag = true;
+    }
+  escrow_ledger_commit (ledger, &entry);
+  return true;
+}
+
+/* Whether the own bill stands against theirs. */
+static bool
+own_stands (const struct escrow_key *key, const char *own, const char *theirs,
+            const struct ledger_settled *settled)
+{
+  if (key->tokens != settled->tokens)
+    return key->tokens > settled->tokens;
+  if (key->done_at_ms != settled->settled_at_ms)
+    return key->done_at_ms < settled->settled_at_ms;
+  return strcmp (own, theirs) < 0;
+}
+
+struct ledger_verdict
+escrow_reconcile_take (struct escrow_ledger *ledger, const char *own,
+                       const char *theirs,
+                       const struct ledger_settled *settled, uint64_t now_ms)
+{
+  struct ledger_verdict verdict = { 0 };
+  const struct escrow_key *key
+      = escrow_keys_find (ledger->keys, settled->account_id,
+                          (const uint8_t *)settled->key, now_ms);
+  if (!key)
+    yield_to (ledger, NULL, settled, settled->tokens, now_ms);
+  else if (key->state == ESCROW_KEY_DONE
+           && key->body_hash == settled->body_hash)
+    {
+      verdict.cancel = own_stands (key, own, theirs, settled);
+      verdict.tokens = key->tokens;
+      if (!verdict.cancel)
+        yield_to (ledger, key, settled, settled->tokens, now_ms);
+    }
+  return verdict;
+}
+
+void
+escrow_reconcile_obey (struct escrow_ledger *ledger,
+                       const struct ledger_settled *settled,
+                       const struct ledger_verdict *verdict, uint64_t now_ms)
+{
+  const struct escrow_key *key
+      = escrow_keys_find (ledger->keys, settled->account_id,
+                          (const uint8_t *)settled->key, now_ms);
+  if (verdict->cancel && key && key->state == ESCROW_KEY_DONE
+      && key->tokens == settled->tokens
+      && key->done_at_ms == settled->settled_at_ms)
+    yield_to (ledger, key, settled, verdict->tokens, now_ms);
+}
--- a/src/ledger_main.c
+++ b/src/ledger_main.c
@@ -89,12 +89,28 @@
   process->incarnation = ledger_server_incarnation (server);
 }
 
+/* What the session with control tells the ledger. */
+struct ledger_user
+{
+  struct control_session_user base;
+  struct ledger_server *server;
+};
+
+static void
+take_peers (struct control_session_user *base,
+            const struct wire_process *peers, uint32_t count)
+{
+  struct ledger_user *user = (struct ledger_user *)base;
+  ledger_server_set_peers (user->server, peers, count);
+}
+
 /* Serves until a signal. */
 static int
 serve (const struct ledger_options *options, struct ledger_server *server,
        struct control_client *control)
 {
-  static struct control_session_user user;
+  struct ledger_user user
+      = { .base = { .peers = take_peers }, .server = server };
   char address[16];
   uint16_t port;
   int status = 1;
@@ -112,7 +128,7 @@
   fill_process (&process, options, server, http_status_port (http));
   if (control)
     session = control_session_create (control, options->cluster, &process,
-                                      NULL, &user);
+                                      NULL, &user.base);
   if (write_ready_file (options->ready_file, ledger_server_port (server),
                         http_status_port (http))
       == 0)
--- /dev/null
+++ b/src/ledger_reconcile.c
@@ -0,0 +1,357 @@
+#include "ledger_reconcile.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "escrow_reconcile.h"
+#include "wire_client.h"
+#include "wire_ledger.h"
+
+/* Most keys of one call. */
+#define KEYS_MAX 512u
+/* Interval of calls to one ledger, and after one without answer, in ms. */
+#define OFFER_INTERVAL_MS 200
+#define RETRY_INTERVAL_MS 1000
+#define CALL_TIMEOUT_MS 2000
+
+enum peer_state
+{
+  PEER_IDLE,
+  PEER_SENT,
+  PEER_ANSWERED
+};
+
+/* Another ledger, with the thread that calls it. */
+struct peer
+{
+  struct ledger_reconcile *reconcile;
+  char *name;
+  char *address;
+  uint16_t port;
+  GMutex mutex;
+  GCond condition;
+  enum peer_state state;
+  bool stopping;
+  bool named;
+  GThread *thread;
+  /* Position of the last key that it took in, and of those sent. */
+  uint64_t taken;
+  uint64_t sent;
+  uint64_t offered_ms;
+  uint64_t interval_ms;
+  struct ledger_settled keys[KEYS_MAX];
+  uint32_t count;
+  struct ledger_reconcile_result result;
+  enum wire_status status;
+};
+
+/* A call that waits for the round's sync. */
+struct waiting_call
+{
+  struct wire_call *call;
+  struct ledger_reconcile_result result;
+};
+
+struct ledger_reconcile
+{
+  char *cluster;
+  char *own;
+  void (*wake) (void *context);
+  void *context;
+  GMutex mutex;
+  /* struct peer. */
+  GPtrArray *peers;
+  GArray *waiting;
+};
+
+static void
+call_peer (struct peer *peer, struct wire_client *client)
+{
+  struct ledger_reconcile_args args = { .cluster = peer->reconcile->cluster,
+                                        .ledger = peer->reconcile->own };
+  args.settled.settled_len = peer->count;
+  args.settled.settled_val = peer->keys;
+  peer->status = wire_client_call (
+      client, LEDGER_RECONCILE, (xdrproc_t)xdr_ledger_reconcile_args, &args,
+      (xdrproc_t)xdr_ledger_reconcile_result, &peer->result,
+      sizeof peer->result, CALL_TIMEOUT_MS);
+}
+
+static gpointer
+run_peer (gpointer data)
+{
+  struct peer *peer = data;
+  struct wire_client *client = wire_client_create (
+      peer->address, peer->port, LEDGER_PROGRAM, LEDGER_VERSION);
+  g_mutex_lock (&peer->mutex);
+  while (!peer->stopping)
+    {
+      if (peer->state != PEER_SENT)
+        {
+          g_cond_wait (&peer->condition, &peer->mutex);
+          continue;
+        }
+      g_mutex_unlock (&peer->mutex);
+      call_peer (peer, client);
+      g_mutex_lock (&peer->mutex);
+      peer->state = PEER_ANSWERED;
+      peer->reconcile->wake (peer->reconcile->context);
+    }
+  g_mutex_unlock (&peer->mutex);
+  wire_client_destroy (client);
+  return NULL;
+}
+
+static void
+free_peer (gpointer data)
+{
+  struct peer *peer = data;
+  g_mutex_lock (&peer->mutex);
+  peer->stopping = true;
+  g_cond_signal (&peer->condition);
+  g_mutex_unlock (&peer->mutex);
+  g_thread_join (peer->thread);
+  if (peer->state == PEER_ANSWERED)
+    xdr_free ((xdrproc_t)xdr_ledger_reconcile_result, (char *)&peer->result);
+  g_mutex_clear (&peer->mutex);
+  g_cond_clear (&peer->condition);
+  g_free (peer->name);
+  g_free (peer->address);
+  g_free (peer);
+}
+
+struct ledger_reconcile *
+ledger_reconcile_create (const char *cluster, const char *own,
+                         void (*wake) (void *context), void *context)
+{
+  struct ledger_reconcile *reconcile = g_new0 (struct ledger_reconcile, 1);
+  reconcile->cluster = g_strdup (cluster);
+  reconcile->own = g_strdup (own);
+  reconcile->wake = wake;
+  reconcile->context = context;
+  reconcile->peers = g_ptr_array_new_with_free_func (free_peer);
+  reconcile->waiting
+      = g_array_new (FALSE, FALSE, sizeof (struct waiting_call));
+  g_mutex_init (&reconcile->mutex);
+  return reconcile;
+}
+
+static void
+free_waiting (struct ledger_reconcile *reconcile)
+{
+  for (guint i = 0; i < reconcile->waiting->len; i++)
+    {
+      struct waiting_call *waiting
+          = &g_array_index (reconcile->waiting, struct waiting_call, i);
+      xdr_free ((xdrproc_t)xdr_ledger_reconcile_result,
+                (char *)&waiting->result);
+    }
+  g_array_set_size (reconcile->waiting, 0);
+}
+
+void
+ledger_reconcile_destroy (struct ledger_reconcile *reconcile)
+{
+  if (!reconcile)
+    return;
+  g_ptr_array_unref (reconcile->peers);
+  free_waiting (reconcile);
+  g_array_unref (reconcile->waiting);
+  g_mutex_clear (&reconcile->mutex);
+  g_free (reconcile->cluster);
+  g_free (reconcile->own);
+  g_free (reconcile);
+}
+
+static struct peer *
+find_peer (const struct ledger_reconcile *reconcile,
+           const struct wire_process *process)
+{
+  for (guint i = 0; i < reconcile->peers->len; i++)
+    {
+      struct peer *peer = reconcile->peers->pdata[i];
+      if (strcmp (peer->name, process->host) == 0
+          && strcmp (peer->address, process->address) == 0
+          && peer->port == process->rpc_port)
+        return peer;
+    }
+  return NULL;
+}
+
+static void
+add_peer (struct ledger_reconcile *reconcile,
+          const struct wire_process *process)
+{
+  struct peer *peer = g_new0 (struct peer, 1);
+  peer->reconcile = reconcile;
+  peer->name = g_strdup (process->host);
+  peer->address = g_strdup (process->address);
+  peer->port = (uint16_t)process->rpc_port;
+  peer->interval_ms = OFFER_INTERVAL_MS;
+  peer->named = true;
+  g_mutex_init (&peer->mutex);
+  g_cond_init (&peer->condition);
+  peer->thread = g_thread_new ("reconcile", run_peer, peer);
+  g_ptr_array_add (reconcile->peers, peer);
+}
+
+/* A ledger that is no longer named lapsed or moved; its position is kept, so
+   that it goes on there when it comes back. */
+void
+ledger_reconcile_set_peers (struct ledger_reconcile *reconcile,
+                            const struct wire_process *peers, uint32_t count)
+{
+  g_mutex_lock (&reconcile->mutex);
+  for (guint i = 0; i < reconcile->peers->len; i++)
+    ((struct peer *)reconcile->peers->pdata[i])->named = false;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (peers[i].kind != WIRE_PROCESS_LEDGER
+          || strcmp (peers[i].host, reconcile->own) == 0)
+        continue;
+      struct peer *peer = find_peer (reconcile, &peers[i]);
+      if (peer)
+        peer->named = true;
+      else
+        add_peer (reconcile, &peers[i]);
+    }
+  g_mutex_unlock (&reconcile->mutex);
+}
+
+void
+ledger_reconcile_restart (struct ledger_reconcile *reconcile)
+{
+  g_mutex_lock (&reconcile->mutex);
+  for (guint i = 0; i < reconcile->peers->len; i++)
+    {
+      struct peer *peer = reconcile->peers->pdata[i];
+      g_mutex_lock (&peer->mutex);
+      peer->taken = 0;
+      peer->sent = 0;
+      g_mutex_unlock (&peer->mutex);
+    }
+  g_mutex_unlock (&reconcile->mutex);
+}
+
+static void
+offer_to (struct peer *peer, const struct escrow_ledger *ledger,
+          uint64_t now_ms)
+{
+  g_mutex_lock (&peer->mutex);
+  if (peer->named && peer->state == PEER_IDLE
+      && now_ms >= peer->offered_ms + peer->interval_ms)
+    {
+      peer->offered_ms = now_ms;
+      peer->count = escrow_reconcile_list (ledger, peer->taken, peer->keys,
+                                           KEYS_MAX, &peer->sent);
+      if (peer->count > 0)
+        {
+          peer->state = PEER_SENT;
+          g_cond_signal (&peer->condition);
+        }
+    }
+  g_mutex_unlock (&peer->mutex);
+}
+
+void
+ledger_reconcile_offer (struct ledger_reconcile *reconcile,
+                        const struct escrow_ledger *ledger, uint64_t now_ms)
+{
+  g_mutex_lock (&reconcile->mutex);
+  for (guint i = 0; i < reconcile->peers->len; i++)
+    offer_to (reconcile->peers->pdata[i], ledger, now_ms);
+  g_mutex_unlock (&reconcile->mutex);
+}
+
+static void
+obey_peer (struct peer *peer, struct escrow_ledger *ledger, uint64_t now_ms)
+{
+  const struct ledger_reconcile_result *result = &peer->result;
+  bool taken = peer->status == WIRE_OK && result->status == LEDGER_OK
+               && result->verdicts.verdicts_len == peer->count;
+  peer->interval_ms = taken ? OFFER_INTERVAL_MS : RETRY_INTERVAL_MS;
+  if (!taken)
+    return;
+  for (uint32_t i = 0; i < peer->count; i++)
+    escrow_reconcile_obey (ledger, &peer->keys[i],
+                           &result->verdicts.verdicts_val[i], now_ms);
+  peer->taken = peer->sent;
+}
+
+void
+ledger_reconcile_obey (struct ledger_reconcile *reconcile,
+                       struct escrow_ledger *ledger, uint64_t now_ms)
+{
+  g_mutex_lock (&reconcile->mutex);
+  for (guint i = 0; i < reconcile->peers->len; i++)
+    {
+      struct peer *peer = reconcile->peers->pdata[i];
+      g_mutex_lock (&peer->mutex);
+      if (peer->state == PEER_ANSWERED)
+        {
+          obey_peer (peer, ledger, now_ms);
+          xdr_free ((xdrproc_t)xdr_ledger_reconcile_result,
+                    (char *)&peer->result);
+          peer->state = PEER_IDLE;
+        }
+      g_mutex_unlock (&peer->mutex);
+    }
+  g_mutex_unlock (&reconcile->mutex);
+}
+
+static void
+judge_keys (const struct ledger_reconcile *reconcile,
+            const struct ledger_reconcile_args *args,
+            struct escrow_ledger *ledger, uint64_t now_ms,
+            struct ledger_reconcile_result *result)
+{
+  u_int count = args->settled.settled_len;
+  result->verdicts.verdicts_val
+      = calloc (count + 1, sizeof (struct ledger_verdict));
+  g_assert (result->verdicts.verdicts_val);
+  result->verdicts.verdicts_len = count;
+  for (u_int i = 0; i < count; i++)
+    result->verdicts.verdicts_val[i]
+        = escrow_reconcile_take (ledger, reconcile->own, args->ledger,
+                                 &args->settled.settled_val[i], now_ms);
+}
+
+void
+ledger_reconcile_take_call (struct ledger_reconcile *reconcile,
+                            struct wire_call *call,
+                            struct escrow_ledger *ledger, uint64_t now_ms)
+{
+  struct ledger_reconcile_args args = { 0 };
+  struct waiting_call waiting = { .call = call };
+  if (!wire_call_args (call, (xdrproc_t)xdr_ledger_reconcile_args, &args))
+    {
+      wire_call_fail (call);
+      return;
+    }
+  if (strcmp (args.cluster, reconcile->cluster) != 0)
+    waiting.result.status = LEDGER_BAD_REQUEST;
+  else if (!ledger)
+    waiting.result.status = LEDGER_UNAVAILABLE;
+  else
+    judge_keys (reconcile, &args, ledger, now_ms, &waiting.result);
+  g_array_append_val (reconcile->waiting, waiting);
+  xdr_free ((xdrproc_t)xdr_ledger_reconcile_args, (char *)&args);
+}
+
+void
+ledger_reconcile_answer (struct ledger_reconcile *reconcile, bool committed)
+{
+  for (guint i = 0; i < reconcile->waiting->len; i++)
+    {
+      struct waiting_call *waiting
+          = &g_array_index (reconcile->waiting, struct waiting_call, i);
+      if (committed)
+        wire_call_reply (waiting->call, (xdrproc_t)xdr_ledger_reconcile_result,
+                         &waiting->result);
+      else
+        wire_call_fail (waiting->call);
+    }
+  free_waiting (reconcile);
+}
--- a/src/ledger_server.c
+++ b/src/ledger_server.c
@@ -12,6 +12,7 @@
 #include "ledger_batch.h"
 #include "ledger_exchange.h"
 #include "ledger_metrics.h"
+#include "ledger_reconcile.h"
 #include "ledger_store.h"
 #include "wire_server.h"
 
@@ -39,6 +40,7 @@
   struct ledger_store *store;
   struct escrow_ledger *ledger;
   struct ledger_exchange *exchange;
+  struct ledger_reconcile *reconcile;
   struct ledger_metrics metrics;
   /* Batches of this round. */
   struct ledger_batches *batches;
@@ -125,6 +127,11 @@
     case LEDGER_BUDGET:
       take_budget (server, call);
       break;
+    case LEDGER_RECONCILE:
+      ledger_reconcile_take_call (
+          server->reconcile, call,
+          atomic_load (&server->failed) ? NULL : server->ledger, wall_ms ());
+      break;
     default:
       wire_call_fail (call);
     }
@@ -272,6 +279,7 @@
   server->ledger = NULL;
   if (open_store (server, findings) == 0)
     {
+      ledger_reconcile_restart (server->reconcile);
       base_log (BASE_LOG_NOTICE, "log-opened-again records=%" PRIu64,
                 ledger_store_replayed (server->store));
       atomic_store (&server->failed, false);
@@ -286,12 +294,17 @@
   uint64_t now_ms = monotonic_ms ();
   take_exchange (server);
   if (!atomic_load (&server->failed))
-    check_sessions (server, now_ms);
+    {
+      check_sessions (server, now_ms);
+      ledger_reconcile_obey (server->reconcile, server->ledger, wall_ms ());
+    }
   bool committed = commit (server);
+  ledger_reconcile_answer (server->reconcile, committed);
   ledger_batches_answer (server->batches, committed, server->incarnation);
   if (committed)
     {
       send_exchange (server, now_ms);
+      ledger_reconcile_offer (server->reconcile, server->ledger, now_ms);
       ledger_store_tend (server->store);
     }
   else
@@ -314,6 +327,8 @@
   server->base.round = end_round;
   server->options = *options;
   server->batches = ledger_batches_create ();
+  server->reconcile = ledger_reconcile_create (options->cluster, options->host,
+                                               wake_server, server);
   /* Until an exchange fails, a refusal may pass. */
   server->connected = options->control != NULL;
   ledger_metrics_open (&server->metrics);
@@ -346,6 +361,7 @@
     return;
   if (server->exchange)
     ledger_exchange_destroy (server->exchange);
+  ledger_reconcile_destroy (server->reconcile);
   wire_server_destroy (server->wire);
   ledger_store_close (server->store, !atomic_load (&server->failed));
   ledger_metrics_close (&server->metrics);
@@ -377,6 +393,13 @@
   return server->incarnation;
 }
 
+void
+ledger_server_set_peers (struct ledger_server *server,
+                         const struct wire_process *peers, uint32_t count)
+{
+  ledger_reconcile_set_peers (server->reconcile, peers, count);
+}
+
 struct base_metrics *
 ledger_server_metrics (struct ledger_server *server)
 {
--- a/src/ledger_server.h
+++ b/src/ledger_server.h
@@ -11,6 +11,7 @@
 #include "base_findings.h"
 #include "base_metrics.h"
 #include "control_client.h"
+#include "wire_common.h"
 
 struct ledger_server;
 
@@ -42,6 +43,11 @@
 uint16_t ledger_server_port (const struct ledger_server *server);
 /** Incarnation of the data folder. */
 uint64_t ledger_server_incarnation (const struct ledger_server *server);
+/** Tells which processes live; keys are reconciled with the other ledgers.
+ *  Any thread. */
+void ledger_server_set_peers (struct ledger_server *server,
+                              const struct wire_process *peers,
+                              uint32_t count);
 /** Metrics of the process. */
 struct base_metrics *ledger_server_metrics (struct ledger_server *server);
 /** Whether reservations are served; any thread. */
--- a/src/wire_ledger.h
+++ b/src/wire_ledger.h
@@ -114,6 +114,7 @@
 	u_quad_t settled_at_ms;
 	u_quad_t tokens;
 	bool_t written_off;
+	bool_t cancels;
 };
 typedef struct ledger_bill ledger_bill;
 
@@ -150,6 +151,40 @@
 };
 typedef struct ledger_budget_result ledger_budget_result;
 
+struct ledger_settled {
+	u_quad_t account_id;
+	wire_digest key;
+	u_quad_t body_hash;
+	u_quad_t tokens;
+	u_quad_t settled_at_ms;
+};
+typedef struct ledger_settled ledger_settled;
+
+struct ledger_reconcile_args {
+	wire_name cluster;
+	wire_name ledger;
+	struct {
+		u_int settled_len;
+		ledger_settled *settled_val;
+	} settled;
+};
+typedef struct ledger_reconcile_args ledger_reconcile_args;
+
+struct ledger_verdict {
+	bool_t cancel;
+	u_quad_t tokens;
+};
+typedef struct ledger_verdict ledger_verdict;
+
+struct ledger_reconcile_result {
+	ledger_status status;
+	struct {
+		u_int verdicts_len;
+		ledger_verdict *verdicts_val;
+	} verdicts;
+};
+typedef struct ledger_reconcile_result ledger_reconcile_result;
+
 #define LEDGER_PROGRAM 0x20CAC701
 #define LEDGER_VERSION 1
 
@@ -163,6 +198,9 @@
 #define LEDGER_BUDGET 3
 extern  enum clnt_stat ledger_budget_1(ledger_budget_args , ledger_budget_result *, CLIENT *);
 extern  bool_t ledger_budget_1_svc(ledger_budget_args , ledger_budget_result *, struct svc_req *);
+#define LEDGER_RECONCILE 4
+extern  enum clnt_stat ledger_reconcile_1(ledger_reconcile_args , ledger_reconcile_result *, CLIENT *);
+extern  bool_t ledger_reconcile_1_svc(ledger_reconcile_args , ledger_reconcile_result *, struct svc_req *);
 extern int ledger_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -175,6 +213,9 @@
 #define LEDGER_BUDGET 3
 extern  enum clnt_stat ledger_budget_1();
 extern  bool_t ledger_budget_1_svc();
+#define LEDGER_RECONCILE 4
+extern  enum clnt_stat ledger_reconcile_1();
+extern  bool_t ledger_reconcile_1_svc();
 extern int ledger_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -196,6 +237,10 @@
 extern  bool_t xdr_ledger_bills_result (XDR *, ledger_bills_result*);
 extern  bool_t xdr_ledger_budget_args (XDR *, ledger_budget_args*);
 extern  bool_t xdr_ledger_budget_result (XDR *, ledger_budget_result*);
+extern  bool_t xdr_ledger_settled (XDR *, ledger_settled*);
+extern  bool_t xdr_ledger_reconcile_args (XDR *, ledger_reconcile_args*);
+extern  bool_t xdr_ledger_verdict (XDR *, ledger_verdict*);
+extern  bool_t xdr_ledger_reconcile_result (XDR *, ledger_reconcile_result*);
 
 #else /* K&R C */
 extern bool_t xdr_ledger_op_kind ();
@@ -213,6 +258,10 @@
 extern bool_t xdr_ledger_bills_result ();
 extern bool_t xdr_ledger_budget_args ();
 extern bool_t xdr_ledger_budget_result ();
+extern bool_t xdr_ledger_settled ();
+extern bool_t xdr_ledger_reconcile_args ();
+extern bool_t xdr_ledger_verdict ();
+extern bool_t xdr_ledger_reconcile_result ();
 
 #endif /* K&R C */
 
--- a/src/wire_ledger.x
+++ b/src/wire_ledger.x
@@ -113,6 +113,8 @@
   unsigned hyper settled_at_ms;
   unsigned hyper tokens;
   bool written_off;
+  /* The line takes a former bill back: another ledger billed the request. */
+  bool cancels;
 };
 
 struct ledger_bills_args
@@ -145,6 +147,39 @@
   unsigned hyper returned_tokens;
 };
 
+/* Ledgers tell each other the callers' keys that they billed, so that a key
+   that two of them billed, on two sides of a cut, keeps one bill. */
+struct ledger_settled
+{
+  unsigned hyper account_id;
+  wire_digest key;
+  unsigned hyper body_hash;
+  unsigned hyper tokens;
+  unsigned hyper settled_at_ms;
+};
+
+struct ledger_reconcile_args
+{
+  wire_name cluster;
+  wire_name ledger;
+  ledger_settled settled<LEDGER_BATCH_MAX>;
+};
+
+/* cancel: the asked ledger's bill stands, of tokens; the asking one takes its
+   own back. */
+struct ledger_verdict
+{
+  bool cancel;
+  unsigned hyper tokens;
+};
+
+/* verdicts has one entry a key, in order; empty unless status is LEDGER_OK. */
+struct ledger_reconcile_result
+{
+  ledger_status status;
+  ledger_verdict verdicts<LEDGER_BATCH_MAX>;
+};
+
 program LEDGER_PROGRAM
 {
   version LEDGER_VERSION
@@ -152,5 +187,6 @@
     ledger_batch_result LEDGER_BATCH (ledger_batch_args) = 1;
     ledger_bills_result LEDGER_BILLS (ledger_bills_args) = 2;
     ledger_budget_result LEDGER_BUDGET (ledger_budget_args) = 3;
+    ledger_reconcile_result LEDGER_RECONCILE (ledger_reconcile_args) = 4;
   } = 1;
 } = 0x20CAC701;
--- a/src/wire_ledger_xdr.c
+++ b/src/wire_ledger_xdr.c
@@ -177,6 +177,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->written_off))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cancels))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -240,3 +242,61 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_ledger_settled (XDR *xdrs, ledger_settled *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->account_id))
+		 return FALSE;
+	 if (!xdr_wire_digest (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->settled_at_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ledger_reconcile_args (XDR *xdrs, ledger_reconcile_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->cluster))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->ledger))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->settled.settled_val, (u_int *) &objp->settled.settled_len, LEDGER_BATCH_MAX,
+		sizeof (ledger_settled), (xdrproc_t) xdr_ledger_settled))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ledger_verdict (XDR *xdrs, ledger_verdict *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->cancel))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_ledger_reconcile_result (XDR *xdrs, ledger_reconcile_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_ledger_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->verdicts.verdicts_val, (u_int *) &objp->verdicts.verdicts_len, LEDGER_BATCH_MAX,
+		sizeof (ledger_verdict), (xdrproc_t) xdr_ledger_verdict))
+		 return FALSE;
+	return TRUE;
+}
--- a/tools/load_oracle.c
+++ b/tools/load_oracle.c
@@ -73,6 +73,14 @@
   *total += amount;
 }
 
+static void
+take_total (GHashTable *totals, const char *name, uint64_t amount)
+{
+  uint64_t *total = g_hash_table_lookup (totals, name);
+  if (total && *total >= amount)
+    *total -= amount;
+}
+
 static void
 add_run (struct load_oracle *oracle, json_t *run)
 {
@@ -150,14 +158,19 @@
   char *account = g_strdup_printf ("%" PRIu64, (uint64_t)bill->account_id);
   base_hex_write (digest, (const uint8_t *)bill->key, CACTUS_DIGEST_BYTES);
   char *request = g_strconcat (account, "/", digest, NULL);
+  if (bill->cancels)
+    {
+      take_total (oracle->billed, account, bill->tokens);
+      take_total (oracle->bills, request, 1);
+      g_free (request);
+      g_free (account);
+      return;
+    }
   add_total (oracle->billed, account, bill->tokens);
   if (bill->written_off)
     oracle->written_off_tokens += bill->tokens;
   else
     add_total (oracle->bills, request, 1);
-  if (total_of (oracle->bills, request) > 1)
-    fprintf (stderr, "billed again: request %s, %" PRIu64 " tokens\n",
-             request, (uint64_t)bill->tokens);
   g_free (request);
   g_free (account);
 }
@@ -221,10 +234,14 @@
 {
   uint32_t doubles = 0;
   GHashTableIter walk;
+  gpointer request;
   gpointer bills;
   g_hash_table_iter_init (&walk, oracle->bills);
-  while (g_hash_table_iter_next (&walk, NULL, &bills))
+  while (g_hash_table_iter_next (&walk, &request, &bills))
     if (*(uint64_t *)bills > 1)
-      doubles++;
+      {
+        fprintf (stderr, "billed more than once: %s\n", (char *)request);
+        doubles++;
+      }
   return doubles;
 }
