--- a/src/ledger_link.c
+++ b/src/ledger_link.c
@@ -19,6 +19,8 @@
   uint32_t number;
   const struct ledger_link_identity *identity;
   struct ledger_link_user *user;
+  /* Never changes, unlike the rest of the endpoint. */
+  char name[CACTUS_NAME_BYTES + 1];
   GThread *thread;
   GMutex mutex;
   GCond condition;
@@ -197,7 +199,7 @@
     atomic_store (&link->answered_ms, now_ms ());
   if (atomic_exchange (&link->healthy, answered) != answered)
     base_log (BASE_LOG_NOTICE, "ledger-connection ledger=%s answered=%d",
-              link->endpoint.name, answered);
+              link->name, answered);
 }
 
 /* Sends one batch with the first releases. */
@@ -287,6 +289,7 @@
   struct ledger_link *link = g_new0 (struct ledger_link, 1);
   link->number = number;
   link->endpoint = *endpoint;
+  g_strlcpy (link->name, endpoint->name, sizeof link->name);
   link->identity = identity;
   link->user = user;
   g_mutex_init (&link->mutex);
