--- /dev/null
+++ b/tests/test_router_faults.c
@@ -0,0 +1,352 @@
+/** @file
+ *  A router when targets, routers, ledger and control fail: retries, bills,
+ *  and calls that may run once. */
+
+#include <signal.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "router_check.h"
+#include "target_answer.h"
+
+static const char *const no_arguments[] = { NULL };
+
+static void
+test_nonsense (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, no_arguments);
+  router_rig_faults (target, "{\"nonsense\":true}");
+  struct router_call_result result
+      = router_check_chat (rig, "a", 5, false, NULL);
+  router_check_refusal (&result, 502, "target_failed", "unknown");
+  result = router_check_chat (rig, "a", 5, true, NULL);
+  g_assert_cmpuint (result.status, >=, 502);
+  router_call_clear (&result);
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, 0);
+  router_rig_destroy (rig);
+}
+
+/* A target that refuses is avoided: the other one answers. */
+static void
+test_refused_retry (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *first
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, no_arguments);
+  struct fleet_process *second
+      = router_rig_target (rig, "t2", ROUTER_RIG_MODEL, no_arguments);
+  uint64_t used = 0;
+  router_rig_faults (first, "{\"refuse\":true}");
+  for (int i = 0; i < 10; i++)
+    {
+      char *prompt = g_strdup_printf ("lot %d", i);
+      struct router_call_result result
+          = router_check_chat (rig, prompt, 5, i % 2, NULL);
+      used += router_check_answer (&result, prompt, 5);
+      g_free (prompt);
+    }
+  g_assert_cmpuint (router_rig_oracle (first, "runs"), ==, 0);
+  g_assert_cmpuint (router_rig_oracle (second, "runs"), ==, 10);
+  router_rig_faults (second, "{\"refuse\":true}");
+  struct router_call_result result
+      = router_check_chat (rig, "a", 5, false, NULL);
+  router_check_refusal (&result, 503, "targets_unavailable", "not-run");
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, used);
+  router_rig_destroy (rig);
+}
+
+/* A target that is alive but slow: the caller hears of it at once, and where
+   there is another one, that answers. */
+static void
+test_slow_target (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, no_arguments);
+  router_rig_faults (target, "{\"delay_ms\":20000}");
+  struct router_call_result result
+      = router_check_chat (rig, "a", 5, true, NULL);
+  router_check_refusal (&result, 502, "target_failed", "unknown");
+  g_assert_cmpuint (router_rig_oracle (target, "runs"), ==, 1);
+  router_rig_target (rig, "t2", ROUTER_RIG_MODEL, no_arguments);
+  result = router_check_chat (rig, "b", 5, true, NULL);
+  uint64_t used = router_check_answer (&result, "b", 5);
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, used);
+  router_rig_destroy (rig);
+}
+
+/* A request that one target may have run, and that then waits in vain for
+   another, is not refused as "not run". */
+static void
+test_truth_after_retry (void)
+{
+  static const char *const one_slot[] = { "--slots",
+                                          "1",
+                                          "--queue-limit",
+                                          "0",
+                                          "--token-rate",
+                                          "8",
+                                          "--answer-tokens",
+                                          "40",
+                                          NULL };
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *busy
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, one_slot);
+  struct router_check_stream holder = { .rig = rig, .prompt = (char *)"hold" };
+  holder.thread = g_thread_new ("caller", router_check_run_stream, &holder);
+  while (router_rig_oracle (busy, "runs") == 0)
+    g_usleep (20000);
+  struct fleet_process *slow
+      = router_rig_target (rig, "t2", ROUTER_RIG_MODEL, no_arguments);
+  router_rig_faults (slow, "{\"delay_ms\":20000}");
+  struct router_call_result result
+      = router_check_chat (rig, "a", 5, true, NULL);
+  router_check_refusal (&result, 502, "target_failed", "unknown");
+  g_assert_cmpuint (router_rig_oracle (slow, "runs"), ==, 1);
+  g_thread_join (holder.thread);
+  router_check_answer (&holder.result, "hold", ROUTER_CHECK_STREAM_TOKENS);
+  router_rig_destroy (rig);
+}
+
+/* A target that dies inside a stream: the caller sees that it is cut, pays
+   for what it got, and a retry under its key brings the whole answer for the
+   price of one. */
+static void
+test_killed_stream (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, no_arguments);
+  router_rig_faults (target, "{\"reset_after_tokens\":3}");
+  struct router_call_result cut = router_check_chat (
+      rig, "a b", ROUTER_CHECK_STREAM_TOKENS, true, "key-1");
+  g_assert_false (cut.whole);
+  g_assert_nonnull (strstr (cut.body->str, "target_failed"));
+  g_assert_cmpint (router_call_billed (&cut), ==, 3);
+  router_call_clear (&cut);
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, 3);
+  router_rig_target (rig, "t2", ROUTER_RIG_MODEL, no_arguments);
+  struct router_call_result whole = router_check_chat (
+      rig, "a b", ROUTER_CHECK_STREAM_TOKENS, true, "key-1");
+  uint64_t used = router_check_answer (
+      &whole, "a b",
+      target_answer_tokens (target_prompt_hash ("a b"), 0,
+                            ROUTER_CHECK_STREAM_TOKENS));
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, used);
+  router_rig_destroy (rig);
+}
+
+/* The answer is lost and asked for again under its key: the same answer, and
+   one bill; after a few times the key is refused. */
+static void
+test_retries_of_key (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  router_rig_target (rig, "t1", ROUTER_RIG_MODEL, no_arguments);
+  struct router_call_result result;
+  uint64_t used = 0;
+  for (int i = 0; i < 9; i++)
+    {
+      result = router_check_chat (rig, "a b", 9, true, "key-1");
+      used = router_check_answer (&result, "a b", 9);
+    }
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, used);
+  result = router_check_chat (rig, "a b", 9, true, "key-1");
+  g_assert_cmpint (router_call_billed (&result), ==, (int64_t)used);
+  router_check_refusal (&result, 409, "already_billed", "ran");
+  result = router_check_chat (rig, "a c", 9, true, "key-1");
+  router_check_refusal (&result, 422, "key_conflict", "not-run");
+  router_rig_destroy (rig);
+}
+
+/* Asks again under the key until no attempt of it is under way. */
+static struct router_call_result
+chat_until_free (struct router_rig *rig, const char *prompt, const char *key)
+{
+  struct router_call_result result
+      = router_check_chat (rig, prompt, ROUTER_CHECK_STREAM_TOKENS, true, key);
+  for (int i = 0; i < 100 && result.status == 409; i++)
+    {
+      router_call_clear (&result);
+      g_usleep (200000);
+      result = router_check_chat (rig, prompt, ROUTER_CHECK_STREAM_TOKENS,
+                                  true, key);
+    }
+  return result;
+}
+
+/* The router dies with a stream open: the ledger writes off what was
+   authorised, and the retry under its key brings the whole answer and one
+   bill. */
+static void
+test_router_dies (void)
+{
+  static const char *const slow[]
+      = { "--token-rate", "20", "--answer-tokens", "40", NULL };
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, slow);
+  struct router_check_stream stream
+      = { .rig = rig, .prompt = (char *)"sheet", .key = "key-1" };
+  stream.thread = g_thread_new ("caller", router_check_run_stream, &stream);
+  while (router_rig_oracle (target, "runs") == 0)
+    g_usleep (20000);
+  g_usleep (300000);
+  router_rig_restart_router (rig, "t1");
+  g_thread_join (stream.thread);
+  g_assert_false (stream.result.whole);
+  router_call_clear (&stream.result);
+  struct router_call_result result = chat_until_free (rig, "sheet", "key-1");
+  uint64_t used = target_token_count ("sheet") + ROUTER_CHECK_STREAM_TOKENS;
+  GString *expected = target_answer_text (target_prompt_hash ("sheet"),
+                                          ROUTER_CHECK_STREAM_TOKENS);
+  char *text = router_call_text (&result);
+  g_assert_cmpuint (result.status, ==, 200);
+  g_assert_cmpstr (text, ==, expected->str);
+  g_assert_cmpint (router_call_billed (&result), ==, (int64_t)used);
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, used);
+  g_assert_cmpuint (router_rig_written_off (rig), >, 0);
+  g_assert_cmpuint (router_rig_written_off (rig), <=,
+                    strlen ("sheetrolecontentuser") + 16
+                        + ROUTER_CHECK_STREAM_TOKENS);
+  g_free (text);
+  g_string_free (expected, TRUE);
+  router_call_clear (&result);
+  router_rig_destroy (rig);
+}
+
+static struct router_call_result
+order (struct router_rig *rig, const char *key, const char *body)
+{
+  struct router_call_options call = { .path = "/services/shop/orders",
+                                      .body = body,
+                                      .api_key = ROUTER_RIG_KEY,
+                                      .idempotency_key = key };
+  return router_call (router_rig_port (rig), &call);
+}
+
+/* A call that may run once: its retry gets the same answer again. */
+static void
+test_order_once (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "p1", ROUTER_RIG_PLAIN, no_arguments);
+  for (int i = 0; i < 3; i++)
+    {
+      struct router_call_result result = order (rig, "o-1", "two boxes");
+      g_assert_cmpuint (result.status, ==, 200);
+      g_assert_cmpstr (result.body->str, ==, "{\"key\":\"o-1\",\"run\":1}");
+      g_assert_cmpint (router_call_billed (&result), ==,
+                       ROUTER_RIG_CALL_TOKENS);
+      router_call_clear (&result);
+    }
+  struct router_call_result other = order (rig, "o-1", "three boxes");
+  router_check_refusal (&other, 422, "key_conflict", "not-run");
+  g_assert_cmpuint (router_rig_oracle (target, "runs"), ==, 1);
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==,
+                    ROUTER_RIG_CALL_TOKENS);
+  router_rig_destroy (rig);
+}
+
+/* The answer of a call that may run once is lost: it is never run again. */
+static void
+test_order_lost (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "p1", ROUTER_RIG_PLAIN, no_arguments);
+  router_rig_target (rig, "p2", ROUTER_RIG_PLAIN, no_arguments);
+  router_rig_faults (target, "{\"drop_answer\":true}");
+  uint32_t lost = 0;
+  for (int i = 0; i < 12; i++)
+    {
+      char *key = g_strdup_printf ("o-%d", i);
+      struct router_call_result result = order (rig, key, "a box");
+      bool ran = result.status == 200;
+      router_call_clear (&result);
+      if (!ran)
+        {
+          lost++;
+          result = order (rig, key, "a box");
+          router_check_refusal (&result, 409, "outcome_unknown", "unknown");
+        }
+      g_free (key);
+    }
+  g_assert_cmpuint (lost, >, 0);
+  g_assert_cmpuint (router_rig_oracle (target, "runs"), ==, lost);
+  router_rig_destroy (rig);
+}
+
+/* Without control no such call is dispatched; the model service goes on. */
+static void
+test_control_lost (void)
+{
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *plain
+      = router_rig_target (rig, "p1", ROUTER_RIG_PLAIN, no_arguments);
+  router_rig_target (rig, "t1", ROUTER_RIG_MODEL, no_arguments);
+  struct router_call_result result
+      = router_check_chat (rig, "a", 5, false, NULL);
+  router_check_answer (&result, "a", 5);
+  fleet_process_kill (router_rig_control (rig));
+  result = order (rig, "o-1", "a box");
+  router_check_refusal (&result, 503, "control_unavailable", "not-run");
+  g_assert_cmpuint (router_rig_oracle (plain, "runs"), ==, 0);
+  result = router_check_chat (rig, "a", 5, false, NULL);
+  router_check_answer (&result, "a", 5);
+  router_rig_destroy (rig);
+}
+
+/* The ledger dies and comes back while a stream is open: the stream waits for
+   its next step, is whole and billed once. */
+static void
+test_ledger_restarts (void)
+{
+  static const char *const steady[]
+      = { "--token-rate", "200", "--answer-tokens", "600", NULL };
+  struct router_rig *rig = router_rig_create (no_arguments);
+  struct fleet_process *target
+      = router_rig_target (rig, "t1", ROUTER_RIG_MODEL, steady);
+  struct router_check_stream stream
+      = { .rig = rig, .prompt = (char *)"sheet", .tokens = 600 };
+  stream.thread = g_thread_new ("caller", router_check_run_stream, &stream);
+  while (router_rig_oracle (target, "runs") == 0)
+    g_usleep (20000);
+  g_usleep (300000);
+  fleet_process_kill (router_rig_ledger (rig));
+  g_usleep (1500000);
+  g_assert_cmpint (fleet_process_start (router_rig_ledger (rig)), ==, 0);
+  g_assert_true (fleet_process_wait_ready (router_rig_ledger (rig), 10000));
+  g_thread_join (stream.thread);
+  uint64_t used = router_check_answer (&stream.result, "sheet", 600);
+  g_assert_cmpuint (router_rig_billed_at_rest (rig), ==, used);
+  g_assert_cmpuint (router_rig_written_off (rig), ==, 0);
+  router_rig_destroy (rig);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  g_test_add_func ("/router/faults/nonsense", test_nonsense);
+  g_test_add_func ("/router/faults/refused-retry", test_refused_retry);
+  g_test_add_func ("/router/faults/slow-target", test_slow_target);
+  g_test_add_func ("/router/faults/truth-after-retry", test_truth_after_retry);
+  g_test_add_func ("/router/faults/killed-stream", test_killed_stream);
+  g_test_add_func ("/router/faults/retries-of-key", test_retries_of_key);
+  g_test_add_func ("/router/faults/router-dies", test_router_dies);
+  g_test_add_func ("/router/faults/order-once", test_order_once);
+  g_test_add_func ("/router/faults/order-lost", test_order_lost);
+  g_test_add_func ("/router/faults/control-lost", test_control_lost);
+  g_test_add_func ("/router/faults/ledger-restarts", test_ledger_restarts);
+  int result = g_test_run ();
+  curl_global_cleanup ();
+  return result;
+}
--- a/tools/router_rig.c
+++ b/tools/router_rig.c
@@ -12,11 +12,12 @@
 #include "bundle.h"
 #include "control_client.h"
 #include "router_call.h"
+#include "router_rig_bundle.h"
 #include "wire_client.h"
 #include "wire_ledger.h"
 
 #define CLUSTER "rig"
-#define OPERATOR "ana"
+#define OPERATOR ROUTER_RIG_OPERATOR
 #define WAIT_MS 20000
 #define PAUSE_US 20000
 #define TRIES 1000
@@ -78,65 +79,6 @@
   g_free (data);
 }
 
-static json_t *
-make_account (const char *key)
-{
-  uint8_t digest[CACTUS_DIGEST_BYTES];
-  char text[2 * CACTUS_DIGEST_BYTES + 1];
-  base_digest (digest, key, strlen (key));
-  base_hex_write (text, digest, sizeof digest);
-  return json_pack ("{s:[s], s:i}", "keys", text, "weight", 1);
-}
-
-static json_t *
-make_services (void)
-{
-  return json_pack ("{s:{s:s, s:i, s:i, s:i}, s:{s:s, s:[s], s:i, s:i}}",
-                    ROUTER_RIG_MODEL, "kind", "model", "max_output_tokens",
-                    4096, "max_body_bytes", 65536, "target_limit", 0,
-                    ROUTER_RIG_PLAIN, "kind", "plain", "non_idempotent",
-                    "POST /orders", "call_tokens", ROUTER_RIG_CALL_TOKENS,
-                    "call_timeout_ms", 2000);
-}
-
-static json_t *
-make_class (int priority, int first_token_ms)
-{
-  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "priority",
-                    priority, "queue_ms", 3000, "first_token_ms",
-                    first_token_ms, "total_ms", 30000, "queue_limit", 10000,
-                    "slot_percent", 100, "ageing_ms", 1000);
-}
-
-static json_t *
-make_rule (const char *service, const char *class_name)
-{
-  return json_pack ("{s:[s,s], s:[s], s:s, s:b, s:i}", "accounts", "alice",
-                    "carol", "services", service, "class", class_name,
-                    "cross_region", 0, "max_output_tokens", 0);
-}
-
-static char *
-make_document (struct router_rig *rig)
-{
-  char key[2 * sizeof rig->public_key + 1];
-  base_hex_write (key, rig->public_key, sizeof rig->public_key);
-  json_t *document = json_pack (
-      "{s:i, s:{s:{s:s}}, s:{s:o, s:o, s:o}, s:o, s:{s:o, s:o}, s:{s:o, s:o, "
-      "s:o}}",
-      "version", 1, "operators", OPERATOR, "public_key", key, "accounts",
-      "alice", make_account (ROUTER_RIG_KEY), "bob",
-      make_account (ROUTER_RIG_BARRED_KEY), "carol",
-      make_account (ROUTER_RIG_POOR_KEY), "services", make_services (),
-      "classes", "quick", make_class (0, 800), "slow", make_class (5, 0),
-      "rules", "1-quick", make_rule (ROUTER_RIG_MODEL, "quick"), "2-slow",
-      make_rule (ROUTER_RIG_MODEL, "slow"), "3-orders",
-      make_rule (ROUTER_RIG_PLAIN, "slow"));
-  char *text = json_dumps (document, JSON_COMPACT);
-  json_decref (document);
-  return text;
-}
-
 static void
 sign (struct router_rig *rig, const char *document, uint8_t *signature)
 {
@@ -174,7 +116,7 @@
 static void
 push_bundle (struct router_rig *rig)
 {
-  char *document = make_document (rig);
+  char *document = router_rig_bundle (rig->public_key);
   char signer[] = OPERATOR;
   struct control_push_result result = { 0 };
   struct control_push_args args
