Use own parts, passed-over classes, probes and regions at the router

Cause: the router did not yet use what the routing cores offer: its own part of the targets, passing over classes at their slot share, the first byte of a probe, the services of other regions, the furthest progress of all attempts. Change: router_queue, router_session, router_relay and router_serve use them; bundle_cross_region tells which services may be told to other regions.

--- a/src/bundle.h
+++ b/src/bundle.h
@@ -133,6 +133,8 @@
 /** Whether "METHOD /path" of a plain service may run at most once. */
 bool bundle_non_idempotent (const struct bundle_service *service,
                             const char *method, const char *path);
+/** Whether a rule lets targets of another region serve @p service. */
+bool bundle_cross_region (const struct bundle_service *service);
 /** Public key of an operator; false when there is none of that name. */
 bool bundle_operator_key (const struct bundle *bundle, const char *name,
                           uint8_t key[BUNDLE_DIGEST_BYTES]);
--- a/src/bundle_lookup.c
+++ b/src/bundle_lookup.c
@@ -145,6 +145,20 @@
   return NULL;
 }
 
+bool
+bundle_cross_region (const struct bundle_service *service)
+{
+  const struct bundle_service_data *data
+      = (const struct bundle_service_data *)service;
+  for (guint i = 0; i < data->rules->len; i++)
+    {
+      const struct bundle_rule_data *rule = data->rules->pdata[i];
+      if (rule->rule.cross_region)
+        return true;
+    }
+  return false;
+}
+
 bool
 bundle_non_idempotent (const struct bundle_service *service,
                        const char *method, const char *path)
--- a/src/router_queue.c
+++ b/src/router_queue.c
@@ -8,6 +8,9 @@
 #include "base_random.h"
 #include "pick.h"
 
+/* Most classes that are passed over in one round. */
+#define BUSY_CLASSES_MAX 16
+
 struct router_queue
 {
   const char *availability_zone;
@@ -15,6 +18,8 @@
   GMutex mutex;
   struct admission *admission;
   struct base_random random;
+  uint32_t rank;
+  uint32_t router_count;
 };
 
 static uint64_t
@@ -52,6 +57,16 @@
   g_free (queue);
 }
 
+void
+router_queue_set_place (struct router_queue *queue, uint32_t rank,
+                        uint32_t count)
+{
+  g_mutex_lock (&queue->mutex);
+  queue->rank = rank;
+  queue->router_count = count;
+  g_mutex_unlock (&queue->mutex);
+}
+
 static void
 take_choice (struct router_request *request,
              const struct registry_target *target)
@@ -84,6 +99,8 @@
   wanted.avoid = avoid;
   wanted.avoid_count = request->avoid_count;
   wanted.now_ms = now_ms ();
+  wanted.router_rank = queue->rank;
+  wanted.router_count = queue->router_count;
   const struct registry_view *view
       = registry_read (reader, request->service->name);
   if (view)
@@ -95,20 +112,27 @@
   return outcome;
 }
 
-/* The mutex is held. */
+/* Gives free targets to those that wait.  A class that fills its share of all
+   targets holds up no other.  The mutex is held. */
 static void
 serve_waiting (struct router_queue *queue, uint64_t service_hash,
                struct registry_reader *reader)
 {
+  uint32_t busy[BUSY_CLASSES_MAX];
+  uint32_t busy_count = 0;
   struct admission_entry *entry;
-  while ((entry = admission_pop (queue->admission, service_hash, now_ms ())))
+  while ((entry = admission_pop_except (queue->admission, service_hash,
+                                        now_ms (), busy, busy_count)))
     {
       struct router_request *request = from_entry (entry);
       enum pick_outcome outcome = choose (queue, request, reader);
       if (outcome == PICK_BUSY)
         {
           admission_unpop (queue->admission, entry);
-          return;
+          if (busy_count == BUSY_CLASSES_MAX)
+            return;
+          busy[busy_count++] = entry->class_hash;
+          continue;
         }
       router_request_post (request, outcome == PICK_FOUND
                                         ? ROUTER_EVENT_ADMITTED
--- a/src/router_queue.h
+++ b/src/router_queue.h
@@ -29,6 +29,9 @@
                                           const char *region);
 /** Frees it; nothing may wait in it. */
 void router_queue_destroy (struct router_queue *queue);
+/** Sets the router's place among those of its zone, and their number. */
+void router_queue_set_place (struct router_queue *queue, uint32_t rank,
+                             uint32_t count);
 /** Chooses a target for the request or lets it wait; @p reader is the
  *  thread's own. */
 enum router_queue_outcome router_queue_enter (struct router_queue *queue,
--- a/src/router_relay.c
+++ b/src/router_relay.c
@@ -1,3 +1,4 @@
+#include "pick.h"
 #include "router_relay.h"
 
 #include <inttypes.h>
@@ -51,6 +52,8 @@
 {
   struct MHD_Response *response = router_stream_response (&request->stream);
   request->relay.started = true;
+  if (request->choice.load)
+    pick_answered (request->choice.load);
   router_finish_headers (request, response);
   MHD_add_response_header (response, "Content-Type", "text/event-stream");
   MHD_add_response_header (response, "Cache-Control", "no-cache");
--- a/src/router_serve.c
+++ b/src/router_serve.c
@@ -182,6 +182,8 @@
 retry (struct router_request *request, enum retry_progress progress)
 {
   request->maybe_ran |= progress == RETRY_SENT;
+  if (request->maybe_ran)
+    progress = MAX (progress, RETRY_SENT);
   avoid_target (request);
   router_attempt_destroy (request->attempt);
   request->attempt = NULL;
--- a/src/router_session.c
+++ b/src/router_session.c
@@ -7,11 +7,27 @@
 
 #define LEDGERS_MAX 64
 
+/* Only targets that another region may use are told to other regions. */
+static void
+set_cross_region (struct router_session *session, struct bundle *bundle)
+{
+  const struct bundle_service *service;
+  GPtrArray *names = g_ptr_array_new ();
+  for (size_t i = 0; (service = bundle_service_at (bundle, i)); i++)
+    if (bundle_cross_region (service))
+      g_ptr_array_add (names, (gpointer)service->name);
+  gossip_set_cross_region (session->gossip, (const char *const *)names->pdata,
+                           names->len);
+  g_ptr_array_unref (names);
+}
+
 static void
 take_bundle (struct control_session_user *user, struct bundle *bundle)
 {
   struct router_session *session = (struct router_session *)user;
   router_set_bundle (session->router, bundle);
+  if (session->gossip)
+    set_cross_region (session, bundle);
 }
 
 static void
@@ -42,6 +58,9 @@
             "processes changed count=%" PRIu32 " ledgers=%" PRIu32, count,
             found);
   gossip_set_peers (session->gossip, peers, count);
+  uint32_t routers = 0;
+  uint32_t rank = gossip_zone_rank (session->gossip, &routers);
+  router_queue_set_place (session->router->queue, rank, routers);
   g_free (ledgers);
 }
 
