--- a/tools/control_trial.c
+++ b/tools/control_trial.c
@@ -25,9 +25,10 @@
 {
   for (uint32_t i = 0; the_trial && i < the_trial->count; i++)
     {
-      pid_t id = the_trial->members[i]
-                     ? fleet_process_id (the_trial->members[i])
-                     : 0;
+      const struct fleet_process *member = the_trial->members[i];
+      /* fleet_process_id only reads a field.
+         NOLINTNEXTLINE(bugprone-signal-handler) */
+      pid_t id = member ? fleet_process_id (member) : 0;
       if (id > 0)
         kill (id, SIGKILL);
     }
