--- a/src/control_bundles.c
+++ b/src/control_bundles.c
@@ -284,23 +284,43 @@
   return text;
 }
 
+/* Copies the piece of the whole document that is asked for, so that no answer
+   is larger than what a connection takes without waiting. */
+static void
+copy_piece (struct bundle *bundle, const struct control_sync_args *args,
+            struct control_sync_result *result)
+{
+  size_t bytes = 0;
+  const char *canonical = bundle_canonical (bundle, &bytes);
+  bool goes_on = args->piece_version == result->new_version
+                 && args->piece_offset < bytes;
+  size_t offset = goes_on ? args->piece_offset : 0;
+  size_t length = MIN (bytes - offset, CONTROL_PIECE_BYTES);
+  result->full = true;
+  result->document_bytes = (u_int)bytes;
+  result->document_offset = (u_int)offset;
+  result->document.document_len = (u_int)length;
+  result->document.document_val = malloc (length + 1);
+  memcpy (result->document.document_val, canonical + offset, length);
+}
+
 void
-control_bundles_sync (struct control_bundles *bundles, uint64_t version,
+control_bundles_sync (struct control_bundles *bundles,
+                      const struct control_sync_args *args,
                       struct control_sync_result *result)
 {
+  uint64_t version = args->process.bundle_version;
   struct bundle *newest = control_bundles_newest (bundles);
   result->new_version = control_bundles_version (bundles);
   if (!newest || version >= result->new_version)
     return;
   struct bundle *old = find_whole (bundles, version);
-  if (!old)
+  const char *difference = old ? difference_from (bundles, old) : NULL;
+  if (!difference || strlen (difference) > CONTROL_PIECE_BYTES)
     {
-      result->full = true;
-      copy_document (newest, &result->document.document_len,
-                     &result->document.document_val);
+      copy_piece (newest, args, result);
       return;
     }
-  const char *difference = difference_from (bundles, old);
   result->document.document_len = (u_int)strlen (difference);
   result->document.document_val = strdup (difference);
 }
--- a/src/control_bundles.h
+++ b/src/control_bundles.h
@@ -31,8 +31,10 @@
 void control_bundles_get (const struct control_bundles *bundles,
                           uint64_t version,
                           struct control_bundle_result *result);
-/** Fills version, full and document for a process that holds @p version. */
-void control_bundles_sync (struct control_bundles *bundles, uint64_t version,
+/** Fills version and document for a process that sent @p args: a difference
+ *  from its version, or a piece of the whole. */
+void control_bundles_sync (struct control_bundles *bundles,
+                           const struct control_sync_args *args,
                            struct control_sync_result *result);
 /** Fills the snapshot's part. */
 void control_bundles_save (const struct control_bundles *bundles,
--- a/src/control_calls.c
+++ b/src/control_calls.c
@@ -151,8 +151,7 @@
   result.answer.leader_address = strdup ("");
   result.answer.text = strdup ("");
   result.lease_ms = daemon->options.lease_ms;
-  control_bundles_sync (control_state_bundles (daemon->state),
-                        args->process.bundle_version, &result);
+  control_bundles_sync (control_state_bundles (daemon->state), args, &result);
   result.peers_digest = control_processes_digest (processes);
   if (result.peers_digest != args->peers_digest)
     result.peers.peers_len
--- a/src/control_session.c
+++ b/src/control_session.c
@@ -15,6 +15,8 @@
 #include "control_session_cache.h"
 
 #define SYNC_TIMEOUT_MS 2000
+/* Most pieces that one heartbeat asks for. */
+#define PIECES_MAX 128
 
 struct control_session
 {
@@ -31,6 +33,11 @@
   enum control_status last_status;
   /** Bundle in force; written on the session's thread only. */
   struct bundle *bundle;
+  /** First pieces of a whole document of pieces_version. */
+  GByteArray *pieces;
+  uint64_t pieces_version;
+  /** Whether another piece is to be asked for at once. */
+  bool pieces_missing;
   atomic_uint_least64_t version;
   /** Until when control's answer holds (monotonic), in milliseconds. */
   atomic_uint_least64_t lease_end_ms;
@@ -65,13 +72,29 @@
     session->user->bundle (session->user, bundle);
 }
 
+/* Adds a piece of a whole document; whether it is complete now. */
+static bool
+add_piece (struct control_session *session,
+           const struct control_sync_result *result)
+{
+  if (session->pieces_version != result->new_version
+      || result->document_offset != session->pieces->len)
+    g_byte_array_set_size (session->pieces, 0);
+  session->pieces_version = result->new_version;
+  if (result->document_offset == session->pieces->len)
+    g_byte_array_append (session->pieces,
+                         (const guint8 *)result->document.document_val,
+                         result->document.document_len);
+  session->pieces_missing = session->pieces->len < result->document_bytes;
+  return !session->pieces_missing;
+}
+
 static struct bundle *
 decode_bundle (struct control_session *session,
-               const struct control_sync_result *result)
+               const struct control_sync_result *result, const char *document,
+               size_t bytes)
 {
   struct base_findings *findings = base_findings_create ();
-  const char *document = result->document.document_val;
-  size_t bytes = result->document.document_len;
   struct bundle *bundle
       = result->full
             ? bundle_read (document, bytes, findings)
@@ -95,7 +118,17 @@
   if (result->new_version <= atomic_load (&session->version)
       || result->document.document_len == 0)
     return;
-  struct bundle *bundle = decode_bundle (session, result);
+  const char *document = result->document.document_val;
+  size_t bytes = result->document.document_len;
+  if (result->full && result->document_bytes > 0)
+    {
+      if (!add_piece (session, result))
+        return;
+      document = (const char *)session->pieces->data;
+      bytes = session->pieces->len;
+    }
+  struct bundle *bundle = decode_bundle (session, result, document, bytes);
+  g_byte_array_set_size (session->pieces, 0);
   if (bundle)
     install (session, bundle);
 }
@@ -165,6 +198,9 @@
       = session->want_whole ? 0 : atomic_load (&session->version);
   args.peers_digest = session->peers_digest;
   args.drained_digest = session->drained_digest;
+  args.piece_version = session->pieces_version;
+  args.piece_offset = session->pieces->len;
+  session->pieces_missing = false;
   uint64_t sent_ms = base_clock_now_ms (base_clock_system ());
   enum wire_status status = control_client_call (
       session->client, CONTROL_SYNC, (xdrproc_t)xdr_control_sync_args, &args,
@@ -183,7 +219,10 @@
 sync_and_report (struct control_session *session)
 {
   uint64_t version = atomic_load (&session->version);
-  sync_once (session);
+  uint32_t calls = 0;
+  do
+    sync_once (session);
+  while (session->pieces_missing && ++calls < PIECES_MAX);
   if (atomic_load (&session->version) != version)
     sync_once (session);
 }
@@ -244,6 +283,7 @@
   session->user = user;
   session->cluster = g_strdup (cluster);
   session->cache_path = g_strdup (cache_path);
+  session->pieces = g_byte_array_new ();
   session->last_status = CONTROL_UNAVAILABLE;
   copy_process (&session->process, process);
   g_mutex_init (&session->mutex);
@@ -264,6 +304,7 @@
   g_thread_join (session->thread);
   bundle_unref (session->bundle);
   bundle_unref (session->offered);
+  g_byte_array_unref (session->pieces);
   g_free (session->process.host);
   g_free (session->process.availability_zone);
   g_free (session->process.region);
--- a/src/ledger_main.c
+++ b/src/ledger_main.c
@@ -1,7 +1,7 @@
 /** @file
  *  cactus-ledger: a zone's shares of the prepaid budgets. */
 
-#include <inttypes.h>
+#include <stdint.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -13,9 +13,9 @@
 #include "base_settings.h"
 #include "control_client.h"
 #include "control_session.h"
+#include "http_ready_file.h"
 #include "http_status.h"
 #include "ledger_server.h"
-#include "store_file.h"
 
 #define MEBIBYTE (UINT64_C (1024) * 1024)
 
@@ -47,24 +47,6 @@
     ledger_server_wake (the_server);
 }
 
-static int
-write_ready_file (const char *path, uint16_t rpc_port, uint16_t http_port)
-{
-  char text[80];
-  if (!path)
-    return 0;
-  int length
-      = snprintf (text, sizeof text, "{\"rpc_port\":%u,\"http_port\":%u}\n",
-                  rpc_port, http_port);
-  char *folder = g_path_get_dirname (path);
-  char *name = g_path_get_basename (path);
-  int status
-      = store_file_replace (folder, name, text, (size_t)length, NULL, 0);
-  g_free (name);
-  g_free (folder);
-  return status;
-}
-
 static bool
 is_ready (void *context)
 {
@@ -116,6 +98,7 @@
   int status = 1;
   struct wire_process process = { 0 };
   struct control_session *session = NULL;
+  char *bundle_cache = g_build_filename (options->data_dir, "bundle", NULL);
   base_endpoint_split (options->http, address, &port);
   struct http_status *http = http_status_create (
       address, port, ledger_server_metrics (server), is_ready, server);
@@ -123,14 +106,14 @@
     {
       base_log (BASE_LOG_ERROR, "http-not-listening endpoint=%s",
                 options->http);
-      return status;
+      goto done;
     }
   fill_process (&process, options, server, http_status_port (http));
   if (control)
     session = control_session_create (control, options->cluster, &process,
-                                      NULL, &user.base);
-  if (write_ready_file (options->ready_file, ledger_server_port (server),
-                        http_status_port (http))
+                                      bundle_cache, &user.base);
+  if (http_ready_file_write (options->ready_file, ledger_server_port (server),
+                             http_status_port (http))
       == 0)
     status = 0;
   else
@@ -142,6 +125,8 @@
   if (session)
     control_session_destroy (session);
   http_status_destroy (http);
+done:
+  g_free (bundle_cache);
   return status;
 }
 
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -16,6 +16,7 @@
 
 #include "wire_common.h"
 #define CONTROL_DOCUMENT_BYTES 8388608
+#define CONTROL_PIECE_BYTES 131072
 #define CONTROL_ANSWER_BYTES 65536
 #define CONTROL_TEXT_BYTES 65536
 #define CONTROL_BATCH_MAX 4096
@@ -48,6 +49,8 @@
 	wire_process process;
 	u_quad_t peers_digest;
 	u_quad_t drained_digest;
+	u_quad_t piece_version;
+	u_int piece_offset;
 };
 typedef struct control_sync_args control_sync_args;
 
@@ -56,6 +59,8 @@
 	u_int lease_ms;
 	u_quad_t new_version;
 	bool_t full;
+	u_int document_bytes;
+	u_int document_offset;
 	struct {
 		u_int document_len;
 		char *document_val;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -4,6 +4,7 @@
 %#include "wire_common.h"
 
 const CONTROL_DOCUMENT_BYTES = 8388608;
+const CONTROL_PIECE_BYTES = 131072;
 const CONTROL_ANSWER_BYTES = 65536;
 const CONTROL_TEXT_BYTES = 65536;
 const CONTROL_BATCH_MAX = 4096;
@@ -38,7 +39,10 @@
 
 /* Heartbeat of a session; brings the bundle's changes and the live peers.
    A change is a bundle_delta document (JSON) from bundle_version to
-   new_version, or the whole document when full is true.  peers is sent only
+   new_version, or the whole document when full is true.  A whole document
+   comes in pieces: document is the piece at document_offset of
+   document_bytes (0: it is all), and the next call asks for the piece at
+   piece_offset of piece_version.  peers is sent only
    when peers_digest differs from the caller's; so are the drained targets
    (drained_digest 0: there are none). */
 struct control_sync_args
@@ -47,6 +51,8 @@
   wire_process process;
   unsigned hyper peers_digest;
   unsigned hyper drained_digest;
+  unsigned hyper piece_version;
+  unsigned int piece_offset;
 };
 
 struct control_sync_result
@@ -55,6 +61,8 @@
   unsigned int lease_ms;
   unsigned hyper new_version;
   bool full;
+  unsigned int document_bytes;
+  unsigned int document_offset;
   opaque document<CONTROL_DOCUMENT_BYTES>;
   unsigned hyper peers_digest;
   wire_process peers<WIRE_PEERS_MAX>;
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -45,6 +45,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->drained_digest))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->piece_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->piece_offset))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -53,6 +57,77 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_control_answer (xdrs, &objp->answer))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->lease_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->new_version))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->full))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->document_bytes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->document_offset))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->full);
+		IXDR_PUT_U_LONG(buf, objp->document_bytes);
+		IXDR_PUT_U_LONG(buf, objp->document_offset);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->peers_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, WIRE_PEERS_MAX,
+			sizeof (wire_process), (xdrproc_t) xdr_wire_process))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->drained_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->drained.drained_val, (u_int *) &objp->drained.drained_len, WIRE_PEERS_MAX,
+			sizeof (wire_name), (xdrproc_t) xdr_wire_name))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_control_answer (xdrs, &objp->answer))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->lease_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->new_version))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->full))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->document_bytes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->document_offset))
+				 return FALSE;
+
+		} else {
+		objp->full = IXDR_GET_BOOL(buf);
+		objp->document_bytes = IXDR_GET_U_LONG(buf);
+		objp->document_offset = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->peers_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, WIRE_PEERS_MAX,
+			sizeof (wire_process), (xdrproc_t) xdr_wire_process))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->drained_digest))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->drained.drained_val, (u_int *) &objp->drained.drained_len, WIRE_PEERS_MAX,
+			sizeof (wire_name), (xdrproc_t) xdr_wire_name))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_control_answer (xdrs, &objp->answer))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->lease_ms))
@@ -61,6 +136,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->document_bytes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->document_offset))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->peers_digest))
--- a/tests/test_control_session.c
+++ b/tests/test_control_session.c
@@ -28,6 +28,8 @@
   /** Version that the last caller reported. */
   uint64_t reported_version;
   uint32_t whole_answers;
+  /* Size of the pieces in which documents are given; 0: whole. */
+  u_int piece_bytes;
 };
 
 /* A user that notes what it was told. */
@@ -66,6 +68,22 @@
   result->document.document_len = (u_int)strlen (text);
 }
 
+/* Cuts the document to the piece that is asked for. */
+static void
+cut_piece (const struct script *script, const struct control_sync_args *args,
+           struct control_sync_result *result)
+{
+  u_int offset = args->piece_version == result->new_version
+                         && args->piece_offset < result->document.document_len
+                     ? args->piece_offset
+                     : 0;
+  result->document_bytes = result->document.document_len;
+  result->document_offset = offset;
+  result->document.document_val += offset;
+  result->document.document_len
+      = MIN (result->document_bytes - offset, script->piece_bytes);
+}
+
 /* Gives the whole newest document to whoever does not have it. */
 static void
 fill_bundle (struct script *script, const struct control_sync_args *args,
@@ -85,6 +103,8 @@
           result->full = true;
           script->whole_answers++;
           set_document (result, bundle_canonical (script->newest, NULL));
+          if (script->piece_bytes > 0)
+            cut_piece (script, args, result);
         }
     }
 }
@@ -269,6 +289,26 @@
   stop (&setting);
 }
 
+/* A document in pieces is put together, and one that a newer version
+   overtakes is left for that. */
+static void
+test_pieces (void)
+{
+  struct setting setting;
+  start (&setting);
+  g_mutex_lock (&setting.script.mutex);
+  setting.script.piece_bytes = 7;
+  g_mutex_unlock (&setting.script.mutex);
+  set_newest (&setting, 3);
+  wait_calls (&setting, 3);
+  set_newest (&setting, 4);
+  wait_version (&setting, 4);
+  g_mutex_lock (&setting.script.mutex);
+  g_assert_cmpuint (setting.script.whole_answers, >, 10);
+  g_mutex_unlock (&setting.script.mutex);
+  stop (&setting);
+}
+
 static void
 test_restart (void)
 {
@@ -431,6 +471,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/control-session/whole-and-stale", test_whole_and_stale);
+  g_test_add_func ("/control-session/pieces", test_pieces);
   g_test_add_func ("/control-session/restart", test_restart);
   g_test_add_func ("/control-session/damaged-cache", test_damaged_cache);
   g_test_add_func ("/control-session/changes", test_changes);
--- a/tools/trial_fleet.c
+++ b/tools/trial_fleet.c
@@ -437,6 +437,15 @@
     }
 }
 
+/* Drops the body of an answer, which would go to standard output. */
+static size_t
+drop_body (char *data, size_t size, size_t count, void *context)
+{
+  (void)data;
+  (void)context;
+  return size * count;
+}
+
 bool
 trial_fleet_set_faults (struct trial_fleet *fleet, uint32_t zone,
                         uint32_t index, const char *faults)
@@ -449,6 +458,7 @@
   CURL *easy = curl_easy_init ();
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_POSTFIELDS, faults);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, drop_body);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, FAULTS_TIMEOUT_MS);
   if (curl_easy_perform (easy) == CURLE_OK)
     curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
