--- a/bench/bench_base.c
+++ b/bench/bench_base.c
@@ -14,6 +14,7 @@
 #include "wire_client.h"
 #include "wire_ledger.h"
 #include "wire_server.h"
+#include "tool_folder.h"
 
 #define RECORDS 20000000
 #define SYNCS 1000
@@ -33,21 +34,6 @@
   base_histogram_destroy (histogram);
 }
 
-static void
-remove_log (const char *folder)
-{
-  const char *name;
-  GDir *listing = g_dir_open (folder, 0, NULL);
-  while ((name = g_dir_read_name (listing)))
-    {
-      char *path = g_build_filename (folder, name, NULL);
-      g_unlink (path);
-      g_free (path);
-    }
-  g_dir_close (listing);
-  g_rmdir (folder);
-}
-
 static void
 bench_sync (void)
 {
@@ -65,7 +51,7 @@
   bench_slope_print ("log_sync_us", "us/sync", spent / SYNCS,
                      "1,000 syncs of one 200-byte record");
   store_log_close (log);
-  remove_log (folder);
+  tool_folder_remove (folder);
   base_findings_destroy (findings);
   g_free (folder);
 }
--- a/bench/bench_consensus.c
+++ b/bench/bench_consensus.c
@@ -12,36 +12,16 @@
 
 #include <glib.h>
 
-#include "base_clock.h"
 #include "control_state.h"
 #include "control_trial.h"
 #include "wire_client.h"
+#include "bench_slope.h"
 
 #define ACCOUNTS 6800
 #define LIMIT_MS 20000
 
-static bool json_wanted;
 static bool quick;
 
-static void
-print_slope (const char *name, const char *unit, double value,
-             const char *sizes)
-{
-  if (json_wanted)
-    printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.4f,"
-            "\"sizes\":\"%s\"}\n",
-            name, unit, value, sizes);
-  else
-    printf ("%-34s %12.3f %-14s %s\n", name, value, unit, sizes);
-  fflush (stdout);
-}
-
-static uint64_t
-now_us (void)
-{
-  return base_clock_now_us (base_clock_system ());
-}
-
 static void
 fail (const char *what)
 {
@@ -151,16 +131,16 @@
   uint32_t duration_ms = quick ? 500 : 3000;
   for (uint32_t i = 0; i < callers; i++)
     threads[i] = g_thread_new ("commit", commit_many, &committers);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   g_usleep (1000UL * duration_ms);
   uint64_t commits = atomic_load (&committers.commits);
-  double seconds = (double)(now_us () - start) / 1e6;
+  double seconds = (double)(bench_slope_now_us () - start) / 1e6;
   atomic_store (&committers.stopping, true);
   for (uint32_t i = 0; i < callers; i++)
     g_thread_join (threads[i]);
   g_snprintf (name, sizeof name, "control_commits_%u_callers", callers);
   g_snprintf (sizes, sizeof sizes, "3 members, %u callers, synced", callers);
-  print_slope (name, "commits/s", (double)commits / seconds, sizes);
+  bench_slope_print (name, "commits/s", (double)commits / seconds, sizes);
 }
 
 static int
@@ -183,21 +163,21 @@
       int leader = control_trial_leader (trial, LIMIT_MS);
       if (leader < 0)
         fail ("no leader");
-      uint64_t start = now_us ();
+      uint64_t start = bench_slope_now_us ();
       fleet_process_kill (trial->members[leader]);
       g_snprintf (id, sizeof id, "failover-%u", run);
       if (control_trial_top_up (trial, id, "failover", 1) == 0)
         fail ("no commit after the leader was killed");
-      times_ms[run] = (double)(now_us () - start) / 1e3;
+      times_ms[run] = (double)(bench_slope_now_us () - start) / 1e3;
       if (!control_trial_start (trial, (uint32_t)leader)
           || !control_trial_wait_voter (trial, (uint32_t)leader, LIMIT_MS))
         fail ("a member did not come back");
     }
   qsort (times_ms, runs, sizeof *times_ms, compare_doubles);
-  print_slope ("control_failover_median", "ms", times_ms[runs / 2],
-               "kill of the leader to the next commit, 3 members");
-  print_slope ("control_failover_max", "ms", times_ms[runs - 1],
-               "kill of the leader to the next commit, 3 members");
+  bench_slope_print ("control_failover_median", "ms", times_ms[runs / 2],
+                     "kill of the leader to the next commit, 3 members");
+  bench_slope_print ("control_failover_max", "ms", times_ms[runs - 1],
+                     "kill of the leader to the next commit, 3 members");
 }
 
 /* One process that only renews its session. */
@@ -267,20 +247,20 @@
   uint64_t version = control_trial_version (trial);
   init_watcher (&watcher, trial, leader, 0);
   sync_watcher (&watcher);
-  print_slope ("control_whole_bundle", "bytes", (double)watcher.received_bytes,
-               "6800 accounts");
+  bench_slope_print ("control_whole_bundle", "bytes",
+                     (double)watcher.received_bytes, "6800 accounts");
   sync_watcher (&watcher);
   watcher.received_bytes = watcher.sent_bytes = 0;
   sync_watcher (&watcher);
-  print_slope ("control_heartbeat", "bytes",
-               (double)(watcher.received_bytes + watcher.sent_bytes),
-               "call and answer without news, XDR");
+  bench_slope_print ("control_heartbeat", "bytes",
+                     (double)(watcher.received_bytes + watcher.sent_bytes),
+                     "call and answer without news, XDR");
   if (control_trial_push (trial, version + 1, ACCOUNTS, 77) != CONTROL_OK)
     fail ("a push was not accepted");
   watcher.received_bytes = 0;
   sync_watcher (&watcher);
-  print_slope ("control_change", "bytes", (double)watcher.received_bytes,
-               "one account of 6800 changed, answer, XDR");
+  bench_slope_print ("control_change", "bytes", (double)watcher.received_bytes,
+                     "one account of 6800 changed, answer, XDR");
   clear_watcher (&watcher);
 }
 
@@ -302,22 +282,22 @@
   for (uint32_t i = 0; i < count; i++)
     sync_watcher (&watchers[i]);
   double cpu = process_cpu_us (id);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   for (uint32_t round = 1; round <= rounds; round++)
     {
       for (uint32_t i = 0; i < count; i++)
         sync_watcher (&watchers[i]);
       uint64_t due = start + 500000UL * round;
-      if (now_us () < due)
-        g_usleep (due - now_us ());
+      if (bench_slope_now_us () < due)
+        g_usleep (due - bench_slope_now_us ());
     }
-  double seconds = (double)(now_us () - start) / 1e6;
+  double seconds = (double)(bench_slope_now_us () - start) / 1e6;
   cpu = process_cpu_us (id) - cpu;
   g_snprintf (sizes, sizeof sizes, "%u watchers, 2 heartbeats/s each", count);
   g_snprintf (name, sizeof name, "control_leader_cpu_%u_watchers", count);
-  print_slope (name, "% of a core", cpu / seconds / 1e4, sizes);
+  bench_slope_print (name, "% of a core", cpu / seconds / 1e4, sizes);
   g_snprintf (name, sizeof name, "control_leader_rss_%u_watchers", count);
-  print_slope (name, "KB", process_rss_kb (id), sizes);
+  bench_slope_print (name, "KB", process_rss_kb (id), sizes);
   for (uint32_t i = 0; i < count; i++)
     clear_watcher (&watchers[i]);
   g_free (watchers);
@@ -329,13 +309,13 @@
 {
   uint64_t version = control_trial_version (trial);
   uint32_t pushes = quick ? 3 : 20;
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   for (uint32_t i = 0; i < pushes; i++)
     if (control_trial_push (trial, ++version, ACCOUNTS, i) != CONTROL_OK)
       fail ("a later push was not accepted");
-  print_slope ("control_push", "ms",
-               (double)(now_us () - start) / 1e3 / pushes,
-               "6800 accounts, made, signed, accepted");
+  bench_slope_print ("control_push", "ms",
+                     (double)(bench_slope_now_us () - start) / 1e3 / pushes,
+                     "6800 accounts, made, signed, accepted");
 }
 
 static void
@@ -351,12 +331,12 @@
   g_usleep (1000000UL * seconds);
   leader_cpu = process_cpu_us (leader_id) - leader_cpu;
   follower_cpu = process_cpu_us (follower_id) - follower_cpu;
-  print_slope ("control_idle_leader_cpu", "% of a core",
-               leader_cpu / seconds / 1e4, "3 members");
-  print_slope ("control_idle_follower_cpu", "% of a core",
-               follower_cpu / seconds / 1e4, "3 members");
-  print_slope ("control_idle_follower_rss", "KB", process_rss_kb (follower_id),
-               "3 members");
+  bench_slope_print ("control_idle_leader_cpu", "% of a core",
+                     leader_cpu / seconds / 1e4, "3 members");
+  bench_slope_print ("control_idle_follower_cpu", "% of a core",
+                     follower_cpu / seconds / 1e4, "3 members");
+  bench_slope_print ("control_idle_follower_rss", "KB",
+                     process_rss_kb (follower_id), "3 members");
 }
 
 /* Snapshot of the state with many budgets: size, and time that the member's
@@ -385,22 +365,22 @@
       control_outcome_clear (&outcome);
     }
   rss = process_rss_kb (getpid ()) - rss;
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   char *data = control_state_save (state, &bytes);
-  uint64_t saved = now_us ();
+  uint64_t saved = bench_slope_now_us ();
   struct control_state *copy = control_state_create ();
   if (control_state_load (copy, data, bytes) != 0)
     fail ("the state was not read back");
-  uint64_t loaded = now_us ();
+  uint64_t loaded = bench_slope_now_us ();
   g_snprintf (sizes, sizeof sizes, "%u budgets, one top-up each", budgets);
-  print_slope ("control_budget_rss", "bytes/budget", rss * 1024 / budgets,
-               sizes);
-  print_slope ("control_snapshot_budget", "bytes/budget",
-               (double)bytes / budgets, sizes);
-  print_slope ("control_snapshot_save", "ms", (double)(saved - start) / 1e3,
-               sizes);
-  print_slope ("control_snapshot_load", "ms", (double)(loaded - saved) / 1e3,
-               sizes);
+  bench_slope_print ("control_budget_rss", "bytes/budget",
+                     rss * 1024 / budgets, sizes);
+  bench_slope_print ("control_snapshot_budget", "bytes/budget",
+                     (double)bytes / budgets, sizes);
+  bench_slope_print ("control_snapshot_save", "ms",
+                     (double)(saved - start) / 1e3, sizes);
+  bench_slope_print ("control_snapshot_load", "ms",
+                     (double)(loaded - saved) / 1e3, sizes);
   control_state_destroy (copy);
   control_state_destroy (state);
   g_free (data);
@@ -411,9 +391,9 @@
 {
   static const uint32_t callers[] = { 1, 8, 64 };
   static const uint32_t watchers[] = { 20, 100, 380 };
+  bench_slope_open (argc, argv);
   for (int i = 1; i < argc; i++)
     {
-      json_wanted = json_wanted || strcmp (argv[i], "--json") == 0;
       quick = quick || strcmp (argv[i], "--quick") == 0;
     }
   bench_state ();
--- a/bench/bench_escrow.c
+++ b/bench/bench_escrow.c
@@ -11,12 +11,13 @@
 #include <glib.h>
 #include <glib/gstdio.h>
 
-#include "base_clock.h"
 #include "base_hash.h"
 #include "escrow_ledger.h"
 #include "escrow_pool.h"
 #include "ledger_store.h"
 #include "store_log.h"
+#include "tool_folder.h"
+#include "bench_slope.h"
 
 #define BUDGETS 280000u
 #define OPERATIONS 300000u
@@ -25,27 +26,8 @@
 #define BUDGET_TOKENS UINT64_C (1000000)
 #define RECORD_FOLDER "cactus-bench-XXXXXX"
 
-static bool json_wanted;
 static char cluster[] = "cactus";
 
-static void
-print_slope (const char *name, const char *unit, double value,
-             const char *sizes)
-{
-  if (json_wanted)
-    printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.4f,"
-            "\"sizes\":\"%s\"}\n",
-            name, unit, value, sizes);
-  else
-    printf ("%-28s %12.3f %-14s %s\n", name, value, unit, sizes);
-}
-
-static uint64_t
-now_us (void)
-{
-  return base_clock_now_us (base_clock_system ());
-}
-
 static uint64_t
 resident_bytes (void)
 {
@@ -112,54 +94,42 @@
   GByteArray *journal = g_byte_array_new ();
   grant_all (ledger);
   double bytes = (double)(resident_bytes () - before);
-  print_slope ("ledger_budget_bytes", "B/budget", bytes / BUDGETS,
-               "280,000 budgets, resident");
-  print_slope ("ledger_budget_record_bytes", "B/budget",
-               (double)escrow_ledger_count (ledger).budget_bytes / BUDGETS,
-               "280,000 budgets, table");
+  bench_slope_print ("ledger_budget_bytes", "B/budget", bytes / BUDGETS,
+                     "280,000 budgets, resident");
+  bench_slope_print ("ledger_budget_record_bytes", "B/budget",
+                     (double)escrow_ledger_count (ledger).budget_bytes
+                         / BUDGETS,
+                     "280,000 budgets, table");
   escrow_ledger_set_journal (ledger, journal);
   escrow_ledger_open_session (ledger, "router", 7, 1000);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   for (uint64_t id = 1; id <= OPERATIONS; id++)
     {
       reserve (ledger, id);
       settle (ledger, id);
     }
-  print_slope ("escrow_request_us", "us/request",
-               (double)(now_us () - start) / OPERATIONS,
-               "reserve and settle, no I/O");
-  print_slope ("escrow_journal_bytes", "B/request",
-               (double)journal->len / OPERATIONS, "reserve and settle");
-  print_slope ("ledger_resident_mib", "MiB",
-               (double)(resident_bytes () - before - journal->len) / 1048576,
-               "280,000 budgets, 131,072 keys and 131,072 ended kept");
+  bench_slope_print ("escrow_request_us", "us/request",
+                     (double)(bench_slope_now_us () - start) / OPERATIONS,
+                     "reserve and settle, no I/O");
+  bench_slope_print ("escrow_journal_bytes", "B/request",
+                     (double)journal->len / OPERATIONS, "reserve and settle");
+  bench_slope_print ("ledger_resident_mib", "MiB",
+                     (double)(resident_bytes () - before - journal->len)
+                         / 1048576,
+                     "280,000 budgets, 131,072 keys and 131,072 ended kept");
   GByteArray *saved = g_byte_array_new ();
-  start = now_us ();
+  start = bench_slope_now_us ();
   escrow_ledger_save (ledger, saved);
-  print_slope ("escrow_save_ms", "ms", (double)(now_us () - start) / 1000,
-               "280,000 budgets, 131,072 keys and 131,072 ended");
-  print_slope ("escrow_saved_mib", "MiB", (double)saved->len / 1048576,
-               "280,000 budgets, 131,072 keys and 131,072 ended");
+  bench_slope_print ("escrow_save_ms", "ms",
+                     (double)(bench_slope_now_us () - start) / 1000,
+                     "280,000 budgets, 131,072 keys and 131,072 ended");
+  bench_slope_print ("escrow_saved_mib", "MiB", (double)saved->len / 1048576,
+                     "280,000 budgets, 131,072 keys and 131,072 ended");
   g_byte_array_unref (saved);
   g_byte_array_unref (journal);
   escrow_ledger_destroy (ledger);
 }
 
-static void
-remove_folder (const char *folder)
-{
-  const char *name;
-  GDir *listing = g_dir_open (folder, 0, NULL);
-  while ((name = g_dir_read_name (listing)))
-    {
-      char *path = g_build_filename (folder, name, NULL);
-      g_unlink (path);
-      g_free (path);
-    }
-  g_dir_close (listing);
-  g_rmdir (folder);
-}
-
 static struct ledger_store *
 open_store (const char *folder)
 {
@@ -209,13 +179,14 @@
   grant_all (twin);
   append_records (folder, twin);
   escrow_ledger_destroy (twin);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   store = open_store (folder);
-  print_slope ("ledger_start_ms", "ms", (double)(now_us () - start) / 1000,
-               "snapshot of 280,000 budgets, 100,000 records");
+  bench_slope_print ("ledger_start_ms", "ms",
+                     (double)(bench_slope_now_us () - start) / 1000,
+                     "snapshot of 280,000 budgets, 100,000 records");
   g_assert_cmpuint (ledger_store_replayed (store), >=, RECORDS);
   ledger_store_close (store, false);
-  remove_folder (folder);
+  tool_folder_remove (folder);
   g_free (folder);
 }
 
@@ -241,7 +212,7 @@
   struct escrow_pool *pool = escrow_pool_create (ESCROW_POLICY_DEMAND_FLOOR);
   for (uint32_t i = 0; i < POOL_LEDGERS; i++)
     exchange (pool, i);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   for (uint32_t i = 0; i < BUDGETS; i++)
     {
       struct control_top_up_result result;
@@ -256,20 +227,23 @@
       escrow_pool_top_up (pool, &args, 1000, &result);
       xdr_free ((xdrproc_t)xdr_control_top_up_result, (char *)&result);
     }
-  print_slope ("pool_top_up_us", "us/top-up",
-               (double)(now_us () - start) / BUDGETS, "spread over 7 ledgers");
+  bench_slope_print ("pool_top_up_us", "us/top-up",
+                     (double)(bench_slope_now_us () - start) / BUDGETS,
+                     "spread over 7 ledgers");
   for (uint32_t i = 0; i < POOL_LEDGERS; i++)
     exchange (pool, i);
-  print_slope ("pool_budget_bytes", "B/budget",
-               (double)(resident_bytes () - before) / BUDGETS,
-               "280,000 budgets, 7 ledgers, resident with top-up ids");
+  bench_slope_print ("pool_budget_bytes", "B/budget",
+                     (double)(resident_bytes () - before) / BUDGETS,
+                     "280,000 budgets, 7 ledgers, resident with top-up ids");
   GByteArray *saved = g_byte_array_new ();
-  start = now_us ();
+  start = bench_slope_now_us ();
   escrow_pool_save (pool, saved);
-  print_slope ("pool_save_ms", "ms", (double)(now_us () - start) / 1000,
-               "280,000 budgets, 7 ledgers");
-  print_slope ("pool_saved_bytes", "B/budget", (double)saved->len / BUDGETS,
-               "280,000 budgets, 7 ledgers");
+  bench_slope_print ("pool_save_ms", "ms",
+                     (double)(bench_slope_now_us () - start) / 1000,
+                     "280,000 budgets, 7 ledgers");
+  bench_slope_print ("pool_saved_bytes", "B/budget",
+                     (double)saved->len / BUDGETS,
+                     "280,000 budgets, 7 ledgers");
   g_byte_array_unref (saved);
   escrow_pool_destroy (pool);
 }
@@ -277,7 +251,7 @@
 int
 main (int argc, char **argv)
 {
-  json_wanted = argc > 1 && strcmp (argv[1], "--json") == 0;
+  bench_slope_open (argc, argv);
   bench_core ();
   bench_start ();
   bench_pool ();
--- a/bench/bench_ledger.c
+++ b/bench/bench_ledger.c
@@ -13,10 +13,10 @@
 
 #include <glib.h>
 
-#include "base_clock.h"
 #include "base_hash.h"
 #include "base_metrics.h"
 #include "ledger_rig.h"
+#include "bench_slope.h"
 
 #define CALLERS 50
 #define ROUTERS 5
@@ -28,28 +28,9 @@
 #define BUDGET_TOKENS UINT64_C (1000000000)
 #define DEADLINE_MS 10000
 
-static bool json_wanted;
 static atomic_bool stopping;
 static atomic_uint_least64_t settled;
 
-static void
-print_slope (const char *name, const char *unit, double value,
-             const char *sizes)
-{
-  if (json_wanted)
-    printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.4f,"
-            "\"sizes\":\"%s\"}\n",
-            name, unit, value, sizes);
-  else
-    printf ("%-28s %12.3f %-14s %s\n", name, value, unit, sizes);
-}
-
-static uint64_t
-now_us (void)
-{
-  return base_clock_now_us (base_clock_system ());
-}
-
 static void
 fill_reserve (struct ledger_client *client, struct ledger_request *request)
 {
@@ -58,7 +39,7 @@
   uint64_t id = ledger_client_next_id (client);
   memset (request, 0, sizeof *request);
   request->op.kind = LEDGER_RESERVE;
-  request->deadline_ms = now_us () / 1000 + DEADLINE_MS;
+  request->deadline_ms = bench_slope_now_us () / 1000 + DEADLINE_MS;
   reserve->reservation_id = id;
   g_snprintf (name, sizeof name, "b%u", (unsigned)(id % BUDGETS));
   reserve->account_id = base_account_id ("account");
@@ -161,7 +142,7 @@
   GThread *threads[CALLERS];
   double bytes = folder_bytes (rig, "a");
   double processor = processor_us (process);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   for (int i = 0; i < CALLERS; i++)
     threads[i]
         = g_thread_new ("caller", call_until_stopped, clients[i % ROUTERS]);
@@ -169,16 +150,16 @@
   atomic_store (&stopping, true);
   for (int i = 0; i < CALLERS; i++)
     g_thread_join (threads[i]);
-  double seconds = (double)(now_us () - start) / 1e6;
+  double seconds = (double)(bench_slope_now_us () - start) / 1e6;
   double count = (double)atomic_load (&settled);
-  print_slope ("ledger_requests_s", "requests/s", count / seconds,
-               "50 callers, 5 routers, reserve and settle synced");
-  print_slope ("ledger_request_cpu_us", "us/request",
-               (processor_us (process) - processor) / count,
-               "50 callers, 5 routers");
-  print_slope ("ledger_log_bytes", "B/request",
-               (folder_bytes (rig, "a") - bytes) / count,
-               "50 callers, 5 routers, with record heads");
+  bench_slope_print ("ledger_requests_s", "requests/s", count / seconds,
+                     "50 callers, 5 routers, reserve and settle synced");
+  bench_slope_print ("ledger_request_cpu_us", "us/request",
+                     (processor_us (process) - processor) / count,
+                     "50 callers, 5 routers");
+  bench_slope_print ("ledger_log_bytes", "B/request",
+                     (folder_bytes (rig, "a") - bytes) / count,
+                     "50 callers, 5 routers, with record heads");
 }
 
 /* A request of the open loop. */
@@ -203,7 +184,7 @@
 end_reserve (struct ledger_request *request)
 {
   struct timed_request *timed = (struct timed_request *)request;
-  base_histogram_record (latency_us, now_us () - timed->sent_us);
+  base_histogram_record (latency_us, bench_slope_now_us () - timed->sent_us);
   fill_settle (request);
   request->done = end_settle;
   ledger_client_submit (timed->client, request);
@@ -219,28 +200,29 @@
   latency_us = base_histogram_create ();
   atomic_store (&finished, 0);
   double processor = processor_us (process);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   for (uint64_t i = 0; i < requests; i++)
     {
       uint64_t due = start + i * 1000000 / OPEN_RATE;
-      while (now_us () < due)
+      while (bench_slope_now_us () < due)
         g_usleep (100);
       struct timed_request *timed = g_new0 (struct timed_request, 1);
       timed->client = clients[i / BUDGETS % ROUTERS];
       fill_reserve (timed->client, &timed->base);
       timed->base.done = end_reserve;
-      timed->sent_us = now_us ();
+      timed->sent_us = bench_slope_now_us ();
       ledger_client_submit (timed->client, &timed->base);
     }
   while (atomic_load (&finished) < requests)
     g_usleep (1000);
   g_snprintf (sizes, sizeof sizes, "1,000 requests/s, 5 routers, %s", state);
-  print_slope ("ledger_reserve_p50_us", "us",
-               (double)base_histogram_quantile (latency_us, 0.5), sizes);
-  print_slope ("ledger_reserve_p99_us", "us",
-               (double)base_histogram_quantile (latency_us, 0.99), sizes);
-  print_slope ("ledger_open_cpu_us", "us/request",
-               (processor_us (process) - processor) / requests, sizes);
+  bench_slope_print ("ledger_reserve_p50_us", "us",
+                     (double)base_histogram_quantile (latency_us, 0.5), sizes);
+  bench_slope_print ("ledger_reserve_p99_us", "us",
+                     (double)base_histogram_quantile (latency_us, 0.99),
+                     sizes);
+  bench_slope_print ("ledger_open_cpu_us", "us/request",
+                     (processor_us (process) - processor) / requests, sizes);
   base_histogram_destroy (latency_us);
 }
 
@@ -251,9 +233,9 @@
   double before = read_process (process->pid, "status", "VmRSS:");
   double processor = processor_us (process);
   ledger_rig_top_up_many (rig, MANY_BUDGETS, BUDGET_TOKENS);
-  uint64_t start = now_us ();
+  uint64_t start = bench_slope_now_us ();
   uint64_t seen = 0;
-  while (now_us () < start + 60000000)
+  while (bench_slope_now_us () < start + 60000000)
     {
       double after = read_process (process->pid, "status", "VmRSS:");
       g_usleep (1500000);
@@ -263,11 +245,12 @@
         break;
     }
   double grown = read_process (process->pid, "status", "VmRSS:") - before;
-  print_slope ("ledger_process_budget_bytes", "B/budget",
-               grown * 1024 / MANY_BUDGETS, "280,000 budgets granted, VmRSS");
-  print_slope ("ledger_grant_cpu_us", "us/grant",
-               (processor_us (process) - processor) / MANY_BUDGETS,
-               "280,000 grants with their reports");
+  bench_slope_print ("ledger_process_budget_bytes", "B/budget",
+                     grown * 1024 / MANY_BUDGETS,
+                     "280,000 budgets granted, VmRSS");
+  bench_slope_print ("ledger_grant_cpu_us", "us/grant",
+                     (processor_us (process) - processor) / MANY_BUDGETS,
+                     "280,000 grants with their reports");
 }
 
 int
@@ -275,7 +258,7 @@
 {
   struct ledger_rig_process process;
   struct ledger_client *clients[ROUTERS];
-  json_wanted = argc > 1 && strcmp (argv[1], "--json") == 0;
+  bench_slope_open (argc, argv);
   struct ledger_rig *rig = ledger_rig_create ();
   g_assert_true (ledger_rig_start (rig, "a", &process, NULL));
   struct ledger_endpoint endpoint = ledger_rig_endpoint ("a", &process);
--- a/bench/bench_router.c
+++ b/bench/bench_router.c
@@ -16,6 +16,7 @@
 #include "bench_callers.h"
 #include "router_call.h"
 #include "router_rig.h"
+#include "bench_slope.h"
 
 #define PATH "/v1/completions"
 #define WHOLE_BODY                                                            \
@@ -28,22 +29,9 @@
 /* Connections are made and shares of the budget reach the ledger meanwhile. */
 #define WARM_UP_MS 2000
 
-static bool json_wanted;
 static uint32_t seconds = 5;
 static const char *only;
 
-static void
-print_slope (const char *name, const char *unit, double value,
-             const char *sizes)
-{
-  if (json_wanted)
-    printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.3f,"
-            "\"sizes\":\"%s\"}\n",
-            name, unit, value, sizes);
-  else
-    printf ("%-34s %12.2f %-16s %s\n", name, value, unit, sizes);
-}
-
 static const char *const fast_target[] = { "--slots",
                                            "20000",
                                            "--queue-limit",
@@ -124,17 +112,17 @@
       uint32_t percent = (uint32_t)(shares[i] * 100);
       snprintf (name, sizeof name, "direct_p%" PRIu32 "_%" PRIu32, percent,
                 rate);
-      print_slope (name, "us", without, sizes);
+      bench_slope_print (name, "us", without, sizes);
       snprintf (name, sizeof name, "routed_p%" PRIu32 "_%" PRIu32, percent,
                 rate);
-      print_slope (name, "us", with, sizes);
+      bench_slope_print (name, "us", with, sizes);
       snprintf (name, sizeof name, "router_added_p%" PRIu32 "_%" PRIu32,
                 percent, rate);
-      print_slope (name, "us", (double)with - without, sizes);
+      bench_slope_print (name, "us", (double)with - without, sizes);
     }
   snprintf (name, sizeof name, "router_request_cpu_%" PRIu32, rate);
-  print_slope (name, "us/request", (double)cpu / (double)MAX (routed.good, 1),
-               sizes);
+  bench_slope_print (name, "us/request",
+                     (double)cpu / (double)MAX (routed.good, 1), sizes);
   show_waits (rig);
   bench_series_clear (&direct);
   bench_series_clear (&routed);
@@ -150,7 +138,8 @@
   router_rig_target (rig, "t1", ROUTER_RIG_MODEL, slow_target);
   int router = fleet_process_id (router_rig_router (rig));
   uint64_t empty = bench_process_memory_bytes (router);
-  print_slope ("router_memory_idle", "bytes", (double)empty, "0 streams");
+  bench_slope_print ("router_memory_idle", "bytes", (double)empty,
+                     "0 streams");
   for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
     {
       struct bench_streams *streams = bench_streams_open (
@@ -160,8 +149,8 @@
       snprintf (sizes, sizeof sizes,
                 "%" PRIu32 " streams, %" PRIu64 " bytes, %" PRIu64 " refused",
                 counts[i], full, bench_streams_refused (streams));
-      print_slope ("router_stream_memory", "bytes/stream",
-                   (double)(full - empty) / counts[i], sizes);
+      bench_slope_print ("router_stream_memory", "bytes/stream",
+                         (double)(full - empty) / counts[i], sizes);
       bench_streams_close (streams);
       g_usleep (SETTLE_US);
     }
@@ -187,10 +176,10 @@
   snprintf (sizes, sizeof sizes,
             "%" PRIu32 " streams, %" PRIu64 " tokens/s, %" PRIu64 " refused",
             count, events / seconds, bench_streams_refused (streams));
-  print_slope ("router_tokens_per_core", "tokens/s/core",
-               (double)events * 1e6 / (double)MAX (cpu, 1), sizes);
-  print_slope ("router_token_cpu", "us/token",
-               (double)cpu / (double)MAX (events, 1), sizes);
+  bench_slope_print ("router_tokens_per_core", "tokens/s/core",
+                     (double)events * 1e6 / (double)MAX (cpu, 1), sizes);
+  bench_slope_print ("router_token_cpu", "us/token",
+                     (double)cpu / (double)MAX (events, 1), sizes);
   bench_streams_close (streams);
   router_rig_destroy (rig);
 }
@@ -204,9 +193,9 @@
 int
 main (int argc, char **argv)
 {
+  bench_slope_open (argc, argv);
   for (int i = 1; i < argc; i++)
     {
-      json_wanted |= strcmp (argv[i], "--json") == 0;
       if (strcmp (argv[i], "--seconds") == 0 && i + 1 < argc)
         seconds = (uint32_t)MAX (1, atoi (argv[i + 1]));
       if (strcmp (argv[i], "--only") == 0 && i + 1 < argc)
--- a/bench/bench_share_policy.c
+++ b/bench/bench_share_policy.c
@@ -15,6 +15,7 @@
 #include "base_random.h"
 #include "escrow_ledger.h"
 #include "escrow_pool.h"
+#include "bench_slope.h"
 
 #define ZONES 3
 #define CUT_ZONE 2
@@ -72,25 +73,12 @@
   uint64_t overspend;
 };
 
-static bool json_wanted;
 static char cluster[] = "c";
 static char *const zone_names[ZONES]
     = { (char *)"santander", (char *)"bilbao", (char *)"vigo" };
 static const char *const policy_names[POLICIES]
     = { "demand+floor", "demand", "equal", "at control" };
 
-static void
-print_slope (const char *name, const char *unit, double value,
-             const char *sizes)
-{
-  if (json_wanted)
-    printf ("{\"slope\":\"%s\",\"unit\":\"%s\",\"value\":%.4f,"
-            "\"sizes\":\"%s\"}\n",
-            name, unit, value, sizes);
-  else
-    printf ("%-28s %12.3f %-14s %s\n", name, value, unit, sizes);
-}
-
 static uint64_t
 now_ms (const struct simulation *simulation)
 {
@@ -350,17 +338,17 @@
     }
   g_snprintf (sizes, sizeof sizes, "%s, 1 h cut of 1 zone of 3",
               policy_names[policy]);
-  print_slope ("policy_served", "of best", used / best, sizes);
-  print_slope ("policy_false_refusals", "of requests",
-               false_refused / requests, sizes);
-  print_slope ("policy_overspend", "tokens", overspend, sizes);
+  bench_slope_print ("policy_served", "of best", used / best, sizes);
+  bench_slope_print ("policy_false_refusals", "of requests",
+                     false_refused / requests, sizes);
+  bench_slope_print ("policy_overspend", "tokens", overspend, sizes);
   g_free (simulation);
 }
 
 int
 main (int argc, char **argv)
 {
-  json_wanted = argc > 1 && strcmp (argv[1], "--json") == 0;
+  bench_slope_open (argc, argv);
   for (int policy = 0; policy < POLICIES; policy++)
     compare ((enum escrow_policy)policy);
   return 0;
--- a/src/bundle.h
+++ b/src/bundle.h
@@ -64,7 +64,7 @@
   uint32_t first_token_ms;
   /** Deadline for the whole answer, in milliseconds. */
   uint32_t total_ms;
-  /** Most requests waiting on one router. */
+  /** Most requests waiting on one router for one service. */
   uint32_t queue_limit;
   /** Share of a target's slots that this class may fill, in percent. */
   uint32_t slot_percent;
--- a/src/store_log.c
+++ b/src/store_log.c
@@ -11,22 +11,11 @@
 
 #include <glib.h>
 
-#include "base_hash.h"
 #include "cactus_config.h"
 #include "store_file.h"
+#include "store_scan.h"
 
 #define SEGMENT_PREFIX "log-"
-#define RECORD_MAGIC 0x52434143u
-
-/* Head of a record; head_check covers the fields before it. */
-struct record_head
-{
-  uint32_t magic;
-  uint32_t bytes;
-  uint64_t index;
-  uint64_t data_check;
-  uint64_t head_check;
-};
 
 struct segment
 {
@@ -45,24 +34,6 @@
   bool failed;
 };
 
-/* A segment's contents while it is scanned. */
-struct scan
-{
-  char *path;
-  char *data;
-  size_t bytes;
-  size_t offset;
-};
-
-/* What stands at the scan's offset. */
-enum scan_step
-{
-  SCAN_RECORD,
-  SCAN_END,
-  SCAN_TORN,
-  SCAN_DAMAGED
-};
-
 static char *
 segment_path (const struct store_log *log, uint64_t first_index)
 {
@@ -83,103 +54,37 @@
   return segment_at (log, log->segments->len - 1);
 }
 
-static uint64_t
-head_check_of (const struct record_head *head)
-{
-  return base_hash64 (head, offsetof (struct record_head, head_check));
-}
-
-static bool
-only_zeros (const struct scan *scan)
-{
-  for (size_t i = scan->offset; i < scan->bytes; i++)
-    if (scan->data[i] != 0)
-      return false;
-  return true;
-}
-
-/* Looks at the record at the scan's offset, which should have @p index. */
-static enum scan_step
-scan_next (const struct scan *scan, uint64_t index, struct record_head *head)
-{
-  size_t left = scan->bytes - scan->offset;
-  if (left == 0)
-    return SCAN_END;
-  if (left < sizeof *head || only_zeros (scan))
-    return SCAN_TORN;
-  memcpy (head, scan->data + scan->offset, sizeof *head);
-  if (head->magic != RECORD_MAGIC || head->head_check != head_check_of (head)
-      || head->index != index)
-    return SCAN_DAMAGED;
-  if (head->bytes > left - sizeof *head)
-    return SCAN_TORN;
-  const char *data = scan->data + scan->offset + sizeof *head;
-  if (head->data_check != base_hash64 (data, head->bytes))
-    return SCAN_DAMAGED;
-  return SCAN_RECORD;
-}
-
-static int
-scan_open (struct scan *scan, const struct store_log *log,
-           uint64_t first_index, struct base_findings *findings)
-{
-  GError *error = NULL;
-  gsize bytes = 0;
-  scan->path = segment_path (log, first_index);
-  scan->data = NULL;
-  scan->offset = 0;
-  if (!g_file_get_contents (scan->path, &scan->data, &bytes, &error))
-    {
-      base_findings_add (findings, scan->path, "%s", error->message);
-      g_error_free (error);
-      return -1;
-    }
-  scan->bytes = bytes;
-  return 0;
-}
-
-static void
-scan_close (struct scan *scan)
-{
-  g_free (scan->path);
-  g_free (scan->data);
-}
-
-static void
-report_damage (const struct scan *scan, struct base_findings *findings)
-{
-  base_findings_add (findings, scan->path,
-                     "is damaged at offset %zu: the checksum does not fit",
-                     scan->offset);
-}
-
 /* Checks one segment and sets its length; cuts a torn tail of the last. */
 static int
 check_segment (struct store_log *log, struct segment *segment, bool last,
                struct base_findings *findings)
 {
-  struct scan scan;
-  struct record_head head;
-  enum scan_step step;
+  struct store_scan scan;
+  struct store_record_head head;
+  enum store_scan_step step;
   int status = -1;
-  if (scan_open (&scan, log, segment->first_index, findings) != 0)
+  if (store_scan_open (&scan, segment_path (log, segment->first_index),
+                       findings)
+      != 0)
     goto done;
   log->next_index = segment->first_index;
-  while ((step = scan_next (&scan, log->next_index, &head)) == SCAN_RECORD)
+  while ((step = store_scan_next (&scan, log->next_index, &head))
+         == STORE_SCAN_RECORD)
     {
-      scan.offset += sizeof head + head.bytes;
+      store_scan_advance (&scan, &head);
       log->next_index++;
     }
   segment->bytes = scan.offset;
-  if (step == SCAN_DAMAGED || (step == SCAN_TORN && !last))
-    report_damage (&scan, findings);
-  else if (step == SCAN_TORN && truncate (scan.path, (off_t)scan.offset) != 0)
+  if (step == STORE_SCAN_DAMAGED || (step == STORE_SCAN_TORN && !last))
+    store_scan_report (&scan, findings);
+  else if (step == STORE_SCAN_TORN
+           && truncate (scan.path, (off_t)scan.offset) != 0)
     base_findings_add (findings, scan.path, "can't cut the torn tail: %s",
                        g_strerror (errno));
   else
     status = 0;
 done:
-  scan_close (&scan);
+  store_scan_close (&scan);
   return status;
 }
 
@@ -328,9 +233,8 @@
       log->failed = true;
       return 0;
     }
-  struct record_head head = { RECORD_MAGIC, (uint32_t)bytes, log->next_index,
-                              base_hash64 (data, bytes), 0 };
-  head.head_check = head_check_of (&head);
+  struct store_record_head head;
+  store_record_head_fill (&head, log->next_index, data, bytes);
   g_byte_array_append (log->pending, (const guint8 *)&head, sizeof head);
   g_byte_array_append (log->pending, data, (guint)bytes);
   return log->next_index++;
@@ -363,31 +267,32 @@
                 uint64_t from_index, store_log_visit visit, void *context,
                 struct base_findings *findings)
 {
-  struct scan scan;
-  struct record_head head;
-  enum scan_step step;
+  struct store_scan scan;
+  struct store_record_head head;
+  enum store_scan_step step;
   uint64_t index = segment->first_index;
   int status = -1;
-  if (scan_open (&scan, log, segment->first_index, findings) != 0)
+  if (store_scan_open (&scan, segment_path (log, segment->first_index),
+                       findings)
+      != 0)
     goto done;
   status = 0;
-  while ((step = scan_next (&scan, index, &head)) == SCAN_RECORD)
+  while ((step = store_scan_next (&scan, index, &head)) == STORE_SCAN_RECORD)
     {
-      const char *data = scan.data + scan.offset + sizeof head;
       if (index >= from_index)
-        status = visit (context, index, data, head.bytes);
+        status = visit (context, index, store_scan_data (&scan), head.bytes);
       if (status != 0)
         goto done;
-      scan.offset += sizeof head + head.bytes;
+      store_scan_advance (&scan, &head);
       index++;
     }
-  if (step != SCAN_END)
+  if (step != STORE_SCAN_END)
     {
-      report_damage (&scan, findings);
+      store_scan_report (&scan, findings);
       status = -1;
     }
 done:
-  scan_close (&scan);
+  store_scan_close (&scan);
   return status;
 }
 
@@ -456,21 +361,21 @@
 static int
 find_offset (struct store_log *log, uint64_t index, uint64_t *offset)
 {
-  struct scan scan;
-  struct record_head head;
+  struct store_scan scan;
+  struct store_record_head head;
   struct base_findings *findings = base_findings_create ();
   uint64_t at = last_segment (log)->first_index;
-  int status = scan_open (&scan, log, at, findings);
+  int status = store_scan_open (&scan, segment_path (log, at), findings);
   while (status == 0 && at < index)
     {
-      if (scan_next (&scan, at, &head) != SCAN_RECORD)
+      if (store_scan_next (&scan, at, &head) != STORE_SCAN_RECORD)
         status = -1;
       else
-        scan.offset += sizeof head + head.bytes;
+        store_scan_advance (&scan, &head);
       at++;
     }
   *offset = scan.offset;
-  scan_close (&scan);
+  store_scan_close (&scan);
   base_findings_destroy (findings);
   return status;
 }
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -6,7 +6,7 @@
 
 #include <glib.h>
 
-#include "consensus_sim.h"
+#include "consensus_harness.h"
 
 #define ELECTION_MS 300
 #define GOLDEN_FILE "tests/golden/consensus-run.txt"
@@ -178,20 +178,20 @@
 /* A fixed run: founding, commands, the leader lost with its disk, its return
    as a learner and then a voter. */
 static void
-run_golden (struct consensus_sim *sim)
+run_golden (struct consensus_harness *sim)
 {
-  consensus_sim_settle (sim, 2000);
-  uint64_t leader = consensus_sim_leader (sim);
+  consensus_harness_settle (sim, 2000);
+  uint64_t leader = consensus_harness_leader (sim);
   for (int i = 0; i < 3; i++)
-    consensus_sim_propose (sim, leader);
-  consensus_sim_settle (sim, 200);
-  consensus_sim_compact (sim, leader);
-  consensus_sim_crash (sim, leader);
-  consensus_sim_wipe (sim, leader);
-  consensus_sim_start (sim, leader);
-  consensus_sim_settle (sim, 4000);
-  consensus_sim_propose (sim, consensus_sim_leader (sim));
-  consensus_sim_settle (sim, 500);
+    consensus_harness_propose (sim, leader);
+  consensus_harness_settle (sim, 200);
+  consensus_harness_compact (sim, leader);
+  consensus_harness_crash (sim, leader);
+  consensus_harness_wipe (sim, leader);
+  consensus_harness_start (sim, leader);
+  consensus_harness_settle (sim, 4000);
+  consensus_harness_propose (sim, consensus_harness_leader (sim));
+  consensus_harness_settle (sim, 500);
 }
 
 static void
@@ -200,7 +200,7 @@
   char *golden = NULL;
   const char *source = g_getenv ("CACTUS_SOURCE");
   char *path = g_build_filename (source ? source : ".", GOLDEN_FILE, NULL);
-  struct consensus_sim *sim = consensus_sim_create (42, 3);
+  struct consensus_harness *sim = consensus_harness_create (42, 3);
   sim->trace = g_string_new (NULL);
   run_golden (sim);
   if (g_getenv ("CACTUS_WRITE_GOLDEN"))
@@ -209,7 +209,7 @@
   g_assert_cmpstr (sim->trace->str, ==, golden);
   g_free (golden);
   g_free (path);
-  consensus_sim_destroy (sim);
+  consensus_harness_destroy (sim);
 }
 
 int
--- a/tests/test_consensus_fuzz.c
+++ b/tests/test_consensus_fuzz.c
@@ -7,27 +7,27 @@
 
 #include <glib.h>
 
-#include "consensus_sim.h"
+#include "consensus_harness.h"
 
 #define SEEDS 8
 #define STEPS 200000
 #define SETTLE_MS 15000
 
 static uint64_t
-below (struct consensus_sim *sim, uint64_t bound)
+below (struct consensus_harness *sim, uint64_t bound)
 {
   return base_random_below (&sim->random, bound);
 }
 
 static uint64_t
-any_number (struct consensus_sim *sim)
+any_number (struct consensus_harness *sim)
 {
-  return 1 + below (sim, CONSENSUS_SIM_MEMBERS);
+  return 1 + below (sim, CONSENSUS_HARNESS_MEMBERS);
 }
 
 /* A member that was started at some time. */
 static uint64_t
-any_member (struct consensus_sim *sim)
+any_member (struct consensus_harness *sim)
 {
   uint64_t id = any_number (sim);
   while (!sim->members[id].exists)
@@ -37,35 +37,35 @@
 
 /* The leader more often than the others. */
 static uint64_t
-leader_or_any (struct consensus_sim *sim)
+leader_or_any (struct consensus_harness *sim)
 {
-  uint64_t leader = below (sim, 3) == 0 ? consensus_sim_leader (sim) : 0;
+  uint64_t leader = below (sim, 3) == 0 ? consensus_harness_leader (sim) : 0;
   return leader != 0 ? leader : any_member (sim);
 }
 
 static void
-crash_one (struct consensus_sim *sim)
+crash_one (struct consensus_harness *sim)
 {
   uint64_t id = any_member (sim);
   if (!sim->members[id].consensus)
     return;
   /* Sometimes for good: the disk is lost, as long as a majority stands. */
-  bool wipe = below (sim, 3) == 0 && consensus_sim_can_lose (sim, id);
-  consensus_sim_crash (sim, id);
+  bool wipe = below (sim, 3) == 0 && consensus_harness_can_lose (sim, id);
+  consensus_harness_crash (sim, id);
   if (wipe)
-    consensus_sim_wipe (sim, id);
+    consensus_harness_wipe (sim, id);
 }
 
 static void
-restart_one (struct consensus_sim *sim)
+restart_one (struct consensus_harness *sim)
 {
   uint64_t id = any_member (sim);
   if (sim->members[id].exists && !sim->members[id].consensus)
-    consensus_sim_start (sim, id);
+    consensus_harness_start (sim, id);
 }
 
 static void
-freeze_one (struct consensus_sim *sim)
+freeze_one (struct consensus_harness *sim)
 {
   uint64_t id = leader_or_any (sim);
   sim->members[id].frozen_until_ms = sim->now_ms + below (sim, 2000);
@@ -73,7 +73,7 @@
 
 /* Cuts one direction, both, or a whole member off. */
 static void
-cut_some (struct consensus_sim *sim)
+cut_some (struct consensus_harness *sim)
 {
   uint64_t from = any_member (sim);
   uint64_t to = any_member (sim);
@@ -82,7 +82,7 @@
   sim->cut_until_ms[from][to] = until_ms;
   if (kind > 0)
     sim->cut_until_ms[to][from] = until_ms;
-  for (uint64_t id = 1; kind == 2 && id <= CONSENSUS_SIM_MEMBERS; id++)
+  for (uint64_t id = 1; kind == 2 && id <= CONSENSUS_HARNESS_MEMBERS; id++)
     {
       sim->cut_until_ms[from][id] = until_ms;
       sim->cut_until_ms[id][from] = until_ms;
@@ -100,11 +100,11 @@
 
 /* Adds a new member, promotes a learner or removes a member. */
 static void
-change_members (struct consensus_sim *sim)
+change_members (struct consensus_harness *sim)
 {
-  uint64_t leader = consensus_sim_leader (sim);
+  uint64_t leader = consensus_harness_leader (sim);
   uint64_t id = any_number (sim);
-  if (leader == 0 || !consensus_sim_awake (sim, leader))
+  if (leader == 0 || !consensus_harness_awake (sim, leader))
     return;
   struct consensus *consensus = sim->members[leader].consensus;
   struct consensus_configuration members = *consensus_members (consensus);
@@ -122,26 +122,26 @@
     {
       if (consensus_change_member (consensus, &member, false)
           && !sim->members[id].exists)
-        consensus_sim_start (sim, id);
+        consensus_harness_start (sim, id);
     }
-  else if (count_voters (&members) > 3 && consensus_sim_can_lose (sim, id))
+  else if (count_voters (&members) > 3 && consensus_harness_can_lose (sim, id))
     consensus_change_member (consensus, &member, true);
 }
 
 /* Sometimes the member reads before it looks at its clock. */
 static void
-read_at (struct consensus_sim *sim, uint64_t id)
+read_at (struct consensus_harness *sim, uint64_t id)
 {
-  consensus_sim_read (sim, id);
+  consensus_harness_read (sim, id);
   if (below (sim, 2) == 0)
-    consensus_sim_round (sim, id);
+    consensus_harness_round (sim, id);
 }
 
 static void
-use_one (struct consensus_sim *sim)
+use_one (struct consensus_harness *sim)
 {
   uint64_t id = leader_or_any (sim);
-  if (!consensus_sim_awake (sim, id))
+  if (!consensus_harness_awake (sim, id))
     return;
   switch (below (sim, 40))
     {
@@ -149,11 +149,11 @@
       consensus_transfer (sim->members[id].consensus, sim->now_ms);
       break;
     case 1:
-      consensus_sim_compact (sim, id);
+      consensus_harness_compact (sim, id);
       break;
     default:
       if (below (sim, 2) == 0)
-        consensus_sim_propose (sim, id);
+        consensus_harness_propose (sim, id);
       else
         read_at (sim, id);
       break;
@@ -161,22 +161,22 @@
 }
 
 static void
-run_one (struct consensus_sim *sim)
+run_one (struct consensus_harness *sim)
 {
   uint64_t id = any_member (sim);
-  if (!consensus_sim_awake (sim, id))
+  if (!consensus_harness_awake (sim, id))
     return;
   /* Sometimes a member goes on as if no time had passed since it looked at
      its clock. */
   if (below (sim, 4) > 0)
-    consensus_sim_tick (sim, id);
+    consensus_harness_tick (sim, id);
   /* Sometimes effects pile up, or are lost in a crash before the sync. */
   if (below (sim, 4) > 0)
-    consensus_sim_round (sim, id);
+    consensus_harness_round (sim, id);
 }
 
 static void
-one_step (struct consensus_sim *sim)
+one_step (struct consensus_harness *sim)
 {
   uint64_t dice = below (sim, 1000);
   sim->now_ms += below (sim, 4);
@@ -195,24 +195,24 @@
   else if (dice < 550)
     run_one (sim);
   else
-    consensus_sim_deliver (sim);
+    consensus_harness_deliver (sim);
 }
 
 /* After the faults everyone agrees, and lost members vote again. */
 static void
-check_settled (struct consensus_sim *sim)
+check_settled (struct consensus_harness *sim)
 {
-  consensus_sim_settle (sim, SETTLE_MS);
-  uint64_t leader = consensus_sim_leader (sim);
+  consensus_harness_settle (sim, SETTLE_MS);
+  uint64_t leader = consensus_harness_leader (sim);
   g_assert_cmpuint (leader, !=, 0);
-  consensus_sim_propose (sim, leader);
-  consensus_sim_settle (sim, 1000);
-  uint64_t committed = consensus_sim_committed (sim);
+  consensus_harness_propose (sim, leader);
+  consensus_harness_settle (sim, 1000);
+  uint64_t committed = consensus_harness_committed (sim);
   const struct consensus_configuration *members = &sim->committed_members;
   for (uint32_t i = 0; i < members->count; i++)
     {
       const struct consensus_member *member = &members->members[i];
-      const struct consensus_sim_member *known = &sim->members[member->id];
+      const struct consensus_harness_member *known = &sim->members[member->id];
       g_assert_cmpuint (member->incarnation, ==, known->incarnation);
       g_assert_cmpint (member->role, !=, CONSENSUS_REJOINING);
       g_assert_cmpuint (known->applied, ==, committed);
@@ -222,7 +222,7 @@
 static void
 fuzz (uint64_t seed, uint32_t founders)
 {
-  struct consensus_sim *sim = consensus_sim_create (seed, founders);
+  struct consensus_harness *sim = consensus_harness_create (seed, founders);
   sim->loss = seed % 2 == 0 ? 20 : 100;
   sim->duplicate = 30;
   sim->crash_before_sync = 10;
@@ -233,10 +233,10 @@
   g_test_message (
       "seed %" PRIu64 " founders %u: committed %" PRIu64 " elections %" PRIu64
       " reads %" PRIu64 " snapshots %" PRIu64 " member changes %" PRIu64,
-      seed, founders, consensus_sim_committed (sim), sim->elections,
+      seed, founders, consensus_harness_committed (sim), sim->elections,
       sim->reads_confirmed, sim->snapshots_installed, sim->members_changed);
-  g_assert_cmpuint (consensus_sim_committed (sim), >, 50);
-  consensus_sim_destroy (sim);
+  g_assert_cmpuint (consensus_harness_committed (sim), >, 50);
+  consensus_harness_destroy (sim);
 }
 
 static void
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 
 #include "test_ctl_fake.h"
+#include "tool_folder.h"
 
 /* A secret key of a fixed seed, so that signatures are the same each time. */
 #define SECRET_KEY                                                            \
@@ -118,21 +119,6 @@
   write_file (session, "ana.key", SECRET_KEY "\n");
 }
 
-static void
-remove_folder (const char *folder)
-{
-  const char *name;
-  GDir *list = g_dir_open (folder, 0, NULL);
-  while ((name = g_dir_read_name (list)))
-    {
-      char *path = g_build_filename (folder, name, NULL);
-      g_remove (path);
-      g_free (path);
-    }
-  g_dir_close (list);
-  g_rmdir (folder);
-}
-
 /* Compares the transcript, with the port replaced, with the golden file. */
 static void
 finish (struct session *session, const char *golden)
@@ -142,7 +128,7 @@
   g_string_replace (session->transcript, session->endpoint, "CONTROL", 0);
   g_file_get_contents (path, &expected, NULL, NULL);
   g_assert_cmpstr (session->transcript->str, ==, expected ? expected : "");
-  remove_folder (session->folder);
+  tool_folder_remove (session->folder);
   ctl_fake_stop (&session->ctl);
   g_string_free (session->transcript, TRUE);
   g_free (session->folder);
--- a/tests/test_ledger_server.c
+++ b/tests/test_ledger_server.c
@@ -8,13 +8,13 @@
 #include <sys/resource.h>
 
 #include <glib.h>
-#include <glib/gstdio.h>
 
 #include "base_clock.h"
 #include "base_hash.h"
 #include "ledger_rig.h"
 #include "ledger_server.h"
 #include "ledger_store.h"
+#include "tool_folder.h"
 
 #define BUDGET_ID 5
 #define BUDGET_TOKENS 100000
@@ -50,22 +50,6 @@
   return folder;
 }
 
-static void
-remove_folder (char *folder)
-{
-  const char *name;
-  GDir *listing = g_dir_open (folder, 0, NULL);
-  while ((name = g_dir_read_name (listing)))
-    {
-      char *path = g_build_filename (folder, name, NULL);
-      g_unlink (path);
-      g_free (path);
-    }
-  g_dir_close (listing);
-  g_rmdir (folder);
-  g_free (folder);
-}
-
 static gpointer
 serve (gpointer data)
 {
@@ -159,7 +143,8 @@
   g_assert_cmpuint (budget.free_tokens, ==, BUDGET_TOKENS - 14);
   ledger_store_close (store, false);
   base_findings_destroy (findings);
-  remove_folder (folder);
+  tool_folder_remove (folder);
+  g_free (folder);
 }
 
 static void
@@ -235,7 +220,8 @@
   g_assert_cmpuint (read_statement (store, 1, &lines), ==, expected);
   g_assert_cmpuint (lines, ==, 2500);
   ledger_store_close (store, false);
-  remove_folder (folder);
+  tool_folder_remove (folder);
+  g_free (folder);
 }
 
 int
--- a/tests/test_store_log.c
+++ b/tests/test_store_log.c
@@ -10,6 +10,7 @@
 
 #include "base_random.h"
 #include "store_log.h"
+#include "tool_folder.h"
 
 struct fixture
 {
@@ -25,26 +26,11 @@
   fixture->findings = base_findings_create ();
 }
 
-static void
-remove_folder (const char *folder)
-{
-  const char *name;
-  GDir *listing = g_dir_open (folder, 0, NULL);
-  while ((name = g_dir_read_name (listing)))
-    {
-      char *path = g_build_filename (folder, name, NULL);
-      g_unlink (path);
-      g_free (path);
-    }
-  g_dir_close (listing);
-  g_rmdir (folder);
-}
-
 static void
 tear_down (struct fixture *fixture, gconstpointer data)
 {
   (void)data;
-  remove_folder (fixture->folder);
+  tool_folder_remove (fixture->folder);
   base_findings_destroy (fixture->findings);
   g_free (fixture->folder);
 }
--- a/tests/test_trials.c
+++ b/tests/test_trials.c
@@ -10,29 +10,13 @@
 #include <unistd.h>
 
 #include <glib.h>
-#include <glib/gstdio.h>
 #include <jansson.h>
 
 #include "fleet_process.h"
+#include "tool_folder.h"
 
 extern char **environ;
 
-static void
-remove_tree (const char *path)
-{
-  const char *name;
-  GDir *listing = g_dir_open (path, 0, NULL);
-  while (listing && (name = g_dir_read_name (listing)))
-    {
-      char *inner = g_build_filename (path, name, NULL);
-      remove_tree (inner);
-      g_free (inner);
-    }
-  if (listing)
-    g_dir_close (listing);
-  g_remove (path);
-}
-
 /* Plays a scenario; its report, and its exit status. */
 static json_t *
 play (const char *scenario, const char *seed, int *status)
@@ -56,7 +40,7 @@
   g_assert_cmpint (waitpid (id, status, 0), ==, id);
   json_t *report = json_load_file (report_path, 0, NULL);
   if (report && *status == 0)
-    remove_tree (folder);
+    tool_folder_remove (folder);
   else
     g_test_message ("logs and data: %s", folder);
   g_free (program);
--- a/tools/consensus_sim.c
+++ b/tools/consensus_harness.c
@@ -1,18 +1,18 @@
-#include "consensus_sim.h"
+#include "consensus_harness.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "consensus_sim_disk.h"
-#include "consensus_sim_oracle.h"
+#include "consensus_harness_disk.h"
+#include "consensus_harness_oracle.h"
 
 #define ELECTION_MS 300
 #define HEARTBEAT_MS 75
 #define SETTLE_STEP_MS 5
 
 /* A message under way. */
-struct consensus_sim_packet
+struct consensus_harness_packet
 {
   uint64_t due_ms;
   struct consensus_wire_message *message;
@@ -21,21 +21,21 @@
 static void
 free_packet (gpointer data)
 {
-  struct consensus_sim_packet *packet = data;
+  struct consensus_harness_packet *packet = data;
   consensus_message_free (packet->message);
   g_free (packet);
 }
 
 static bool
-chance (struct consensus_sim *sim, uint32_t per_thousand)
+chance (struct consensus_harness *sim, uint32_t per_thousand)
 {
   return base_random_below (&sim->random, 1000) < per_thousand;
 }
 
-struct consensus_sim *
-consensus_sim_create (uint64_t seed, uint32_t founders)
+struct consensus_harness *
+consensus_harness_create (uint64_t seed, uint32_t founders)
 {
-  struct consensus_sim *sim = g_new0 (struct consensus_sim, 1);
+  struct consensus_harness *sim = g_new0 (struct consensus_harness, 1);
   base_random_seed (&sim->random, seed);
   sim->founders = founders;
   sim->longest_delay_ms = 10;
@@ -49,27 +49,27 @@
   g_array_set_size (sim->committed_in, 1);
   sim->leaders
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+  for (uint64_t id = 1; id <= CONSENSUS_HARNESS_MEMBERS; id++)
     {
-      struct consensus_sim_member *member = &sim->members[id];
+      struct consensus_harness_member *member = &sim->members[id];
       member->id = id;
       member->incarnation = base_random_next (&sim->random) | 1;
       member->exists = id <= founders;
       member->reads = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-      consensus_sim_disk_init (&member->disk);
+      consensus_harness_disk_init (&member->disk);
     }
   for (uint64_t id = 1; id <= founders; id++)
-    consensus_sim_start (sim, id);
+    consensus_harness_start (sim, id);
   return sim;
 }
 
 void
-consensus_sim_destroy (struct consensus_sim *sim)
+consensus_harness_destroy (struct consensus_harness *sim)
 {
-  for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+  for (uint64_t id = 1; id <= CONSENSUS_HARNESS_MEMBERS; id++)
     {
       consensus_destroy (sim->members[id].consensus);
-      consensus_sim_disk_clear (&sim->members[id].disk);
+      consensus_harness_disk_clear (&sim->members[id].disk);
       g_array_unref (sim->members[id].reads);
     }
   g_ptr_array_unref (sim->network);
@@ -83,16 +83,16 @@
 }
 
 void
-consensus_sim_start (struct consensus_sim *sim, uint64_t id)
+consensus_harness_start (struct consensus_harness *sim, uint64_t id)
 {
-  struct consensus_sim_member *member = &sim->members[id];
+  struct consensus_harness_member *member = &sim->members[id];
   struct consensus_options options = { .member_id = id,
                                        .incarnation = member->incarnation,
                                        .election_ms = ELECTION_MS,
                                        .heartbeat_ms = HEARTBEAT_MS };
   options.seed = base_random_next (&sim->random);
   member->exists = true;
-  for (uint64_t i = 1; i <= CONSENSUS_SIM_MEMBERS; i++)
+  for (uint64_t i = 1; i <= CONSENSUS_HARNESS_MEMBERS; i++)
     {
       struct consensus_member other
           = { .id = i, .role = CONSENSUS_VOTER, .port = (uint16_t)i };
@@ -103,48 +103,48 @@
   member->chain = 0;
   member->frozen_until_ms = 0;
   member->consensus = consensus_create (&options);
-  consensus_sim_disk_load (&member->disk, member->consensus);
+  consensus_harness_disk_load (&member->disk, member->consensus);
   if (member->disk.snapshot)
-    consensus_sim_load_state (sim, member, member->disk.snapshot);
+    consensus_harness_load_state (sim, member, member->disk.snapshot);
   consensus_start (member->consensus, sim->now_ms);
-  consensus_sim_trace (sim, "start %" PRIu64, id);
+  consensus_harness_trace (sim, "start %" PRIu64, id);
 }
 
 void
-consensus_sim_crash (struct consensus_sim *sim, uint64_t id)
+consensus_harness_crash (struct consensus_harness *sim, uint64_t id)
 {
-  struct consensus_sim_member *member = &sim->members[id];
-  consensus_sim_disk_persist_part (&member->disk, member->consensus,
-                                   &sim->random);
+  struct consensus_harness_member *member = &sim->members[id];
+  consensus_harness_disk_persist_part (&member->disk, member->consensus,
+                                       &sim->random);
   consensus_destroy (member->consensus);
   member->consensus = NULL;
   g_array_set_size (member->reads, 0);
-  consensus_sim_trace (sim, "crash %" PRIu64, id);
+  consensus_harness_trace (sim, "crash %" PRIu64, id);
 }
 
 void
-consensus_sim_wipe (struct consensus_sim *sim, uint64_t id)
+consensus_harness_wipe (struct consensus_harness *sim, uint64_t id)
 {
-  struct consensus_sim_member *member = &sim->members[id];
-  consensus_sim_disk_clear (&member->disk);
-  consensus_sim_disk_init (&member->disk);
+  struct consensus_harness_member *member = &sim->members[id];
+  consensus_harness_disk_clear (&member->disk);
+  consensus_harness_disk_init (&member->disk);
   member->incarnation = base_random_next (&sim->random) | 1;
-  consensus_sim_trace (sim, "wipe %" PRIu64, id);
+  consensus_harness_trace (sim, "wipe %" PRIu64, id);
 }
 
 bool
-consensus_sim_awake (const struct consensus_sim *sim, uint64_t id)
+consensus_harness_awake (const struct consensus_harness *sim, uint64_t id)
 {
-  const struct consensus_sim_member *member = &sim->members[id];
+  const struct consensus_harness_member *member = &sim->members[id];
   return member->consensus && sim->now_ms >= member->frozen_until_ms;
 }
 
 void
-consensus_sim_tick (struct consensus_sim *sim, uint64_t id)
+consensus_harness_tick (struct consensus_harness *sim, uint64_t id)
 {
-  struct consensus_sim_member *member = &sim->members[id];
+  struct consensus_harness_member *member = &sim->members[id];
   consensus_tick (member->consensus, sim->now_ms);
-  consensus_sim_check_leader (sim, member);
+  consensus_harness_check_leader (sim, member);
 }
 
 static struct consensus_wire_message *
@@ -167,10 +167,10 @@
 }
 
 static void
-post (struct consensus_sim *sim, struct consensus_wire_message *message)
+post (struct consensus_harness *sim, struct consensus_wire_message *message)
 {
-  struct consensus_sim_packet *packet
-      = g_new0 (struct consensus_sim_packet, 1);
+  struct consensus_harness_packet *packet
+      = g_new0 (struct consensus_harness_packet, 1);
   packet->message = message;
   packet->due_ms
       = sim->now_ms
@@ -180,7 +180,7 @@
 
 /* Hands messages to the network, which may lose or double them. */
 static void
-send_messages (struct consensus_sim *sim, GPtrArray *messages)
+send_messages (struct consensus_harness *sim, GPtrArray *messages)
 {
   for (guint i = 0; i < messages->len; i++)
     {
@@ -189,7 +189,7 @@
       uint64_t to = message->to_member;
       messages->pdata[i] = NULL;
       message->cluster = strdup ("");
-      if (to > CONSENSUS_SIM_MEMBERS
+      if (to > CONSENSUS_HARNESS_MEMBERS
           || sim->cut_until_ms[from][to] > sim->now_ms
           || chance (sim, sim->loss))
         {
@@ -204,9 +204,9 @@
 }
 
 void
-consensus_sim_round (struct consensus_sim *sim, uint64_t id)
+consensus_harness_round (struct consensus_harness *sim, uint64_t id)
 {
-  struct consensus_sim_member *member = &sim->members[id];
+  struct consensus_harness_member *member = &sim->members[id];
   struct consensus *consensus = member->consensus;
   struct consensus_effects *effects = consensus_effects (consensus);
   const struct consensus_wire_entry *entry;
@@ -216,28 +216,28 @@
                   || effects->persist_from > 0;
   if (unsynced && chance (sim, sim->crash_before_sync))
     {
-      consensus_sim_crash (sim, id);
+      consensus_harness_crash (sim, id);
       return;
     }
   bool installed = effects->snapshot_installed;
-  consensus_sim_disk_persist (&member->disk, consensus, effects);
+  consensus_harness_disk_persist (&member->disk, consensus, effects);
   consensus_persisted (consensus, sim->now_ms);
   if (installed)
     {
       sim->snapshots_installed++;
-      consensus_sim_load_state (sim, member, member->disk.snapshot);
+      consensus_harness_load_state (sim, member, member->disk.snapshot);
     }
   send_messages (sim, effects->early_messages);
   send_messages (sim, effects->messages);
   while ((entry = consensus_next_applied (consensus)))
-    consensus_sim_apply (sim, member, entry);
-  consensus_sim_check_reads (sim, member, effects->reads);
+    consensus_harness_apply (sim, member, entry);
+  consensus_harness_check_reads (sim, member, effects->reads);
   consensus_effects_clear (consensus);
-  consensus_sim_check_leader (sim, member);
+  consensus_harness_check_leader (sim, member);
 }
 
 bool
-consensus_sim_deliver (struct consensus_sim *sim)
+consensus_harness_deliver (struct consensus_harness *sim)
 {
   if (sim->network->len == 0)
     return false;
@@ -245,18 +245,19 @@
   for (guint i = 0; i < sim->network->len; i++)
     {
       guint at = (place + i) % sim->network->len;
-      struct consensus_sim_packet *packet = sim->network->pdata[at];
+      struct consensus_harness_packet *packet = sim->network->pdata[at];
       uint64_t to = packet->message->to_member;
       bool gone = !sim->members[to].consensus;
       if (!gone
-          && (packet->due_ms > sim->now_ms || !consensus_sim_awake (sim, to)))
+          && (packet->due_ms > sim->now_ms
+              || !consensus_harness_awake (sim, to)))
         continue;
       packet = g_ptr_array_steal_index_fast (sim->network, at);
       if (!gone)
         {
           consensus_step (sim->members[to].consensus, sim->now_ms,
                           packet->message);
-          consensus_sim_check_leader (sim, &sim->members[to]);
+          consensus_harness_check_leader (sim, &sim->members[to]);
         }
       free_packet (packet);
       return true;
@@ -265,7 +266,7 @@
 }
 
 void
-consensus_sim_propose (struct consensus_sim *sim, uint64_t id)
+consensus_harness_propose (struct consensus_harness *sim, uint64_t id)
 {
   uint64_t value = base_random_next (&sim->random);
   if (consensus_propose (sim->members[id].consensus, &value, sizeof value) > 0)
@@ -273,10 +274,10 @@
 }
 
 void
-consensus_sim_read (struct consensus_sim *sim, uint64_t id)
+consensus_harness_read (struct consensus_harness *sim, uint64_t id)
 {
-  struct consensus_sim_member *member = &sim->members[id];
-  uint64_t needed = consensus_sim_committed (sim);
+  struct consensus_harness_member *member = &sim->members[id];
+  uint64_t needed = consensus_harness_committed (sim);
   uint64_t read = consensus_read_begin (member->consensus, sim->now_ms);
   if (read == 0)
     return;
@@ -285,58 +286,58 @@
 }
 
 void
-consensus_sim_compact (struct consensus_sim *sim, uint64_t id)
+consensus_harness_compact (struct consensus_harness *sim, uint64_t id)
 {
-  struct consensus_sim_member *member = &sim->members[id];
-  consensus_sim_round (sim, id);
-  struct consensus_sim_state state = { member->applied, member->chain };
+  struct consensus_harness_member *member = &sim->members[id];
+  consensus_harness_round (sim, id);
+  struct consensus_harness_state state = { member->applied, member->chain };
   if (!member->consensus
       || state.applied == consensus_base_index (member->consensus))
     return;
   GBytes *snapshot
       = consensus_compact (member->consensus, &state, sizeof state);
-  consensus_sim_disk_compact (&member->disk, snapshot, state.applied);
+  consensus_harness_disk_compact (&member->disk, snapshot, state.applied);
 }
 
 void
-consensus_sim_settle (struct consensus_sim *sim, uint64_t duration_ms)
+consensus_harness_settle (struct consensus_harness *sim, uint64_t duration_ms)
 {
   uint64_t end_ms = sim->now_ms + duration_ms;
   memset (sim->cut_until_ms, 0, sizeof sim->cut_until_ms);
   sim->loss = 0;
   sim->crash_before_sync = 0;
-  for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+  for (uint64_t id = 1; id <= CONSENSUS_HARNESS_MEMBERS; id++)
     {
       sim->members[id].frozen_until_ms = 0;
       if (sim->members[id].exists && !sim->members[id].consensus)
-        consensus_sim_start (sim, id);
+        consensus_harness_start (sim, id);
     }
   while (sim->now_ms < end_ms)
     {
       sim->now_ms += SETTLE_STEP_MS;
-      for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+      for (uint64_t id = 1; id <= CONSENSUS_HARNESS_MEMBERS; id++)
         if (sim->members[id].consensus)
           {
-            consensus_sim_tick (sim, id);
-            consensus_sim_round (sim, id);
+            consensus_harness_tick (sim, id);
+            consensus_harness_round (sim, id);
           }
-      while (consensus_sim_deliver (sim))
+      while (consensus_harness_deliver (sim))
         ;
     }
 }
 
 uint64_t
-consensus_sim_committed (const struct consensus_sim *sim)
+consensus_harness_committed (const struct consensus_harness *sim)
 {
   return sim->committed_terms->len - 1;
 }
 
 uint64_t
-consensus_sim_leader (const struct consensus_sim *sim)
+consensus_harness_leader (const struct consensus_harness *sim)
 {
   uint64_t leader = 0;
   uint64_t term = 0;
-  for (uint64_t id = 1; id <= CONSENSUS_SIM_MEMBERS; id++)
+  for (uint64_t id = 1; id <= CONSENSUS_HARNESS_MEMBERS; id++)
     {
       const struct consensus *consensus = sim->members[id].consensus;
       if (consensus && consensus_is_leader (consensus)
@@ -352,7 +353,7 @@
 /* Whether voters whose disk is still there make a majority without @p id, also
    once those that rejoin are voters again. */
 static bool
-stands_without (struct consensus_sim *sim,
+stands_without (struct consensus_harness *sim,
                 const struct consensus_configuration *members, uint64_t id)
 {
   uint32_t voters = 0;
@@ -377,12 +378,12 @@
 }
 
 bool
-consensus_sim_can_lose (struct consensus_sim *sim, uint64_t id)
+consensus_harness_can_lose (struct consensus_harness *sim, uint64_t id)
 {
   if (sim->committed_members.count == 0
       || !stands_without (sim, &sim->committed_members, id))
     return false;
-  for (uint64_t i = 1; i <= CONSENSUS_SIM_MEMBERS; i++)
+  for (uint64_t i = 1; i <= CONSENSUS_HARNESS_MEMBERS; i++)
     {
       const struct consensus *consensus = sim->members[i].consensus;
       if (sim->members[i].exists && !consensus)
--- a/tools/consensus_sim.h
+++ b/tools/consensus_harness.h
@@ -1,5 +1,5 @@
-#ifndef CONSENSUS_SIM_H
-#define CONSENSUS_SIM_H
+#ifndef CONSENSUS_HARNESS_H
+#define CONSENSUS_HARNESS_H
 
 /** @file
  *  Members of a replicated log in one thread with simulated time, network and
@@ -9,10 +9,10 @@
 #include "consensus.h"
 
 /** Most member numbers that a simulation uses. */
-#define CONSENSUS_SIM_MEMBERS 8
+#define CONSENSUS_HARNESS_MEMBERS 8
 
 /** What survives a crash. */
-struct consensus_sim_disk
+struct consensus_harness_disk
 {
   struct consensus_wire_vote vote;
   GBytes *snapshot;
@@ -22,7 +22,7 @@
 };
 
 /** One member. */
-struct consensus_sim_member
+struct consensus_harness_member
 {
   uint64_t id;
   uint64_t incarnation;
@@ -30,7 +30,7 @@
   bool exists;
   /** NULL while crashed. */
   struct consensus *consensus;
-  struct consensus_sim_disk disk;
+  struct consensus_harness_disk disk;
   uint64_t frozen_until_ms;
   uint64_t applied;
   uint64_t chain;
@@ -39,16 +39,17 @@
 };
 
 /** The simulation; a broken promise aborts through g_error. */
-struct consensus_sim
+struct consensus_harness
 {
   uint64_t now_ms;
   struct base_random random;
   uint32_t founders;
-  struct consensus_sim_member members[CONSENSUS_SIM_MEMBERS + 1];
-  /** struct consensus_sim_packet. */
+  struct consensus_harness_member members[CONSENSUS_HARNESS_MEMBERS + 1];
+  /** struct consensus_harness_packet. */
   GPtrArray *network;
   /** Until when a direction is cut, in milliseconds. */
-  uint64_t cut_until_ms[CONSENSUS_SIM_MEMBERS + 1][CONSENSUS_SIM_MEMBERS + 1];
+  uint64_t cut_until_ms[CONSENSUS_HARNESS_MEMBERS + 1]
+                       [CONSENSUS_HARNESS_MEMBERS + 1];
   /** Chances in 1000. */
   uint32_t loss;
   uint32_t duplicate;
@@ -75,38 +76,41 @@
 };
 
 /** Makes @p founders members with empty disks. */
-struct consensus_sim *consensus_sim_create (uint64_t seed, uint32_t founders);
+struct consensus_harness *consensus_harness_create (uint64_t seed,
+                                                    uint32_t founders);
 /** Frees it. */
-void consensus_sim_destroy (struct consensus_sim *sim);
+void consensus_harness_destroy (struct consensus_harness *sim);
 /** Starts a member from its disk. */
-void consensus_sim_start (struct consensus_sim *sim, uint64_t id);
+void consensus_harness_start (struct consensus_harness *sim, uint64_t id);
 /** Ends a member; of what is not synced a random part is on the disk. */
-void consensus_sim_crash (struct consensus_sim *sim, uint64_t id);
+void consensus_harness_crash (struct consensus_harness *sim, uint64_t id);
 /** Empties the disk of a crashed member. */
-void consensus_sim_wipe (struct consensus_sim *sim, uint64_t id);
+void consensus_harness_wipe (struct consensus_harness *sim, uint64_t id);
 /** Whether the member runs and is not frozen. */
-bool consensus_sim_awake (const struct consensus_sim *sim, uint64_t id);
+bool consensus_harness_awake (const struct consensus_harness *sim,
+                              uint64_t id);
 /** Lets the member's time pass. */
-void consensus_sim_tick (struct consensus_sim *sim, uint64_t id);
+void consensus_harness_tick (struct consensus_harness *sim, uint64_t id);
 /** Carries out the member's effects: send, sync, send, apply; the member may
  *  crash before the sync. */
-void consensus_sim_round (struct consensus_sim *sim, uint64_t id);
+void consensus_harness_round (struct consensus_harness *sim, uint64_t id);
 /** Delivers one message that is due; false when none is. */
-bool consensus_sim_deliver (struct consensus_sim *sim);
+bool consensus_harness_deliver (struct consensus_harness *sim);
 /** Proposes a command at a member. */
-void consensus_sim_propose (struct consensus_sim *sim, uint64_t id);
+void consensus_harness_propose (struct consensus_harness *sim, uint64_t id);
 /** Begins a read at a member. */
-void consensus_sim_read (struct consensus_sim *sim, uint64_t id);
+void consensus_harness_read (struct consensus_harness *sim, uint64_t id);
 /** Replaces a member's applied entries by a snapshot. */
-void consensus_sim_compact (struct consensus_sim *sim, uint64_t id);
+void consensus_harness_compact (struct consensus_harness *sim, uint64_t id);
 /** Runs all members without further faults for @p duration_ms. */
-void consensus_sim_settle (struct consensus_sim *sim, uint64_t duration_ms);
+void consensus_harness_settle (struct consensus_harness *sim,
+                               uint64_t duration_ms);
 /** Index of the last committed entry. */
-uint64_t consensus_sim_committed (const struct consensus_sim *sim);
+uint64_t consensus_harness_committed (const struct consensus_harness *sim);
 /** Member that leads the highest term, or 0. */
-uint64_t consensus_sim_leader (const struct consensus_sim *sim);
+uint64_t consensus_harness_leader (const struct consensus_harness *sim);
 /** Whether voters with their disk make a majority without @p id in every
  *  configuration that a member knows. */
-bool consensus_sim_can_lose (struct consensus_sim *sim, uint64_t id);
+bool consensus_harness_can_lose (struct consensus_harness *sim, uint64_t id);
 
 #endif
--- a/tools/consensus_sim_disk.c
+++ b/tools/consensus_harness_disk.c
@@ -1,4 +1,4 @@
-#include "consensus_sim_disk.h"
+#include "consensus_harness_disk.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -11,7 +11,7 @@
 }
 
 void
-consensus_sim_disk_init (struct consensus_sim_disk *disk)
+consensus_harness_disk_init (struct consensus_harness_disk *disk)
 {
   memset (disk, 0, sizeof *disk);
   disk->entries
@@ -20,7 +20,7 @@
 }
 
 void
-consensus_sim_disk_clear (struct consensus_sim_disk *disk)
+consensus_harness_disk_clear (struct consensus_harness_disk *disk)
 {
   g_clear_pointer (&disk->snapshot, g_bytes_unref);
   g_clear_pointer (&disk->entries, g_array_unref);
@@ -36,8 +36,8 @@
 }
 
 void
-consensus_sim_disk_load (const struct consensus_sim_disk *disk,
-                         struct consensus *consensus)
+consensus_harness_disk_load (const struct consensus_harness_disk *disk,
+                             struct consensus *consensus)
 {
   if (disk->snapshot)
     g_assert_true (consensus_load_snapshot (consensus, disk->snapshot));
@@ -52,8 +52,8 @@
 
 /* Writes entries from @p from on, at most @p most. */
 static void
-write_entries (struct consensus_sim_disk *disk, struct consensus *consensus,
-               uint64_t from, uint64_t most)
+write_entries (struct consensus_harness_disk *disk,
+               struct consensus *consensus, uint64_t from, uint64_t most)
 {
   const struct consensus_wire_entry *entry;
   uint64_t index = from;
@@ -68,7 +68,8 @@
 }
 
 static void
-write_snapshot (struct consensus_sim_disk *disk, struct consensus *consensus)
+write_snapshot (struct consensus_harness_disk *disk,
+                struct consensus *consensus)
 {
   g_clear_pointer (&disk->snapshot, g_bytes_unref);
   disk->snapshot = g_bytes_ref (consensus_snapshot (consensus));
@@ -77,9 +78,9 @@
 }
 
 void
-consensus_sim_disk_persist (struct consensus_sim_disk *disk,
-                            struct consensus *consensus,
-                            const struct consensus_effects *effects)
+consensus_harness_disk_persist (struct consensus_harness_disk *disk,
+                                struct consensus *consensus,
+                                const struct consensus_effects *effects)
 {
   if (effects->vote_changed)
     disk->vote = effects->vote;
@@ -90,9 +91,9 @@
 }
 
 void
-consensus_sim_disk_persist_part (struct consensus_sim_disk *disk,
-                                 struct consensus *consensus,
-                                 struct base_random *random)
+consensus_harness_disk_persist_part (struct consensus_harness_disk *disk,
+                                     struct consensus *consensus,
+                                     struct base_random *random)
 {
   const struct consensus_effects *effects = consensus_effects (consensus);
   if (base_random_below (random, 2) == 0)
@@ -109,8 +110,8 @@
 }
 
 void
-consensus_sim_disk_compact (struct consensus_sim_disk *disk, GBytes *snapshot,
-                            uint64_t index)
+consensus_harness_disk_compact (struct consensus_harness_disk *disk,
+                                GBytes *snapshot, uint64_t index)
 {
   g_clear_pointer (&disk->snapshot, g_bytes_unref);
   disk->snapshot = g_bytes_ref (snapshot);
--- a/tools/consensus_sim_oracle.c
+++ b/tools/consensus_harness_oracle.c
@@ -1,4 +1,4 @@
-#include "consensus_sim_oracle.h"
+#include "consensus_harness_oracle.h"
 
 #include <inttypes.h>
 #include <stdarg.h>
@@ -7,7 +7,8 @@
 #include "base_hash.h"
 
 void
-consensus_sim_trace (struct consensus_sim *sim, const char *format, ...)
+consensus_harness_trace (struct consensus_harness *sim, const char *format,
+                         ...)
 {
   va_list arguments;
   if (!sim->trace)
@@ -20,24 +21,24 @@
 }
 
 static uint64_t
-chain_at (const struct consensus_sim *sim, uint64_t index)
+chain_at (const struct consensus_harness *sim, uint64_t index)
 {
   return g_array_index (sim->committed_chains, uint64_t, index);
 }
 
 void
-consensus_sim_load_state (struct consensus_sim *sim,
-                          struct consensus_sim_member *member,
-                          GBytes *snapshot)
+consensus_harness_load_state (struct consensus_harness *sim,
+                              struct consensus_harness_member *member,
+                              GBytes *snapshot)
 {
   struct consensus_wire_snapshot wire = { 0 };
-  struct consensus_sim_state state;
+  struct consensus_harness_state state;
   g_assert_true (consensus_snapshot_decode (snapshot, &wire));
   g_assert_cmpuint (wire.state.state_len, ==, sizeof state);
   memcpy (&state, wire.state.state_val, sizeof state);
   g_assert_cmpuint (state.applied, ==, wire.log_index);
   xdr_free ((xdrproc_t)xdr_consensus_wire_snapshot, (char *)&wire);
-  if (state.applied > consensus_sim_committed (sim)
+  if (state.applied > consensus_harness_committed (sim)
       || chain_at (sim, state.applied) != state.chain)
     g_error ("member %" PRIu64 " took a snapshot that is not the list's",
              member->id);
@@ -48,8 +49,8 @@
 /* One leader a term, and it holds every entry committed in earlier terms.  A
    candidate may learn late that it won, when a later term has begun. */
 void
-consensus_sim_check_leader (struct consensus_sim *sim,
-                            struct consensus_sim_member *member)
+consensus_harness_check_leader (struct consensus_harness *sim,
+                                struct consensus_harness_member *member)
 {
   if (!consensus_is_leader (member->consensus))
     return;
@@ -62,9 +63,9 @@
   g_hash_table_insert (sim->leaders, g_memdup2 (&term, sizeof term),
                        g_memdup2 (&member->incarnation, sizeof (uint64_t)));
   sim->elections++;
-  consensus_sim_trace (sim, "lead %" PRIu64 " term %" PRIu64, member->id,
-                       term);
-  uint64_t committed = consensus_sim_committed (sim);
+  consensus_harness_trace (sim, "lead %" PRIu64 " term %" PRIu64, member->id,
+                           term);
+  uint64_t committed = consensus_harness_committed (sim);
   for (uint64_t index = consensus_base_index (member->consensus) + 1;
        index <= committed; index++)
     {
@@ -92,7 +93,7 @@
 
 /* Adds a newly committed entry to the single list. */
 static void
-extend_list (struct consensus_sim *sim,
+extend_list (struct consensus_harness *sim,
              const struct consensus_wire_entry *entry, uint64_t chain,
              uint64_t committed_in)
 {
@@ -108,18 +109,18 @@
 }
 
 void
-consensus_sim_apply (struct consensus_sim *sim,
-                     struct consensus_sim_member *member,
-                     const struct consensus_wire_entry *entry)
+consensus_harness_apply (struct consensus_harness *sim,
+                         struct consensus_harness_member *member,
+                         const struct consensus_wire_entry *entry)
 {
   g_assert_cmpuint (entry->index, ==, member->applied + 1);
   member->chain = chain_of (member->chain, entry);
   member->applied = entry->index;
-  if (entry->index > consensus_sim_committed (sim))
+  if (entry->index > consensus_harness_committed (sim))
     {
       extend_list (sim, entry, member->chain,
                    consensus_term (member->consensus));
-      consensus_sim_trace (
+      consensus_harness_trace (
           sim, "commit %" PRIu64 " term %" PRIu64 " kind %u by %" PRIu64,
           (uint64_t)entry->index, (uint64_t)entry->term, entry->kind,
           member->id);
@@ -130,8 +131,9 @@
 }
 
 void
-consensus_sim_check_reads (struct consensus_sim *sim,
-                           struct consensus_sim_member *member, GArray *reads)
+consensus_harness_check_reads (struct consensus_harness *sim,
+                               struct consensus_harness_member *member,
+                               GArray *reads)
 {
   for (guint i = 0; i < reads->len; i++)
     {
--- a/tools/control_trial.c
+++ b/tools/control_trial.c
@@ -1,6 +1,5 @@
 #include "control_trial.h"
 
-#include <glib/gstdio.h>
 #include <inttypes.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -8,10 +7,13 @@
 
 #include <sodium.h>
 
+#include <glib.h>
+
 #include "base_clock.h"
 #include "base_hash.h"
 #include "bundle.h"
 #include "wire_client.h"
+#include "tool_folder.h"
 
 #define CALL_LIMIT_MS 15000
 #define START_LIMIT_MS 20000
@@ -163,25 +165,6 @@
   return control_trial_create_with (count, NULL);
 }
 
-static void
-remove_folder (const char *folder)
-{
-  const char *name;
-  GDir *listing = g_dir_open (folder, 0, NULL);
-  while (listing && (name = g_dir_read_name (listing)))
-    {
-      char *path = g_build_filename (folder, name, NULL);
-      if (g_file_test (path, G_FILE_TEST_IS_DIR))
-        remove_folder (path);
-      else
-        g_unlink (path);
-      g_free (path);
-    }
-  if (listing)
-    g_dir_close (listing);
-  g_rmdir (folder);
-}
-
 void
 control_trial_destroy (struct control_trial *trial)
 {
@@ -191,7 +174,7 @@
   control_client_destroy (trial->client);
   for (uint32_t i = 0; i < trial->count; i++)
     fleet_process_destroy (trial->members[i]);
-  remove_folder (trial->folder);
+  tool_folder_remove (trial->folder);
   g_free (trial->folder);
   g_free (trial->members);
   g_free (trial->ports);
@@ -209,7 +192,7 @@
 control_trial_wipe (struct control_trial *trial, uint32_t member)
 {
   char *folder = data_folder (trial, member);
-  remove_folder (folder);
+  tool_folder_remove (folder);
   g_free (folder);
 }
 
--- a/tools/fleet_process.c
+++ b/tools/fleet_process.c
@@ -17,6 +17,8 @@
 #include "base_clock.h"
 
 #define POLL_US 2000
+/* Most processes that are ended with this one by a signal. */
+#define RUNNING_MAX 512
 
 extern char **environ;
 
@@ -32,6 +34,40 @@
   uint16_t http_port;
 };
 
+/* Ids of what runs now, for the end by a signal. */
+static volatile pid_t running_ids[RUNNING_MAX];
+
+static void
+replace_running (pid_t former, pid_t id)
+{
+  for (size_t i = 0; i < RUNNING_MAX; i++)
+    if (running_ids[i] == former)
+      {
+        running_ids[i] = id;
+        return;
+      }
+}
+
+/* Ends what was started, then this process by the signal's default. */
+static void
+end_all (int number)
+{
+  for (size_t i = 0; i < RUNNING_MAX; i++)
+    if (running_ids[i] != 0)
+      kill (running_ids[i], SIGKILL);
+  signal (number, SIG_DFL);
+  raise (number);
+}
+
+static void
+catch_signals (void)
+{
+  static const int numbers[] = { SIGABRT, SIGTERM, SIGINT };
+  struct sigaction action = { .sa_handler = end_all };
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    sigaction (numbers[i], &action, NULL);
+}
+
 const char *
 fleet_binaries (void)
 {
@@ -106,7 +142,11 @@
                            process->arguments, environ);
   posix_spawn_file_actions_destroy (&actions);
   if (error == 0)
-    return 0;
+    {
+      catch_signals ();
+      replace_running (0, process->id);
+      return 0;
+    }
   process->id = 0;
   errno = error;
   return -1;
@@ -134,6 +174,7 @@
   int status;
   if (process->id == 0 || waitpid (process->id, &status, WNOHANG) <= 0)
     return;
+  replace_running (process->id, 0);
   process->id = 0;
   process->status
       = WIFEXITED (status) ? WEXITSTATUS (status) : 128 + WTERMSIG (status);
@@ -187,6 +228,7 @@
     return;
   kill (process->id, SIGKILL);
   waitpid (process->id, &status, 0);
+  replace_running (process->id, 0);
   process->id = 0;
   process->status = 128 + SIGKILL;
 }
--- a/tools/ledger_rig.c
+++ b/tools/ledger_rig.c
@@ -17,6 +17,7 @@
 #include "base_hash.h"
 #include "escrow_pool.h"
 #include "wire_server.h"
+#include "tool_folder.h"
 
 #define START_TIMEOUT_MS 20000
 #define POLL_US 2000
@@ -140,26 +141,6 @@
   return rig;
 }
 
-/* Removes a folder and what is in it, two levels deep. */
-static void
-remove_folder (const char *folder)
-{
-  const char *name;
-  GDir *listing = g_dir_open (folder, 0, NULL);
-  while (listing && (name = g_dir_read_name (listing)))
-    {
-      char *path = g_build_filename (folder, name, NULL);
-      if (g_file_test (path, G_FILE_TEST_IS_DIR))
-        remove_folder (path);
-      else
-        g_unlink (path);
-      g_free (path);
-    }
-  if (listing)
-    g_dir_close (listing);
-  g_rmdir (folder);
-}
-
 void
 ledger_rig_destroy (struct ledger_rig *rig)
 {
@@ -169,7 +150,7 @@
   wire_server_destroy (rig->wire);
   escrow_pool_destroy (rig->pool);
   g_mutex_clear (&rig->mutex);
-  remove_folder (rig->folder);
+  tool_folder_remove (rig->folder);
   g_free (rig->folder);
   g_free (rig);
 }
--- a/tools/router_rig.c
+++ b/tools/router_rig.c
@@ -4,7 +4,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#include <glib/gstdio.h>
 #include <jansson.h>
 #include <sodium.h>
 
@@ -15,6 +14,7 @@
 #include "router_rig_bundle.h"
 #include "wire_client.h"
 #include "wire_ledger.h"
+#include "tool_folder.h"
 
 #define CLUSTER "rig"
 #define OPERATOR ROUTER_RIG_OPERATOR
@@ -172,25 +172,6 @@
   return rig;
 }
 
-static void
-remove_folder (const char *path)
-{
-  const char *name;
-  GDir *folder = g_dir_open (path, 0, NULL);
-  while (folder && (name = g_dir_read_name (folder)))
-    {
-      char *child = g_build_filename (path, name, NULL);
-      if (g_file_test (child, G_FILE_TEST_IS_DIR))
-        remove_folder (child);
-      else
-        g_unlink (child);
-      g_free (child);
-    }
-  if (folder)
-    g_dir_close (folder);
-  g_rmdir (path);
-}
-
 void
 router_rig_destroy (struct router_rig *rig)
 {
@@ -201,7 +182,7 @@
   fleet_process_destroy (rig->ledger);
   control_client_destroy (rig->client);
   fleet_process_destroy (rig->control);
-  remove_folder (rig->folder);
+  tool_folder_remove (rig->folder);
   g_free (rig->control_endpoint);
   g_free (rig->folder);
   g_free (rig);
--- a/tools/trial_fleet.c
+++ b/tools/trial_fleet.c
@@ -9,22 +9,17 @@
 #include <unistd.h>
 
 #include <curl/curl.h>
-#include <glib/gstdio.h>
 
-#include "link_relay.h"
 #include "trial_layout.h"
+#include "trial_links.h"
 #include "trial_operator.h"
+#include "tool_folder.h"
 
 #define CLUSTER "trial"
 #define READY_LIMIT_MS 20000
 #define OPERATOR_LIMIT_MS 20000
 #define STOP_LIMIT_MS 30000
 #define FAULTS_TIMEOUT_MS 2000L
-/* One-way delays of the brief, in milliseconds. */
-#define REGION_DELAY_MS 30
-#define ZONE_DELAY_MS 1
-/* Link between regions: 30 Mb/s each way. */
-#define REGION_BYTES_PER_S (30 * 1000 * 1000 / 8)
 /* Targets of the model service in each zone, and of the plain service. */
 #define LONJA_MODEL_TARGETS 4
 #define KRUA_KHAO_MODEL_TARGETS 3
@@ -50,7 +45,7 @@
   char *folder;
   uint32_t routers;
   GPtrArray *nodes;
-  struct link_relay *links[TRIAL_ZONES][TRIAL_ZONES];
+  struct trial_links *links;
   struct trial_operator *who;
   char *members;
   char *control;
@@ -235,42 +230,14 @@
   g_free (map);
 }
 
-/* Delay and bandwidth of the brief between two zones. */
 static void
-set_link (struct trial_fleet *fleet, struct link_relay *link, uint32_t from,
-          uint32_t to)
+link_node (struct trial_fleet *fleet, const struct trial_node *node)
 {
-  const char *region = trial_layout_region_name (fleet->mix, from);
-  bool same = strcmp (region, trial_layout_region_name (fleet->mix, to)) == 0;
-  link_relay_set_delay (link, same ? ZONE_DELAY_MS : REGION_DELAY_MS);
-  link_relay_set_bandwidth (link, same ? 0 : REGION_BYTES_PER_S);
-}
-
-static void
-add_link_port (struct link_relay *link, const char *listen_address,
-               const char *to_address, uint16_t port)
-{
-  if (port != 0
-      && link_relay_add (link, listen_address, port, to_address, port) == 0)
-    fprintf (stderr, "the link can't listen on %s:%u\n", listen_address, port);
-}
-
-static void
-add_link (struct trial_fleet *fleet, uint32_t from, uint32_t to)
-{
-  struct link_relay *link = link_relay_create ();
-  fleet->links[from][to] = link;
-  set_link (fleet, link, from, to);
-  for (guint i = 0; i < fleet->nodes->len; i++)
-    {
-      const struct trial_node *node = fleet->nodes->pdata[i];
-      char address[TRIAL_ADDRESS_BYTES];
-      if (node->zone != to)
-        continue;
-      trial_layout_link_address (from, node->role, to, node->index, address);
-      add_link_port (link, address, node->address, node->rpc_port);
-      add_link_port (link, address, node->address, node->http_port);
-    }
+  if (node->rpc_port != 0)
+    trial_links_add (fleet->links, node->role, node->zone, node->index,
+                     node->rpc_port);
+  trial_links_add (fleet->links, node->role, node->zone, node->index,
+                   node->http_port);
 }
 
 struct trial_fleet *
@@ -291,12 +258,13 @@
   fleet->who
       = trial_operator_create (mix, CLUSTER, (const char *const *)control);
   g_strfreev (control);
+  fleet->links = trial_links_create (mix);
   for (guint i = 0; i < fleet->nodes->len; i++)
-    describe_process (fleet, fleet->nodes->pdata[i]);
-  for (uint32_t from = 0; from < TRIAL_ZONES; from++)
-    for (uint32_t to = 0; to < TRIAL_ZONES; to++)
-      if (from != to)
-        add_link (fleet, from, to);
+    {
+      struct trial_node *node = fleet->nodes->pdata[i];
+      describe_process (fleet, node);
+      link_node (fleet, node);
+    }
   return fleet;
 }
 
@@ -306,9 +274,7 @@
   if (!fleet)
     return;
   g_ptr_array_unref (fleet->nodes);
-  for (uint32_t from = 0; from < TRIAL_ZONES; from++)
-    for (uint32_t to = 0; to < TRIAL_ZONES; to++)
-      link_relay_destroy (fleet->links[from][to]);
+  trial_links_destroy (fleet->links);
   trial_operator_destroy (fleet->who);
   g_ptr_array_unref (fleet->endpoints);
   for (uint32_t zone = 0; zone < TRIAL_ZONES; zone++)
@@ -397,23 +363,6 @@
   return node ? node->process : NULL;
 }
 
-static void
-empty_folder (const char *folder)
-{
-  const char *name;
-  GDir *listing = g_dir_open (folder, 0, NULL);
-  while (listing && (name = g_dir_read_name (listing)))
-    {
-      char *path = g_build_filename (folder, name, NULL);
-      if (g_file_test (path, G_FILE_TEST_IS_DIR))
-        empty_folder (path);
-      g_remove (path);
-      g_free (path);
-    }
-  if (listing)
-    g_dir_close (listing);
-}
-
 void
 trial_fleet_lose_disk (struct trial_fleet *fleet, enum trial_role role,
                        uint32_t zone)
@@ -421,20 +370,14 @@
   struct trial_node *node = find_node (fleet, role, zone, 0);
   g_return_if_fail (node && node->data_folder);
   fleet_process_kill (node->process);
-  empty_folder (node->data_folder);
+  tool_folder_empty (node->data_folder);
   fleet_process_start (node->process);
 }
 
 void
 trial_fleet_cut_zone (struct trial_fleet *fleet, uint32_t zone, bool cut)
 {
-  for (uint32_t other = 0; other < TRIAL_ZONES; other++)
-    {
-      if (other == zone)
-        continue;
-      link_relay_set_cut (fleet->links[zone][other], cut);
-      link_relay_set_cut (fleet->links[other][zone], cut);
-    }
+  trial_links_cut (fleet->links, zone, cut);
 }
 
 /* Drops the body of an answer, which would go to standard output. */
