--- a/src/escrow_ledger_apply.c
+++ b/src/escrow_ledger_apply.c
@@ -233,7 +233,7 @@
 
 /* Takes an own bill back; its key keeps what the other ledger billed. */
 static int
-take_back (struct escrow_ledger *ledger, const struct escrow_entry *entry)
+cancel_bill (struct escrow_ledger *ledger, const struct escrow_entry *entry)
 {
   struct escrow_done *done = escrow_dones_find (ledger->dones, entry->ref);
   struct escrow_budget *budget
@@ -252,7 +252,7 @@
 apply_elsewhere (struct escrow_ledger *ledger,
                  const struct escrow_entry *entry)
 {
-  if (entry->flag && take_back (ledger, entry) != 0)
+  if (entry->flag && cancel_bill (ledger, entry) != 0)
     return -1;
   escrow_keys_elsewhere (ledger->keys, entry);
   return 0;
--- a/src/escrow_reconcile.c
+++ b/src/escrow_reconcile.c
@@ -28,9 +28,9 @@
 /* Writes that another ledger billed the key, taking the own bill back where
    there is one.  False when the own bill is too old to be found. */
 static bool
-yield_to (struct escrow_ledger *ledger, const struct escrow_key *own,
-          const struct ledger_settled *settled, uint64_t other_tokens,
-          uint64_t now_ms)
+record_elsewhere (struct escrow_ledger *ledger, const struct escrow_key *own,
+                  const struct ledger_settled *settled, uint64_t other_tokens,
+                  uint64_t now_ms)
 {
   struct escrow_entry entry
       = { .kind = ESCROW_ENTRY_ELSEWHERE, .now_ms = now_ms };
@@ -75,22 +75,22 @@
       = escrow_keys_find (ledger->keys, settled->account_id,
                           (const uint8_t *)settled->key, now_ms);
   if (!key)
-    yield_to (ledger, NULL, settled, settled->tokens, now_ms);
+    record_elsewhere (ledger, NULL, settled, settled->tokens, now_ms);
   else if (key->state == ESCROW_KEY_DONE
            && key->body_hash == settled->body_hash)
     {
       verdict.cancel = own_stands (key, own, theirs, settled);
       verdict.tokens = key->tokens;
       if (!verdict.cancel)
-        yield_to (ledger, key, settled, settled->tokens, now_ms);
+        record_elsewhere (ledger, key, settled, settled->tokens, now_ms);
     }
   return verdict;
 }
 
 void
-escrow_reconcile_obey (struct escrow_ledger *ledger,
-                       const struct ledger_settled *settled,
-                       const struct ledger_verdict *verdict, uint64_t now_ms)
+escrow_reconcile_apply (struct escrow_ledger *ledger,
+                        const struct ledger_settled *settled,
+                        const struct ledger_verdict *verdict, uint64_t now_ms)
 {
   const struct escrow_key *key
       = escrow_keys_find (ledger->keys, settled->account_id,
@@ -98,5 +98,5 @@
   if (verdict->cancel && key && key->state == ESCROW_KEY_DONE
       && key->tokens == settled->tokens
       && key->done_at_ms == settled->settled_at_ms)
-    yield_to (ledger, key, settled, verdict->tokens, now_ms);
+    record_elsewhere (ledger, key, settled, verdict->tokens, now_ms);
 }
--- a/src/escrow_reconcile.h
+++ b/src/escrow_reconcile.h
@@ -21,9 +21,9 @@
                        const char *theirs,
                        const struct ledger_settled *settled, uint64_t now_ms);
 /** Carries out another ledger's verdict on a key that was told to it. */
-void escrow_reconcile_obey (struct escrow_ledger *ledger,
-                            const struct ledger_settled *settled,
-                            const struct ledger_verdict *verdict,
-                            uint64_t now_ms);
+void escrow_reconcile_apply (struct escrow_ledger *ledger,
+                             const struct ledger_settled *settled,
+                             const struct ledger_verdict *verdict,
+                             uint64_t now_ms);
 
 #endif
--- a/src/ledger_reconcile.c
+++ b/src/ledger_reconcile.c
@@ -266,7 +266,8 @@
 }
 
 static void
-obey_peer (struct peer *peer, struct escrow_ledger *ledger, uint64_t now_ms)
+apply_verdicts (struct peer *peer, struct escrow_ledger *ledger,
+                uint64_t now_ms)
 {
   const struct ledger_reconcile_result *result = &peer->result;
   bool taken = peer->status == WIRE_OK && result->status == LEDGER_OK
@@ -275,14 +276,14 @@
   if (!taken)
     return;
   for (uint32_t i = 0; i < peer->count; i++)
-    escrow_reconcile_obey (ledger, &peer->keys[i],
-                           &result->verdicts.verdicts_val[i], now_ms);
+    escrow_reconcile_apply (ledger, &peer->keys[i],
+                            &result->verdicts.verdicts_val[i], now_ms);
   peer->taken = peer->sent;
 }
 
 void
-ledger_reconcile_obey (struct ledger_reconcile *reconcile,
-                       struct escrow_ledger *ledger, uint64_t now_ms)
+ledger_reconcile_apply (struct ledger_reconcile *reconcile,
+                        struct escrow_ledger *ledger, uint64_t now_ms)
 {
   g_mutex_lock (&reconcile->mutex);
   for (guint i = 0; i < reconcile->peers->len; i++)
@@ -291,7 +292,7 @@
       g_mutex_lock (&peer->mutex);
       if (peer->state == PEER_ANSWERED)
         {
-          obey_peer (peer, ledger, now_ms);
+          apply_verdicts (peer, ledger, now_ms);
           xdr_free ((xdrproc_t)xdr_ledger_reconcile_result,
                     (char *)&peer->result);
           peer->state = PEER_IDLE;
@@ -302,10 +303,10 @@
 }
 
 static void
-judge_keys (const struct ledger_reconcile *reconcile,
-            const struct ledger_reconcile_args *args,
-            struct escrow_ledger *ledger, uint64_t now_ms,
-            struct ledger_reconcile_result *result)
+compare_keys (const struct ledger_reconcile *reconcile,
+              const struct ledger_reconcile_args *args,
+              struct escrow_ledger *ledger, uint64_t now_ms,
+              struct ledger_reconcile_result *result)
 {
   u_int count = args->settled.settled_len;
   result->verdicts.verdicts_val
@@ -335,7 +336,7 @@
   else if (!ledger)
     waiting.result.status = LEDGER_UNAVAILABLE;
   else
-    judge_keys (reconcile, &args, ledger, now_ms, &waiting.result);
+    compare_keys (reconcile, &args, ledger, now_ms, &waiting.result);
   g_array_append_val (reconcile->waiting, waiting);
   xdr_free ((xdrproc_t)xdr_ledger_reconcile_args, (char *)&args);
 }
--- a/src/ledger_reconcile.h
+++ b/src/ledger_reconcile.h
@@ -34,8 +34,8 @@
                              const struct escrow_ledger *ledger,
                              uint64_t now_ms);
 /** Carries out the verdicts that came, before the round's sync. */
-void ledger_reconcile_obey (struct ledger_reconcile *reconcile,
-                            struct escrow_ledger *ledger, uint64_t now_ms);
+void ledger_reconcile_apply (struct ledger_reconcile *reconcile,
+                             struct escrow_ledger *ledger, uint64_t now_ms);
 /** Takes in another ledger's keys; @p ledger is NULL when it can't write. */
 void ledger_reconcile_take_call (struct ledger_reconcile *reconcile,
                                  struct wire_call *call,
--- a/src/ledger_server.c
+++ b/src/ledger_server.c
@@ -296,7 +296,7 @@
   if (!atomic_load (&server->failed))
     {
       check_sessions (server, now_ms);
-      ledger_reconcile_obey (server->reconcile, server->ledger, wall_ms ());
+      ledger_reconcile_apply (server->reconcile, server->ledger, wall_ms ());
     }
   bool committed = commit (server);
   ledger_reconcile_answer (server->reconcile, committed);
--- a/tests/test_escrow_reconcile.c
+++ b/tests/test_escrow_reconcile.c
@@ -117,8 +117,8 @@
           = escrow_reconcile_take (fixture->ledgers[to], names[to],
                                    names[from], &list[i], fixture->now_ms);
       if (!answer_lost)
-        escrow_reconcile_obey (fixture->ledgers[from], &list[i], &verdict,
-                               fixture->now_ms);
+        escrow_reconcile_apply (fixture->ledgers[from], &list[i], &verdict,
+                                fixture->now_ms);
     }
   return answer_lost ? after : next;
 }
--- a/tools/load_call.c
+++ b/tools/load_call.c
@@ -204,7 +204,7 @@
 }
 
 static enum load_outcome
-judge_plain (const struct load_call *call)
+check_plain (const struct load_call *call)
 {
   json_t *body
       = json_loadb (call->received->str, call->received->len, 0, NULL);
@@ -228,7 +228,7 @@
 }
 
 static enum load_outcome
-judge_model (const struct load_call *call)
+check_model (const struct load_call *call)
 {
   GString *text = g_string_new (NULL);
   GString *expected = expected_answer (call);
@@ -289,7 +289,7 @@
   if (call->http_status != 200)
     return finish_refused (call, now_ms);
   call->outcome
-      = call->plan.kind->path ? judge_plain (call) : judge_model (call);
+      = call->plan.kind->path ? check_plain (call) : check_model (call);
   if (call->outcome == LOAD_CUT)
     return finish_lost (call, LOAD_CUT, now_ms);
   return true;
