--- a/src/escrow_done.c
+++ b/src/escrow_done.c
@@ -20,7 +20,7 @@
 {
   GHashTable *table;
   GQueue queues[QUEUES];
-  escrow_done_evicted evicted;
+  void (*evicted) (void *context, struct escrow_ref ref);
   void *context;
 };
 
@@ -29,7 +29,8 @@
 static const uint32_t limits[QUEUES] = { DONE_MAX, CHARGED_MAX };
 
 struct escrow_dones *
-escrow_dones_create (escrow_done_evicted evicted, void *context)
+escrow_dones_create (void (*evicted) (void *context, struct escrow_ref ref),
+                     void *context)
 {
   struct escrow_dones *dones = g_new0 (struct escrow_dones, 1);
   dones->table = g_hash_table_new_full (escrow_ref_hash, escrow_ref_equal,
--- a/src/escrow_done.h
+++ b/src/escrow_done.h
@@ -47,12 +47,11 @@
 /** The reservations that ended lately. */
 struct escrow_dones;
 
-/** Called for a reservation that is forgotten. */
-typedef void (*escrow_done_evicted) (void *context, struct escrow_ref ref);
-
-/** Makes an empty table. */
-struct escrow_dones *escrow_dones_create (escrow_done_evicted evicted,
-                                          void *context);
+/** Makes an empty table; @p evicted is called for each reservation that is
+ *  forgotten. */
+struct escrow_dones *
+escrow_dones_create (void (*evicted) (void *context, struct escrow_ref ref),
+                     void *context);
 /** Frees it. */
 void escrow_dones_destroy (struct escrow_dones *dones);
 /** The reservation, or NULL. */
--- a/src/store_log.c
+++ b/src/store_log.c
@@ -264,8 +264,10 @@
 
 static int
 replay_segment (struct store_log *log, const struct segment *segment,
-                uint64_t from_index, store_log_visit visit, void *context,
-                struct base_findings *findings)
+                uint64_t from_index,
+                int (*visit) (void *context, uint64_t index, const void *data,
+                              size_t bytes),
+                void *context, struct base_findings *findings)
 {
   struct store_scan scan;
   struct store_record_head head;
@@ -298,8 +300,9 @@
 
 int
 store_log_replay (struct store_log *log, uint64_t from_index,
-                  store_log_visit visit, void *context,
-                  struct base_findings *findings)
+                  int (*visit) (void *context, uint64_t index,
+                                const void *data, size_t bytes),
+                  void *context, struct base_findings *findings)
 {
   if (store_log_sync (log) != 0)
     {
--- a/src/store_log.h
+++ b/src/store_log.h
@@ -14,10 +14,6 @@
 /** An open log.  Records have consecutive indexes. */
 struct store_log;
 
-/** Called for each record at replay; non-zero stops it. */
-typedef int (*store_log_visit) (void *context, uint64_t index,
-                                const void *data, size_t bytes);
-
 /** Opens or makes the log in @p folder, whose first record has index
  *  @p first_index when the log is new.  NULL with findings (file and offset)
  *  when it is damaged or can't be read. */
@@ -31,11 +27,12 @@
 /** Writes and syncs everything appended; 0, or -1 with errno set.  After a
  *  failure the log takes no more records. */
 int store_log_sync (struct store_log *log);
-/** Visits records from @p from_index on; 0, the visitor's value, or -1 with
- *  findings. */
+/** Calls @p visit for each record from @p from_index on; non-zero stops it.
+ *  0, the visitor's value, or -1 with findings. */
 int store_log_replay (struct store_log *log, uint64_t from_index,
-                      store_log_visit visit, void *context,
-                      struct base_findings *findings);
+                      int (*visit) (void *context, uint64_t index,
+                                    const void *data, size_t bytes),
+                      void *context, struct base_findings *findings);
 /** Index of the first record kept; next index when empty. */
 uint64_t store_log_first (const struct store_log *log);
 /** Index that the next record gets. */
