--- a/tools/capacity_lines.c
+++ b/tools/capacity_lines.c
@@ -18,8 +18,7 @@
 #define NODE_STREAMS (TOKENS_PER_S * TOKEN_GAP_S / NODES)
 #define LEDGER_REQUESTS (REQUESTS_PER_S / ZONES)
 
-#define GOSSIP_SIZE                                                           \
-  "\"zones\":7,\"routers_per_zone\":54,\"targets_per_zone\":86"
+#define GOSSIP_SIZE "zones=7 routers=54 targets=86"
 
 static const struct capacity_line lines[] = {
   { "router",
