Let fleet_process alone end what a test or trial started

Cause: control_trial kept a list of its members to kill on SIGABRT and at exit, though fleet_process, which starts them, ends all on signals since it was shared; its handler of SIGABRT was replaced at each start and so was dead. Change: fleet_process also ends what runs at exit; the twin goes.

--- a/tools/control_trial.c
+++ b/tools/control_trial.c
@@ -19,42 +19,6 @@
 #define START_LIMIT_MS 20000
 #define POLL_US 10000
 
-/* The trial whose members a failed check must not leave behind. */
-static struct control_trial *the_trial;
-
-static void
-kill_members (void)
-{
-  for (uint32_t i = 0; the_trial && i < the_trial->count; i++)
-    {
-      const struct fleet_process *member = the_trial->members[i];
-      /* fleet_process_id only reads a field.
-         NOLINTNEXTLINE(bugprone-signal-handler) */
-      pid_t id = member ? fleet_process_id (member) : 0;
-      if (id > 0)
-        kill (id, SIGKILL);
-    }
-}
-
-static void
-on_abort (int number)
-{
-  (void)number;
-  kill_members ();
-}
-
-/* Ends the members also when a check fails or the process exits early. */
-static void
-watch_end (struct control_trial *trial)
-{
-  static bool registered;
-  the_trial = trial;
-  signal (SIGABRT, on_abort);
-  if (!registered)
-    atexit (kill_members);
-  registered = true;
-}
-
 static uint64_t
 now_ms (void)
 {
@@ -149,7 +113,6 @@
   for (uint32_t i = 0; i < count; i++)
     trial->ports[i] = fleet_free_port ("127.0.0.1");
   describe_members (trial, arguments);
-  watch_end (trial);
   trial->client = make_client (trial);
   for (uint32_t i = 0; started && i < count; i++)
     started = control_trial_start (trial, i);
@@ -170,7 +133,6 @@
 {
   if (!trial)
     return;
-  the_trial = NULL;
   control_client_destroy (trial->client);
   for (uint32_t i = 0; i < trial->count; i++)
     fleet_process_destroy (trial->members[i]);
--- a/tools/fleet_process.c
+++ b/tools/fleet_process.c
@@ -48,24 +48,36 @@
       }
 }
 
-/* Ends what was started, then this process by the signal's default. */
+/* Ends what was started and still runs. */
 static void
-end_all (int number)
+end_all (void)
 {
   for (size_t i = 0; i < RUNNING_MAX; i++)
     if (running_ids[i] != 0)
       kill (running_ids[i], SIGKILL);
+}
+
+/* Ends this process by the signal's default after all it started. */
+static void
+on_signal (int number)
+{
+  end_all ();
   signal (number, SIG_DFL);
   raise (number);
 }
 
+/* Leaves nothing running when this process exits or is ended by a signal. */
 static void
-catch_signals (void)
+watch_end (void)
 {
+  static bool registered;
   static const int numbers[] = { SIGABRT, SIGTERM, SIGINT };
-  struct sigaction action = { .sa_handler = end_all };
+  struct sigaction action = { .sa_handler = on_signal };
   for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
     sigaction (numbers[i], &action, NULL);
+  if (!registered)
+    atexit (end_all);
+  registered = true;
 }
 
 const char *
@@ -143,7 +155,7 @@
   posix_spawn_file_actions_destroy (&actions);
   if (error == 0)
     {
-      catch_signals ();
+      watch_end ();
       replace_running (0, process->id);
       return 0;
     }
