--- /dev/null
+++ b/src/base_event.c
@@ -0,0 +1,118 @@
+#include "base_event.h"
+
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+/* Bytes that are gathered before lines are dropped. */
+#define BUFFER_BYTES (128u * 1024)
+/* Bytes at which the lines are written at once. */
+#define WRITE_BYTES (16u * 1024)
+#define LINE_BYTES 1024
+
+static GMutex mutex;
+static char event_host[64] = "-";
+static char buffer[BUFFER_BYTES];
+static size_t used;
+static uint64_t dropped;
+static uint64_t reported;
+
+void
+base_event_open (const char *host)
+{
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  g_strlcpy (event_host, host, sizeof event_host);
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+/* The mutex is held. */
+static void
+write_lines (void)
+{
+  ssize_t written = write (STDOUT_FILENO, buffer, used);
+  if (written <= 0)
+    return;
+  used -= (size_t)written;
+  memmove (buffer, buffer + written, used);
+}
+
+static size_t
+print_prefix (char *line)
+{
+  struct timespec now;
+  struct tm parts;
+  clock_gettime (CLOCK_REALTIME, &now);
+  gmtime_r (&now.tv_sec, &parts);
+  int length = snprintf (line, LINE_BYTES, "%02d:%02d:%02d.%03ld %s ",
+                         parts.tm_hour, parts.tm_min, parts.tm_sec,
+                         now.tv_nsec / 1000000, event_host);
+  return (size_t)length;
+}
+
+/* The mutex is held. */
+static void
+add_line (const char *line, size_t bytes)
+{
+  if (used + bytes > BUFFER_BYTES)
+    write_lines ();
+  if (used + bytes > BUFFER_BYTES)
+    {
+      dropped++;
+      return;
+    }
+  memcpy (buffer + used, line, bytes);
+  used += bytes;
+}
+
+void
+base_event (const char *format, ...)
+{
+  char line[LINE_BYTES];
+  va_list arguments;
+  size_t bytes = print_prefix (line);
+  va_start (arguments, format);
+  int length
+      = vsnprintf (line + bytes, sizeof line - 1 - bytes, format, arguments);
+  va_end (arguments);
+  bytes = MIN (bytes + (size_t)MAX (length, 0), sizeof line - 2);
+  line[bytes++] = '\n';
+  g_mutex_lock (&mutex);
+  add_line (line, bytes);
+  if (used >= WRITE_BYTES)
+    write_lines ();
+  g_mutex_unlock (&mutex);
+}
+
+void
+base_event_flush (void)
+{
+  char line[LINE_BYTES];
+  g_mutex_lock (&mutex);
+  if (dropped > reported)
+    {
+      size_t bytes = print_prefix (line);
+      int length
+          = snprintf (line + bytes, sizeof line - bytes,
+                      "log-lines-dropped total=%lu\n", (unsigned long)dropped);
+      reported = dropped;
+      add_line (line, bytes + (size_t)length);
+    }
+  if (used > 0)
+    write_lines ();
+  g_mutex_unlock (&mutex);
+}
+
+uint64_t
+base_event_dropped (void)
+{
+  g_mutex_lock (&mutex);
+  uint64_t count = dropped;
+  g_mutex_unlock (&mutex);
+  return count;
+}
--- a/src/consensus.h
+++ b/src/consensus.h
@@ -25,8 +25,11 @@
   /** Shortest election timeout; the longest is twice as long. */
   uint32_t election_ms;
   uint32_t heartbeat_ms;
-  /** Members that found the log together, all with fresh folders. */
+  /** Members that found the log together, all with fresh folders; others
+   *  ask them for readmission. */
   struct consensus_configuration bootstrap;
+  /** Never founds a log, also when all others are new. */
+  bool joins_only;
 };
 
 /** Outcome of a linearizable read. */
@@ -143,6 +146,10 @@
 /** Index up to which a member has confirmed, seen from the leader. */
 uint64_t consensus_match_index (const struct consensus *consensus,
                                 uint64_t member_id);
+/** Time since a member's last answer, seen from the leader; UINT64_MAX when
+ *  it is not known. */
+uint64_t consensus_silent_ms (const struct consensus *consensus,
+                              uint64_t member_id, uint64_t now_ms);
 /** Whether this member has no log and no vote yet. */
 bool consensus_is_empty (const struct consensus *consensus);
 
--- a/src/consensus_membership.c
+++ b/src/consensus_membership.c
@@ -97,6 +97,8 @@
 {
   struct consensus_configuration members = consensus->options.bootstrap;
   uint32_t bytes = 0;
+  if (consensus->options.joins_only)
+    return;
   for (uint32_t i = 0; i < members.count; i++)
     {
       struct consensus_member *member = &members.members[i];
--- a/src/consensus_view.c
+++ b/src/consensus_view.c
@@ -121,6 +121,22 @@
   return consensus_log_configuration (consensus->log);
 }
 
+uint64_t
+consensus_silent_ms (const struct consensus *consensus, uint64_t member_id,
+                     uint64_t now_ms)
+{
+  if (member_id == consensus->options.member_id)
+    return 0;
+  for (uint32_t i = 0; i < consensus->peer_count; i++)
+    {
+      uint64_t heard_ms
+          = MAX (consensus->peers[i].heard_ms, consensus->lead_since_ms);
+      if (consensus->peers[i].id == member_id)
+        return now_ms > heard_ms ? now_ms - heard_ms : 0;
+    }
+  return UINT64_MAX;
+}
+
 uint64_t
 consensus_match_index (const struct consensus *consensus, uint64_t member_id)
 {
--- a/src/control_calls.c
+++ b/src/control_calls.c
@@ -21,6 +21,10 @@
   struct control_drain_args drain;
   struct control_status_args status;
   struct control_member_args member;
+  struct control_document_args document;
+  struct control_read_args read;
+  struct control_lease_args lease;
+  struct control_watch_args watch;
 };
 
 /* Any result of a call; each begins with a control_answer. */
@@ -35,6 +39,10 @@
   struct control_claim_result claim;
   struct control_budget_result budget;
   struct control_status_result status;
+  struct control_document_result document;
+  struct control_read_result read;
+  struct control_lease_result lease;
+  struct control_watch_result watch;
 };
 
 /* How a call is decoded and answered; command is 0 for calls that the log
@@ -63,6 +71,11 @@
   [CONTROL_DRAIN] = FORM (drain_args, answer, CONTROL_COMMAND_DRAIN),
   [CONTROL_STATUS] = FORM (status_args, status_result, 0),
   [CONTROL_MEMBER_CHANGE] = FORM (member_args, answer, 0),
+  [CONTROL_DOCUMENT]
+  = FORM (document_args, document_result, CONTROL_COMMAND_DOCUMENT),
+  [CONTROL_READ] = FORM (read_args, read_result, 0),
+  [CONTROL_LEASE] = FORM (lease_args, lease_result, CONTROL_COMMAND_LEASE),
+  [CONTROL_WATCH] = FORM (watch_args, watch_result, 0),
 };
 
 void
@@ -233,6 +246,8 @@
   waiter->codec = forms[procedure].args_codec;
   if (procedure == CONTROL_BUNDLE)
     waiter->args.bundle = args->bundle;
+  else if (procedure == CONTROL_READ)
+    waiter->args.read = args->read;
   else
     waiter->args.budget = args->budget;
   memset (args, 0, sizeof *args);
@@ -299,7 +314,8 @@
                          "the leader is not ready");
   else if (procedure == CONTROL_SYNC)
     take_sync (daemon, call, args, now_ms);
-  else if (procedure == CONTROL_BUNDLE || procedure == CONTROL_BUDGET)
+  else if (procedure == CONTROL_BUNDLE || procedure == CONTROL_BUDGET
+           || procedure == CONTROL_READ)
     take_read (daemon, call, procedure, args, now_ms);
   else if (procedure == CONTROL_PUSH)
     take_push (daemon, call, args);
@@ -327,6 +343,8 @@
                          daemon->options.cluster);
   else if (procedure == CONTROL_STATUS)
     answer_status (daemon, call);
+  else if (procedure == CONTROL_WATCH)
+    control_watch_take (daemon->watch, call, &args.watch, now_ms);
   else
     take_leader_call (daemon, call, procedure, &args, now_ms);
   xdr_free (forms[procedure].args_codec, (char *)&args);
@@ -350,6 +368,24 @@
                          outcome->result.answer.text);
 }
 
+static void
+read_document (struct control_daemon *daemon,
+               struct control_read_result *result)
+{
+  struct control_documents *documents
+      = control_state_documents (daemon->state);
+  GBytes *bytes = control_documents_bytes (documents);
+  gsize size = 0;
+  const void *data = bytes ? g_bytes_get_data (bytes, &size) : NULL;
+  result->answer.leader_address = strdup ("");
+  result->answer.text = strdup ("");
+  result->document_version = control_documents_version (documents);
+  result->document.document_len = (u_int)size;
+  result->document.document_val = malloc (size + 1);
+  if (size > 0)
+    memcpy (result->document.document_val, data, size);
+}
+
 void
 control_call_read (struct control_daemon *daemon,
                    const struct control_waiter *waiter)
@@ -359,6 +395,8 @@
   if (waiter->procedure == CONTROL_BUNDLE)
     control_bundles_get (control_state_bundles (daemon->state),
                          waiter->args.bundle.bundle_version, &result.bundle);
+  else if (waiter->procedure == CONTROL_READ)
+    read_document (daemon, &result.read);
   else
     {
       escrow_pool_budget (control_state_pool (daemon->state),
--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -8,11 +8,12 @@
 #include "base_clock.h"
 #include "base_log.h"
 #include "base_random.h"
+#include "cactus_config.h"
 
 /* Longest wait of a round, so that a stop is seen. */
 #define ROUND_MS 50
 /* Interval at which lapsed sessions are looked for. */
-#define SWEEP_MS 500
+#define SWEEP_MS 250
 /* Longest time to hand over before the end. */
 #define HAND_OVER_MS 1000
 
@@ -152,8 +153,12 @@
 {
   const struct consensus_configuration *members
       = consensus_members (daemon->consensus);
+  struct consensus_configuration learnt;
+  g_mutex_lock (&daemon->mutex);
+  learnt = daemon->learnt;
+  g_mutex_unlock (&daemon->mutex);
   if (members->count == 0)
-    members = &daemon->options.members;
+    members = learnt.count > 0 ? &learnt : &daemon->options.members;
   control_peers_update (daemon->peers, members, daemon->options.member_id);
 }
 
@@ -182,6 +187,7 @@
   if (!ready || now < daemon->sweep_due_ms)
     return;
   daemon->sweep_due_ms = now + SWEEP_MS;
+  control_members_tick (daemon, now);
   control_processes_visit (control_state_processes (daemon->state),
                            propose_lapse, daemon);
 }
@@ -223,6 +229,7 @@
     fail_proposals (daemon);
   control_snapshot_write (daemon);
   control_counters_update (daemon);
+  control_watch_round (daemon->watch, now_ms ());
   base_histogram_record (daemon->counters.round_us,
                          base_clock_now_us (base_clock_system ()) - start_us);
 }
@@ -244,7 +251,8 @@
                                          .seed = base_random_system_seed (),
                                          .election_ms = options->election_ms,
                                          .heartbeat_ms = options->heartbeat_ms,
-                                         .bootstrap = options->members };
+                                         .bootstrap = options->members,
+                                         .joins_only = options->joins_only };
   daemon->consensus = consensus_create (&consensus);
   daemon->store = control_store_open (options->data_dir, findings);
   if (!daemon->store
@@ -292,6 +300,11 @@
   daemon->leases = control_leases_create (options->lease_ms);
   daemon->proposals = control_pending_create ();
   daemon->reads = control_pending_create ();
+  daemon->watch = control_watch_create (daemon);
+  daemon->targets = control_targets_create (
+      options->target_silent_ms ? options->target_silent_ms
+                                : CACTUS_TARGET_LAPSE_MS);
+  g_mutex_init (&daemon->mutex);
   control_counters_create (daemon);
   if (open_store (daemon, findings) == 0 && listen_on (daemon, findings) == 0)
     return daemon;
@@ -309,6 +322,9 @@
   control_pending_destroy (daemon->proposals);
   control_pending_destroy (daemon->reads);
   control_leases_destroy (daemon->leases);
+  control_watch_destroy (daemon->watch);
+  control_targets_destroy (daemon->targets);
+  g_mutex_clear (&daemon->mutex);
   control_state_destroy (daemon->state);
   control_store_close (daemon->store);
   consensus_destroy (daemon->consensus);
@@ -366,3 +382,50 @@
 {
   return atomic_load (&daemon->ready);
 }
+
+bool
+control_daemon_announce (struct control_daemon *daemon,
+                         const struct control_target *target)
+{
+  g_mutex_lock (&daemon->mutex);
+  uint64_t change = control_targets_change (daemon->targets);
+  bool taken = control_targets_announce (daemon->targets, target, now_ms ());
+  bool changed = control_targets_change (daemon->targets) != change;
+  g_mutex_unlock (&daemon->mutex);
+  if (changed)
+    {
+      base_log (BASE_LOG_NOTICE,
+                "target-announced target=%s service=%s address=%s:%u"
+                " state=%d born_ms=%" PRIu64 " sequence=%" PRIu64,
+                target->name, target->service, target->address, target->port,
+                (int)target->state, (uint64_t)target->born_ms,
+                (uint64_t)target->sequence);
+      wire_server_wake (daemon->server);
+    }
+  return taken;
+}
+
+void
+control_daemon_leave (struct control_daemon *daemon, const char *target)
+{
+  g_mutex_lock (&daemon->mutex);
+  control_targets_leave (daemon->targets, target, now_ms ());
+  g_mutex_unlock (&daemon->mutex);
+  base_log (BASE_LOG_NOTICE, "target-over target=%s", target);
+  wire_server_wake (daemon->server);
+}
+
+void
+control_daemon_learn (struct control_daemon *daemon,
+                      const struct consensus_configuration *members)
+{
+  g_mutex_lock (&daemon->mutex);
+  daemon->learnt = *members;
+  g_mutex_unlock (&daemon->mutex);
+}
+
+uint64_t
+control_daemon_incarnation (const struct control_daemon *daemon)
+{
+  return daemon->identity.incarnation;
+}
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -11,6 +11,7 @@
 #include "base_findings.h"
 #include "base_metrics.h"
 #include "consensus_configuration.h"
+#include "wire_control.h"
 
 struct control_daemon;
 
@@ -24,6 +25,14 @@
   uint16_t port;
   const char *data_dir;
   struct consensus_configuration members;
+  /** Joins a log that others founded, and never founds one. */
+  bool joins_only;
+  /** Members that are to vote; learners are promoted up to that, and take the
+   *  place of silent voters.  0: roles change by operators only. */
+  uint32_t wanted_voters;
+  /** Silence after which an announced target counts as silent, in
+   *  milliseconds. */
+  uint32_t target_silent_ms;
   /** Whether @ref root_key is set; without it no version 1 is accepted. */
   bool has_root_key;
   uint8_t root_key[32];
@@ -48,6 +57,19 @@
 /** Asks for a graceful end: leadership is handed over first.  Callable from
  *  any thread and from a signal handler. */
 void control_daemon_stop (struct control_daemon *daemon);
+/** Takes a target's announcement; from any thread.  False when a newer one is
+ *  known. */
+bool control_daemon_announce (struct control_daemon *daemon,
+                              const struct control_target *target);
+/** Takes word that a target is over; from any thread. */
+void control_daemon_leave (struct control_daemon *daemon, const char *target);
+/** Tells which members there are, for a member that has no log yet; from any
+ *  thread. */
+void
+control_daemon_learn (struct control_daemon *daemon,
+                      const struct consensus_configuration *members);
+/** Incarnation of the data folder. */
+uint64_t control_daemon_incarnation (const struct control_daemon *daemon);
 /** Whether a leader is known; callable from any thread. */
 bool control_daemon_ready (struct control_daemon *daemon);
 
--- a/src/control_member.h
+++ b/src/control_member.h
@@ -13,6 +13,8 @@
 #include "control_pending.h"
 #include "control_state.h"
 #include "control_store.h"
+#include "control_targets.h"
+#include "control_watch.h"
 #include "store_identity.h"
 #include "wire_server.h"
 
@@ -46,6 +48,12 @@
   struct control_pending *proposals;
   struct control_pending *reads;
   struct wire_server *server;
+  struct control_watch *watch;
+  /** Guards targets, and learnt. */
+  GMutex mutex;
+  struct control_targets *targets;
+  /** Members as others named them, while the own log is empty. */
+  struct consensus_configuration learnt;
   struct control_counters counters;
   /** Leader and term that were last logged. */
   uint64_t logged_leader;
@@ -90,6 +98,11 @@
 int control_snapshot_load (struct control_daemon *daemon, GBytes *snapshot);
 /** Writes a snapshot when the log has grown long. */
 void control_snapshot_write (struct control_daemon *daemon);
+/** Copies the members, allocated with malloc; the count. */
+uint32_t control_members_list (struct control_daemon *daemon,
+                               struct control_member **list);
+/** Leader: lets learners take the places of silent voters. */
+void control_members_tick (struct control_daemon *daemon, uint64_t now_ms);
 /** Makes the counters. */
 void control_counters_create (struct control_daemon *daemon);
 /** Sets the gauges, and logs a change of leader. */
--- a/src/control_members.c
+++ b/src/control_members.c
@@ -1,8 +1,15 @@
 #include "control_member.h"
+#include "control_succession.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base_log.h"
+
+/* Entries that a learner may lack when it is given a vote. */
+#define CAUGHT_UP_ENTRIES 64
+
 void
 control_leader_address (struct control_daemon *daemon,
                         struct control_answer *answer)
@@ -26,20 +33,19 @@
   to->port = member->port;
   to->voter = member->role == CONSENSUS_VOTER;
   to->match_index = consensus_match_index (daemon->consensus, member->id);
+  to->incarnation = member->incarnation;
 }
 
-static void
-fill_members (struct control_daemon *daemon,
-              struct control_status_result *result)
+uint32_t
+control_members_list (struct control_daemon *daemon,
+                      struct control_member **list)
 {
   const struct consensus_configuration *members
       = consensus_members (daemon->consensus);
-  result->members.members_len = members->count;
-  result->members.members_val
-      = calloc (members->count + 1, sizeof (struct control_member));
+  *list = calloc (members->count + 1, sizeof (struct control_member));
   for (uint32_t i = 0; i < members->count; i++)
-    fill_member (daemon, &members->members[i],
-                 &result->members.members_val[i]);
+    fill_member (daemon, &members->members[i], &(*list)[i]);
+  return members->count;
 }
 
 void
@@ -57,7 +63,8 @@
   result->last_index = consensus_last_index (consensus);
   result->bundle_version
       = control_bundles_version (control_state_bundles (daemon->state));
-  fill_members (daemon, result);
+  result->members.members_len
+      = control_members_list (daemon, &result->members.members_val);
   result->processes.processes_len
       = control_processes_live (control_state_processes (daemon->state),
                                 &result->processes.processes_val);
@@ -86,6 +93,7 @@
   g_strlcpy (member->address, args->member.address, sizeof member->address);
   member->port = (uint16_t)args->member.port;
   member->role = CONSENSUS_LEARNER;
+  member->incarnation = args->member.incarnation;
   return NULL;
 }
 
@@ -117,3 +125,53 @@
     return "another change is under way, or there is no room";
   return NULL;
 }
+
+static uint32_t
+view_members (struct control_daemon *daemon, uint64_t now_ms,
+              struct control_succession_member *view)
+{
+  const struct consensus_configuration *members
+      = consensus_members (daemon->consensus);
+  uint64_t commit = consensus_commit_index (daemon->consensus);
+  for (uint32_t i = 0; i < members->count; i++)
+    {
+      const struct consensus_member *member = &members->members[i];
+      view[i].id = member->id;
+      view[i].role = member->role;
+      view[i].silent_ms
+          = consensus_silent_ms (daemon->consensus, member->id, now_ms);
+      view[i].caught_up
+          = consensus_match_index (daemon->consensus, member->id)
+                + CAUGHT_UP_ENTRIES
+            >= commit;
+    }
+  return members->count;
+}
+
+void
+control_members_tick (struct control_daemon *daemon, uint64_t now_ms)
+{
+  struct control_succession_member view[CONSENSUS_MEMBERS_MAX];
+  struct consensus_configuration members
+      = *consensus_members (daemon->consensus);
+  uint64_t id = 0;
+  if (daemon->options.wanted_voters == 0
+      || !consensus_is_ready (daemon->consensus))
+    return;
+  enum control_succession_action action = control_succession_decide (
+      view, view_members (daemon, now_ms, view),
+      daemon->options.wanted_voters, &id);
+  if (action == CONTROL_SUCCESSION_NONE)
+    return;
+  struct consensus_member member
+      = *consensus_configuration_find (&members, id);
+  bool remove = action == CONTROL_SUCCESSION_REMOVE;
+  member.role = CONSENSUS_REJOINING;
+  if (consensus_change_member (daemon->consensus, &member, remove))
+    base_log (BASE_LOG_NOTICE,
+              "member-change action=%s member=%" PRIu64 " silent_ms=%" PRIu64
+              " voters_wanted=%" PRIu32,
+              remove ? "remove" : "promote", id,
+              consensus_silent_ms (daemon->consensus, id, now_ms),
+              daemon->options.wanted_voters);
+}
--- a/src/control_pending.h
+++ b/src/control_pending.h
@@ -26,6 +26,7 @@
     struct control_sync_args sync;
     struct control_bundle_args bundle;
     struct control_budget_args budget;
+    struct control_read_args read;
   } args;
 };
 
--- a/src/control_state.c
+++ b/src/control_state.c
@@ -13,6 +13,8 @@
   struct control_processes *processes;
   struct control_drains *drains;
   struct escrow_pool *pool;
+  struct control_documents *documents;
+  struct control_prepaid *prepaid;
 };
 
 struct control_state *
@@ -24,6 +26,8 @@
   state->processes = control_processes_create ();
   state->drains = control_drains_create ();
   state->pool = escrow_pool_create (ESCROW_POLICY_DEMAND_FLOOR);
+  state->documents = control_documents_create ();
+  state->prepaid = control_prepaid_create ();
   return state;
 }
 
@@ -37,6 +41,8 @@
   control_processes_destroy (state->processes);
   control_drains_destroy (state->drains);
   escrow_pool_destroy (state->pool);
+  control_documents_destroy (state->documents);
+  control_prepaid_destroy (state->prepaid);
   g_free (state);
 }
 
@@ -104,6 +110,20 @@
               "the router's session does not stand");
 }
 
+static void
+apply_document (struct control_state *state,
+                const struct control_document_args *args,
+                struct control_document_result *result)
+{
+  if (control_documents_put (state->documents, args->document_version,
+                             args->document.document_val,
+                             args->document.document_len))
+    control_prepaid_set_totals (state->prepaid, args->totals.totals_val,
+                                args->totals.totals_len);
+  set_answer (&result->answer, CONTROL_OK, "");
+  result->held_version = control_documents_version (state->documents);
+}
+
 void
 control_state_apply (struct control_state *state,
                      const struct control_command *command,
@@ -155,6 +175,17 @@
       apply_lapse (state, &body->control_command_body_u.process,
                    &outcome->result.answer);
       break;
+    case CONTROL_COMMAND_DOCUMENT:
+      outcome->codec = (xdrproc_t)xdr_control_document_result;
+      apply_document (state, &body->control_command_body_u.document,
+                      &outcome->result.document);
+      break;
+    case CONTROL_COMMAND_LEASE:
+      outcome->codec = (xdrproc_t)xdr_control_lease_result;
+      control_prepaid_lease (state->prepaid,
+                             &body->control_command_body_u.lease,
+                             &outcome->result.lease);
+      break;
     }
 }
 
@@ -182,6 +213,19 @@
   memset (outcome, 0, sizeof *outcome);
 }
 
+static void
+save_document (struct control_state *state, struct control_state_image *image)
+{
+  GBytes *bytes = control_documents_bytes (state->documents);
+  gsize size = 0;
+  const void *data = bytes ? g_bytes_get_data (bytes, &size) : NULL;
+  image->held_version = control_documents_version (state->documents);
+  image->held_document.held_document_len = (u_int)size;
+  image->held_document.held_document_val = malloc (size + 1);
+  if (size > 0)
+    memcpy (image->held_document.held_document_val, data, size);
+}
+
 static char *
 encode (xdrproc_t codec, void *value, uint32_t *bytes)
 {
@@ -212,6 +256,8 @@
   image.drained.drained_len
       = control_drains_copy (state->drains, &image.drained.drained_val);
   escrow_pool_save (state->pool, pool);
+  save_document (state, &image);
+  control_prepaid_save (state->prepaid, &image);
   image.pool.pool_len = pool->len;
   image.pool.pool_val = (char *)pool->data;
   char *data = encode ((xdrproc_t)xdr_control_state_image, &image, bytes);
@@ -242,6 +288,10 @@
       control_claims_load (state->claims, &image);
       control_drains_load (state->drains, image.drained.drained_val,
                            image.drained.drained_len);
+      control_documents_put (state->documents, image.held_version,
+                             image.held_document.held_document_val,
+                             image.held_document.held_document_len);
+      control_prepaid_load (state->prepaid, &image);
       status = 0;
     }
   XDR_DESTROY (&stream);
@@ -284,3 +334,15 @@
 {
   return state->pool;
 }
+
+struct control_documents *
+control_state_documents (struct control_state *state)
+{
+  return state->documents;
+}
+
+struct control_prepaid *
+control_state_prepaid (struct control_state *state)
+{
+  return state->prepaid;
+}
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -7,7 +7,9 @@
 
 #include "control_bundles.h"
 #include "control_claims.h"
+#include "control_documents.h"
 #include "control_drains.h"
+#include "control_prepaid.h"
 #include "control_processes.h"
 #include "escrow_pool.h"
 #include "wire_control.h"
@@ -26,6 +28,8 @@
     struct control_top_up_result top_up;
     struct control_ledger_result ledger;
     struct control_claim_result claim;
+    struct control_document_result document;
+    struct control_lease_result lease;
     /** FINISH, DRAIN, REGISTER, LAPSE. */
     struct control_answer answer;
   } result;
@@ -65,5 +69,8 @@
 control_state_processes (struct control_state *state);
 struct control_drains *control_state_drains (struct control_state *state);
 struct escrow_pool *control_state_pool (struct control_state *state);
+struct control_documents *
+control_state_documents (struct control_state *state);
+struct control_prepaid *control_state_prepaid (struct control_state *state);
 
 #endif
--- /dev/null
+++ b/src/control_watch.c
@@ -0,0 +1,181 @@
+#include "control_watch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base_random.h"
+#include "control_member.h"
+
+/* Time after its last call for which a router counts as watching, in
+   milliseconds. */
+#define ROUTER_LIFE_MS 3000
+/* Longest wait of a call; below a call's deadline at the router. */
+#define WAIT_MAX_MS 500
+
+/* Interval at which silent targets are looked for, in milliseconds. */
+#define LAPSE_INTERVAL_MS 250
+
+/* A call that waits. */
+struct watcher
+{
+  struct wire_call *call;
+  uint64_t change;
+  uint64_t document_version;
+  bool want_document;
+  uint64_t due_ms;
+};
+
+struct control_watch
+{
+  struct control_daemon *daemon;
+  /* Drawn at each start, since the count of changes begins anew. */
+  uint64_t epoch;
+  /* struct watcher. */
+  GPtrArray *waiting;
+  /* Time of a router's last call, in milliseconds, by its name. */
+  GHashTable *routers;
+  uint64_t lapse_due_ms;
+};
+
+struct control_watch *
+control_watch_create (struct control_daemon *daemon)
+{
+  struct control_watch *watch = g_new0 (struct control_watch, 1);
+  watch->daemon = daemon;
+  watch->epoch = base_random_system_seed ();
+  watch->waiting = g_ptr_array_new_with_free_func (g_free);
+  watch->routers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return watch;
+}
+
+void
+control_watch_destroy (struct control_watch *watch)
+{
+  if (!watch)
+    return;
+  g_ptr_array_unref (watch->waiting);
+  g_hash_table_unref (watch->routers);
+  g_free (watch);
+}
+
+static void
+note_router (struct control_watch *watch, const char *router, uint64_t now_ms)
+{
+  uint64_t *heard_ms = g_hash_table_lookup (watch->routers, router);
+  if (!heard_ms)
+    {
+      heard_ms = g_new (uint64_t, 1);
+      g_hash_table_insert (watch->routers, g_strdup (router), heard_ms);
+    }
+  *heard_ms = now_ms;
+}
+
+static gboolean
+is_gone (gpointer name, gpointer value, gpointer context)
+{
+  (void)name;
+  return *(uint64_t *)value + ROUTER_LIFE_MS < *(uint64_t *)context;
+}
+
+static uint32_t
+count_routers (struct control_watch *watch, uint64_t now_ms)
+{
+  g_hash_table_foreach_remove (watch->routers, is_gone, &now_ms);
+  return g_hash_table_size (watch->routers);
+}
+
+static void
+fill_document (struct control_watch *watch, const struct watcher *watcher,
+               struct control_watch_result *result)
+{
+  struct control_documents *documents
+      = control_state_documents (watch->daemon->state);
+  GBytes *bytes = control_documents_bytes (documents);
+  gsize size = 0;
+  result->document_version = control_documents_version (documents);
+  if (!bytes || !watcher->want_document
+      || result->document_version <= watcher->document_version)
+    return;
+  const void *data = g_bytes_get_data (bytes, &size);
+  result->document.document_len = (u_int)size;
+  result->document.document_val = malloc (size + 1);
+  memcpy (result->document.document_val, data, size);
+}
+
+static void
+answer (struct control_watch *watch, const struct watcher *watcher,
+        uint64_t now_ms)
+{
+  struct control_watch_result result = { 0 };
+  struct control_daemon *daemon = watch->daemon;
+  result.answer.leader_address = strdup ("");
+  result.answer.text = strdup ("");
+  result.epoch = watch->epoch;
+  fill_document (watch, watcher, &result);
+  g_mutex_lock (&daemon->mutex);
+  result.change = control_targets_change (daemon->targets);
+  result.targets.targets_len = control_targets_since (
+      daemon->targets, watcher->change, &result.targets.targets_val);
+  g_mutex_unlock (&daemon->mutex);
+  result.routers = count_routers (watch, now_ms);
+  result.members.members_len
+      = control_members_list (daemon, &result.members.members_val);
+  wire_call_reply (watcher->call, (xdrproc_t)xdr_control_watch_result,
+                   &result);
+  xdr_free ((xdrproc_t)xdr_control_watch_result, (char *)&result);
+}
+
+static bool
+has_news (struct control_watch *watch, const struct watcher *watcher)
+{
+  struct control_daemon *daemon = watch->daemon;
+  g_mutex_lock (&daemon->mutex);
+  uint64_t change = control_targets_change (daemon->targets);
+  g_mutex_unlock (&daemon->mutex);
+  return change != watcher->change
+         || control_documents_version (control_state_documents (daemon->state))
+                > watcher->document_version;
+}
+
+void
+control_watch_take (struct control_watch *watch, struct wire_call *call,
+                    const struct control_watch_args *args, uint64_t now_ms)
+{
+  struct watcher *watcher = g_new0 (struct watcher, 1);
+  note_router (watch, args->router, now_ms);
+  watcher->call = call;
+  watcher->change = args->epoch == watch->epoch ? args->change : 0;
+  watcher->document_version = args->document_version;
+  watcher->want_document = args->want_document;
+  watcher->due_ms = now_ms + MIN (args->wait_ms, WAIT_MAX_MS);
+  if (args->epoch != watch->epoch)
+    watcher->due_ms = now_ms;
+  g_ptr_array_add (watch->waiting, watcher);
+}
+
+static void
+lapse_targets (struct control_watch *watch, uint64_t now_ms)
+{
+  struct control_daemon *daemon = watch->daemon;
+  if (now_ms < watch->lapse_due_ms)
+    return;
+  watch->lapse_due_ms = now_ms + LAPSE_INTERVAL_MS;
+  g_mutex_lock (&daemon->mutex);
+  control_targets_lapse (daemon->targets, now_ms);
+  g_mutex_unlock (&daemon->mutex);
+}
+
+void
+control_watch_round (struct control_watch *watch, uint64_t now_ms)
+{
+  lapse_targets (watch, now_ms);
+  for (guint i = watch->waiting->len; i-- > 0;)
+    {
+      const struct watcher *watcher = watch->waiting->pdata[i];
+      if (now_ms < watcher->due_ms && !has_news (watch, watcher))
+        continue;
+      answer (watch, watcher, now_ms);
+      g_ptr_array_remove_index_fast (watch->waiting, i);
+    }
+}
--- /dev/null
+++ b/src/edge_events.c
@@ -0,0 +1,116 @@
+#include "edge_events.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define NO_ID (-1)
+
+struct edge_events
+{
+  size_t limit_bytes;
+  int64_t last_id;
+  GString *held;
+};
+
+struct edge_events *
+edge_events_create (size_t limit_bytes, int64_t after_id)
+{
+  struct edge_events *events = g_new0 (struct edge_events, 1);
+  events->limit_bytes = limit_bytes;
+  events->last_id = after_id;
+  events->held = g_string_new (NULL);
+  return events;
+}
+
+void
+edge_events_destroy (struct edge_events *events)
+{
+  if (!events)
+    return;
+  g_string_free (events->held, TRUE);
+  g_free (events);
+}
+
+/* Bytes of the first whole event with its empty line; 0: not whole yet. */
+static size_t
+find_end (const char *text, size_t bytes)
+{
+  for (size_t i = 0; i + 1 < bytes; i++)
+    {
+      if (text[i] != '\n')
+        continue;
+      if (text[i + 1] == '\n')
+        return i + 2;
+      if (text[i + 1] == '\r' && i + 2 < bytes && text[i + 2] == '\n')
+        return i + 3;
+    }
+  return 0;
+}
+
+static int64_t
+read_id (const char *text, size_t bytes)
+{
+  const char *line = text;
+  const char *end = text + bytes;
+  while (line < end)
+    {
+      const char *next = memchr (line, '\n', (size_t)(end - line));
+      size_t length = (size_t)((next ? next : end) - line);
+      if (length > 3 && strncmp (line, "id:", 3) == 0)
+        return g_ascii_strtoll (line + 3, NULL, 10);
+      line += length + 1;
+    }
+  return NO_ID;
+}
+
+/* Takes the first event; false when the caller has it. */
+static bool
+take_event (struct edge_events *events, const char *text, size_t bytes,
+            GString *out)
+{
+  int64_t id = read_id (text, bytes);
+  if (id != NO_ID && id <= events->last_id)
+    return false;
+  if (id != NO_ID)
+    events->last_id = id;
+  g_string_append_len (out, text, (gssize)bytes);
+  return true;
+}
+
+int
+edge_events_feed (struct edge_events *events, const char *data, size_t bytes,
+                  GString *out)
+{
+  int count = 0;
+  size_t used = 0;
+  g_string_append_len (events->held, data, (gssize)bytes);
+  for (;;)
+    {
+      const char *text = events->held->str + used;
+      size_t end = find_end (text, events->held->len - used);
+      if (end == 0)
+        break;
+      count += take_event (events, text, end, out) ? 1 : 0;
+      used += end;
+    }
+  g_string_erase (events->held, 0, (gssize)used);
+  return events->held->len > events->limit_bytes ? -1 : count;
+}
+
+void
+edge_events_resume (struct edge_events *events)
+{
+  g_string_truncate (events->held, 0);
+}
+
+bool
+edge_events_partial (const struct edge_events *events)
+{
+  return events->held->len > 0;
+}
+
+int64_t
+edge_events_last_id (const struct edge_events *events)
+{
+  return events->last_id;
+}
--- /dev/null
+++ b/src/edge_prepaid.c
@@ -0,0 +1,281 @@
+#include "edge_prepaid.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+/* Time of demand that a lease is to cover, in milliseconds: a call to control
+   over the slow link with a failover in between. */
+#define AHEAD_MS 1500
+/* Interval over which demand is averaged, in milliseconds. */
+#define DEMAND_WINDOW_MS 2000
+/* Requests of the largest recent size that a lease covers at least. */
+#define AHEAD_REQUESTS 2
+/* A lease above this many times its aim is trimmed to the aim. */
+#define SURPLUS_FACTOR 2
+/* An account with less than this part of its total left is scarce: routers
+   keep only what they need at once. */
+#define SCARCE_PART 16
+/* Time after which other routers have given back what they don't need, in
+   milliseconds: two of their calls to control. */
+#define RECALL_WAIT_MS 1200
+
+/* One account's lease. */
+struct lease
+{
+  char *name;
+  uint64_t leased_tokens;
+  uint64_t reserved_tokens;
+  uint64_t spent_tokens;
+  /* Worst cases that wait, and the smallest of them. */
+  uint64_t waiting_tokens;
+  uint64_t smallest_waiting;
+  /* Reserved since window_ms, and the rate before that. */
+  uint64_t window_ms;
+  uint64_t window_tokens;
+  double tokens_per_ms;
+  uint64_t largest_tokens;
+  /* As control last said. */
+  bool is_scarce;
+  uint64_t scarce_since_ms;
+  uint64_t left_tokens;
+  /* Part of the call that is under way. */
+  bool in_call;
+};
+
+struct edge_prepaid
+{
+  GHashTable *leases;
+  bool is_urgent;
+};
+
+static void
+free_lease (gpointer data)
+{
+  struct lease *lease = data;
+  g_free (lease->name);
+  g_free (lease);
+}
+
+struct edge_prepaid *
+edge_prepaid_create (void)
+{
+  struct edge_prepaid *prepaid = g_new0 (struct edge_prepaid, 1);
+  prepaid->leases
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_lease);
+  return prepaid;
+}
+
+void
+edge_prepaid_destroy (struct edge_prepaid *prepaid)
+{
+  if (!prepaid)
+    return;
+  g_hash_table_unref (prepaid->leases);
+  g_free (prepaid);
+}
+
+static struct lease *
+find_lease (struct edge_prepaid *prepaid, const char *account)
+{
+  struct lease *lease = g_hash_table_lookup (prepaid->leases, account);
+  if (!lease)
+    {
+      lease = g_new0 (struct lease, 1);
+      lease->name = g_strdup (account);
+      g_hash_table_insert (prepaid->leases, lease->name, lease);
+    }
+  return lease;
+}
+
+static uint64_t
+free_tokens (const struct lease *lease)
+{
+  uint64_t used = lease->reserved_tokens + lease->spent_tokens;
+  return lease->leased_tokens > used ? lease->leased_tokens - used : 0;
+}
+
+static void
+note_demand (struct lease *lease, uint64_t tokens, uint64_t now_ms)
+{
+  if (now_ms >= lease->window_ms + DEMAND_WINDOW_MS)
+    {
+      uint64_t age_ms = now_ms - lease->window_ms;
+      lease->tokens_per_ms = (double)lease->window_tokens
+                             / (double)MAX (age_ms, DEMAND_WINDOW_MS);
+      lease->window_ms = now_ms;
+      lease->window_tokens = 0;
+      lease->largest_tokens = lease->largest_tokens / 2;
+    }
+  lease->window_tokens += tokens;
+  lease->largest_tokens = MAX (lease->largest_tokens, tokens);
+}
+
+/* Tokens that the lease should have free. */
+static uint64_t
+aim_tokens (const struct lease *lease)
+{
+  double rate = MAX (lease->tokens_per_ms, (double)lease->window_tokens
+                                               / DEMAND_WINDOW_MS);
+  uint64_t ahead = (uint64_t)(rate * AHEAD_MS);
+  return MAX (ahead, AHEAD_REQUESTS * lease->largest_tokens);
+}
+
+/* Whether control, too, has too few tokens. */
+static bool
+is_short (const struct lease *lease, uint64_t tokens)
+{
+  return lease->is_scarce && tokens > free_tokens (lease) + lease->left_tokens;
+}
+
+/* Control has been short for long enough for all routers to give back what
+   they don't need. */
+static bool
+is_exhausted (const struct lease *lease, uint64_t tokens, uint64_t now_ms)
+{
+  return is_short (lease, tokens)
+         && now_ms >= lease->scarce_since_ms + RECALL_WAIT_MS;
+}
+
+enum edge_prepaid_outcome
+edge_prepaid_reserve (struct edge_prepaid *prepaid, const char *account,
+                      uint64_t tokens, uint32_t waited_ms, uint64_t now_ms)
+{
+  struct lease *lease = find_lease (prepaid, account);
+  if (waited_ms == 0)
+    note_demand (lease, tokens, now_ms);
+  if (free_tokens (lease) >= tokens)
+    {
+      lease->reserved_tokens += tokens;
+      if (!lease->in_call && !lease->is_scarce
+          && free_tokens (lease) < aim_tokens (lease) / 2)
+        prepaid->is_urgent = true;
+      return EDGE_PREPAID_RESERVED;
+    }
+  /* Also for a refused request, so that control is asked again. */
+  lease->waiting_tokens += tokens;
+  if (lease->smallest_waiting == 0 || tokens < lease->smallest_waiting)
+    lease->smallest_waiting = tokens;
+  if (is_exhausted (lease, tokens, now_ms))
+    return EDGE_PREPAID_EXHAUSTED;
+  if (!lease->in_call && !is_short (lease, tokens))
+    prepaid->is_urgent = true;
+  return EDGE_PREPAID_WAIT;
+}
+
+void
+edge_prepaid_settle (struct edge_prepaid *prepaid, const char *account,
+                     uint64_t reserved_tokens, uint64_t used_tokens)
+{
+  struct lease *lease = find_lease (prepaid, account);
+  lease->reserved_tokens -= MIN (reserved_tokens, lease->reserved_tokens);
+  lease->spent_tokens += MIN (used_tokens, reserved_tokens);
+}
+
+bool
+edge_prepaid_is_urgent (const struct edge_prepaid *prepaid)
+{
+  return prepaid->is_urgent;
+}
+
+/* What is free beyond need. */
+static uint64_t
+surplus_tokens (const struct lease *lease, bool returns_all)
+{
+  uint64_t spare = free_tokens (lease);
+  uint64_t aim = aim_tokens (lease);
+  if (lease->waiting_tokens > 0)
+    return 0;
+  if (returns_all || lease->is_scarce)
+    return spare;
+  return spare > SURPLUS_FACTOR * aim ? spare - aim : 0;
+}
+
+/* What is missing: all that waits, and the aim while there is plenty. */
+static uint64_t
+missing_tokens (const struct lease *lease)
+{
+  uint64_t wanted = lease->waiting_tokens;
+  uint64_t spare = free_tokens (lease);
+  if (!lease->is_scarce)
+    wanted += aim_tokens (lease);
+  return wanted > spare ? wanted - spare : 0;
+}
+
+static bool
+fill_ask (struct lease *lease, bool returns_all,
+          struct control_lease_ask *ask)
+{
+  ask->returned_tokens = surplus_tokens (lease, returns_all);
+  ask->want_tokens
+      = ask->returned_tokens > 0 ? 0 : missing_tokens (lease);
+  uint64_t spare = free_tokens (lease);
+  ask->need_tokens = lease->smallest_waiting > spare
+                         ? MIN (lease->smallest_waiting - spare,
+                                ask->want_tokens)
+                         : 0;
+  lease->waiting_tokens = 0;
+  lease->smallest_waiting = 0;
+  if (ask->returned_tokens == 0 && ask->want_tokens == 0)
+    return false;
+  ask->account = strdup (lease->name);
+  lease->leased_tokens -= ask->returned_tokens;
+  lease->in_call = true;
+  return true;
+}
+
+/* The lease's window ends also without demand. */
+static void
+age_lease (struct lease *lease, uint64_t now_ms)
+{
+  if (now_ms >= lease->window_ms + 2 * DEMAND_WINDOW_MS)
+    note_demand (lease, 0, now_ms);
+}
+
+bool
+edge_prepaid_ask (struct edge_prepaid *prepaid, uint64_t now_ms,
+                  bool returns_all, struct control_lease_args *args)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  u_int count = 0;
+  prepaid->is_urgent = false;
+  args->asks.asks_val = calloc (g_hash_table_size (prepaid->leases) + 1,
+                                sizeof *args->asks.asks_val);
+  g_hash_table_iter_init (&iterator, prepaid->leases);
+  while (g_hash_table_iter_next (&iterator, NULL, &value)
+         && count < CONTROL_BATCH_MAX)
+    {
+      age_lease (value, now_ms);
+      count += fill_ask (value, returns_all, &args->asks.asks_val[count]);
+    }
+  args->asks.asks_len = count;
+  return count > 0;
+}
+
+void
+edge_prepaid_take (struct edge_prepaid *prepaid,
+                   const struct control_lease_result *result, uint64_t now_ms)
+{
+  for (u_int i = 0; i < result->lines.lines_len; i++)
+    {
+      const struct control_lease_line *line = &result->lines.lines_val[i];
+      struct lease *lease = find_lease (prepaid, line->account);
+      lease->in_call = false;
+      lease->leased_tokens += line->granted_tokens;
+      lease->left_tokens = line->left_tokens;
+      bool is_scarce
+          = line->known && line->left_tokens < line->total_tokens / SCARCE_PART;
+      if (is_scarce && !lease->is_scarce)
+        lease->scarce_since_ms = now_ms;
+      lease->is_scarce = is_scarce;
+    }
+}
+
+uint64_t
+edge_prepaid_free (const struct edge_prepaid *prepaid, const char *account)
+{
+  const struct lease *lease = g_hash_table_lookup (prepaid->leases, account);
+  return lease ? free_tokens (lease) : 0;
+}
--- /dev/null
+++ b/src/edge_table.c
@@ -0,0 +1,237 @@
+#include "edge_table.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#define IDLE_DEFAULT_MS 60000
+
+struct edge_table
+{
+  gatomicrefcount references;
+  uint64_t version;
+  uint32_t idle_ms;
+  /* struct edge_service by name. */
+  GHashTable *services;
+  /* GPtrArray of struct edge_route by host, longest prefix first. */
+  GHashTable *hosts;
+  /* struct edge_account by name, and by key. */
+  GHashTable *accounts;
+  GHashTable *keys;
+};
+
+static void
+free_service (gpointer data)
+{
+  struct edge_service *service = data;
+  g_free (service->name);
+  g_free (service);
+}
+
+static void
+free_route (gpointer data)
+{
+  struct edge_route *route = data;
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->path_prefix);
+  g_free (route->shares);
+  g_free (route);
+}
+
+static void
+free_account (gpointer data)
+{
+  struct edge_account *account = data;
+  g_free (account->name);
+  g_free (account);
+}
+
+static void
+free_routes (gpointer data)
+{
+  g_ptr_array_unref (data);
+}
+
+struct edge_table *
+edge_table_create (uint64_t version)
+{
+  struct edge_table *table = g_new0 (struct edge_table, 1);
+  g_atomic_ref_count_init (&table->references);
+  table->version = version;
+  table->idle_ms = IDLE_DEFAULT_MS;
+  table->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
+  table->hosts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_routes);
+  table->accounts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_account);
+  table->keys
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return table;
+}
+
+struct edge_table *
+edge_table_ref (struct edge_table *table)
+{
+  g_atomic_ref_count_inc (&table->references);
+  return table;
+}
+
+void
+edge_table_unref (struct edge_table *table)
+{
+  if (!table || !g_atomic_ref_count_dec (&table->references))
+    return;
+  g_hash_table_unref (table->keys);
+  g_hash_table_unref (table->accounts);
+  g_hash_table_unref (table->hosts);
+  g_hash_table_unref (table->services);
+  g_free (table);
+}
+
+uint64_t
+edge_table_version (const struct edge_table *table)
+{
+  return table->version;
+}
+
+struct edge_service *
+edge_table_add_service (struct edge_table *table, const char *name)
+{
+  if (g_hash_table_contains (table->services, name))
+    return NULL;
+  struct edge_service *service = g_new0 (struct edge_service, 1);
+  service->name = g_strdup (name);
+  g_hash_table_insert (table->services, service->name, service);
+  return service;
+}
+
+static char *
+fold_host (const char *host)
+{
+  const char *colon = strrchr (host, ':');
+  char *name = colon ? g_strndup (host, (gsize)(colon - host))
+                     : g_strdup (host);
+  char *folded = g_ascii_strdown (name, -1);
+  g_free (name);
+  return folded;
+}
+
+static gint
+compare_prefixes (gconstpointer a, gconstpointer b)
+{
+  const struct edge_route *first = *(struct edge_route *const *)a;
+  const struct edge_route *second = *(struct edge_route *const *)b;
+  size_t first_bytes = strlen (first->path_prefix);
+  size_t second_bytes = strlen (second->path_prefix);
+  return first_bytes < second_bytes ? 1 : first_bytes > second_bytes ? -1 : 0;
+}
+
+struct edge_route *
+edge_table_add_route (struct edge_table *table, const char *host,
+                      const char *path_prefix)
+{
+  char *folded = fold_host (host);
+  GPtrArray *routes = g_hash_table_lookup (table->hosts, folded);
+  if (!routes)
+    {
+      routes = g_ptr_array_new_with_free_func (free_route);
+      g_hash_table_insert (table->hosts, g_strdup (folded), routes);
+    }
+  for (guint i = 0; i < routes->len; i++)
+    {
+      const struct edge_route *other = routes->pdata[i];
+      if (strcmp (other->path_prefix, path_prefix) == 0)
+        {
+          g_free (folded);
+          return NULL;
+        }
+    }
+  struct edge_route *route = g_new0 (struct edge_route, 1);
+  route->host = folded;
+  route->path_prefix = g_strdup (path_prefix);
+  g_ptr_array_add (routes, route);
+  g_ptr_array_sort (routes, compare_prefixes);
+  return route;
+}
+
+struct edge_account *
+edge_table_add_account (struct edge_table *table, const char *name)
+{
+  if (g_hash_table_contains (table->accounts, name))
+    return NULL;
+  struct edge_account *account = g_new0 (struct edge_account, 1);
+  account->name = g_strdup (name);
+  g_hash_table_insert (table->accounts, account->name, account);
+  return account;
+}
+
+bool
+edge_table_add_key (struct edge_table *table, const char *key,
+                    struct edge_account *account)
+{
+  if (g_hash_table_contains (table->keys, key))
+    return false;
+  g_hash_table_insert (table->keys, g_strdup (key), account);
+  return true;
+}
+
+void
+edge_table_set_idle (struct edge_table *table, uint32_t idle_ms)
+{
+  table->idle_ms = idle_ms;
+}
+
+uint32_t
+edge_table_idle_ms (const struct edge_table *table)
+{
+  return table->idle_ms;
+}
+
+const struct edge_service *
+edge_table_service (const struct edge_table *table, const char *name)
+{
+  return g_hash_table_lookup (table->services, name);
+}
+
+const struct edge_route *
+edge_table_route (const struct edge_table *table, const char *host,
+                  const char *path)
+{
+  char *folded = fold_host (host);
+  const GPtrArray *routes = g_hash_table_lookup (table->hosts, folded);
+  g_free (folded);
+  for (guint i = 0; routes && i < routes->len; i++)
+    {
+      const struct edge_route *route = routes->pdata[i];
+      if (g_str_has_prefix (path, route->path_prefix))
+        return route;
+    }
+  return NULL;
+}
+
+const struct edge_account *
+edge_table_account_by_key (const struct edge_table *table, const char *key)
+{
+  return g_hash_table_lookup (table->keys, key);
+}
+
+bool
+edge_table_has_accounts (const struct edge_table *table)
+{
+  return g_hash_table_size (table->accounts) > 0;
+}
+
+void
+edge_table_visit_accounts (const struct edge_table *table,
+                           void (*visit) (void *context,
+                                          const struct edge_account *),
+                           void *context)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, table->accounts);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    visit (context, value);
+}
--- /dev/null
+++ b/src/edge_targets.c
@@ -0,0 +1,185 @@
+#include "edge_targets.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_targets.h"
+
+struct edge_targets
+{
+  /* struct edge_target by name. */
+  GHashTable *by_name;
+};
+
+struct edge_target *
+edge_target_ref (struct edge_target *target)
+{
+  target->references++;
+  return target;
+}
+
+void
+edge_target_unref (struct edge_target *target)
+{
+  if (--target->references > 0)
+    return;
+  xdr_free ((xdrproc_t)xdr_control_target, (char *)&target->record);
+  place_load_clear (&target->load);
+  g_free (target);
+}
+
+static void
+drop_target (gpointer data)
+{
+  edge_target_unref (data);
+}
+
+struct edge_targets *
+edge_targets_create (void)
+{
+  struct edge_targets *targets = g_new0 (struct edge_targets, 1);
+  targets->by_name
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, drop_target);
+  return targets;
+}
+
+void
+edge_targets_destroy (struct edge_targets *targets)
+{
+  if (!targets)
+    return;
+  g_hash_table_unref (targets->by_name);
+  g_free (targets);
+}
+
+bool
+edge_target_is_open (const struct edge_target *target)
+{
+  return target->record.state == CONTROL_TARGET_READY && !target->is_replaced;
+}
+
+/* A run that ended stays over, and one that leaves does not come back. */
+static bool
+is_newer (const struct control_target *known,
+          const struct control_target *record)
+{
+  if (record->born_ms != known->born_ms)
+    return record->born_ms > known->born_ms;
+  if (known->state != record->state)
+    return record->state > known->state;
+  return record->sequence > known->sequence;
+}
+
+static struct edge_target *
+add_target (struct edge_targets *targets, const struct control_target *record)
+{
+  struct edge_target *target = g_new0 (struct edge_target, 1);
+  target->references = 1;
+  control_target_copy (record, &target->record);
+  place_load_init (&target->load);
+  g_hash_table_replace (targets->by_name, g_strdup (record->name), target);
+  return target;
+}
+
+/* Of the runs at one address only the one that began last is there. */
+static void
+resolve_address (struct edge_targets *targets, struct edge_target *target)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, targets->by_name);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct edge_target *other = value;
+      if (other == target || other->record.port != target->record.port
+          || strcmp (other->record.address, target->record.address) != 0)
+        continue;
+      if (other->record.born_ms < target->record.born_ms)
+        other->is_replaced = true;
+      else if (other->record.born_ms > target->record.born_ms)
+        target->is_replaced = true;
+    }
+}
+
+/* Word that a target is over, from a member that did not know the run. */
+static bool
+take_over (struct edge_target *target)
+{
+  if (!target || target->record.state == CONTROL_TARGET_GONE)
+    return false;
+  target->record.state = CONTROL_TARGET_GONE;
+  return true;
+}
+
+bool
+edge_targets_take (struct edge_targets *targets, uint32_t source,
+                   const struct control_target *record)
+{
+  uint32_t bit = UINT32_C (1) << source;
+  struct edge_target *target
+      = g_hash_table_lookup (targets->by_name, record->name);
+  if (record->state == CONTROL_TARGET_GONE && !*record->service)
+    return take_over (target);
+  bool is_new = !target || target->record.born_ms < record->born_ms;
+  if (is_new)
+    target = add_target (targets, record);
+  else if (target->record.born_ms > record->born_ms)
+    return false;
+  bool was_open = edge_target_is_open (target);
+  bool was_heard = target->heard_by != 0;
+  if (!is_new && is_newer (&target->record, record))
+    {
+      xdr_free ((xdrproc_t)xdr_control_target, (char *)&target->record);
+      control_target_copy (record, &target->record);
+    }
+  if (record->silent)
+    target->heard_by &= ~bit;
+  else
+    target->heard_by |= bit;
+  resolve_address (targets, target);
+  return is_new || was_open != edge_target_is_open (target)
+         || was_heard != (target->heard_by != 0);
+}
+
+void
+edge_targets_forget_source (struct edge_targets *targets, uint32_t source)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  uint32_t bit = UINT32_C (1) << source;
+  g_hash_table_iter_init (&iterator, targets->by_name);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    ((struct edge_target *)value)->heard_by &= ~bit;
+}
+
+void
+edge_targets_visit (struct edge_targets *targets, const char *service,
+                    void (*visit) (void *context, struct edge_target *target),
+                    void *context)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, targets->by_name);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct edge_target *target = value;
+      if (edge_target_is_open (target)
+          && strcmp (target->record.service, service) == 0)
+        visit (context, target);
+    }
+}
+
+static void
+count_target (void *context, struct edge_target *target)
+{
+  (void)target;
+  (*(uint32_t *)context)++;
+}
+
+uint32_t
+edge_targets_count (struct edge_targets *targets, const char *service)
+{
+  uint32_t count = 0;
+  edge_targets_visit (targets, service, count_target, &count);
+  return count;
+}
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -281,6 +281,7 @@
 	u_int port;
 	bool_t voter;
 	u_quad_t match_index;
+	u_quad_t incarnation;
 };
 typedef struct control_member control_member;
 
@@ -322,6 +323,143 @@
 	control_member member;
 };
 typedef struct control_member_args control_member_args;
+#define CONTROL_BUDGETS_MAX 300000
+
+struct control_prepaid_total {
+	wire_name account;
+	u_quad_t tokens;
+};
+typedef struct control_prepaid_total control_prepaid_total;
+
+struct control_document_args {
+	wire_name cluster;
+	u_quad_t document_version;
+	struct {
+		u_int totals_len;
+		control_prepaid_total *totals_val;
+	} totals;
+	struct {
+		u_int document_len;
+		char *document_val;
+	} document;
+};
+typedef struct control_document_args control_document_args;
+
+struct control_document_result {
+	control_answer answer;
+	u_quad_t held_version;
+};
+typedef struct control_document_result control_document_result;
+
+struct control_read_args {
+	wire_name cluster;
+};
+typedef struct control_read_args control_read_args;
+
+struct control_read_result {
+	control_answer answer;
+	u_quad_t document_version;
+	struct {
+		u_int document_len;
+		char *document_val;
+	} document;
+};
+typedef struct control_read_result control_read_result;
+
+struct control_lease_ask {
+	wire_name account;
+	u_quad_t want_tokens;
+	u_quad_t need_tokens;
+	u_quad_t returned_tokens;
+};
+typedef struct control_lease_ask control_lease_ask;
+
+struct control_lease_args {
+	wire_name cluster;
+	wire_name router;
+	u_quad_t router_incarnation;
+	u_quad_t sequence;
+	struct {
+		u_int asks_len;
+		control_lease_ask *asks_val;
+	} asks;
+};
+typedef struct control_lease_args control_lease_args;
+
+struct control_lease_line {
+	wire_name account;
+	u_quad_t granted_tokens;
+	u_quad_t total_tokens;
+	u_quad_t left_tokens;
+	bool_t known;
+};
+typedef struct control_lease_line control_lease_line;
+
+struct control_lease_result {
+	control_answer answer;
+	u_quad_t sequence;
+	struct {
+		u_int lines_len;
+		control_lease_line *lines_val;
+	} lines;
+};
+typedef struct control_lease_result control_lease_result;
+#define CONTROL_TARGETS_MAX 16384
+
+enum control_target_state {
+	CONTROL_TARGET_READY = 1,
+	CONTROL_TARGET_LEAVING = 2,
+	CONTROL_TARGET_GONE = 3,
+};
+typedef enum control_target_state control_target_state;
+
+struct control_target {
+	wire_name name;
+	u_quad_t born_ms;
+	u_quad_t sequence;
+	wire_name service;
+	wire_name address;
+	u_int port;
+	wire_name availability_zone;
+	u_int slots;
+	u_int cold_left_ms;
+	control_target_state state;
+	bool_t silent;
+};
+typedef struct control_target control_target;
+
+struct control_watch_args {
+	wire_name cluster;
+	wire_name router;
+	u_quad_t router_incarnation;
+	u_quad_t epoch;
+	u_quad_t change;
+	u_quad_t document_version;
+	bool_t want_document;
+	u_int wait_ms;
+};
+typedef struct control_watch_args control_watch_args;
+
+struct control_watch_result {
+	control_answer answer;
+	u_quad_t epoch;
+	u_quad_t change;
+	u_quad_t document_version;
+	struct {
+		u_int document_len;
+		char *document_val;
+	} document;
+	struct {
+		u_int targets_len;
+		control_target *targets_val;
+	} targets;
+	u_int routers;
+	struct {
+		u_int members_len;
+		control_member *members_val;
+	} members;
+};
+typedef struct control_watch_result control_watch_result;
 
 enum control_command_kind {
 	CONTROL_COMMAND_PUSH = 1,
@@ -332,6 +470,8 @@
 	CONTROL_COMMAND_DRAIN = 6,
 	CONTROL_COMMAND_REGISTER = 7,
 	CONTROL_COMMAND_LAPSE = 8,
+	CONTROL_COMMAND_DOCUMENT = 9,
+	CONTROL_COMMAND_LEASE = 10,
 };
 typedef enum control_command_kind control_command_kind;
 
@@ -345,6 +485,8 @@
 		control_finish_args finish;
 		control_drain_args drain;
 		wire_process process;
+		control_document_args document;
+		control_lease_args lease;
 	} control_command_body_u;
 };
 typedef struct control_command_body control_command_body;
@@ -391,6 +533,21 @@
 };
 typedef struct control_claim_image control_claim_image;
 
+struct control_prepaid_image {
+	wire_name account;
+	u_quad_t total_tokens;
+	u_quad_t leased_tokens;
+	bool_t known;
+};
+typedef struct control_prepaid_image control_prepaid_image;
+
+struct control_lessee_image {
+	wire_name router;
+	u_quad_t incarnation;
+	control_lease_result last;
+};
+typedef struct control_lessee_image control_lessee_image;
+
 struct control_state_image {
 	u_quad_t wall_ms;
 	struct {
@@ -417,6 +574,19 @@
 		u_int pool_len;
 		char *pool_val;
 	} pool;
+	u_quad_t held_version;
+	struct {
+		u_int held_document_len;
+		char *held_document_val;
+	} held_document;
+	struct {
+		u_int prepaid_len;
+		control_prepaid_image *prepaid_val;
+	} prepaid;
+	struct {
+		u_int lessees_len;
+		control_lessee_image *lessees_val;
+	} lessees;
 };
 typedef struct control_state_image control_state_image;
 
@@ -457,6 +627,18 @@
 #define CONTROL_MEMBER_CHANGE 11
 extern  enum clnt_stat control_member_change_1(control_member_args , control_answer *, CLIENT *);
 extern  bool_t control_member_change_1_svc(control_member_args , control_answer *, struct svc_req *);
+#define CONTROL_DOCUMENT 12
+extern  enum clnt_stat control_document_1(control_document_args , control_document_result *, CLIENT *);
+extern  bool_t control_document_1_svc(control_document_args , control_document_result *, struct svc_req *);
+#define CONTROL_READ 13
+extern  enum clnt_stat control_read_1(control_read_args , control_read_result *, CLIENT *);
+extern  bool_t control_read_1_svc(control_read_args , control_read_result *, struct svc_req *);
+#define CONTROL_LEASE 14
+extern  enum clnt_stat control_lease_1(control_lease_args , control_lease_result *, CLIENT *);
+extern  bool_t control_lease_1_svc(control_lease_args , control_lease_result *, struct svc_req *);
+#define CONTROL_WATCH 15
+extern  enum clnt_stat control_watch_1(control_watch_args , control_watch_result *, CLIENT *);
+extern  bool_t control_watch_1_svc(control_watch_args , control_watch_result *, struct svc_req *);
 extern int control_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -493,6 +675,18 @@
 #define CONTROL_MEMBER_CHANGE 11
 extern  enum clnt_stat control_member_change_1();
 extern  bool_t control_member_change_1_svc();
+#define CONTROL_DOCUMENT 12
+extern  enum clnt_stat control_document_1();
+extern  bool_t control_document_1_svc();
+#define CONTROL_READ 13
+extern  enum clnt_stat control_read_1();
+extern  bool_t control_read_1_svc();
+#define CONTROL_LEASE 14
+extern  enum clnt_stat control_lease_1();
+extern  bool_t control_lease_1_svc();
+#define CONTROL_WATCH 15
+extern  enum clnt_stat control_watch_1();
+extern  bool_t control_watch_1_svc();
 extern int control_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -527,12 +721,27 @@
 extern  bool_t xdr_control_status_result (XDR *, control_status_result*);
 extern  bool_t xdr_control_member_change (XDR *, control_member_change*);
 extern  bool_t xdr_control_member_args (XDR *, control_member_args*);
+extern  bool_t xdr_control_prepaid_total (XDR *, control_prepaid_total*);
+extern  bool_t xdr_control_document_args (XDR *, control_document_args*);
+extern  bool_t xdr_control_document_result (XDR *, control_document_result*);
+extern  bool_t xdr_control_read_args (XDR *, control_read_args*);
+extern  bool_t xdr_control_read_result (XDR *, control_read_result*);
+extern  bool_t xdr_control_lease_ask (XDR *, control_lease_ask*);
+extern  bool_t xdr_control_lease_args (XDR *, control_lease_args*);
+extern  bool_t xdr_control_lease_line (XDR *, control_lease_line*);
+extern  bool_t xdr_control_lease_result (XDR *, control_lease_result*);
+extern  bool_t xdr_control_target_state (XDR *, control_target_state*);
+extern  bool_t xdr_control_target (XDR *, control_target*);
+extern  bool_t xdr_control_watch_args (XDR *, control_watch_args*);
+extern  bool_t xdr_control_watch_result (XDR *, control_watch_result*);
 extern  bool_t xdr_control_command_kind (XDR *, control_command_kind*);
 extern  bool_t xdr_control_command_body (XDR *, control_command_body*);
 extern  bool_t xdr_control_command (XDR *, control_command*);
 extern  bool_t xdr_control_bundle_record (XDR *, control_bundle_record*);
 extern  bool_t xdr_control_process_image (XDR *, control_process_image*);
 extern  bool_t xdr_control_claim_image (XDR *, control_claim_image*);
+extern  bool_t xdr_control_prepaid_image (XDR *, control_prepaid_image*);
+extern  bool_t xdr_control_lessee_image (XDR *, control_lessee_image*);
 extern  bool_t xdr_control_state_image (XDR *, control_state_image*);
 
 #else /* K&R C */
@@ -564,12 +773,27 @@
 extern bool_t xdr_control_status_result ();
 extern bool_t xdr_control_member_change ();
 extern bool_t xdr_control_member_args ();
+extern bool_t xdr_control_prepaid_total ();
+extern bool_t xdr_control_document_args ();
+extern bool_t xdr_control_document_result ();
+extern bool_t xdr_control_read_args ();
+extern bool_t xdr_control_read_result ();
+extern bool_t xdr_control_lease_ask ();
+extern bool_t xdr_control_lease_args ();
+extern bool_t xdr_control_lease_line ();
+extern bool_t xdr_control_lease_result ();
+extern bool_t xdr_control_target_state ();
+extern bool_t xdr_control_target ();
+extern bool_t xdr_control_watch_args ();
+extern bool_t xdr_control_watch_result ();
 extern bool_t xdr_control_command_kind ();
 extern bool_t xdr_control_command_body ();
 extern bool_t xdr_control_command ();
 extern bool_t xdr_control_bundle_record ();
 extern bool_t xdr_control_process_image ();
 extern bool_t xdr_control_claim_image ();
+extern bool_t xdr_control_prepaid_image ();
+extern bool_t xdr_control_lessee_image ();
 extern bool_t xdr_control_state_image ();
 
 #endif /* K&R C */
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -259,6 +259,7 @@
   unsigned int port;
   bool voter;
   unsigned hyper match_index;
+  unsigned hyper incarnation;   /* 0: not known */
 };
 
 struct control_status_args
@@ -296,6 +297,130 @@
   control_member member;
 };
 
+/* Documents: a configuration kept as it was sent; the highest version counts,
+   a lower or equal one changes nothing.  Its budgets set the accounts' prepaid
+   totals. */
+const CONTROL_BUDGETS_MAX = 300000;
+
+struct control_prepaid_total
+{
+  wire_name account;
+  unsigned hyper tokens;
+};
+
+struct control_document_args
+{
+  wire_name cluster;
+  unsigned hyper document_version;
+  control_prepaid_total totals<CONTROL_BUDGETS_MAX>;
+  opaque document<CONTROL_DOCUMENT_BYTES>;
+};
+
+struct control_document_result
+{
+  control_answer answer;
+  unsigned hyper held_version;
+};
+
+struct control_read_args
+{
+  wire_name cluster;
+};
+
+struct control_read_result
+{
+  control_answer answer;
+  unsigned hyper document_version;
+  opaque document<CONTROL_DOCUMENT_BYTES>;
+};
+
+/* Leases of prepaid tokens to a router.  The same sequence number again gets
+   the same answer; a number below the last one is refused. */
+struct control_lease_ask
+{
+  wire_name account;
+  unsigned hyper want_tokens;
+  unsigned hyper need_tokens;     /* the least that is of use; 0: none */
+  unsigned hyper returned_tokens;
+};
+
+struct control_lease_args
+{
+  wire_name cluster;
+  wire_name router;
+  unsigned hyper router_incarnation;
+  unsigned hyper sequence;
+  control_lease_ask asks<CONTROL_BATCH_MAX>;
+};
+
+struct control_lease_line
+{
+  wire_name account;
+  unsigned hyper granted_tokens;
+  unsigned hyper total_tokens;   /* prepaid; 0 with known false */
+  unsigned hyper left_tokens;    /* not leased to any router */
+  bool known;
+};
+
+struct control_lease_result
+{
+  control_answer answer;
+  unsigned hyper sequence;
+  control_lease_line lines<CONTROL_BATCH_MAX>;
+};
+
+/* Targets as they announced themselves to a member. */
+const CONTROL_TARGETS_MAX = 16384;
+
+enum control_target_state
+{
+  CONTROL_TARGET_READY = 1,
+  CONTROL_TARGET_LEAVING = 2,
+  CONTROL_TARGET_GONE = 3
+};
+
+struct control_target
+{
+  wire_name name;
+  unsigned hyper born_ms;         /* start of this run of the target */
+  unsigned hyper sequence;        /* rises with each announcement of a run */
+  wire_name service;
+  wire_name address;
+  unsigned int port;
+  wire_name availability_zone;
+  unsigned int slots;
+  unsigned int cold_left_ms;
+  control_target_state state;
+  bool silent;                    /* its announcements stopped */
+};
+
+/* Watch: answered by any member as soon as it has something newer than the
+   router holds, at the latest after wait_ms.  epoch is the member's run;
+   change counts its targets' changes. */
+struct control_watch_args
+{
+  wire_name cluster;
+  wire_name router;
+  unsigned hyper router_incarnation;
+  unsigned hyper epoch;
+  unsigned hyper change;
+  unsigned hyper document_version;
+  bool want_document;
+  unsigned int wait_ms;
+};
+
+struct control_watch_result
+{
+  control_answer answer;
+  unsigned hyper epoch;
+  unsigned hyper change;
+  unsigned hyper document_version;
+  opaque document<CONTROL_DOCUMENT_BYTES>;
+  control_target targets<CONTROL_TARGETS_MAX>;
+  unsigned int routers;           /* routers that watch this member */
+  control_member members<CONTROL_MEMBERS_MAX>;
+};
+
 /* Commands of the replicated log.  wall_ms is the proposer's wall time. */
 enum control_command_kind
 {
@@ -306,7 +431,9 @@
   CONTROL_COMMAND_FINISH = 5,
   CONTROL_COMMAND_DRAIN = 6,
   CONTROL_COMMAND_REGISTER = 7,
-  CONTROL_COMMAND_LAPSE = 8
+  CONTROL_COMMAND_LAPSE = 8,
+  CONTROL_COMMAND_DOCUMENT = 9,
+  CONTROL_COMMAND_LEASE = 10
 };
 
 union control_command_body switch (control_command_kind kind)
@@ -326,6 +453,10 @@
 case CONTROL_COMMAND_REGISTER:
 case CONTROL_COMMAND_LAPSE:
   wire_process process;
+case CONTROL_COMMAND_DOCUMENT:
+  control_document_args document;
+case CONTROL_COMMAND_LEASE:
+  control_lease_args lease;
 };
 
 struct control_command
@@ -365,6 +496,21 @@
   opaque body<CONTROL_ANSWER_BYTES>;
 };
 
+struct control_prepaid_image
+{
+  wire_name account;
+  unsigned hyper total_tokens;
+  unsigned hyper leased_tokens;
+  bool known;
+};
+
+struct control_lessee_image
+{
+  wire_name router;
+  unsigned hyper incarnation;
+  control_lease_result last;
+};
+
 struct control_state_image
 {
   unsigned hyper wall_ms;
@@ -374,6 +520,10 @@
   control_claim_image claims<>;       /* oldest first */
   wire_name drained<>;
   opaque pool<>;
+  unsigned hyper held_version;
+  opaque held_document<CONTROL_DOCUMENT_BYTES>;
+  control_prepaid_image prepaid<>;
+  control_lessee_image lessees<>;
 };
 
 program CONTROL_PROGRAM
@@ -391,5 +541,9 @@
     control_answer CONTROL_DRAIN (control_drain_args) = 9;
     control_status_result CONTROL_STATUS (control_status_args) = 10;
     control_answer CONTROL_MEMBER_CHANGE (control_member_args) = 11;
+    control_document_result CONTROL_DOCUMENT (control_document_args) = 12;
+    control_read_result CONTROL_READ (control_read_args) = 13;
+    control_lease_result CONTROL_LEASE (control_lease_args) = 14;
+    control_watch_result CONTROL_WATCH (control_watch_args) = 15;
   } = 1;
 } = 0x20CAC702;
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -579,6 +579,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->match_index))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -646,6 +648,229 @@
 	return TRUE;
 }
 
+bool_t
+xdr_control_prepaid_total (XDR *xdrs, control_prepaid_total *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_document_args (XDR *xdrs, control_document_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->cluster))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->totals.totals_val, (u_int *) &objp->totals.totals_len, CONTROL_BUDGETS_MAX,
+		sizeof (control_prepaid_total), (xdrproc_t) xdr_control_prepaid_total))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_document_result (XDR *xdrs, control_document_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_read_args (XDR *xdrs, control_read_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->cluster))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_read_result (XDR *xdrs, control_read_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_lease_ask (XDR *xdrs, control_lease_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->want_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->need_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->returned_tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_lease_args (XDR *xdrs, control_lease_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->cluster))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->router))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->router_incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, CONTROL_BATCH_MAX,
+		sizeof (control_lease_ask), (xdrproc_t) xdr_control_lease_ask))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_lease_line (XDR *xdrs, control_lease_line *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->granted_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->total_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->left_tokens))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_lease_result (XDR *xdrs, control_lease_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->lines.lines_val, (u_int *) &objp->lines.lines_len, CONTROL_BATCH_MAX,
+		sizeof (control_lease_line), (xdrproc_t) xdr_control_lease_line))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_target_state (XDR *xdrs, control_target_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_target (XDR *xdrs, control_target *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->availability_zone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_left_ms))
+		 return FALSE;
+	 if (!xdr_control_target_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->silent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_watch_args (XDR *xdrs, control_watch_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->cluster))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->router))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->router_incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->want_document))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_watch_result (XDR *xdrs, control_watch_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, CONTROL_TARGETS_MAX,
+		sizeof (control_target), (xdrproc_t) xdr_control_target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->routers))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, CONTROL_MEMBERS_MAX,
+		sizeof (control_member), (xdrproc_t) xdr_control_member))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_command_kind (XDR *xdrs, control_command_kind *objp)
 {
@@ -693,6 +918,14 @@
 		 if (!xdr_wire_process (xdrs, &objp->control_command_body_u.process))
 			 return FALSE;
 		break;
+	case CONTROL_COMMAND_DOCUMENT:
+		 if (!xdr_control_document_args (xdrs, &objp->control_command_body_u.document))
+			 return FALSE;
+		break;
+	case CONTROL_COMMAND_LEASE:
+		 if (!xdr_control_lease_args (xdrs, &objp->control_command_body_u.lease))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -773,6 +1006,36 @@
 	return TRUE;
 }
 
+bool_t
+xdr_control_prepaid_image (XDR *xdrs, control_prepaid_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->total_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->leased_tokens))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_lessee_image (XDR *xdrs, control_lessee_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->router))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_control_lease_result (xdrs, &objp->last))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_state_image (XDR *xdrs, control_state_image *objp)
 {
@@ -796,5 +1059,15 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->pool.pool_val, (u_int *) &objp->pool.pool_len, ~0))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_version))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->held_document.held_document_val, (u_int *) &objp->held_document.held_document_len, CONTROL_DOCUMENT_BYTES))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->prepaid.prepaid_val, (u_int *) &objp->prepaid.prepaid_len, ~0,
+		sizeof (control_prepaid_image), (xdrproc_t) xdr_control_prepaid_image))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->lessees.lessees_val, (u_int *) &objp->lessees.lessees_len, ~0,
+		sizeof (control_lessee_image), (xdrproc_t) xdr_control_lessee_image))
+		 return FALSE;
 	return TRUE;
 }
