--- a/src/base_log.c
+++ b/src/base_log.c
@@ -10,6 +10,7 @@
 
 static char log_program[64] = "cactus";
 static char log_host[128] = "-";
+static atomic_int log_fd = STDERR_FILENO;
 static atomic_int log_limit = BASE_LOG_INFO;
 
 void
@@ -19,6 +20,12 @@
   snprintf (log_host, sizeof log_host, "%s", host ? host : "-");
 }
 
+void
+base_log_to (int fd)
+{
+  atomic_store (&log_fd, fd);
+}
+
 void
 base_log_limit (enum base_log_level level)
 {
@@ -56,6 +63,6 @@
   if (used > sizeof line - 2)
     used = sizeof line - 2;
   line[used++] = '\n';
-  ssize_t written = write (STDERR_FILENO, line, used);
+  ssize_t written = write (atomic_load (&log_fd), line, used);
   (void)written;
 }
--- a/src/control_client.c
+++ b/src/control_client.c
@@ -189,6 +189,18 @@
   return false;
 }
 
+void
+control_client_add (struct control_client *client, const char *address,
+                    uint16_t port)
+{
+  guint index;
+  g_mutex_lock (&client->mutex);
+  if (!find_member (client, address, port, &index)
+      && client->members->len < MEMBERS_MAX)
+    add_member (client, address, port);
+  g_mutex_unlock (&client->mutex);
+}
+
 /* Follows a member's word on who leads; true when that is another member. */
 static bool
 follow_leader (struct control_client *client, guint asked,
--- a/src/control_client.h
+++ b/src/control_client.h
@@ -17,6 +17,9 @@
 /** Makes a client for the members at @p endpoints ("A.B.C.D:PORT", ended by
  *  NULL). */
 struct control_client *control_client_create (const char *const *endpoints);
+/** Adds a member that was learnt later; nothing when it is known. */
+void control_client_add (struct control_client *client, const char *address,
+                         uint16_t port);
 /** Frees it. */
 void control_client_destroy (struct control_client *client);
 /** Calls @p procedure at the leader; every result begins with a
--- /dev/null
+++ b/src/edge.c
@@ -0,0 +1,259 @@
+#include "edge.h"
+
+#include <signal.h>
+#include <stdatomic.h>
+
+#include "base_clock.h"
+#include "base_event.h"
+#include "base_log.h"
+#include "edge_attempt.h"
+#include "edge_front.h"
+#include "edge_links.h"
+#include "edge_request.h"
+#include "http_status.h"
+
+/* Interval at which time limits are looked at while requests are open, and
+   else. */
+#define SWEEP_INTERVAL_MS 20
+#define IDLE_WAIT_MS 100
+#define LOG_INTERVAL_MS 100
+#define TICK_INTERVAL_MS 1000
+/* Least time from a stop until the end: the balancer has to notice. */
+#define STOP_MIN_MS 3000
+/* Time kept for giving leases back. */
+#define RETURN_WAIT_MS 700
+/* Part of the grace after which a stop ends by force. */
+#define GRACE_USED_PERCENT 85
+
+/* What is private to the loop. */
+struct loop_state
+{
+  struct edge edge;
+  atomic_bool stop_wanted;
+  struct http_status *status;
+  uint64_t swept_ms;
+  uint64_t logged_ms;
+  uint64_t ticked_ms;
+  void (*tick) (void *context);
+  void *tick_context;
+};
+
+uint64_t
+edge_now_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
+static void
+make_counters (struct edge *edge)
+{
+  static const char *const kinds[]
+      = { "kind=\"safe\"", "kind=\"unsafe\"", "kind=\"stream\"" };
+  struct base_metrics *set = edge->set;
+  edge->counters = (struct edge_counters){
+    .requests = base_metrics_counter (set, "edge_requests_total", NULL),
+    .served = base_metrics_counter (set, "edge_served_total", NULL),
+    .refused = base_metrics_counter (set, "edge_refused_total", NULL),
+    .failed = base_metrics_counter (set, "edge_failed_total", NULL),
+    .left = base_metrics_counter (set, "edge_callers_left_total", NULL),
+    .resent = base_metrics_counter (set, "edge_resent_total", NULL),
+    .resumed = base_metrics_counter (set, "edge_resumed_total", NULL),
+    .exhausted = base_metrics_counter (set, "edge_exhausted_total", NULL),
+    .table_version = base_metrics_gauge (set, "edge_table_version", NULL),
+    .targets_changed
+    = base_metrics_counter (set, "edge_targets_changed_total", NULL),
+    .open = base_metrics_gauge (set, "edge_open_requests", NULL),
+    .log_lines_dropped
+    = base_metrics_gauge (set, "edge_log_lines_dropped", NULL),
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      edge->counters.first_us[i]
+          = base_metrics_histogram (set, "edge_first_event_us", kinds[i]);
+      edge->counters.total_us[i]
+          = base_metrics_histogram (set, "edge_request_us", kinds[i]);
+    }
+}
+
+static bool
+status_ready (void *context)
+{
+  return edge_is_ready (context);
+}
+
+struct edge *
+edge_create (const struct edge_options *options, const char *const *members)
+{
+  struct loop_state *state = g_new0 (struct loop_state, 1);
+  struct edge *edge = &state->edge;
+  edge->options = *options;
+  edge->set = base_metrics_create ();
+  make_counters (edge);
+  base_random_seed (&edge->random, base_random_system_seed ());
+  edge->targets = edge_targets_create ();
+  edge->prepaid = edge_prepaid_create ();
+  edge->retry = edge_retry_create (&options->retry);
+  g_queue_init (&edge->requests);
+  edge->loop = router_poll_create (edge_attempt_done);
+  if (!edge->loop)
+    goto failed;
+  edge->front = edge_front_create (edge);
+  if (!edge->front)
+    goto failed;
+  if (options->metrics_port > 0)
+    state->status
+        = http_status_create (options->metrics_address, options->metrics_port,
+                              edge->set, status_ready, edge);
+  edge->links = edge_links_create (edge, members);
+  return edge;
+failed:
+  edge_destroy (edge);
+  return NULL;
+}
+
+void
+edge_destroy (struct edge *edge)
+{
+  struct loop_state *state = (struct loop_state *)edge;
+  if (!edge)
+    return;
+  edge_links_destroy (edge->links, RETURN_WAIT_MS);
+  http_status_destroy (state->status);
+  edge_front_destroy (edge->front);
+  router_poll_destroy (edge->loop);
+  edge_table_unref (edge->table);
+  edge_targets_destroy (edge->targets);
+  edge_prepaid_destroy (edge->prepaid);
+  edge_retry_destroy (edge->retry);
+  base_metrics_destroy (edge->set);
+  g_free (state);
+}
+
+void
+edge_stop (struct edge *edge)
+{
+  struct loop_state *state = (struct loop_state *)edge;
+  atomic_store (&state->stop_wanted, true);
+  router_poll_wake (edge->loop);
+}
+
+void
+edge_set_members (struct edge *edge, const char *const *members)
+{
+  edge_links_set_members (edge->links, members);
+}
+
+void
+edge_set_tick (struct edge *edge, void (*tick) (void *context), void *context)
+{
+  struct loop_state *state = (struct loop_state *)edge;
+  state->tick = tick;
+  state->tick_context = context;
+}
+
+void
+edge_take_table (struct edge *edge, struct edge_table *table)
+{
+  uint64_t version = edge_table_version (table);
+  if (edge->table && version <= edge_table_version (edge->table))
+    {
+      edge_table_unref (table);
+      return;
+    }
+  base_event ("table-in-force version=%" G_GUINT64_FORMAT
+              " former=%" G_GUINT64_FORMAT,
+              version, edge->table ? edge_table_version (edge->table) : 0);
+  base_counter_set (edge->counters.table_version, version);
+  edge_table_unref (edge->table);
+  edge->table = table;
+}
+
+bool
+edge_is_ready (const struct edge *edge)
+{
+  return edge->table && !edge->stopping;
+}
+
+static void
+sweep (struct loop_state *state, uint64_t now_ms)
+{
+  GList *link = state->edge.requests.head;
+  state->swept_ms = now_ms;
+  while (link)
+    {
+      GList *next = link->next;
+      edge_request_sweep (link->data, now_ms);
+      link = next;
+    }
+}
+
+static void
+run_timers (struct loop_state *state, uint64_t now_ms)
+{
+  if (now_ms >= state->swept_ms + SWEEP_INTERVAL_MS)
+    sweep (state, now_ms);
+  if (now_ms >= state->logged_ms + LOG_INTERVAL_MS)
+    {
+      state->logged_ms = now_ms;
+      base_event_flush ();
+      base_counter_set (state->edge.counters.log_lines_dropped,
+                        base_event_dropped ());
+    }
+  if (now_ms >= state->ticked_ms + TICK_INTERVAL_MS)
+    {
+      state->ticked_ms = now_ms;
+      if (state->tick)
+        state->tick (state->tick_context);
+    }
+}
+
+static uint32_t
+wait_ms (struct loop_state *state)
+{
+  uint32_t limit = state->edge.requests.length > 0 ? SWEEP_INTERVAL_MS
+                                                   : IDLE_WAIT_MS;
+  return MIN (limit, edge_front_wait_ms (state->edge.front));
+}
+
+/* Whether a graceful stop is over. */
+static bool
+is_over (struct loop_state *state, uint64_t now_ms)
+{
+  struct edge *edge = &state->edge;
+  if (!edge->stopping && atomic_load (&state->stop_wanted))
+    {
+      edge->stopping = true;
+      edge->stopping_ms = now_ms;
+      base_event ("stopping open=%u", edge->requests.length);
+    }
+  if (!edge->stopping)
+    return false;
+  uint64_t used_ms = now_ms - edge->stopping_ms;
+  uint64_t limit_ms
+      = (uint64_t)edge->options.grace_ms * GRACE_USED_PERCENT / 100;
+  if (used_ms >= limit_ms)
+    return true;
+  return used_ms >= STOP_MIN_MS && edge->requests.length == 0;
+}
+
+void
+edge_run (struct edge *edge)
+{
+  struct loop_state *state = (struct loop_state *)edge;
+  uint64_t now_ms = edge_now_ms ();
+  base_event ("started zone=%s region=%s callers=%s:%u",
+              edge->options.availability_zone, edge->options.region,
+              edge->options.callers_address,
+              (unsigned)edge->options.callers_port);
+  while (!is_over (state, now_ms))
+    {
+      router_poll_run (edge->loop, wait_ms (state));
+      now_ms = edge_now_ms ();
+      edge_links_round (edge->links, now_ms);
+      run_timers (state, now_ms);
+      edge_front_run (edge->front);
+    }
+  base_event ("stopped open=%u after_ms=%" G_GUINT64_FORMAT,
+              edge->requests.length, now_ms - edge->stopping_ms);
+  base_event_flush ();
+}
--- /dev/null
+++ b/src/edge_answer.c
@@ -0,0 +1,134 @@
+#include "edge_answer.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base_event.h"
+#include "edge_settle.h"
+
+#define STATUS_UNAVAILABLE 503
+#define STATUS_TOO_MANY 429
+
+static void
+add_line (struct MHD_Response *response, const char *line)
+{
+  const char *colon = strchr (line, ':');
+  char *name = g_strndup (line, (gsize)(colon - line));
+  MHD_add_response_header (response, name, colon + 2);
+  g_free (name);
+}
+
+static void
+add_target_lines (const struct edge_request *request,
+                  struct MHD_Response *response)
+{
+  const GPtrArray *lines = edge_attempt_answer (request->attempt)->lines;
+  for (guint i = 0; i < lines->len; i++)
+    add_line (response, lines->pdata[i]);
+}
+
+static void
+add_connection (const struct edge_request *request,
+                struct MHD_Response *response)
+{
+  if (request->edge->stopping)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+}
+
+/* One line for each request that is over. */
+static void
+log_over (const struct edge_request *request, uint32_t status,
+          const char *outcome, const char *reason)
+{
+  const struct edge_table *table = request->table;
+  base_event ("request-over id=%s outcome=%s status=%" PRIu32
+              " reason=\"%s\" route=%s account=%s target=%s sends=%" PRIu32
+              " runs=%" PRIu32 " events=%" PRIu32 " age_ms=%" PRIu64
+              " table=%" PRIu64,
+              request->head.request_id, outcome, status, reason,
+              request->route ? request->route->name : "-",
+              request->account ? request->account->name : "-",
+              request->target ? request->target->record.name : "-",
+              request->sends, request->runs, request->event_count,
+              edge_now_ms () - request->arrived_ms,
+              table ? edge_table_version (table) : 0);
+}
+
+static void
+count_served (const struct edge_request *request)
+{
+  const struct edge_counters *counters = &request->edge->counters;
+  base_counter_add (counters->served, 1);
+  base_histogram_record (counters->total_us[request->route->kind],
+                         1000 * (edge_now_ms () - request->arrived_ms));
+}
+
+void
+edge_answer_refuse (struct edge_request *request, uint32_t status,
+                    uint32_t retry_after_ms, const char *reason)
+{
+  char text[256];
+  char seconds[24];
+  bool promises = status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY;
+  int length = g_snprintf (text, sizeof text,
+                           "{\"error\":{\"message\":\"%s\",\"run\":\"%s\"}}\n",
+                           reason, promises ? "not-run" : "unknown");
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      (size_t)length, text, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                           "application/json");
+  if (retry_after_ms > 0)
+    {
+      g_snprintf (seconds, sizeof seconds, "%.3f",
+                  (double)retry_after_ms / 1000.0);
+      MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
+    }
+  add_connection (request, response);
+  base_counter_add (promises ? request->edge->counters.refused
+                             : request->edge->counters.failed,
+                    1);
+  log_over (request, status, promises ? "refused" : "failed", reason);
+  router_stream_answer (&request->stream, status, response);
+  edge_settle_close (request);
+}
+
+void
+edge_answer_whole (struct edge_request *request)
+{
+  const struct edge_answer *answer = edge_attempt_answer (request->attempt);
+  const GString *body = edge_attempt_body (request->attempt);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      body->len, body->str, MHD_RESPMEM_MUST_COPY);
+  add_target_lines (request, response);
+  add_connection (request, response);
+  count_served (request);
+  log_over (request, answer->status, "answered", "-");
+  router_stream_answer (&request->stream, answer->status, response);
+  edge_settle_close (request);
+}
+
+void
+edge_answer_start (struct edge_request *request)
+{
+  const struct edge_answer *answer = edge_attempt_answer (request->attempt);
+  struct MHD_Response *response = router_stream_response (&request->stream);
+  add_target_lines (request, response);
+  add_connection (request, response);
+  request->is_started = true;
+  base_histogram_record (
+      request->edge->counters.first_us[request->route->kind],
+      1000 * (edge_now_ms () - request->arrived_ms));
+  router_stream_answer (&request->stream, answer->status, response);
+}
+
+void
+edge_answer_end (struct edge_request *request, bool cut, const char *reason)
+{
+  if (cut)
+    base_counter_add (request->edge->counters.failed, 1);
+  else
+    count_served (request);
+  log_over (request, MHD_HTTP_OK, cut ? "cut" : "streamed", reason);
+  router_stream_end (&request->stream, cut);
+  edge_settle_close (request);
+}
--- /dev/null
+++ b/src/edge_front.c
@@ -0,0 +1,296 @@
+#include "edge_front.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+#include "base_log.h"
+#include "edge_request.h"
+
+/* An idle connection is kept for longer than callers reuse it. */
+#define IDLE_TIMEOUT_S 60u
+#define READY_TIMEOUT_S 10u
+#define CONNECTIONS_MAX 3000u
+#define READY_CONNECTIONS_MAX 64u
+/* Memory for the head of one request, in bytes. */
+#define CONNECTION_BYTES (40u * 1024)
+#define LISTEN_BACKLOG 1024u
+#define BODY_MAX_BYTES (8u * 1024 * 1024)
+#define WAIT_MAX_MS 1000
+
+/* One HTTP server on the loop. */
+struct server
+{
+  struct router_watch watch;
+  struct MHD_Daemon *daemon;
+  int epoll;
+  bool is_due;
+};
+
+struct edge_front
+{
+  struct edge *edge;
+  struct server callers;
+  struct server ready;
+};
+
+/* A request while it is read. */
+struct call
+{
+  char *uri;
+  struct edge_request *request;
+  bool begun;
+};
+
+static void *
+take_uri (void *context, const char *uri, struct MHD_Connection *connection)
+{
+  struct call *call = g_new0 (struct call, 1);
+  (void)context;
+  (void)connection;
+  call->uri = g_strdup (uri);
+  return call;
+}
+
+static enum MHD_Result
+take_line (void *context, enum MHD_ValueKind kind, const char *name,
+           const char *value)
+{
+  struct edge_request *request = context;
+  const struct edge_dialect *dialect = request->edge->options.dialect;
+  (void)kind;
+  dialect->read_header (dialect, &request->head, name, value ? value : "");
+  return MHD_YES;
+}
+
+static enum MHD_Result
+start_request (struct edge_front *front, struct MHD_Connection *connection,
+               const char *method, struct call *call)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  call->request
+      = edge_request_create (front->edge, connection, info->connect_fd);
+  call->request->head.method = g_strdup (method);
+  call->request->head.uri = g_steal_pointer (&call->uri);
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, take_line,
+                             call->request);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+take_body (struct call *call, const char *data, size_t *bytes)
+{
+  GString *body = call->request->body;
+  if (body->len + *bytes > BODY_MAX_BYTES)
+    return MHD_NO;
+  g_string_append_len (body, data, (gssize)*bytes);
+  *bytes = 0;
+  return MHD_YES;
+}
+
+static enum MHD_Result
+handle_caller (void *context, struct MHD_Connection *connection,
+               const char *url, const char *method, const char *version,
+               const char *upload, size_t *upload_bytes, void **state)
+{
+  struct edge_front *front = context;
+  struct call *call = *state;
+  (void)url;
+  (void)version;
+  if (!call->request)
+    return start_request (front, connection, method, call);
+  if (*upload_bytes > 0)
+    return take_body (call, upload, upload_bytes);
+  if (!call->begun)
+    {
+      call->begun = true;
+      edge_request_begin (call->request);
+    }
+  return router_stream_queue (&call->request->stream);
+}
+
+static void
+complete_caller (void *context, struct MHD_Connection *connection,
+                 void **state, enum MHD_RequestTerminationCode code)
+{
+  struct call *call = *state;
+  (void)context;
+  (void)connection;
+  (void)code;
+  if (!call)
+    return;
+  if (call->request)
+    edge_request_leave (call->request);
+  g_free (call->uri);
+  g_free (call);
+  *state = NULL;
+}
+
+static enum MHD_Result
+handle_ready (void *context, struct MHD_Connection *connection,
+              const char *url, const char *method, const char *version,
+              const char *upload, size_t *upload_bytes, void **state)
+{
+  struct edge_front *front = context;
+  unsigned int status = MHD_HTTP_OK;
+  (void)method;
+  (void)version;
+  (void)upload;
+  (void)upload_bytes;
+  (void)state;
+  if (strcmp (url, front->edge->options.ready_path) != 0)
+    status = MHD_HTTP_NOT_FOUND;
+  else if (!edge_is_ready (front->edge))
+    status = MHD_HTTP_SERVICE_UNAVAILABLE;
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static void
+take_ready (struct router_watch *watch, uint32_t events)
+{
+  (void)events;
+  ((struct server *)watch)->is_due = true;
+}
+
+static bool
+read_address (const char *address, uint16_t port, struct sockaddr_in *to)
+{
+  memset (to, 0, sizeof *to);
+  to->sin_family = AF_INET;
+  to->sin_port = htons (port);
+  return inet_pton (AF_INET, address, &to->sin_addr) == 1;
+}
+
+/* Puts a server that was started on the loop. */
+static bool
+watch_server (struct edge_front *front, struct server *server)
+{
+  if (!server->daemon)
+    return false;
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  server->watch.ready = take_ready;
+  server->is_due = true;
+  server->epoll = info ? info->epoll_fd : -1;
+  return server->epoll >= 0
+         && router_poll_watch (front->edge->loop, server->epoll, EPOLLIN,
+                               &server->watch)
+                == 0;
+}
+
+static bool
+listen_to_callers (struct edge_front *front)
+{
+  const struct edge_options *options = &front->edge->options;
+  struct sockaddr_in address;
+  if (!read_address (options->callers_address, options->callers_port,
+                     &address))
+    return false;
+  front->callers.daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_caller,
+      front, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
+      CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)CONNECTION_BYTES, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
+      take_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED, complete_caller, NULL,
+      MHD_OPTION_END);
+  return watch_server (front, &front->callers);
+}
+
+static bool
+listen_to_checks (struct edge_front *front)
+{
+  const struct edge_options *options = &front->edge->options;
+  struct sockaddr_in address;
+  if (!read_address (options->ready_address, options->ready_port, &address))
+    return false;
+  front->ready.daemon = MHD_start_daemon (
+      MHD_USE_EPOLL, 0, NULL, NULL, handle_ready, front, MHD_OPTION_SOCK_ADDR,
+      &address, MHD_OPTION_CONNECTION_LIMIT, READY_CONNECTIONS_MAX,
+      MHD_OPTION_CONNECTION_TIMEOUT, READY_TIMEOUT_S,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+  return watch_server (front, &front->ready);
+}
+
+struct edge_front *
+edge_front_create (struct edge *edge)
+{
+  struct edge_front *front = g_new0 (struct edge_front, 1);
+  front->edge = edge;
+  if (listen_to_callers (front) && listen_to_checks (front))
+    return front;
+  base_log (BASE_LOG_ERROR, "can't listen callers=%s:%u ready=%s:%u",
+            edge->options.callers_address,
+            (unsigned)edge->options.callers_port, edge->options.ready_address,
+            (unsigned)edge->options.ready_port);
+  edge_front_destroy (front);
+  return NULL;
+}
+
+static void
+stop_server (struct edge_front *front, struct server *server)
+{
+  if (!server->daemon)
+    return;
+  router_poll_unwatch (front->edge->loop, server->epoll);
+  MHD_stop_daemon (server->daemon);
+}
+
+void
+edge_front_destroy (struct edge_front *front)
+{
+  if (!front)
+    return;
+  stop_server (front, &front->callers);
+  stop_server (front, &front->ready);
+  g_free (front);
+}
+
+void
+edge_front_touch (struct edge_front *front)
+{
+  front->callers.is_due = true;
+}
+
+static void
+run_server (struct server *server)
+{
+  unsigned long long wait_ms = 0;
+  bool times_out
+      = MHD_get_timeout (server->daemon, &wait_ms) == MHD_YES && wait_ms == 0;
+  if (!server->is_due && !times_out)
+    return;
+  server->is_due = false;
+  MHD_run (server->daemon);
+}
+
+void
+edge_front_run (struct edge_front *front)
+{
+  run_server (&front->callers);
+  run_server (&front->ready);
+}
+
+static uint32_t
+server_wait_ms (const struct server *server)
+{
+  unsigned long long wait_ms = 0;
+  if (server->is_due)
+    return 0;
+  if (MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES)
+    return WAIT_MAX_MS;
+  return (uint32_t)MIN (wait_ms, WAIT_MAX_MS);
+}
+
+uint32_t
+edge_front_wait_ms (struct edge_front *front)
+{
+  return MIN (server_wait_ms (&front->callers),
+              server_wait_ms (&front->ready));
+}
--- /dev/null
+++ b/src/edge_links.h
@@ -0,0 +1,26 @@
+#ifndef EDGE_LINKS_H
+#define EDGE_LINKS_H
+
+/** @file
+ *  A router's links to the control members: one thread a member that waits for
+ *  news, one for leases.  News is handed to the loop's thread. */
+
+#include "edge.h"
+
+/** Starts the links to @p members ("A.B.C.D:PORT", ended by NULL). */
+struct edge_links *edge_links_create (struct edge *edge,
+                                      const char *const *members);
+/** Gives the leases back, waiting for @p wait_ms at most, and ends all links.
+ */
+void edge_links_destroy (struct edge_links *links, uint32_t wait_ms);
+/** Replaces the members that settings name. */
+void edge_links_set_members (struct edge_links *links,
+                             const char *const *members);
+/** A lease call is wanted with the next round. */
+void edge_links_lease (struct edge_links *links);
+/** Takes in news and starts calls that are due; once a round. */
+void edge_links_round (struct edge_links *links, uint64_t now_ms);
+/** Whether a member answered within the last @p within_ms. */
+bool edge_links_heard (const struct edge_links *links, uint64_t within_ms);
+
+#endif
--- /dev/null
+++ b/src/edge_settle.c
@@ -0,0 +1,60 @@
+#include "edge_settle.h"
+
+void
+edge_settle_first (struct edge_request *request)
+{
+  if (!request->awaits_first)
+    return;
+  request->awaits_first = false;
+  place_answered (&request->target->load, request->unread_tokens);
+}
+
+void
+edge_settle_target (struct edge_request *request)
+{
+  edge_attempt_destroy (request->attempt);
+  request->attempt = NULL;
+  if (!request->target)
+    return;
+  edge_settle_first (request);
+  place_ended (&request->target->load, &request->call);
+  edge_target_unref (request->target);
+  request->target = NULL;
+}
+
+/* Input counts once a request ran, output as far as it may have been
+   delivered. */
+static uint64_t
+used_tokens (const struct edge_request *request)
+{
+  uint64_t output = (uint64_t)request->event_count
+                    * MAX (request->service->tokens_per_event, 1);
+  if (request->runs == 0)
+    return 0;
+  return request->call.prompt_tokens
+         + MIN (output, request->call.output_tokens);
+}
+
+static void
+settle_tokens (struct edge_request *request)
+{
+  if (!request->holds_tokens)
+    return;
+  request->holds_tokens = false;
+  edge_prepaid_settle (request->edge->prepaid, request->account->name,
+                       request->reserved_tokens, used_tokens (request));
+}
+
+void
+edge_settle_close (struct edge_request *request)
+{
+  struct edge *edge = request->edge;
+  if (request->step == EDGE_STEP_OVER)
+    return;
+  edge_settle_target (request);
+  settle_tokens (request);
+  request->step = EDGE_STEP_OVER;
+  g_queue_unlink (&edge->requests, &request->link);
+  base_counter_set (edge->counters.open, edge->requests.length);
+  edge_request_unref (request);
+}
--- a/src/edge_targets.c
+++ b/src/edge_targets.c
@@ -5,6 +5,10 @@
 
 #include "control_targets.h"
 
+/* Time that a target has to announce itself to another member, or anew to one
+   that started, in milliseconds. */
+#define UNHEARD_MS 1500
+
 struct edge_targets
 {
   /* struct edge_target by name. */
@@ -52,6 +56,20 @@
   g_free (targets);
 }
 
+bool
+edge_target_is_silent (const struct edge_target *target, uint64_t now_ms)
+{
+  return target->heard_by == 0 && now_ms >= target->unheard_ms + UNHEARD_MS;
+}
+
+static void
+set_heard (struct edge_target *target, uint32_t heard_by, uint64_t now_ms)
+{
+  if (target->heard_by != 0 && heard_by == 0)
+    target->unheard_ms = now_ms;
+  target->heard_by = heard_by;
+}
+
 bool
 edge_target_is_open (const struct edge_target *target)
 {
@@ -113,7 +131,7 @@
 
 bool
 edge_targets_take (struct edge_targets *targets, uint32_t source,
-                   const struct control_target *record)
+                   const struct control_target *record, uint64_t now_ms)
 {
   uint32_t bit = UINT32_C (1) << source;
   struct edge_target *target
@@ -132,24 +150,27 @@
       xdr_free ((xdrproc_t)xdr_control_target, (char *)&target->record);
       control_target_copy (record, &target->record);
     }
-  if (record->silent)
-    target->heard_by &= ~bit;
-  else
-    target->heard_by |= bit;
+  set_heard (target,
+             record->silent ? target->heard_by & ~bit : target->heard_by | bit,
+             now_ms);
   resolve_address (targets, target);
   return is_new || was_open != edge_target_is_open (target)
          || was_heard != (target->heard_by != 0);
 }
 
 void
-edge_targets_forget_source (struct edge_targets *targets, uint32_t source)
+edge_targets_forget_source (struct edge_targets *targets, uint32_t source,
+                            uint64_t now_ms)
 {
   GHashTableIter iterator;
   gpointer value;
   uint32_t bit = UINT32_C (1) << source;
   g_hash_table_iter_init (&iterator, targets->by_name);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
-    ((struct edge_target *)value)->heard_by &= ~bit;
+    {
+      struct edge_target *target = value;
+      set_heard (target, target->heard_by & ~bit, now_ms);
+    }
 }
 
 void
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -22,6 +22,8 @@
   struct control_target record;
   /** Sources that hear it, one bit each. */
   uint32_t heard_by;
+  /** When the last source stopped hearing it, in milliseconds. */
+  uint64_t unheard_ms;
   /** A later run has its address. */
   bool is_replaced;
   struct place_load load;
@@ -36,10 +38,13 @@
 /** Takes a record that source @p source (below EDGE_SOURCES_MAX) holds; true
  *  when what this router believes of the target changed. */
 bool edge_targets_take (struct edge_targets *targets, uint32_t source,
-                        const struct control_target *record);
+                        const struct control_target *record, uint64_t now_ms);
 /** The source's word is void: it was lost, or begins anew. */
 void edge_targets_forget_source (struct edge_targets *targets,
-                                 uint32_t source);
+                                 uint32_t source, uint64_t now_ms);
+/** Whether no source has heard it for a while. */
+bool edge_target_is_silent (const struct edge_target *target,
+                            uint64_t now_ms);
 /** Whether new work may go there. */
 bool edge_target_is_open (const struct edge_target *target);
 /** Calls @p visit for each target of the service that new work may go to. */
--- /dev/null
+++ b/src/edge_watcher.c
@@ -0,0 +1,144 @@
+#include "edge_watcher.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Time that a member may keep a call, and the call's deadline. */
+#define WAIT_MS 400
+#define CALL_TIMEOUT_MS 1200
+/* Pause after a lost call. */
+#define PAUSE_MS 150
+
+struct edge_watcher
+{
+  struct edge_watcher_shared *shared;
+  uint32_t source;
+  struct wire_client *client;
+  uint64_t epoch;
+  uint64_t change;
+  /* Version that the member said it holds. */
+  uint64_t member_version;
+  atomic_bool stopping;
+  GThread *thread;
+};
+
+void
+edge_news_free (struct edge_news *news)
+{
+  if (news->status == WIRE_OK)
+    xdr_free ((xdrproc_t)xdr_control_watch_result, (char *)&news->result);
+  g_free (news);
+}
+
+/* Whether this watcher is to fetch the document: of those that know a newer
+   version only one does. */
+static bool
+claims_document (struct edge_watcher *watcher)
+{
+  struct edge_watcher_shared *shared = watcher->shared;
+  uint64_t version = watcher->member_version;
+  uint64_t fetching = atomic_load (&shared->fetching_version);
+  if (version <= atomic_load (&shared->held_version))
+    return false;
+  while (version > fetching)
+    if (atomic_compare_exchange_weak (&shared->fetching_version, &fetching,
+                                      version))
+      return true;
+  return false;
+}
+
+static uint64_t
+known_version (const struct edge_watcher *watcher)
+{
+  uint64_t held = atomic_load (&watcher->shared->held_version);
+  uint64_t fetching = atomic_load (&watcher->shared->fetching_version);
+  return MAX (held, fetching);
+}
+
+static void
+note_answer (struct edge_watcher *watcher, const struct edge_news *news,
+             bool fetches)
+{
+  struct edge_watcher_shared *shared = watcher->shared;
+  const struct control_watch_result *result = &news->result;
+  if (news->status == WIRE_OK)
+    {
+      watcher->epoch = result->epoch;
+      watcher->change = result->change;
+      watcher->member_version = result->document_version;
+    }
+  else
+    watcher->epoch = 0;
+  if (fetches && result->document.document_len > 0)
+    atomic_store (&shared->held_version, result->document_version);
+  else if (fetches)
+    /* Another watcher may try. */
+    atomic_store (&shared->fetching_version,
+                  atomic_load (&shared->held_version));
+}
+
+static void
+ask (struct edge_watcher *watcher)
+{
+  struct edge_watcher_shared *shared = watcher->shared;
+  struct control_watch_args args = { 0 };
+  struct edge_news *news = g_new0 (struct edge_news, 1);
+  args.cluster = shared->cluster;
+  args.router = shared->router;
+  args.router_incarnation = shared->incarnation;
+  args.epoch = watcher->epoch;
+  args.change = watcher->change;
+  args.want_document = claims_document (watcher);
+  args.document_version = args.want_document
+                              ? atomic_load (&shared->held_version)
+                              : known_version (watcher);
+  args.wait_ms = WAIT_MS;
+  news->source = watcher->source;
+  news->status = wire_client_call (
+      watcher->client, CONTROL_WATCH, (xdrproc_t)xdr_control_watch_args, &args,
+      (xdrproc_t)xdr_control_watch_result, &news->result, sizeof news->result,
+      CALL_TIMEOUT_MS);
+  note_answer (watcher, news, args.want_document);
+  bool lost = news->status != WIRE_OK;
+  g_async_queue_push (shared->news, news);
+  shared->wake (shared->wake_context);
+  if (lost)
+    g_usleep (1000 * PAUSE_MS);
+}
+
+static gpointer
+run (gpointer data)
+{
+  struct edge_watcher *watcher = data;
+  while (!atomic_load (&watcher->stopping))
+    ask (watcher);
+  return NULL;
+}
+
+struct edge_watcher *
+edge_watcher_create (struct edge_watcher_shared *shared, uint32_t source,
+                     const char *address, uint16_t port)
+{
+  struct edge_watcher *watcher = g_new0 (struct edge_watcher, 1);
+  watcher->shared = shared;
+  watcher->source = source;
+  watcher->client = wire_client_create (address, port, CONTROL_PROGRAM,
+                                        CONTROL_VERSION);
+  watcher->thread = g_thread_new ("watch", run, watcher);
+  return watcher;
+}
+
+void
+edge_watcher_stop (struct edge_watcher *watcher)
+{
+  atomic_store (&watcher->stopping, true);
+}
+
+void
+edge_watcher_destroy (struct edge_watcher *watcher)
+{
+  edge_watcher_stop (watcher);
+  g_thread_join (watcher->thread);
+  wire_client_destroy (watcher->client);
+  g_free (watcher);
+}
--- a/src/router_poll.c
+++ b/src/router_poll.c
@@ -10,6 +10,8 @@
 
 #define READY_MAX 128
 #define NO_TIMER UINT64_MAX
+/* Marks a pointer to a watch among the file descriptors of transfers. */
+#define WATCH_MARK (UINT64_C (1) << 63)
 /* Idle connections to targets that are kept open. */
 #define IDLE_CONNECTIONS_MAX 1024L
 
@@ -35,7 +37,7 @@
   struct router_poll *loop = context;
   struct epoll_event event = { 0 };
   (void)easy;
-  event.data.fd = socket;
+  event.data.u64 = (uint32_t)socket;
   if (what == CURL_POLL_REMOVE)
     {
       epoll_ctl (loop->epoll, EPOLL_CTL_DEL, socket, NULL);
@@ -75,7 +77,7 @@
       return NULL;
     }
   event.events = EPOLLIN;
-  event.data.fd = loop->wake;
+  event.data.u64 = (uint32_t)loop->wake;
   epoll_ctl (loop->epoll, EPOLL_CTL_ADD, loop->wake, &event);
   curl_multi_setopt (loop->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
   curl_multi_setopt (loop->multi, CURLMOPT_SOCKETDATA, loop);
@@ -111,6 +113,22 @@
   curl_multi_remove_handle (loop->multi, easy);
 }
 
+int
+router_poll_watch (struct router_poll *loop, int fd, uint32_t events,
+                   struct router_watch *watch)
+{
+  struct epoll_event event = { 0 };
+  event.events = events;
+  event.data.u64 = (uint64_t)(uintptr_t)watch | WATCH_MARK;
+  return epoll_ctl (loop->epoll, EPOLL_CTL_ADD, fd, &event);
+}
+
+void
+router_poll_unwatch (struct router_poll *loop, int fd)
+{
+  epoll_ctl (loop->epoll, EPOLL_CTL_DEL, fd, NULL);
+}
+
 static void
 take_done (struct router_poll *loop)
 {
@@ -133,6 +151,14 @@
   uint64_t count;
   int running;
   int what = 0;
+  if (event->data.u64 & WATCH_MARK)
+    {
+      uint64_t pointer = event->data.u64 & ~WATCH_MARK;
+      struct router_watch *watch
+          = (struct router_watch *)(uintptr_t)pointer;
+      watch->ready (watch, event->events);
+      return;
+    }
   if (event->data.fd == loop->wake)
     {
       ssize_t got = read (loop->wake, &count, sizeof count);
