Lease prepaid tokens by callers' demand

Cause: routers shared an account's unspent tokens by what they held, so the first to ask held most of it, and the others were refused during a cut.

--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -11,6 +11,8 @@
 {
   uint64_t total_tokens;
   uint64_t leased_tokens;
+  /* Asked for by callers at all routers so far. */
+  uint64_t demand_tokens;
   /* Named by the configuration in force. */
   bool known;
 };
@@ -120,6 +122,8 @@
 {
   struct account *account = find_account (prepaid, ask->account);
   account->leased_tokens -= MIN (ask->returned_tokens, account->leased_tokens);
+  account->demand_tokens += ask->demand_tokens;
+  line->demand_tokens = account->demand_tokens;
   line->account = strdup (ask->account);
   line->granted_tokens = grant (account, ask);
   line->total_tokens = account->total_tokens;
@@ -220,6 +224,7 @@
       to->account = strdup (name);
       to->total_tokens = account->total_tokens;
       to->leased_tokens = account->leased_tokens;
+      to->demand_tokens = account->demand_tokens;
       to->known = account->known;
     }
   i = 0;
@@ -248,6 +253,7 @@
       struct account *account = find_account (prepaid, from->account);
       account->total_tokens = from->total_tokens;
       account->leased_tokens = from->leased_tokens;
+      account->demand_tokens = from->demand_tokens;
       account->known = from->known;
     }
   for (u_int i = 0; i < image->lessees.lessees_len; i++)
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -183,6 +183,7 @@
   link->heard_ms = now_ms;
   links->heard_ms = now_ms;
   edge_retry_set_routers (links->edge->retry, result->routers);
+  edge_prepaid_set_routers (links->edge->prepaid, result->routers);
   take_document (links, result);
   take_targets (links, news, now_ms);
   take_members (links, result, now_ms);
--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -5,15 +5,24 @@
 
 #include <glib.h>
 
-/* Time of demand that a lease is to cover, in milliseconds: a call to control
-   over the slow link with a failover in between. */
+/* Time of demand that a lease covers at least, in milliseconds: a call to
+   control with a failover in between. */
 #define AHEAD_MS 1500
+/* Part of an account's total that weighs as demand spread equally. */
+#define DEMAND_MIXED_PART 20
+/* Share of an account's unspent tokens that routers hold together, each in
+   proportion to its demand.  More of it lasts through longer cuts; what a
+   router holds is lost when it dies. */
+#define HELD_SHARE 0.6
+/* Age up to which control's word on what is left counts, in milliseconds:
+   three intervals of calls. */
+#define WORD_LIFE_MS 1000
 /* Interval over which demand is averaged, in milliseconds. */
 #define DEMAND_WINDOW_MS 2000
 /* Requests of the largest recent size that a lease covers at least. */
 #define AHEAD_REQUESTS 2
 /* A lease above this many times its aim is trimmed to the aim. */
-#define SURPLUS_FACTOR 2
+#define SURPLUS_FACTOR 1.5
 /* An account with less than this part of its total left is scarce: routers
    keep only what they need at once. */
 #define SCARCE_PART 16
@@ -40,6 +49,13 @@
   bool is_scarce;
   uint64_t scarce_since_ms;
   uint64_t left_tokens;
+  uint64_t total_tokens;
+  uint64_t told_ms;
+  /* Demand here so far, the part that control knows of, and that of all
+     routers. */
+  uint64_t demand_tokens;
+  uint64_t told_demand_tokens;
+  uint64_t all_demand_tokens;
   /* Part of the call that is under way. */
   bool in_call;
 };
@@ -47,6 +63,7 @@
 struct edge_prepaid
 {
   GHashTable *leases;
+  uint32_t routers;
   bool is_urgent;
 };
 
@@ -62,6 +79,7 @@
 edge_prepaid_create (void)
 {
   struct edge_prepaid *prepaid = g_new0 (struct edge_prepaid, 1);
+  prepaid->routers = 1;
   prepaid->leases
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_lease);
   return prepaid;
@@ -109,17 +127,33 @@
       lease->largest_tokens = lease->largest_tokens / 2;
     }
   lease->window_tokens += tokens;
+  lease->demand_tokens += tokens;
   lease->largest_tokens = MAX (lease->largest_tokens, tokens);
 }
 
+/* This router's part of the account's demand so far; an equal part before
+   there is much of it. */
+static double
+demand_share (const struct lease *lease, uint32_t routers)
+{
+  double mixed = (double)lease->total_tokens / DEMAND_MIXED_PART;
+  double all = (double)MAX (lease->all_demand_tokens, lease->demand_tokens);
+  return ((double)lease->demand_tokens + mixed / routers)
+         / (all + mixed + 1.0);
+}
+
 /* Tokens that the lease should have free. */
 static uint64_t
-aim_tokens (const struct lease *lease)
+aim_tokens (const struct lease *lease, uint32_t routers)
 {
   double rate = MAX (lease->tokens_per_ms, (double)lease->window_tokens
                                                / DEMAND_WINDOW_MS);
-  uint64_t ahead = (uint64_t)(rate * AHEAD_MS);
-  return MAX (ahead, AHEAD_REQUESTS * lease->largest_tokens);
+  double least
+      = rate * AHEAD_MS + (double)(AHEAD_REQUESTS * lease->largest_tokens);
+  double held = HELD_SHARE
+                * (demand_share (lease, routers) * (double)lease->left_tokens
+                   + (double)free_tokens (lease));
+  return (uint64_t)MAX (least, held);
 }
 
 /* Whether control, too, has too few tokens. */
@@ -134,7 +168,7 @@
 static bool
 is_exhausted (const struct lease *lease, uint64_t tokens, uint64_t now_ms)
 {
-  return is_short (lease, tokens)
+  return is_short (lease, tokens) && now_ms < lease->told_ms + WORD_LIFE_MS
          && now_ms >= lease->scarce_since_ms + RECALL_WAIT_MS;
 }
 
@@ -149,7 +183,7 @@
     {
       lease->reserved_tokens += tokens;
       if (!lease->in_call && !lease->is_scarce
-          && free_tokens (lease) < aim_tokens (lease) / 2)
+          && free_tokens (lease) < aim_tokens (lease, prepaid->routers) / 2)
         prepaid->is_urgent = true;
       return EDGE_PREPAID_RESERVED;
     }
@@ -173,6 +207,12 @@
   lease->spent_tokens += MIN (used_tokens, reserved_tokens);
 }
 
+void
+edge_prepaid_set_routers (struct edge_prepaid *prepaid, uint32_t routers)
+{
+  prepaid->routers = MAX (routers, 1);
+}
+
 bool
 edge_prepaid_is_urgent (const struct edge_prepaid *prepaid)
 {
@@ -181,35 +221,35 @@
 
 /* What is free beyond need. */
 static uint64_t
-surplus_tokens (const struct lease *lease, bool returns_all)
+surplus_tokens (const struct lease *lease, uint32_t routers, bool returns_all)
 {
   uint64_t spare = free_tokens (lease);
-  uint64_t aim = aim_tokens (lease);
+  uint64_t aim = aim_tokens (lease, routers);
   if (lease->waiting_tokens > 0)
     return 0;
   if (returns_all || lease->is_scarce)
     return spare;
-  return spare > SURPLUS_FACTOR * aim ? spare - aim : 0;
+  return (double)spare > SURPLUS_FACTOR * (double)aim ? spare - aim : 0;
 }
 
 /* What is missing: all that waits, and the aim while there is plenty. */
 static uint64_t
-missing_tokens (const struct lease *lease)
+missing_tokens (const struct lease *lease, uint32_t routers)
 {
   uint64_t wanted = lease->waiting_tokens;
   uint64_t spare = free_tokens (lease);
   if (!lease->is_scarce)
-    wanted += aim_tokens (lease);
+    wanted += aim_tokens (lease, routers);
   return wanted > spare ? wanted - spare : 0;
 }
 
 static bool
-fill_ask (struct lease *lease, bool returns_all,
+fill_ask (struct lease *lease, uint32_t routers, bool returns_all,
           struct control_lease_ask *ask)
 {
-  ask->returned_tokens = surplus_tokens (lease, returns_all);
+  ask->returned_tokens = surplus_tokens (lease, routers, returns_all);
   ask->want_tokens
-      = ask->returned_tokens > 0 ? 0 : missing_tokens (lease);
+      = ask->returned_tokens > 0 ? 0 : missing_tokens (lease, routers);
   uint64_t spare = free_tokens (lease);
   ask->need_tokens = lease->smallest_waiting > spare
                          ? MIN (lease->smallest_waiting - spare,
@@ -217,8 +257,11 @@
                          : 0;
   lease->waiting_tokens = 0;
   lease->smallest_waiting = 0;
-  if (ask->returned_tokens == 0 && ask->want_tokens == 0)
+  ask->demand_tokens = lease->demand_tokens - lease->told_demand_tokens;
+  if (ask->returned_tokens == 0 && ask->want_tokens == 0
+      && ask->demand_tokens == 0)
     return false;
+  lease->told_demand_tokens = lease->demand_tokens;
   ask->account = strdup (lease->name);
   lease->leased_tokens -= ask->returned_tokens;
   lease->in_call = true;
@@ -248,7 +291,8 @@
          && count < CONTROL_BATCH_MAX)
     {
       age_lease (value, now_ms);
-      count += fill_ask (value, returns_all, &args->asks.asks_val[count]);
+      count += fill_ask (value, prepaid->routers, returns_all,
+                         &args->asks.asks_val[count]);
     }
   args->asks.asks_len = count;
   return count > 0;
@@ -265,6 +309,9 @@
       lease->in_call = false;
       lease->leased_tokens += line->granted_tokens;
       lease->left_tokens = line->left_tokens;
+      lease->all_demand_tokens = line->demand_tokens;
+      lease->total_tokens = line->total_tokens;
+      lease->told_ms = now_ms;
       bool is_scarce
           = line->known && line->left_tokens < line->total_tokens / SCARCE_PART;
       if (is_scarce && !lease->is_scarce)
--- a/src/edge_prepaid.h
+++ b/src/edge_prepaid.h
@@ -37,6 +37,8 @@
 /** Ends a reservation of which @p used_tokens are spent. */
 void edge_prepaid_settle (struct edge_prepaid *prepaid, const char *account,
                           uint64_t reserved_tokens, uint64_t used_tokens);
+/** Number of routers that share the accounts. */
+void edge_prepaid_set_routers (struct edge_prepaid *prepaid, uint32_t routers);
 /** Whether a call to control is due at once. */
 bool edge_prepaid_is_urgent (const struct edge_prepaid *prepaid);
 /** Fills the asks of the next call, and takes out of the lease what is given
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -19,7 +19,7 @@
 #define NO_TABLE_RETRY_AFTER_MS 300
 #define LEASE_RETRY_AFTER_MS 500
 /* Longest wait for a lease while control does not answer. */
-#define LEASE_WAIT_MAX_MS 2000
+#define LEASE_WAIT_MAX_MS 400
 /* Part of the objective after which a safe call without an answer is tried
    elsewhere; of a stream, the whole objective. */
 #define SAFE_PATIENCE_PERCENT 75
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -371,6 +371,7 @@
 	u_quad_t want_tokens;
 	u_quad_t need_tokens;
 	u_quad_t returned_tokens;
+	u_quad_t demand_tokens;
 };
 typedef struct control_lease_ask control_lease_ask;
 
@@ -391,6 +392,7 @@
 	u_quad_t granted_tokens;
 	u_quad_t total_tokens;
 	u_quad_t left_tokens;
+	u_quad_t demand_tokens;
 	bool_t known;
 };
 typedef struct control_lease_line control_lease_line;
@@ -537,6 +539,7 @@
 	wire_name account;
 	u_quad_t total_tokens;
 	u_quad_t leased_tokens;
+	u_quad_t demand_tokens;
 	bool_t known;
 };
 typedef struct control_prepaid_image control_prepaid_image;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -342,6 +342,7 @@
   unsigned hyper want_tokens;
   unsigned hyper need_tokens;     /* the least that is of use; 0: none */
   unsigned hyper returned_tokens;
+  unsigned hyper demand_tokens;   /* asked for by callers since the last call */
 };
 
 struct control_lease_args
@@ -359,6 +360,7 @@
   unsigned hyper granted_tokens;
   unsigned hyper total_tokens;   /* prepaid; 0 with known false */
   unsigned hyper left_tokens;    /* not leased to any router */
+  unsigned hyper demand_tokens;  /* of all routers so far */
   bool known;
 };
 
@@ -501,6 +503,7 @@
   wire_name account;
   unsigned hyper total_tokens;
   unsigned hyper leased_tokens;
+  unsigned hyper demand_tokens;
   bool known;
 };
 
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -726,6 +726,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->returned_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->demand_tokens))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -761,6 +763,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->left_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->demand_tokens))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->known))
 		 return FALSE;
 	return TRUE;
@@ -1017,6 +1021,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->leased_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->demand_tokens))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->known))
 		 return FALSE;
 	return TRUE;
