Serve RPC without waiting for a half-sent or half-read record

Cause: with a bound on records the library reads without blocking, but spins on a record that has not arrived in full, and its replies wait for a peer that doesn't read. Ruled out: large replies alone (documents in pieces of 12 KB left the elections), processor time (without charge the loop spun for good).

--- a/src/control_calls.c
+++ b/src/control_calls.c
@@ -372,18 +372,10 @@
 read_document (struct control_daemon *daemon,
                struct control_read_result *result)
 {
-  struct control_documents *documents
-      = control_state_documents (daemon->state);
-  GBytes *bytes = control_documents_bytes (documents);
-  gsize size = 0;
-  const void *data = bytes ? g_bytes_get_data (bytes, &size) : NULL;
   result->answer.leader_address = strdup ("");
   result->answer.text = strdup ("");
-  result->document_version = control_documents_version (documents);
-  result->document.document_len = (u_int)size;
-  result->document.document_val = malloc (size + 1);
-  if (size > 0)
-    memcpy (result->document.document_val, data, size);
+  result->document_version
+      = control_documents_version (control_state_documents (daemon->state));
 }
 
 void
--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -14,6 +14,9 @@
 #define ROUND_MS 50
 /* Interval at which lapsed sessions are looked for. */
 #define SWEEP_MS 250
+/* Time of a round above which it is logged: a third of the shortest election.
+   */
+#define SLOW_ROUND_MS 200
 /* Longest time to hand over before the end. */
 #define HAND_OVER_MS 1000
 
@@ -217,6 +220,24 @@
   consensus_effects_clear (consensus);
 }
 
+/* Lets other threads read the document. */
+static void
+publish_document (struct control_daemon *daemon)
+{
+  struct control_documents *documents
+      = control_state_documents (daemon->state);
+  uint64_t version = control_documents_version (documents);
+  if (version == daemon->published_version)
+    return;
+  g_mutex_lock (&daemon->mutex);
+  if (daemon->published)
+    g_bytes_unref (daemon->published);
+  daemon->published = g_bytes_ref (control_documents_bytes (documents));
+  daemon->published_version = version;
+  g_mutex_unlock (&daemon->mutex);
+  base_log (BASE_LOG_NOTICE, "document-held version=%" PRIu64, version);
+}
+
 static void
 end_round (struct wire_handler *handler)
 {
@@ -229,7 +250,10 @@
     fail_proposals (daemon);
   control_snapshot_write (daemon);
   control_counters_update (daemon);
+  publish_document (daemon);
   control_watch_round (daemon->watch, now_ms ());
+  daemon->end_took_ms
+      = (base_clock_now_us (base_clock_system ()) - start_us) / 1000;
   base_histogram_record (daemon->counters.round_us,
                          base_clock_now_us (base_clock_system ()) - start_us);
 }
@@ -324,6 +348,8 @@
   control_leases_destroy (daemon->leases);
   control_watch_destroy (daemon->watch);
   control_targets_destroy (daemon->targets);
+  if (daemon->published)
+    g_bytes_unref (daemon->published);
   g_mutex_clear (&daemon->mutex);
   control_state_destroy (daemon->state);
   control_store_close (daemon->store);
@@ -363,8 +389,15 @@
     {
       uint64_t due = consensus_next_due_ms (daemon->consensus);
       uint64_t wait_ms = due > now ? due - now : 0;
+      uint64_t began_ms = now;
       wire_server_round (daemon->server, (uint32_t)MIN (wait_ms, ROUND_MS));
       now = now_ms ();
+      if (now > began_ms + SLOW_ROUND_MS)
+        base_log (BASE_LOG_WARNING,
+                  "round-slow took_ms=%" PRIu64 " in_end_ms=%" PRIu64
+                  " open_calls=%" PRIu32,
+                  now - began_ms, daemon->end_took_ms,
+                  wire_server_open_calls (daemon->server));
     }
   return daemon->failure;
 }
@@ -429,3 +462,15 @@
 {
   return daemon->identity.incarnation;
 }
+
+GBytes *
+control_daemon_document (struct control_daemon *daemon, uint64_t *version)
+{
+  GBytes *bytes = NULL;
+  g_mutex_lock (&daemon->mutex);
+  *version = daemon->published_version;
+  if (daemon->published)
+    bytes = g_bytes_ref (daemon->published);
+  g_mutex_unlock (&daemon->mutex);
+  return bytes;
+}
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -68,6 +68,10 @@
 void
 control_daemon_learn (struct control_daemon *daemon,
                       const struct consensus_configuration *members);
+/** The document that this member holds, with its version; NULL when there is
+ *  none.  Freed with g_bytes_unref; from any thread. */
+GBytes *control_daemon_document (struct control_daemon *daemon,
+                                 uint64_t *version);
 /** Incarnation of the data folder. */
 uint64_t control_daemon_incarnation (const struct control_daemon *daemon);
 /** Whether a leader is known; callable from any thread. */
--- a/src/control_member.h
+++ b/src/control_member.h
@@ -49,16 +49,21 @@
   struct control_pending *reads;
   struct wire_server *server;
   struct control_watch *watch;
-  /** Guards targets, and learnt. */
+  /** Guards targets, learnt and the published document. */
   GMutex mutex;
   struct control_targets *targets;
   /** Members as others named them, while the own log is empty. */
   struct consensus_configuration learnt;
+  /** Document that other threads read. */
+  GBytes *published;
+  uint64_t published_version;
   struct control_counters counters;
   /** Leader and term that were last logged. */
   uint64_t logged_leader;
   bool was_ready;
   uint64_t sweep_due_ms;
+  /* Time that the last round's end took, in milliseconds. */
+  uint64_t end_took_ms;
   uint64_t stop_by_ms;
   int failure;
   atomic_bool stopping;
--- a/src/control_watch.c
+++ b/src/control_watch.c
@@ -22,6 +22,8 @@
   uint64_t change;
   uint64_t document_version;
   bool want_document;
+  uint64_t piece_version;
+  uint32_t piece_offset;
   uint64_t due_ms;
 };
 
@@ -97,10 +99,17 @@
   if (!bytes || !watcher->want_document
       || result->document_version <= watcher->document_version)
     return;
-  const void *data = g_bytes_get_data (bytes, &size);
-  result->document.document_len = (u_int)size;
-  result->document.document_val = malloc (size + 1);
-  memcpy (result->document.document_val, data, size);
+  const char *data = g_bytes_get_data (bytes, &size);
+  if (watcher->piece_version == result->document_version
+      && watcher->piece_offset < size)
+    result->document_offset = watcher->piece_offset;
+  size_t piece
+      = MIN (size - result->document_offset, CONTROL_WATCH_PIECE_BYTES);
+  result->document_bytes = (u_int)size;
+  result->document.document_len = (u_int)piece;
+  result->document.document_val = malloc (piece + 1);
+  memcpy (result->document.document_val, data + result->document_offset,
+          piece);
 }
 
 static void
@@ -148,6 +157,8 @@
   watcher->change = args->epoch == watch->epoch ? args->change : 0;
   watcher->document_version = args->document_version;
   watcher->want_document = args->want_document;
+  watcher->piece_version = args->piece_version;
+  watcher->piece_offset = args->piece_offset;
   watcher->due_ms = now_ms + MIN (args->wait_ms, WAIT_MAX_MS);
   if (args->epoch != watch->epoch)
     watcher->due_ms = now_ms;
--- a/src/edge.c
+++ b/src/edge.c
@@ -233,7 +233,7 @@
       = (uint64_t)edge->options.grace_ms * GRACE_USED_PERCENT / 100;
   if (used_ms >= limit_ms)
     return true;
-  return used_ms >= STOP_MIN_MS && edge->requests.length == 0;
+  return used_ms >= STOP_MIN_MS && edge_front_calls (edge->front) == 0;
 }
 
 void
--- a/src/edge_front.c
+++ b/src/edge_front.c
@@ -32,6 +32,7 @@
   struct edge *edge;
   struct server callers;
   struct server ready;
+  uint32_t calls;
 };
 
 /* A request while it is read. */
@@ -69,6 +70,7 @@
 {
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
       connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  front->calls++;
   call->request
       = edge_request_create (front->edge, connection, info->connect_fd);
   call->request->head.method = g_strdup (method);
@@ -114,14 +116,17 @@
 complete_caller (void *context, struct MHD_Connection *connection,
                  void **state, enum MHD_RequestTerminationCode code)
 {
+  struct edge_front *front = context;
   struct call *call = *state;
-  (void)context;
   (void)connection;
   (void)code;
   if (!call)
     return;
   if (call->request)
-    edge_request_leave (call->request);
+    {
+      front->calls--;
+      edge_request_leave (call->request);
+    }
   g_free (call->uri);
   g_free (call);
   *state = NULL;
@@ -198,7 +203,7 @@
       (size_t)CONNECTION_BYTES, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
-      take_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED, complete_caller, NULL,
+      take_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED, complete_caller, front,
       MHD_OPTION_END);
   return watch_server (front, &front->callers);
 }
@@ -258,6 +263,12 @@
   front->callers.is_due = true;
 }
 
+uint32_t
+edge_front_calls (const struct edge_front *front)
+{
+  return front->calls;
+}
+
 static void
 run_server (struct server *server)
 {
--- a/src/edge_front.h
+++ b/src/edge_front.h
@@ -13,6 +13,8 @@
 void edge_front_destroy (struct edge_front *front);
 /** An answer has more to send. */
 void edge_front_touch (struct edge_front *front);
+/** Calls whose answers are not sent in full yet. */
+uint32_t edge_front_calls (const struct edge_front *front);
 /** Sends and reads what can be; called once a round. */
 void edge_front_run (struct edge_front *front);
 /** Longest wait until it has something to do, in milliseconds. */
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -120,16 +120,15 @@
 }
 
 static void
-take_document (struct edge_links *links,
-               const struct control_watch_result *result)
+take_document (struct edge_links *links, const struct edge_news *news)
 {
   struct edge *edge = links->edge;
   const struct edge_dialect *dialect = edge->options.dialect;
-  if (result->document.document_len == 0)
+  if (!news->document)
     return;
   struct edge_table *table = dialect->read_table (
-      dialect, result->document_version, result->document.document_val,
-      result->document.document_len);
+      dialect, news->result.document_version,
+      (const char *)news->document->data, news->document->len);
   if (table)
     edge_take_table (edge, table);
 }
@@ -184,7 +183,7 @@
   links->heard_ms = now_ms;
   edge_retry_set_routers (links->edge->retry, result->routers);
   edge_prepaid_set_routers (links->edge->prepaid, result->routers);
-  take_document (links, result);
+  take_document (links, news);
   take_targets (links, news, now_ms);
   take_members (links, result, now_ms);
 }
--- a/src/edge_table.c
+++ b/src/edge_table.c
@@ -13,8 +13,8 @@
   uint32_t idle_ms;
   /* struct edge_service by name. */
   GHashTable *services;
-  /* GPtrArray of struct edge_route by host, longest prefix first. */
-  GHashTable *hosts;
+  /* struct edge_route by host and prefix. */
+  GHashTable *routes;
   /* struct edge_account by name, and by key. */
   GHashTable *accounts;
   GHashTable *keys;
@@ -47,12 +47,6 @@
   g_free (account);
 }
 
-static void
-free_routes (gpointer data)
-{
-  g_ptr_array_unref (data);
-}
-
 struct edge_table *
 edge_table_create (uint64_t version)
 {
@@ -62,8 +56,8 @@
   table->idle_ms = IDLE_DEFAULT_MS;
   table->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
-  table->hosts
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_routes);
+  table->routes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_route);
   table->accounts
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_account);
   table->keys
@@ -85,7 +79,7 @@
     return;
   g_hash_table_unref (table->keys);
   g_hash_table_unref (table->accounts);
-  g_hash_table_unref (table->hosts);
+  g_hash_table_unref (table->routes);
   g_hash_table_unref (table->services);
   g_free (table);
 }
@@ -118,41 +112,22 @@
   return folded;
 }
 
-static gint
-compare_prefixes (gconstpointer a, gconstpointer b)
-{
-  const struct edge_route *first = *(struct edge_route *const *)a;
-  const struct edge_route *second = *(struct edge_route *const *)b;
-  size_t first_bytes = strlen (first->path_prefix);
-  size_t second_bytes = strlen (second->path_prefix);
-  return first_bytes < second_bytes ? 1 : first_bytes > second_bytes ? -1 : 0;
-}
-
 struct edge_route *
 edge_table_add_route (struct edge_table *table, const char *host,
                       const char *path_prefix)
 {
   char *folded = fold_host (host);
-  GPtrArray *routes = g_hash_table_lookup (table->hosts, folded);
-  if (!routes)
-    {
-      routes = g_ptr_array_new_with_free_func (free_route);
-      g_hash_table_insert (table->hosts, g_strdup (folded), routes);
-    }
-  for (guint i = 0; i < routes->len; i++)
+  char *place = g_strconcat (folded, path_prefix, NULL);
+  if (g_hash_table_contains (table->routes, place))
     {
-      const struct edge_route *other = routes->pdata[i];
-      if (strcmp (other->path_prefix, path_prefix) == 0)
-        {
-          g_free (folded);
-          return NULL;
-        }
+      g_free (folded);
+      g_free (place);
+      return NULL;
     }
   struct edge_route *route = g_new0 (struct edge_route, 1);
   route->host = folded;
   route->path_prefix = g_strdup (path_prefix);
-  g_ptr_array_add (routes, route);
-  g_ptr_array_sort (routes, compare_prefixes);
+  g_hash_table_insert (table->routes, place, route);
   return route;
 }
 
@@ -200,15 +175,20 @@
                   const char *path)
 {
   char *folded = fold_host (host);
-  const GPtrArray *routes = g_hash_table_lookup (table->hosts, folded);
-  g_free (folded);
-  for (guint i = 0; routes && i < routes->len; i++)
+  size_t host_bytes = strlen (folded);
+  char *place = g_strconcat (folded, path, NULL);
+  const struct edge_route *route = NULL;
+  /* Prefixes end with a slash; the longest goes first. */
+  for (size_t end = strlen (place); !route && end > host_bytes; end--)
     {
-      const struct edge_route *route = routes->pdata[i];
-      if (g_str_has_prefix (path, route->path_prefix))
-        return route;
+      if (place[end - 1] != '/')
+        continue;
+      place[end] = '\0';
+      route = g_hash_table_lookup (table->routes, place);
     }
-  return NULL;
+  g_free (place);
+  g_free (folded);
+  return route;
 }
 
 const struct edge_account *
--- a/src/edge_watcher.c
+++ b/src/edge_watcher.c
@@ -18,6 +18,9 @@
   uint64_t change;
   /* Version that the member said it holds. */
   uint64_t member_version;
+  /* First pieces of the document of pieces_version. */
+  GByteArray *pieces;
+  uint64_t pieces_version;
   atomic_bool stopping;
   GThread *thread;
 };
@@ -27,6 +30,8 @@
 {
   if (news->status == WIRE_OK)
     xdr_free ((xdrproc_t)xdr_control_watch_result, (char *)&news->result);
+  if (news->document)
+    g_byte_array_unref (news->document);
   g_free (news);
 }
 
@@ -55,12 +60,35 @@
   return MAX (held, fetching);
 }
 
+/* Adds a piece; when the document is whole, the news carries it. */
 static void
-note_answer (struct edge_watcher *watcher, const struct edge_news *news,
+add_piece (struct edge_watcher *watcher, struct edge_news *news)
+{
+  const struct control_watch_result *result = &news->result;
+  if (watcher->pieces_version != result->document_version
+      || result->document_offset != watcher->pieces->len)
+    g_byte_array_set_size (watcher->pieces, 0);
+  watcher->pieces_version = result->document_version;
+  if (result->document_offset != watcher->pieces->len)
+    return;
+  g_byte_array_append (watcher->pieces,
+                       (const guint8 *)result->document.document_val,
+                       result->document.document_len);
+  if (watcher->pieces->len < result->document_bytes)
+    return;
+  news->document = watcher->pieces;
+  watcher->pieces = g_byte_array_new ();
+  watcher->pieces_version = 0;
+}
+
+static void
+note_answer (struct edge_watcher *watcher, struct edge_news *news,
              bool fetches)
 {
   struct edge_watcher_shared *shared = watcher->shared;
   const struct control_watch_result *result = &news->result;
+  if (news->status == WIRE_OK && result->document.document_len > 0)
+    add_piece (watcher, news);
   if (news->status == WIRE_OK)
     {
       watcher->epoch = result->epoch;
@@ -69,10 +97,10 @@
     }
   else
     watcher->epoch = 0;
-  if (fetches && result->document.document_len > 0)
+  if (news->document)
     atomic_store (&shared->held_version, result->document_version);
-  else if (fetches)
-    /* Another watcher may try. */
+  /* Also another watcher may fetch what this one has not whole. */
+  if (fetches)
     atomic_store (&shared->fetching_version,
                   atomic_load (&shared->held_version));
 }
@@ -92,6 +120,8 @@
   args.document_version = args.want_document
                               ? atomic_load (&shared->held_version)
                               : known_version (watcher);
+  args.piece_version = watcher->pieces_version;
+  args.piece_offset = watcher->pieces->len;
   args.wait_ms = WAIT_MS;
   news->source = watcher->source;
   news->status = wire_client_call (
@@ -122,6 +152,7 @@
   struct edge_watcher *watcher = g_new0 (struct edge_watcher, 1);
   watcher->shared = shared;
   watcher->source = source;
+  watcher->pieces = g_byte_array_new ();
   watcher->client = wire_client_create (address, port, CONTROL_PROGRAM,
                                         CONTROL_VERSION);
   watcher->thread = g_thread_new ("watch", run, watcher);
@@ -140,5 +171,6 @@
   edge_watcher_stop (watcher);
   g_thread_join (watcher->thread);
   wire_client_destroy (watcher->client);
+  g_byte_array_unref (watcher->pieces);
   g_free (watcher);
 }
--- a/src/edge_watcher.h
+++ b/src/edge_watcher.h
@@ -36,6 +36,8 @@
   uint32_t source;
   enum wire_status status;
   struct control_watch_result result;
+  /** The whole document of the result's version, or NULL. */
+  GByteArray *document;
 };
 
 struct edge_watcher;
--- /dev/null
+++ b/src/wire_connection.c
@@ -0,0 +1,213 @@
+#include "wire_connection.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "cactus_config.h"
+
+/* Set in the mark before the last fragment of a record. */
+#define LAST_FRAGMENT 0x80000000u
+#define MARK_BYTES sizeof (uint32_t)
+#define READ_BYTES 16384
+/* Replies that wait for a slow peer; it is given up above that. */
+#define OUT_MAX_BYTES (2u * CACTUS_RPC_RECORD_BYTES)
+/* Time that sent bytes may stay without acknowledgement, in milliseconds. */
+#define UNACKED_TIMEOUT_MS 10000
+#define REPLY_HEAD_BYTES 256
+
+struct wire_connection
+{
+  int fd;
+  GByteArray *in;
+  GByteArray *out;
+  guint out_sent;
+};
+
+struct wire_connection *
+wire_connection_create (int fd)
+{
+  int yes = 1;
+  unsigned int unacked_ms = UNACKED_TIMEOUT_MS;
+  struct wire_connection *connection = g_new0 (struct wire_connection, 1);
+  fcntl (fd, F_SETFL, fcntl (fd, F_GETFL) | O_NONBLOCK);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &yes, sizeof yes);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+              sizeof unacked_ms);
+  connection->fd = fd;
+  connection->in = g_byte_array_new ();
+  connection->out = g_byte_array_new ();
+  return connection;
+}
+
+void
+wire_connection_destroy (struct wire_connection *connection)
+{
+  close (connection->fd);
+  g_byte_array_unref (connection->in);
+  g_byte_array_unref (connection->out);
+  g_free (connection);
+}
+
+int
+wire_connection_fd (const struct wire_connection *connection)
+{
+  return connection->fd;
+}
+
+bool
+wire_connection_read (struct wire_connection *connection)
+{
+  guint8 buffer[READ_BYTES];
+  ssize_t got = recv (connection->fd, buffer, sizeof buffer, MSG_DONTWAIT);
+  if (got > 0)
+    g_byte_array_append (connection->in, buffer, (guint)got);
+  return got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
+}
+
+/* Length of the record at the start with its marks; 0 when it is not whole,
+   -1 when it is too long. */
+static int64_t
+record_length (const struct wire_connection *connection)
+{
+  guint at = 0;
+  uint32_t mark = 0;
+  while (!(mark & LAST_FRAGMENT))
+    {
+      if (connection->in->len < at + MARK_BYTES)
+        return 0;
+      memcpy (&mark, connection->in->data + at, MARK_BYTES);
+      mark = ntohl (mark);
+      uint32_t length = mark & ~LAST_FRAGMENT;
+      if (length > CACTUS_RPC_RECORD_BYTES - at)
+        return -1;
+      at += (guint)MARK_BYTES + length;
+    }
+  return connection->in->len < at ? 0 : at;
+}
+
+/* Takes the record's fragments out, joined. */
+static GByteArray *
+take_record (struct wire_connection *connection, guint length)
+{
+  GByteArray *record = g_byte_array_new ();
+  guint at = 0;
+  while (at < length)
+    {
+      uint32_t mark;
+      memcpy (&mark, connection->in->data + at, MARK_BYTES);
+      uint32_t bytes = ntohl (mark) & ~LAST_FRAGMENT;
+      at += (guint)MARK_BYTES;
+      g_byte_array_append (record, connection->in->data + at, bytes);
+      at += bytes;
+    }
+  g_byte_array_remove_range (connection->in, 0, length);
+  return record;
+}
+
+int
+wire_connection_next (struct wire_connection *connection,
+                      struct wire_record *record)
+{
+  XDR stream;
+  struct rpc_msg call = { 0 };
+  char credentials[2 * MAX_AUTH_BYTES];
+  int64_t length = record_length (connection);
+  if (length <= 0)
+    return (int)length;
+  GByteArray *bytes = take_record (connection, (guint)length);
+  call.rm_call.cb_cred.oa_base = credentials;
+  call.rm_call.cb_verf.oa_base = credentials + MAX_AUTH_BYTES;
+  xdrmem_create (&stream, (char *)bytes->data, bytes->len, XDR_DECODE);
+  bool good = xdr_callmsg (&stream, &call) && call.rm_direction == CALL;
+  guint used = xdr_getpos (&stream);
+  XDR_DESTROY (&stream);
+  if (good)
+    {
+      record->xid = call.rm_xid;
+      record->program = (uint32_t)call.rm_call.cb_prog;
+      record->version = (uint32_t)call.rm_call.cb_vers;
+      record->procedure = (uint32_t)call.rm_call.cb_proc;
+      record->args = g_bytes_new (bytes->data + used, bytes->len - used);
+    }
+  g_byte_array_unref (bytes);
+  return good ? 1 : -1;
+}
+
+/* Adds a reply's head, with its mark, before @p bytes of result. */
+static void
+add_head (struct wire_connection *connection, struct rpc_msg *reply,
+          uint32_t bytes)
+{
+  XDR stream;
+  char head[REPLY_HEAD_BYTES];
+  reply->rm_direction = REPLY;
+  reply->rm_reply.rp_stat = MSG_ACCEPTED;
+  reply->acpted_rply.ar_verf = _null_auth;
+  reply->acpted_rply.ar_results.proc = (xdrproc_t)xdr_void;
+  xdrmem_create (&stream, head, sizeof head, XDR_ENCODE);
+  xdr_replymsg (&stream, reply);
+  guint head_bytes = xdr_getpos (&stream);
+  XDR_DESTROY (&stream);
+  uint32_t mark = htonl ((head_bytes + bytes) | LAST_FRAGMENT);
+  g_byte_array_append (connection->out, (guint8 *)&mark, MARK_BYTES);
+  g_byte_array_append (connection->out, (guint8 *)head, head_bytes);
+}
+
+void
+wire_connection_reply (struct wire_connection *connection, uint32_t xid,
+                       const char *result, uint32_t bytes)
+{
+  struct rpc_msg reply = { .rm_xid = xid };
+  reply.acpted_rply.ar_stat = SUCCESS;
+  add_head (connection, &reply, bytes);
+  g_byte_array_append (connection->out, (const guint8 *)result, bytes);
+}
+
+void
+wire_connection_refuse (struct wire_connection *connection, uint32_t xid,
+                        enum accept_stat status, uint32_t version)
+{
+  struct rpc_msg reply = { .rm_xid = xid };
+  reply.acpted_rply.ar_stat = status;
+  if (status == PROG_MISMATCH)
+    {
+      reply.acpted_rply.ar_vers.low = version;
+      reply.acpted_rply.ar_vers.high = version;
+    }
+  add_head (connection, &reply, 0);
+}
+
+bool
+wire_connection_write (struct wire_connection *connection)
+{
+  GByteArray *out = connection->out;
+  while (connection->out_sent < out->len)
+    {
+      ssize_t sent = send (connection->fd, out->data + connection->out_sent,
+                           out->len - connection->out_sent,
+                           MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (sent < 0 && errno == EINTR)
+        continue;
+      if (sent < 0 && errno == EAGAIN)
+        return out->len - connection->out_sent <= OUT_MAX_BYTES;
+      if (sent < 0)
+        return false;
+      connection->out_sent += (guint)sent;
+    }
+  g_byte_array_set_size (out, 0);
+  connection->out_sent = 0;
+  return true;
+}
+
+bool
+wire_connection_wants_write (const struct wire_connection *connection)
+{
+  return connection->out_sent < connection->out->len;
+}
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -359,10 +359,6 @@
 struct control_read_result {
 	control_answer answer;
 	u_quad_t document_version;
-	struct {
-		u_int document_len;
-		char *document_val;
-	} document;
 };
 typedef struct control_read_result control_read_result;
 
@@ -429,6 +425,7 @@
 	bool_t silent;
 };
 typedef struct control_target control_target;
+#define CONTROL_WATCH_PIECE_BYTES 12288
 
 struct control_watch_args {
 	wire_name cluster;
@@ -438,6 +435,8 @@
 	u_quad_t change;
 	u_quad_t document_version;
 	bool_t want_document;
+	u_quad_t piece_version;
+	u_int piece_offset;
 	u_int wait_ms;
 };
 typedef struct control_watch_args control_watch_args;
@@ -447,6 +446,8 @@
 	u_quad_t epoch;
 	u_quad_t change;
 	u_quad_t document_version;
+	u_int document_bytes;
+	u_int document_offset;
 	struct {
 		u_int document_len;
 		char *document_val;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -327,11 +327,11 @@
   wire_name cluster;
 };
 
+/* The newest version, confirmed by a majority. */
 struct control_read_result
 {
   control_answer answer;
   unsigned hyper document_version;
-  opaque document<CONTROL_DOCUMENT_BYTES>;
 };
 
 /* Leases of prepaid tokens to a router.  The same sequence number again gets
@@ -398,7 +398,12 @@
 
 /* Watch: answered by any member as soon as it has something newer than the
    router holds, at the latest after wait_ms.  epoch is the member's run;
-   change counts its targets' changes. */
+   change counts its targets' changes.  A document comes in pieces small enough
+   for a connection's buffer, so that a slow router holds up nobody: document
+   is the piece at document_offset of document_bytes, and the next call asks
+   for the piece at piece_offset of piece_version. */
+const CONTROL_WATCH_PIECE_BYTES = 12288;
+
 struct control_watch_args
 {
   wire_name cluster;
@@ -408,6 +413,8 @@
   unsigned hyper change;
   unsigned hyper document_version;
   bool want_document;
+  unsigned hyper piece_version;
+  unsigned int piece_offset;
   unsigned int wait_ms;
 };
 
@@ -417,7 +424,9 @@
   unsigned hyper epoch;
   unsigned hyper change;
   unsigned hyper document_version;
-  opaque document<CONTROL_DOCUMENT_BYTES>;
+  unsigned int document_bytes;
+  unsigned int document_offset;
+  opaque document<CONTROL_WATCH_PIECE_BYTES>;
   control_target targets<CONTROL_TARGETS_MAX>;
   unsigned int routers;           /* routers that watch this member */
   control_member members<CONTROL_MEMBERS_MAX>;
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -708,8 +708,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
-		 return FALSE;
 	return TRUE;
 }
 
@@ -844,6 +842,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->want_document))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->piece_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->piece_offset))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
 	return TRUE;
@@ -862,7 +864,11 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_DOCUMENT_BYTES))
+	 if (!xdr_u_int (xdrs, &objp->document_bytes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->document_offset))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_WATCH_PIECE_BYTES))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, CONTROL_TARGETS_MAX,
 		sizeof (control_target), (xdrproc_t) xdr_control_target))
--- a/src/wire_server.c
+++ b/src/wire_server.c
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <string.h>
@@ -12,89 +11,81 @@
 #include <unistd.h>
 
 #include <glib.h>
-#include <rpc/rpc_com.h>
 
-#include "cactus_config.h"
+#include "wire_connection.h"
 
 #define LISTEN_BACKLOG 1024
-/* Send buffer of a connection, inherited from the listening socket: replies up
-   to about this size never wait for a peer that is frozen or cut off. */
-#define SEND_BUFFER_BYTES 212992
 #define PROGRAMS_MAX 8
+/* Entries of the poll set before those of the connections. */
+#define FIXED_ENTRIES 2
 
-/* The library gives one dispatcher a program and no context, so the one
-   server of the process is found here. */
-static struct wire_server *the_server;
+struct peer;
 
 struct wire_call
 {
   struct wire_server *server;
-  SVCXPRT *transport;
-  int fd;
-  uint32_t program;
-  uint32_t procedure;
-  bool answered;
+  /* NULL once the peer is gone. */
+  struct peer *peer;
+  struct wire_record record;
   bool failed;
   /* Encoded reply, sent at the end of the round. */
   char *reply;
   u_int reply_bytes;
 };
 
+/* A connection and its call that waits for an answer. */
+struct peer
+{
+  struct wire_connection *connection;
+  struct wire_call *open_call;
+  bool is_gone;
+};
+
 struct wire_server
 {
   struct wire_handler *handler;
-  SVCXPRT *listener;
+  int listener;
   uint16_t port;
   int wake_fd;
   struct wire_program programs[PROGRAMS_MAX];
   uint32_t program_count;
-  /* Calls without a reply, by file descriptor. */
-  GHashTable *open_calls;
+  uint32_t open_calls;
+  /* struct peer. */
+  GPtrArray *peers;
   /* Calls with a reply that is not sent yet. */
   GPtrArray *answered_calls;
   GArray *poll_set;
+  /* Calls were taken after the last round's end. */
+  bool has_work;
 };
 
 static void
 free_call (struct wire_call *call)
 {
+  g_bytes_unref (call->record.args);
   g_free (call->reply);
   g_free (call);
 }
 
 static void
-dispatch (struct svc_req *request, SVCXPRT *transport)
+free_peer (gpointer data)
 {
-  struct wire_server *server = the_server;
-  if (request->rq_proc == NULLPROC)
-    {
-      svc_sendreply (transport, (xdrproc_t)xdr_void, NULL);
-      return;
-    }
-  struct wire_call *call = g_new0 (struct wire_call, 1);
-  call->server = server;
-  call->transport = transport;
-  call->fd = transport->xp_fd;
-  call->program = (uint32_t)request->rq_prog;
-  call->procedure = (uint32_t)request->rq_proc;
-  /* A call that the same connection sent before gets no reply. */
-  g_hash_table_replace (server->open_calls, GINT_TO_POINTER (call->fd), call);
-  server->handler->call (server->handler, call);
+  struct peer *peer = data;
+  wire_connection_destroy (peer->connection);
+  g_free (peer);
 }
 
 static int
 listen_on (const char *address, uint16_t port)
 {
   int yes = 1;
-  int send_buffer = SEND_BUFFER_BYTES;
   struct sockaddr_in name
       = { .sin_family = AF_INET, .sin_port = htons (port) };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int fd
+      = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (fd < 0)
     return -1;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
-  setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer);
   if (inet_pton (AF_INET, address, &name.sin_addr) != 1)
     errno = EINVAL;
   else if (bind (fd, (struct sockaddr *)&name, sizeof name) == 0
@@ -106,80 +97,49 @@
   return -1;
 }
 
-static bool
-register_programs (SVCXPRT *listener, const struct wire_program *programs,
-                   uint32_t program_count)
-{
-  for (uint32_t i = 0; i < program_count; i++)
-    if (!svc_register (listener, programs[i].program, programs[i].version,
-                       dispatch, 0))
-      return false;
-  return true;
-}
-
 struct wire_server *
 wire_server_create (const char *address, uint16_t port,
                     const struct wire_program *programs,
                     uint32_t program_count, struct wire_handler *handler)
 {
-  int largest = CACTUS_RPC_RECORD_BYTES;
   struct sockaddr_in name = { 0 };
   socklen_t length = sizeof name;
-  g_return_val_if_fail (!the_server && program_count <= PROGRAMS_MAX, NULL);
+  g_return_val_if_fail (program_count <= PROGRAMS_MAX, NULL);
   signal (SIGPIPE, SIG_IGN);
   int fd = listen_on (address, port);
   if (fd < 0)
     return NULL;
-  /* A bound on the record makes the library read without blocking, so that a
-     half-sent call holds up nobody. */
-  rpc_control (RPC_SVC_CONNMAXREC_SET, &largest);
   struct wire_server *server = g_new0 (struct wire_server, 1);
   server->handler = handler;
+  server->listener = fd;
   server->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
-  server->open_calls = g_hash_table_new (NULL, NULL);
+  server->peers = g_ptr_array_new_with_free_func (free_peer);
   server->answered_calls = g_ptr_array_new ();
   server->poll_set = g_array_new (FALSE, TRUE, sizeof (struct pollfd));
   for (uint32_t i = 0; i < program_count; i++)
     server->programs[i] = programs[i];
   server->program_count = program_count;
-  the_server = server;
   getsockname (fd, (struct sockaddr *)&name, &length);
   server->port = ntohs (name.sin_port);
-  server->listener = svctcp_create (fd, 0, 0);
-  if (!server->listener
-      || !register_programs (server->listener, programs, program_count))
-    {
-      wire_server_destroy (server);
-      errno = EIO;
-      return NULL;
-    }
   return server;
 }
 
-static void
-free_open_call (gpointer key, gpointer value, gpointer context)
-{
-  (void)key;
-  (void)context;
-  free_call (value);
-}
-
 void
 wire_server_destroy (struct wire_server *server)
 {
   if (!server)
     return;
-  for (uint32_t i = 0; i < server->program_count; i++)
-    svc_unregister (server->programs[i].program, server->programs[i].version);
-  svc_exit ();
-  if (server->listener)
-    SVC_DESTROY (server->listener);
-  g_hash_table_foreach (server->open_calls, free_open_call, NULL);
-  g_hash_table_unref (server->open_calls);
+  for (guint i = 0; i < server->peers->len; i++)
+    {
+      struct peer *peer = server->peers->pdata[i];
+      if (peer->open_call)
+        free_call (peer->open_call);
+    }
+  g_ptr_array_unref (server->peers);
   g_ptr_array_unref (server->answered_calls);
   g_array_unref (server->poll_set);
+  close (server->listener);
   close (server->wake_fd);
-  the_server = NULL;
   g_free (server);
 }
 
@@ -189,51 +149,110 @@
   return server->port;
 }
 
-/* Connections to read: all but those whose call waits for its reply, since
-   the reply's id lives in the connection. */
+/* A connection whose call waits is only watched for its end. */
 static void
 fill_poll_set (struct wire_server *server)
 {
-  struct pollfd wake = { .fd = server->wake_fd, .events = POLLIN };
+  struct pollfd fixed[FIXED_ENTRIES]
+      = { { .fd = server->wake_fd, .events = POLLIN },
+          { .fd = server->listener, .events = POLLIN } };
   g_array_set_size (server->poll_set, 0);
-  g_array_append_val (server->poll_set, wake);
-  for (int i = 0; i < svc_max_pollfd; i++)
+  g_array_append_vals (server->poll_set, fixed, FIXED_ENTRIES);
+  for (guint i = 0; i < server->peers->len; i++)
     {
-      struct pollfd entry = svc_pollfd[i];
-      if (entry.fd < 0
-          || g_hash_table_contains (server->open_calls,
-                                    GINT_TO_POINTER (entry.fd)))
-        continue;
-      entry.revents = 0;
+      const struct peer *peer = server->peers->pdata[i];
+      struct pollfd entry
+          = { .fd = wire_connection_fd (peer->connection),
+              .events = peer->open_call ? POLLRDHUP : POLLIN };
+      if (wire_connection_wants_write (peer->connection))
+        entry.events |= POLLOUT;
       g_array_append_val (server->poll_set, entry);
     }
 }
 
+static void
+accept_peers (struct wire_server *server)
+{
+  int fd;
+  while ((fd = accept4 (server->listener, NULL, NULL, SOCK_CLOEXEC)) >= 0)
+    {
+      struct peer *peer = g_new0 (struct peer, 1);
+      peer->connection = wire_connection_create (fd);
+      g_ptr_array_add (server->peers, peer);
+    }
+}
+
+/* Version of the program that is served; 0: none. */
+static uint32_t
+served_version (const struct wire_server *server, uint32_t program)
+{
+  for (uint32_t i = 0; i < server->program_count; i++)
+    if (server->programs[i].program == program)
+      return server->programs[i].version;
+  return 0;
+}
+
+/* Answers what no handler is asked; true when it did. */
 static bool
-still_connected (int fd)
+answer_plain (struct wire_server *server, struct peer *peer,
+              const struct wire_record *record)
 {
-  for (int i = 0; i < svc_max_pollfd; i++)
-    if (svc_pollfd[i].fd == fd)
-      return true;
-  return false;
+  uint32_t version = served_version (server, record->program);
+  if (version == 0)
+    wire_connection_refuse (peer->connection, record->xid, PROG_UNAVAIL, 0);
+  else if (version != record->version)
+    wire_connection_refuse (peer->connection, record->xid, PROG_MISMATCH,
+                            version);
+  else if (record->procedure == NULLPROC)
+    wire_connection_reply (peer->connection, record->xid, "", 0);
+  else
+    return false;
+  return true;
 }
 
-static bool_t
-copy_reply (XDR *xdrs, void *data)
+static void
+dispatch (struct wire_server *server, struct peer *peer,
+          const struct wire_record *record)
 {
-  struct wire_call *call = data;
-  return xdr_opaque (xdrs, call->reply, call->reply_bytes);
+  if (answer_plain (server, peer, record))
+    {
+      g_bytes_unref (record->args);
+      return;
+    }
+  struct wire_call *call = g_new0 (struct wire_call, 1);
+  call->server = server;
+  call->peer = peer;
+  call->record = *record;
+  peer->open_call = call;
+  server->has_work = true;
+  server->open_calls++;
+  server->handler->call (server->handler, call);
 }
 
+/* Hands on calls that are whole, until one waits for its answer. */
 static void
-send_reply (struct wire_call *call)
+take_calls (struct wire_server *server, struct peer *peer)
 {
-  if (!still_connected (call->fd))
-    return;
-  if (call->failed)
-    svcerr_decode (call->transport);
-  else
-    svc_sendreply (call->transport, (xdrproc_t)copy_reply, call);
+  int found = 0;
+  struct wire_record record;
+  while (!peer->open_call
+         && (found = wire_connection_next (peer->connection, &record)) > 0)
+    dispatch (server, peer, &record);
+  if (found < 0)
+    peer->is_gone = true;
+}
+
+static void
+serve_peer (struct wire_server *server, struct peer *peer, short events)
+{
+  if (events & POLLOUT)
+    peer->is_gone |= !wire_connection_write (peer->connection);
+  if (peer->open_call)
+    peer->is_gone |= (events & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  else if (events & (POLLIN | POLLHUP | POLLERR))
+    peer->is_gone |= !wire_connection_read (peer->connection);
+  if (!peer->is_gone)
+    take_calls (server, peer);
 }
 
 static void
@@ -242,36 +261,88 @@
   for (guint i = 0; i < server->answered_calls->len; i++)
     {
       struct wire_call *call = server->answered_calls->pdata[i];
-      struct wire_call *current = g_hash_table_lookup (
-          server->open_calls, GINT_TO_POINTER (call->fd));
-      if (current == call)
-        {
-          g_hash_table_remove (server->open_calls, GINT_TO_POINTER (call->fd));
-          send_reply (call);
-        }
+      struct peer *peer = call->peer;
+      if (peer && call->failed)
+        wire_connection_refuse (peer->connection, call->record.xid,
+                                GARBAGE_ARGS, 0);
+      else if (peer)
+        wire_connection_reply (peer->connection, call->record.xid, call->reply,
+                               call->reply_bytes);
+      if (peer)
+        peer->is_gone |= !wire_connection_write (peer->connection);
       free_call (call);
     }
   g_ptr_array_set_size (server->answered_calls, 0);
 }
 
-void
-wire_server_round (struct wire_server *server, uint32_t wait_ms)
+static void
+forget_call (struct wire_server *server, struct peer *peer)
+{
+  for (guint i = 0; i < server->answered_calls->len; i++)
+    {
+      struct wire_call *call = server->answered_calls->pdata[i];
+      if (call->peer == peer)
+        call->peer = NULL;
+    }
+  if (peer->open_call)
+    peer->open_call->peer = NULL;
+}
+
+static void
+drop_peers (struct wire_server *server)
+{
+  for (guint i = server->peers->len; i-- > 0;)
+    {
+      struct peer *peer = server->peers->pdata[i];
+      if (!peer->is_gone)
+        continue;
+      forget_call (server, peer);
+      g_ptr_array_remove_index_fast (server->peers, i);
+    }
+}
+
+/* Calls that were read behind one that is answered by now. */
+static void
+take_waiting_calls (struct wire_server *server)
+{
+  for (guint i = 0; i < server->peers->len; i++)
+    take_calls (server, server->peers->pdata[i]);
+}
+
+static void
+serve_ready (struct wire_server *server)
 {
   uint64_t count;
-  fill_poll_set (server);
-  struct pollfd *set = (struct pollfd *)server->poll_set->data;
-  int ready = poll (set, server->poll_set->len, (int)wait_ms);
-  if (ready > 0 && set[0].revents)
+  const struct pollfd *set = (struct pollfd *)server->poll_set->data;
+  guint polled = server->poll_set->len - FIXED_ENTRIES;
+  if (set[0].revents)
     {
       ssize_t got = read (server->wake_fd, &count, sizeof count);
       (void)got;
-      ready--;
     }
+  for (guint i = 0; i < polled; i++)
+    if (set[FIXED_ENTRIES + i].revents)
+      serve_peer (server, server->peers->pdata[i],
+                  set[FIXED_ENTRIES + i].revents);
+  if (set[1].revents)
+    accept_peers (server);
+}
+
+void
+wire_server_round (struct wire_server *server, uint32_t wait_ms)
+{
+  fill_poll_set (server);
+  int ready = poll ((struct pollfd *)server->poll_set->data,
+                    server->poll_set->len,
+                    server->has_work ? 0 : (int)wait_ms);
+  server->has_work = false;
   if (ready > 0)
-    svc_getreq_poll (set + 1, ready);
+    serve_ready (server);
   if (server->handler->round)
     server->handler->round (server->handler);
   send_replies (server);
+  drop_peers (server);
+  take_waiting_calls (server);
 }
 
 void
@@ -285,31 +356,39 @@
 uint32_t
 wire_server_open_calls (const struct wire_server *server)
 {
-  return g_hash_table_size (server->open_calls);
+  return server->open_calls;
 }
 
 uint32_t
 wire_call_program (const struct wire_call *call)
 {
-  return call->program;
+  return call->record.program;
 }
 
 uint32_t
 wire_call_procedure (const struct wire_call *call)
 {
-  return call->procedure;
+  return call->record.procedure;
 }
 
 bool
 wire_call_args (struct wire_call *call, xdrproc_t codec, void *args)
 {
-  return svc_getargs (call->transport, codec, args);
+  XDR stream;
+  gsize bytes = 0;
+  const char *data = g_bytes_get_data (call->record.args, &bytes);
+  xdrmem_create (&stream, (char *)(uintptr_t)data, (u_int)bytes, XDR_DECODE);
+  bool good = codec (&stream, args);
+  XDR_DESTROY (&stream);
+  return good;
 }
 
 static void
 mark_answered (struct wire_call *call)
 {
-  call->answered = true;
+  call->server->open_calls--;
+  if (call->peer)
+    call->peer->open_call = NULL;
   g_ptr_array_add (call->server->answered_calls, call);
 }
 
--- a/src/wire_server.h
+++ b/src/wire_server.h
@@ -4,7 +4,7 @@
 /** @file
  *  ONC RPC serving loop.  Each round reads every call that is ready, lets the
  *  handler sync once, then sends the replies.  A call may also be answered in
- *  a later round.  One server a process (the library's state is global). */
+ *  a later round. */
 
 #include <stdbool.h>
 #include <stdint.h>
