Reclaim leases that a router which started anew can't have used

A router now uses a growing part of its leases after each answered report, and control reclaims the rest when it starts anew. Ruled out: smaller leases (they fail longer cuts).

--- /dev/null
+++ b/src/control_lessee.c
@@ -0,0 +1,173 @@
+#include "control_lessee.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "escrow_allowance.h"
+
+/* Error of one host's clock, and of two hosts' clocks that may have been
+   stepped, in milliseconds. */
+#define SAME_CLOCK_ERROR_MS 300
+#define OTHER_CLOCK_ERROR_MS 2700
+
+struct control_lessee *
+control_lessee_create (uint64_t incarnation)
+{
+  struct control_lessee *lessee = g_new0 (struct control_lessee, 1);
+  lessee->incarnation = incarnation;
+  lessee->last.answer.leader_address = strdup ("");
+  lessee->last.answer.text = strdup ("");
+  lessee->holdings
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return lessee;
+}
+
+void
+control_lessee_destroy (struct control_lessee *lessee)
+{
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&lessee->last);
+  g_hash_table_unref (lessee->holdings);
+  g_free (lessee);
+}
+
+void
+control_lessee_called (struct control_lessee *lessee, uint64_t wall_ms,
+                       uint64_t clock)
+{
+  lessee->former_called_ms = lessee->called_ms;
+  lessee->former_called_clock = lessee->called_clock;
+  lessee->called_ms = wall_ms;
+  lessee->called_clock = clock;
+}
+
+struct control_holding *
+control_lessee_holding (struct control_lessee *lessee, const char *account)
+{
+  struct control_holding *holding
+      = g_hash_table_lookup (lessee->holdings, account);
+  if (!holding)
+    {
+      holding = g_new0 (struct control_holding, 1);
+      g_hash_table_insert (lessee->holdings, g_strdup (account), holding);
+    }
+  return holding;
+}
+
+static uint64_t
+age_ms (uint64_t since_ms, uint64_t since_clock, uint64_t wall_ms,
+        uint64_t clock)
+{
+  uint64_t error_ms
+      = since_clock == clock ? SAME_CLOCK_ERROR_MS : OTHER_CLOCK_ERROR_MS;
+  return (wall_ms > since_ms ? wall_ms - since_ms : 0) + error_ms;
+}
+
+/* The router may not have got the last answer, and gone on by the one
+   before. */
+uint64_t
+control_lessee_unused (const struct control_lessee *lessee,
+                       const struct control_holding *holding, uint64_t wall_ms,
+                       uint64_t clock)
+{
+  uint64_t leased = holding->leased_tokens;
+  uint64_t free_tokens
+      = leased > holding->used_tokens ? leased - holding->used_tokens : 0;
+  bool is_latest = holding->sequence == lessee->last.sequence;
+  uint64_t former_used
+      = is_latest ? holding->former_used_tokens : holding->used_tokens;
+  uint64_t former_free = is_latest ? holding->former_free_tokens : free_tokens;
+  uint64_t most
+      = holding->used_tokens
+        + escrow_allowance (free_tokens,
+                            age_ms (lessee->called_ms, lessee->called_clock,
+                                    wall_ms, clock));
+  uint64_t former_most
+      = former_used
+        + escrow_allowance (former_free,
+                            age_ms (lessee->former_called_ms,
+                                    lessee->former_called_clock, wall_ms,
+                                    clock));
+  most = MAX (most, former_most);
+  return leased > most ? leased - most : 0;
+}
+
+void
+control_lease_copy (const struct control_lease_result *from,
+                    struct control_lease_result *to)
+{
+  memset (to, 0, sizeof *to);
+  to->answer.status = from->answer.status;
+  to->answer.leader_address = strdup ("");
+  to->answer.text = strdup ("");
+  to->sequence = from->sequence;
+  to->lines.lines_len = from->lines.lines_len;
+  to->lines.lines_val
+      = calloc (from->lines.lines_len + 1, sizeof *to->lines.lines_val);
+  for (u_int i = 0; i < from->lines.lines_len; i++)
+    {
+      to->lines.lines_val[i] = from->lines.lines_val[i];
+      to->lines.lines_val[i].account
+          = strdup (from->lines.lines_val[i].account);
+    }
+}
+
+static void
+save_holdings (const struct control_lessee *lessee,
+               struct control_lessee_image *image)
+{
+  GHashTableIter iterator;
+  gpointer name, value;
+  u_int i = 0;
+  image->holdings.holdings_len = g_hash_table_size (lessee->holdings);
+  image->holdings.holdings_val = calloc (image->holdings.holdings_len + 1,
+                                         sizeof *image->holdings.holdings_val);
+  g_hash_table_iter_init (&iterator, lessee->holdings);
+  while (g_hash_table_iter_next (&iterator, &name, &value))
+    {
+      const struct control_holding *holding = value;
+      struct control_holding_image *to = &image->holdings.holdings_val[i++];
+      to->account = strdup (name);
+      to->leased_tokens = holding->leased_tokens;
+      to->used_tokens = holding->used_tokens;
+      to->former_used_tokens = holding->former_used_tokens;
+      to->former_free_tokens = holding->former_free_tokens;
+      to->sequence = holding->sequence;
+    }
+}
+
+void
+control_lessee_save (const struct control_lessee *lessee,
+                     struct control_lessee_image *image)
+{
+  image->incarnation = lessee->incarnation;
+  image->called_ms = lessee->called_ms;
+  image->called_clock = lessee->called_clock;
+  image->former_called_ms = lessee->former_called_ms;
+  image->former_called_clock = lessee->former_called_clock;
+  control_lease_copy (&lessee->last, &image->last);
+  save_holdings (lessee, image);
+}
+
+struct control_lessee *
+control_lessee_load (const struct control_lessee_image *image)
+{
+  struct control_lessee *lessee = control_lessee_create (image->incarnation);
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&lessee->last);
+  control_lease_copy (&image->last, &lessee->last);
+  lessee->called_ms = image->called_ms;
+  lessee->called_clock = image->called_clock;
+  lessee->former_called_ms = image->former_called_ms;
+  lessee->former_called_clock = image->former_called_clock;
+  for (u_int i = 0; i < image->holdings.holdings_len; i++)
+    {
+      const struct control_holding_image *from
+          = &image->holdings.holdings_val[i];
+      *control_lessee_holding (lessee, from->account)
+          = (struct control_holding){ from->leased_tokens, from->used_tokens,
+                                      from->former_used_tokens,
+                                      from->former_free_tokens,
+                                      from->sequence };
+    }
+  return lessee;
+}
--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -1,11 +1,17 @@
 #include "control_prepaid.h"
 
+#include "control_lessee.h"
+
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
 
+/* Time for which the other routers are asked to give back what they don't need
+   at once: several of their calls. */
+#define RECALL_MS 1500
+
 /* Tokens of one account. */
 struct account
 {
@@ -13,31 +19,24 @@
   uint64_t leased_tokens;
   /* Asked for by callers at all routers so far. */
   uint64_t demand_tokens;
+  /* When a router last got less than it needed. */
+  uint64_t short_ms;
   /* Named by the configuration in force. */
   bool known;
 };
 
-/* A router's last call and its answer, for a repeated call. */
-struct lessee
-{
-  uint64_t incarnation;
-  struct control_lease_result last;
-};
-
 struct control_prepaid
 {
   /* struct account by name. */
   GHashTable *accounts;
-  /* struct lessee by the router's name. */
+  /* struct control_lessee by the router's name. */
   GHashTable *lessees;
 };
 
 static void
 free_lessee (gpointer data)
 {
-  struct lessee *lessee = data;
-  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&lessee->last);
-  g_free (lessee);
+  control_lessee_destroy (data);
 }
 
 struct control_prepaid *
@@ -100,79 +99,117 @@
   return account->total_tokens - account->leased_tokens;
 }
 
-/* All that is wanted, or the least that is of use, or nothing: parts too
-   small for any request are not scattered over the routers. */
+/* All that is wanted, or half of what is left where that is of use, or the
+   least that is of use, or nothing. */
 static uint64_t
-grant (struct account *account, const struct control_lease_ask *ask)
+grant (struct account *account, const struct control_lease_ask *ask,
+       uint64_t wall_ms)
 {
   uint64_t left = left_tokens (account);
   uint64_t granted = 0;
   if (left >= ask->want_tokens)
     granted = ask->want_tokens;
   else if (left >= ask->need_tokens)
-    granted = ask->need_tokens;
+    granted = MAX (ask->need_tokens, left / 2);
+  if (granted < ask->need_tokens)
+    account->short_ms = wall_ms;
   account->leased_tokens += granted;
   return granted;
 }
 
+/* Takes the router's report in, and what it gives back. */
 static void
-lease_line (struct control_prepaid *prepaid,
-            const struct control_lease_ask *ask,
-            struct control_lease_line *line)
+take_report (struct account *account, struct control_holding *holding,
+             const struct control_lease_ask *ask, uint64_t sequence)
 {
-  struct account *account = find_account (prepaid, ask->account);
-  account->leased_tokens -= MIN (ask->returned_tokens, account->leased_tokens);
+  uint64_t returned = MIN (ask->returned_tokens, holding->leased_tokens);
+  holding->former_used_tokens = holding->used_tokens;
+  holding->former_free_tokens
+      = holding->leased_tokens
+        - MIN (holding->used_tokens, holding->leased_tokens);
+  holding->sequence = sequence;
+  holding->used_tokens = ask->used_tokens;
+  holding->leased_tokens -= returned;
+  account->leased_tokens -= MIN (returned, account->leased_tokens);
   account->demand_tokens += ask->demand_tokens;
-  line->demand_tokens = account->demand_tokens;
+}
+
+static void
+lease_line (struct control_prepaid *prepaid, struct control_lessee *lessee,
+            const struct control_lease_ask *ask, uint64_t sequence,
+            uint64_t wall_ms, struct control_lease_line *line)
+{
+  struct account *account = find_account (prepaid, ask->account);
+  struct control_holding *holding
+      = control_lessee_holding (lessee, ask->account);
+  take_report (account, holding, ask, sequence);
   line->account = strdup (ask->account);
-  line->granted_tokens = grant (account, ask);
+  line->granted_tokens = grant (account, ask, wall_ms);
+  holding->leased_tokens += line->granted_tokens;
   line->total_tokens = account->total_tokens;
   line->left_tokens = left_tokens (account);
+  line->demand_tokens = account->demand_tokens;
   line->known = account->known;
+  line->recalled = account->short_ms > 0
+                   && wall_ms < account->short_ms + RECALL_MS;
 }
 
+/* A router started anew: what its former run can't have used is free. */
 static void
-copy_result (const struct control_lease_result *from,
-             struct control_lease_result *to)
+reclaim (struct control_prepaid *prepaid, const struct control_lessee *lessee,
+         uint64_t wall_ms, uint64_t clock)
 {
-  memset (to, 0, sizeof *to);
-  to->answer.status = from->answer.status;
-  to->answer.leader_address = strdup ("");
-  to->answer.text = strdup ("");
-  to->sequence = from->sequence;
-  to->lines.lines_len = from->lines.lines_len;
-  to->lines.lines_val
-      = calloc (from->lines.lines_len + 1, sizeof *to->lines.lines_val);
-  for (u_int i = 0; i < from->lines.lines_len; i++)
+  GHashTableIter iterator;
+  gpointer name, value;
+  g_hash_table_iter_init (&iterator, lessee->holdings);
+  while (g_hash_table_iter_next (&iterator, &name, &value))
     {
-      to->lines.lines_val[i] = from->lines.lines_val[i];
-      to->lines.lines_val[i].account
-          = strdup (from->lines.lines_val[i].account);
+      struct account *account = find_account (prepaid, name);
+      uint64_t unused = control_lessee_unused (lessee, value, wall_ms, clock);
+      account->leased_tokens -= MIN (unused, account->leased_tokens);
     }
 }
 
 /* The router's entry; a new incarnation begins anew. */
-static struct lessee *
+static struct control_lessee *
 find_lessee (struct control_prepaid *prepaid,
-             const struct control_lease_args *args)
+             const struct control_lease_args *args, uint64_t wall_ms)
 {
-  struct lessee *lessee = g_hash_table_lookup (prepaid->lessees, args->router);
+  struct control_lessee *lessee
+      = g_hash_table_lookup (prepaid->lessees, args->router);
   if (lessee && lessee->incarnation == args->router_incarnation)
     return lessee;
-  lessee = g_new0 (struct lessee, 1);
-  lessee->incarnation = args->router_incarnation;
-  lessee->last.answer.leader_address = strdup ("");
-  lessee->last.answer.text = strdup ("");
+  if (lessee)
+    reclaim (prepaid, lessee, wall_ms, args->clock);
+  lessee = control_lessee_create (args->router_incarnation);
   g_hash_table_replace (prepaid->lessees, g_strdup (args->router), lessee);
   return lessee;
 }
 
+static void
+apply_asks (struct control_prepaid *prepaid, struct control_lessee *lessee,
+            const struct control_lease_args *args, uint64_t wall_ms)
+{
+  struct control_lease_result *last = &lessee->last;
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)last);
+  memset (last, 0, sizeof *last);
+  last->answer.leader_address = strdup ("");
+  last->answer.text = strdup ("");
+  last->sequence = args->sequence;
+  last->lines.lines_len = args->asks.asks_len;
+  last->lines.lines_val
+      = calloc (args->asks.asks_len + 1, sizeof *last->lines.lines_val);
+  for (u_int i = 0; i < args->asks.asks_len; i++)
+    lease_line (prepaid, lessee, &args->asks.asks_val[i], args->sequence,
+                wall_ms, &last->lines.lines_val[i]);
+}
+
 void
 control_prepaid_lease (struct control_prepaid *prepaid,
-                       const struct control_lease_args *args,
+                       const struct control_lease_args *args, uint64_t wall_ms,
                        struct control_lease_result *result)
 {
-  struct lessee *lessee = find_lessee (prepaid, args);
+  struct control_lessee *lessee = find_lessee (prepaid, args, wall_ms);
   if (args->sequence < lessee->last.sequence)
     {
       memset (result, 0, sizeof *result);
@@ -183,20 +220,10 @@
     }
   if (args->sequence > lessee->last.sequence)
     {
-      xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&lessee->last);
-      memset (&lessee->last, 0, sizeof lessee->last);
-      lessee->last.answer.leader_address = strdup ("");
-      lessee->last.answer.text = strdup ("");
-      lessee->last.sequence = args->sequence;
-      lessee->last.lines.lines_len = args->asks.asks_len;
-      lessee->last.lines.lines_val
-          = calloc (args->asks.asks_len + 1,
-                    sizeof *lessee->last.lines.lines_val);
-      for (u_int i = 0; i < args->asks.asks_len; i++)
-        lease_line (prepaid, &args->asks.asks_val[i],
-                    &lessee->last.lines.lines_val[i]);
+      apply_asks (prepaid, lessee, args, wall_ms);
+      control_lessee_called (lessee, wall_ms, args->clock);
     }
-  copy_result (&lessee->last, result);
+  control_lease_copy (&lessee->last, result);
 }
 
 uint64_t
@@ -225,6 +252,7 @@
       to->total_tokens = account->total_tokens;
       to->leased_tokens = account->leased_tokens;
       to->demand_tokens = account->demand_tokens;
+      to->short_ms = account->short_ms;
       to->known = account->known;
     }
   i = 0;
@@ -234,11 +262,9 @@
   g_hash_table_iter_init (&iterator, prepaid->lessees);
   while (g_hash_table_iter_next (&iterator, &name, &value))
     {
-      const struct lessee *lessee = value;
       struct control_lessee_image *to = &image->lessees.lessees_val[i++];
       to->router = strdup (name);
-      to->incarnation = lessee->incarnation;
-      copy_result (&lessee->last, &to->last);
+      control_lessee_save (value, to);
     }
 }
 
@@ -254,16 +280,14 @@
       account->total_tokens = from->total_tokens;
       account->leased_tokens = from->leased_tokens;
       account->demand_tokens = from->demand_tokens;
+      account->short_ms = from->short_ms;
       account->known = from->known;
     }
   for (u_int i = 0; i < image->lessees.lessees_len; i++)
     {
       const struct control_lessee_image *from
           = &image->lessees.lessees_val[i];
-      struct lessee *lessee = g_new0 (struct lessee, 1);
-      lessee->incarnation = from->incarnation;
-      copy_result (&from->last, &lessee->last);
       g_hash_table_replace (prepaid->lessees, g_strdup (from->router),
-                            lessee);
+                            control_lessee_load (from));
     }
 }
--- a/src/control_prepaid.h
+++ b/src/control_prepaid.h
@@ -3,8 +3,9 @@
 
 /** @file
  *  Prepaid totals of client accounts and the tokens leased to routers.  What
- *  a router does not give back counts as spent, so the sum of all leases never
- *  exceeds an account's total.  Deterministic, without I/O. */
+ *  a router does not give back counts as spent, but for what a router that
+ *  started anew can't have used; so the sum of all leases never exceeds an
+ *  account's total.  Deterministic, without I/O. */
 
 #include <stdint.h>
 
@@ -23,6 +24,7 @@
 /** Applies a router's call: first what it returns, then what it asks for. */
 void control_prepaid_lease (struct control_prepaid *prepaid,
                             const struct control_lease_args *args,
+                            uint64_t wall_ms,
                             struct control_lease_result *result);
 /** Tokens of the account that are leased to no router. */
 uint64_t control_prepaid_left (const struct control_prepaid *prepaid,
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -279,14 +279,12 @@
 start_lease (struct edge_links *links, bool returns_all, uint64_t now_ms)
 {
   struct control_lease_args args = { 0 };
-  if (edge_prepaid_ask (links->edge->prepaid, now_ms, returns_all, &args))
-    {
-      args.cluster = strdup (links->shared.cluster);
-      args.router = strdup (links->shared.router);
-      args.router_incarnation = links->shared.incarnation;
-      args.sequence = ++links->sequence;
-      edge_lessee_call (links->lessee, &args);
-    }
+  edge_prepaid_ask (links->edge->prepaid, now_ms, returns_all, &args);
+  args.cluster = strdup (links->shared.cluster);
+  args.router = strdup (links->shared.router);
+  args.router_incarnation = links->shared.incarnation;
+  args.sequence = ++links->sequence;
+  edge_lessee_call (links->lessee, &args);
   xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&args);
 }
 
--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "escrow_allowance.h"
+
 /* Time of demand that a lease covers at least, in milliseconds: a call to
    control with a failover in between. */
 #define AHEAD_MS 1500
@@ -13,7 +15,7 @@
 /* Share of an account's unspent tokens that routers hold together, each in
    proportion to its demand.  More of it lasts through longer cuts; what a
    router holds is lost when it dies. */
-#define HELD_SHARE 0.6
+#define HELD_SHARE 0.85
 /* Age up to which control's word on what is left counts, in milliseconds:
    three intervals of calls. */
 #define WORD_LIFE_MS 1000
@@ -23,9 +25,12 @@
 #define AHEAD_REQUESTS 2
 /* A lease above this many times its aim is trimmed to the aim. */
 #define SURPLUS_FACTOR 1.5
-/* An account with less than this part of its total left is scarce: routers
-   keep only what they need at once. */
-#define SCARCE_PART 16
+/* An account with less than this part of its total left is scarce, as one that
+   control recalls: routers keep only what they need at once. */
+#define SCARCE_PART 100
+/* Demand that a lease of a scarce account covers, in milliseconds: an interval
+   of calls. */
+#define SCARCE_KEEP_MS 300
 /* Time after which other routers have given back what they don't need, in
    milliseconds: two of their calls to control. */
 #define RECALL_WAIT_MS 1200
@@ -58,6 +63,11 @@
   uint64_t all_demand_tokens;
   /* Part of the call that is under way. */
   bool in_call;
+  /* Used when the call was made. */
+  uint64_t reported_tokens;
+  /* Used and free by the last report that was answered. */
+  uint64_t base_tokens;
+  uint64_t base_free_tokens;
 };
 
 struct edge_prepaid
@@ -65,6 +75,8 @@
   GHashTable *leases;
   uint32_t routers;
   bool is_urgent;
+  /* When the last call was answered. */
+  uint64_t answered_ms;
 };
 
 static void
@@ -114,6 +126,20 @@
   return lease->leased_tokens > used ? lease->leased_tokens - used : 0;
 }
 
+/* Tokens that may be used now: what is free, as far as the last report that
+   was answered allows. */
+static uint64_t
+usable_tokens (const struct edge_prepaid *prepaid, const struct lease *lease,
+               uint64_t now_ms)
+{
+  uint64_t used = lease->reserved_tokens + lease->spent_tokens;
+  uint64_t age_ms
+      = now_ms > prepaid->answered_ms ? now_ms - prepaid->answered_ms : 0;
+  uint64_t limit = lease->base_tokens
+                   + escrow_allowance (lease->base_free_tokens, age_ms);
+  return MIN (free_tokens (lease), limit > used ? limit - used : 0);
+}
+
 static void
 note_demand (struct lease *lease, uint64_t tokens, uint64_t now_ms)
 {
@@ -179,11 +205,11 @@
   struct lease *lease = find_lease (prepaid, account);
   if (waited_ms == 0)
     note_demand (lease, tokens, now_ms);
-  if (free_tokens (lease) >= tokens)
+  if (usable_tokens (prepaid, lease, now_ms) >= tokens)
     {
       lease->reserved_tokens += tokens;
       if (!lease->in_call && !lease->is_scarce
-          && free_tokens (lease) < aim_tokens (lease, prepaid->routers) / 2)
+          && usable_tokens (prepaid, lease, now_ms) < lease->largest_tokens)
         prepaid->is_urgent = true;
       return EDGE_PREPAID_RESERVED;
     }
@@ -213,6 +239,14 @@
   prepaid->routers = MAX (routers, 1);
 }
 
+bool
+edge_prepaid_covers (const struct edge_prepaid *prepaid, const char *account,
+                     uint64_t tokens, uint64_t now_ms)
+{
+  const struct lease *lease = g_hash_table_lookup (prepaid->leases, account);
+  return lease && usable_tokens (prepaid, lease, now_ms) >= tokens;
+}
+
 bool
 edge_prepaid_is_urgent (const struct edge_prepaid *prepaid)
 {
@@ -227,8 +261,13 @@
   uint64_t aim = aim_tokens (lease, routers);
   if (lease->waiting_tokens > 0)
     return 0;
-  if (returns_all || lease->is_scarce)
+  if (returns_all)
     return spare;
+  if (lease->is_scarce)
+    {
+      uint64_t keep = (uint64_t)(lease->tokens_per_ms * SCARCE_KEEP_MS);
+      return spare > keep ? spare - keep : 0;
+    }
   return (double)spare > SURPLUS_FACTOR * (double)aim ? spare - aim : 0;
 }
 
@@ -236,7 +275,9 @@
 static uint64_t
 missing_tokens (const struct lease *lease, uint32_t routers)
 {
-  uint64_t wanted = lease->waiting_tokens;
+  uint64_t wanted
+      = MAX (lease->waiting_tokens,
+             escrow_allowance_needs (lease->smallest_waiting));
   uint64_t spare = free_tokens (lease);
   if (!lease->is_scarce)
     wanted += aim_tokens (lease, routers);
@@ -251,17 +292,20 @@
   ask->want_tokens
       = ask->returned_tokens > 0 ? 0 : missing_tokens (lease, routers);
   uint64_t spare = free_tokens (lease);
-  ask->need_tokens = lease->smallest_waiting > spare
-                         ? MIN (lease->smallest_waiting - spare,
-                                ask->want_tokens)
-                         : 0;
+  uint64_t needed = escrow_allowance_needs (lease->smallest_waiting);
+  ask->need_tokens
+      = needed > spare ? MIN (needed - spare, ask->want_tokens) : 0;
   lease->waiting_tokens = 0;
   lease->smallest_waiting = 0;
   ask->demand_tokens = lease->demand_tokens - lease->told_demand_tokens;
   if (ask->returned_tokens == 0 && ask->want_tokens == 0
-      && ask->demand_tokens == 0)
+      && ask->demand_tokens == 0
+      && lease->reported_tokens
+             == lease->reserved_tokens + lease->spent_tokens)
     return false;
   lease->told_demand_tokens = lease->demand_tokens;
+  lease->reported_tokens = lease->reserved_tokens + lease->spent_tokens;
+  ask->used_tokens = lease->reported_tokens;
   ask->account = strdup (lease->name);
   lease->leased_tokens -= ask->returned_tokens;
   lease->in_call = true;
@@ -276,7 +320,7 @@
     note_demand (lease, 0, now_ms);
 }
 
-bool
+void
 edge_prepaid_ask (struct edge_prepaid *prepaid, uint64_t now_ms,
                   bool returns_all, struct control_lease_args *args)
 {
@@ -295,25 +339,31 @@
                          &args->asks.asks_val[count]);
     }
   args->asks.asks_len = count;
-  return count > 0;
 }
 
 void
 edge_prepaid_take (struct edge_prepaid *prepaid,
                    const struct control_lease_result *result, uint64_t now_ms)
 {
+  prepaid->answered_ms = now_ms;
   for (u_int i = 0; i < result->lines.lines_len; i++)
     {
       const struct control_lease_line *line = &result->lines.lines_val[i];
       struct lease *lease = find_lease (prepaid, line->account);
       lease->in_call = false;
       lease->leased_tokens += line->granted_tokens;
+      lease->base_tokens = lease->reported_tokens;
+      lease->base_free_tokens
+          = lease->leased_tokens
+            - MIN (lease->reported_tokens, lease->leased_tokens);
       lease->left_tokens = line->left_tokens;
       lease->all_demand_tokens = line->demand_tokens;
       lease->total_tokens = line->total_tokens;
       lease->told_ms = now_ms;
       bool is_scarce
-          = line->known && line->left_tokens < line->total_tokens / SCARCE_PART;
+          = line->recalled
+            || (line->known
+                && line->left_tokens < line->total_tokens / SCARCE_PART);
       if (is_scarce && !lease->is_scarce)
         lease->scarce_since_ms = now_ms;
       lease->is_scarce = is_scarce;
--- a/src/edge_prepaid.h
+++ b/src/edge_prepaid.h
@@ -34,6 +34,10 @@
                                                 uint64_t tokens,
                                                 uint32_t waited_ms,
                                                 uint64_t now_ms);
+/** Whether that many tokens could be reserved now. */
+bool edge_prepaid_covers (const struct edge_prepaid *prepaid,
+                          const char *account, uint64_t tokens,
+                          uint64_t now_ms);
 /** Ends a reservation of which @p used_tokens are spent. */
 void edge_prepaid_settle (struct edge_prepaid *prepaid, const char *account,
                           uint64_t reserved_tokens, uint64_t used_tokens);
@@ -42,9 +46,9 @@
 /** Whether a call to control is due at once. */
 bool edge_prepaid_is_urgent (const struct edge_prepaid *prepaid);
 /** Fills the asks of the next call, and takes out of the lease what is given
- *  back; false when there is nothing to say.  The call is sent again unchanged
- *  until it is answered.  @p returns_all gives back all that is free. */
-bool edge_prepaid_ask (struct edge_prepaid *prepaid, uint64_t now_ms,
+ *  back.  The call is sent again unchanged until it is answered; also an empty one
+ *  tells control that this router lives, and that its former run is over.  @p returns_all gives back all that is free. */
+void edge_prepaid_ask (struct edge_prepaid *prepaid, uint64_t now_ms,
                        bool returns_all, struct control_lease_args *args);
 /** Takes the answer to the last call. */
 void edge_prepaid_take (struct edge_prepaid *prepaid,
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -371,6 +371,13 @@
       edge_front_touch (request->edge->front);
       return;
     }
+  if (request->step == EDGE_STEP_LEASE
+      && edge_prepaid_covers (request->edge->prepaid, request->account->name,
+                              request->reserved_tokens, now_ms))
+    {
+      edge_request_leased (request);
+      return;
+    }
   if (request->step != EDGE_STEP_SENT || !edge_send_may_repeat (request))
     return;
   const char *reason = find_silence (request, now_ms);
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -368,6 +368,7 @@
 	u_quad_t need_tokens;
 	u_quad_t returned_tokens;
 	u_quad_t demand_tokens;
+	u_quad_t used_tokens;
 };
 typedef struct control_lease_ask control_lease_ask;
 
@@ -376,6 +377,7 @@
 	wire_name router;
 	u_quad_t router_incarnation;
 	u_quad_t sequence;
+	u_quad_t clock;
 	struct {
 		u_int asks_len;
 		control_lease_ask *asks_val;
@@ -390,6 +392,7 @@
 	u_quad_t left_tokens;
 	u_quad_t demand_tokens;
 	bool_t known;
+	bool_t recalled;
 };
 typedef struct control_lease_line control_lease_line;
 
@@ -541,14 +544,33 @@
 	u_quad_t total_tokens;
 	u_quad_t leased_tokens;
 	u_quad_t demand_tokens;
+	u_quad_t short_ms;
 	bool_t known;
 };
 typedef struct control_prepaid_image control_prepaid_image;
 
+struct control_holding_image {
+	wire_name account;
+	u_quad_t leased_tokens;
+	u_quad_t used_tokens;
+	u_quad_t former_used_tokens;
+	u_quad_t former_free_tokens;
+	u_quad_t sequence;
+};
+typedef struct control_holding_image control_holding_image;
+
 struct control_lessee_image {
 	wire_name router;
 	u_quad_t incarnation;
 	control_lease_result last;
+	u_quad_t called_ms;
+	u_quad_t called_clock;
+	u_quad_t former_called_ms;
+	u_quad_t former_called_clock;
+	struct {
+		u_int holdings_len;
+		control_holding_image *holdings_val;
+	} holdings;
 };
 typedef struct control_lessee_image control_lessee_image;
 
@@ -745,6 +767,7 @@
 extern  bool_t xdr_control_process_image (XDR *, control_process_image*);
 extern  bool_t xdr_control_claim_image (XDR *, control_claim_image*);
 extern  bool_t xdr_control_prepaid_image (XDR *, control_prepaid_image*);
+extern  bool_t xdr_control_holding_image (XDR *, control_holding_image*);
 extern  bool_t xdr_control_lessee_image (XDR *, control_lessee_image*);
 extern  bool_t xdr_control_state_image (XDR *, control_state_image*);
 
@@ -797,6 +820,7 @@
 extern bool_t xdr_control_process_image ();
 extern bool_t xdr_control_claim_image ();
 extern bool_t xdr_control_prepaid_image ();
+extern bool_t xdr_control_holding_image ();
 extern bool_t xdr_control_lessee_image ();
 extern bool_t xdr_control_state_image ();
 
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -335,7 +335,10 @@
 };
 
 /* Leases of prepaid tokens to a router.  The same sequence number again gets
-   the same answer; a number below the last one is refused. */
+   the same answer; a number below the last one is refused.  A call reports
+   what the router has used; from its answer on until the next one, the router
+   uses no more than edge_allowance allows.  So when the router starts anew,
+   the rest of the former leases is known to be unused. */
 struct control_lease_ask
 {
   wire_name account;
@@ -343,6 +346,7 @@
   unsigned hyper need_tokens;     /* the least that is of use; 0: none */
   unsigned hyper returned_tokens;
   unsigned hyper demand_tokens;   /* asked for by callers since the last call */
+  unsigned hyper used_tokens;     /* reserved or spent since the start */
 };
 
 struct control_lease_args
@@ -351,6 +355,8 @@
   wire_name router;
   unsigned hyper router_incarnation;
   unsigned hyper sequence;
+  unsigned hyper clock;           /* filled in by the leader: whose clock wall_ms
+                                     is */
   control_lease_ask asks<CONTROL_BATCH_MAX>;
 };
 
@@ -362,6 +368,7 @@
   unsigned hyper left_tokens;    /* not leased to any router */
   unsigned hyper demand_tokens;  /* of all routers so far */
   bool known;
+  bool recalled;                 /* a router lacks what others hold */
 };
 
 struct control_lease_result
@@ -513,14 +520,30 @@
   unsigned hyper total_tokens;
   unsigned hyper leased_tokens;
   unsigned hyper demand_tokens;
+  unsigned hyper short_ms;
   bool known;
 };
 
+struct control_holding_image
+{
+  wire_name account;
+  unsigned hyper leased_tokens;
+  unsigned hyper used_tokens;
+  unsigned hyper former_used_tokens;
+  unsigned hyper former_free_tokens;
+  unsigned hyper sequence;
+};
+
 struct control_lessee_image
 {
   wire_name router;
   unsigned hyper incarnation;
   control_lease_result last;
+  unsigned hyper called_ms;
+  unsigned hyper called_clock;
+  unsigned hyper former_called_ms;
+  unsigned hyper former_called_clock;
+  control_holding_image holdings<>;
 };
 
 struct control_state_image
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -726,6 +726,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->demand_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->used_tokens))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -742,6 +744,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, CONTROL_BATCH_MAX,
 		sizeof (control_lease_ask), (xdrproc_t) xdr_control_lease_ask))
 		 return FALSE;
@@ -765,6 +769,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->known))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->recalled))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1029,11 +1035,33 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->demand_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->short_ms))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->known))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_control_holding_image (XDR *xdrs, control_holding_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->leased_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->used_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->former_used_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->former_free_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_lessee_image (XDR *xdrs, control_lessee_image *objp)
 {
@@ -1045,6 +1073,17 @@
 		 return FALSE;
 	 if (!xdr_control_lease_result (xdrs, &objp->last))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->called_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->called_clock))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->former_called_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->former_called_clock))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->holdings.holdings_val, (u_int *) &objp->holdings.holdings_len, ~0,
+		sizeof (control_holding_image), (xdrproc_t) xdr_control_holding_image))
+		 return FALSE;
 	return TRUE;
 }
 
