--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -239,12 +239,18 @@
   prepaid->routers = MAX (routers, 1);
 }
 
-bool
-edge_prepaid_covers (const struct edge_prepaid *prepaid, const char *account,
-                     uint64_t tokens, uint64_t now_ms)
+uint64_t
+edge_prepaid_usable (const struct edge_prepaid *prepaid, const char *account,
+                     uint64_t now_ms)
 {
   const struct lease *lease = g_hash_table_lookup (prepaid->leases, account);
-  return lease && usable_tokens (prepaid, lease, now_ms) >= tokens;
+  return lease ? usable_tokens (prepaid, lease, now_ms) : 0;
+}
+
+uint64_t
+edge_prepaid_answered_ms (const struct edge_prepaid *prepaid)
+{
+  return prepaid->answered_ms;
 }
 
 bool
--- a/src/edge_prepaid.h
+++ b/src/edge_prepaid.h
@@ -34,10 +34,11 @@
                                                 uint64_t tokens,
                                                 uint32_t waited_ms,
                                                 uint64_t now_ms);
-/** Whether that many tokens could be reserved now. */
-bool edge_prepaid_covers (const struct edge_prepaid *prepaid,
-                          const char *account, uint64_t tokens,
-                          uint64_t now_ms);
+/** Tokens of the account that could be reserved now. */
+uint64_t edge_prepaid_usable (const struct edge_prepaid *prepaid,
+                              const char *account, uint64_t now_ms);
+/** When control last answered a call, in milliseconds. */
+uint64_t edge_prepaid_answered_ms (const struct edge_prepaid *prepaid);
 /** Ends a reservation of which @p used_tokens are spent. */
 void edge_prepaid_settle (struct edge_prepaid *prepaid, const char *account,
                           uint64_t reserved_tokens, uint64_t used_tokens);
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -184,6 +184,16 @@
       request->holds_tokens = true;
       return true;
     case EDGE_PREPAID_WAIT:
+      if (waited_ms == 0)
+        base_event ("lease-wait id=%s account=%s tokens=%" PRIu64
+                    " free_tokens=%" PRIu64 " usable_tokens=%" PRIu64
+                    " answered_ago_ms=%" PRIu64,
+                    request->head.request_id, request->account->name,
+                    request->reserved_tokens,
+                    edge_prepaid_free (edge->prepaid, request->account->name),
+                    edge_prepaid_usable (edge->prepaid,
+                                         request->account->name, now_ms),
+                    now_ms - edge_prepaid_answered_ms (edge->prepaid));
       request->step = EDGE_STEP_LEASE;
       edge_links_lease (edge->links);
       return false;
@@ -372,8 +382,9 @@
       return;
     }
   if (request->step == EDGE_STEP_LEASE
-      && edge_prepaid_covers (request->edge->prepaid, request->account->name,
-                              request->reserved_tokens, now_ms))
+      && edge_prepaid_usable (request->edge->prepaid, request->account->name,
+                              now_ms)
+             >= request->reserved_tokens)
     {
       edge_request_leased (request);
       return;
