--- a/src/edge.c
+++ b/src/edge.c
@@ -23,7 +23,7 @@
 /* Time kept for giving leases back. */
 #define RETURN_WAIT_MS 700
 /* Part of the grace after which a stop ends by force. */
-#define GRACE_USED_PERCENT 85
+#define GRACE_USED_PERCENT 88
 
 /* What is private to the loop. */
 struct loop_state
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -26,9 +26,9 @@
 /* Silence inside a stream after which it is resumed elsewhere, in
    milliseconds; callers leave after 2,000 at the earliest. */
 #define GAP_PATIENCE_MS 1200
-/* Time after a stop in which new requests on kept connections are served, as
-   a share of the grace. */
-#define STOP_SERVE_DIVISOR 2
+/* Part of the grace after a stop in which new requests are served: the balancer
+   notices within two checks, and later ones could be cut off by the end. */
+#define STOP_SERVE_PERCENT 28
 
 static bool take_data (struct edge_attempt_user *user, const char *data,
                        size_t bytes);
@@ -217,8 +217,8 @@
   const struct edge *edge = request->edge;
   if (!edge->stopping
       || request->arrived_ms < edge->stopping_ms
-                                   + edge->options.grace_ms
-                                         / STOP_SERVE_DIVISOR)
+                                   + (uint64_t)edge->options.grace_ms
+                                         * STOP_SERVE_PERCENT / 100)
     return true;
   edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE, 1,
                       "this router is stopping");
--- /dev/null
+++ b/tests/test_edge_prepaid.c
@@ -0,0 +1,314 @@
+/** @file
+ *  Tests of leases: routers against control's pool, with lost answers, cuts,
+ *  and routers that die and start anew.  What is served is counted outside of
+ *  both. */
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base_random.h"
+#include "control_prepaid.h"
+#include "edge_prepaid.h"
+#include "escrow_allowance.h"
+
+#define ROUTERS 5
+#define TOTAL_TOKENS 2000000
+#define STEP_MS 20
+#define CALL_INTERVAL_MS 300
+#define OPEN_MAX 64
+
+/* One router: its leases, the call under way, its open requests. */
+struct router
+{
+  struct edge_prepaid *prepaid;
+  char name[8];
+  uint64_t incarnation;
+  uint64_t sequence;
+  struct control_lease_args args;
+  bool in_call;
+  uint64_t call_due_ms;
+  bool is_cut;
+  bool is_dead;
+  uint64_t starts_ms;
+  uint64_t reserved[OPEN_MAX];
+  uint32_t open;
+  uint32_t refused;
+};
+
+struct world
+{
+  struct control_prepaid *pool;
+  struct router routers[ROUTERS];
+  struct base_random random;
+  uint64_t now_ms;
+  uint64_t served_tokens;
+  uint64_t clock;
+};
+
+static void
+start_router (struct world *world, struct router *router)
+{
+  router->prepaid = edge_prepaid_create ();
+  edge_prepaid_set_routers (router->prepaid, ROUTERS);
+  router->incarnation++;
+  router->sequence = 0;
+  router->in_call = false;
+  router->open = 0;
+  router->is_dead = false;
+  router->call_due_ms = world->now_ms;
+}
+
+static void
+set_up (struct world *world, uint64_t seed)
+{
+  struct control_prepaid_total total = { (char *)"a", TOTAL_TOKENS };
+  memset (world, 0, sizeof *world);
+  base_random_seed (&world->random, seed);
+  world->pool = control_prepaid_create ();
+  world->now_ms = 1000000;
+  world->clock = 1;
+  control_prepaid_set_totals (world->pool, &total, 1);
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    {
+      g_snprintf (world->routers[i].name, sizeof world->routers[i].name, "r%u",
+                  i);
+      start_router (world, &world->routers[i]);
+    }
+}
+
+static void
+free_args (struct router *router)
+{
+  xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&router->args);
+  memset (&router->args, 0, sizeof router->args);
+}
+
+static void
+tear_down (struct world *world)
+{
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    {
+      free_args (&world->routers[i]);
+      if (!world->routers[i].is_dead)
+        edge_prepaid_destroy (world->routers[i].prepaid);
+    }
+  control_prepaid_destroy (world->pool);
+}
+
+/* One call, sent again until it is answered; the answer may be lost. */
+static void
+call (struct world *world, struct router *router)
+{
+  struct control_lease_result result;
+  if (!router->in_call)
+    {
+      free_args (router);
+      edge_prepaid_ask (router->prepaid, world->now_ms, false, &router->args);
+      router->args.cluster = strdup ("c");
+      router->args.router = strdup (router->name);
+      router->args.router_incarnation = router->incarnation;
+      router->args.sequence = ++router->sequence;
+      router->in_call = true;
+    }
+  if (router->is_cut || base_random_below (&world->random, 10) == 0)
+    return;
+  router->args.clock = world->clock;
+  control_prepaid_lease (world->pool, &router->args, world->now_ms, &result);
+  g_assert_cmpint (result.answer.status, ==, CONTROL_OK);
+  if (base_random_below (&world->random, 10) != 0)
+    {
+      edge_prepaid_take (router->prepaid, &result, world->now_ms);
+      router->in_call = false;
+      router->call_due_ms = world->now_ms + CALL_INTERVAL_MS;
+    }
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
+}
+
+static void
+request (struct world *world, struct router *router)
+{
+  uint64_t tokens = 200 + base_random_below (&world->random, 8000);
+  if (router->open == OPEN_MAX)
+    return;
+  if (edge_prepaid_reserve (router->prepaid, "a", tokens, 0, world->now_ms)
+      == EDGE_PREPAID_RESERVED)
+    router->reserved[router->open++] = tokens;
+  else
+    router->refused++;
+}
+
+static void
+finish (struct world *world, struct router *router)
+{
+  if (router->open == 0)
+    return;
+  uint64_t tokens = router->reserved[--router->open];
+  uint64_t used = tokens / 2 + base_random_below (&world->random, tokens / 2);
+  world->served_tokens += used;
+  edge_prepaid_settle (router->prepaid, "a", tokens, used);
+}
+
+/* What it reserved may have been served by the time it dies. */
+static void
+kill_router (struct world *world, struct router *router)
+{
+  while (router->open > 0)
+    world->served_tokens += router->reserved[--router->open];
+  edge_prepaid_destroy (router->prepaid);
+  router->is_dead = true;
+  router->starts_ms
+      = world->now_ms + base_random_below (&world->random, 4000);
+}
+
+static void
+step_router (struct world *world, struct router *router, bool with_faults)
+{
+  if (router->is_dead && world->now_ms >= router->starts_ms)
+    start_router (world, router);
+  if (router->is_dead)
+    return;
+  if (with_faults && base_random_below (&world->random, 300) == 0)
+    router->is_cut = !router->is_cut;
+  if (with_faults && base_random_below (&world->random, 400) == 0)
+    {
+      kill_router (world, router);
+      return;
+    }
+  for (uint64_t i = base_random_below (&world->random, 3); i > 0; i--)
+    request (world, router);
+  for (uint64_t i = base_random_below (&world->random, 3); i > 0; i--)
+    finish (world, router);
+  if (router->in_call || edge_prepaid_is_urgent (router->prepaid)
+      || world->now_ms >= router->call_due_ms)
+    call (world, router);
+}
+
+static void
+test_never_overspent (void)
+{
+  for (uint64_t seed = 1; seed <= 200; seed++)
+    {
+      struct world world;
+      set_up (&world, seed);
+      for (uint32_t step = 0; step < 1500; step++)
+        {
+          world.now_ms += STEP_MS;
+          if (base_random_below (&world.random, 500) == 0)
+            world.clock++;
+          for (uint32_t i = 0; i < ROUTERS; i++)
+            step_router (&world, &world.routers[i], true);
+          g_assert_cmpuint (world.served_tokens, <=, TOTAL_TOKENS);
+        }
+      tear_down (&world);
+    }
+}
+
+/* Without faults nearly all of a total can be used, wherever it is asked. */
+static void
+test_nearly_all_is_used (void)
+{
+  struct world world;
+  set_up (&world, 1);
+  for (uint32_t step = 0; step < 4000; step++)
+    {
+      world.now_ms += STEP_MS;
+      for (uint32_t i = 0; i < ROUTERS; i++)
+        step_router (&world, &world.routers[i], false);
+    }
+  g_assert_cmpuint (world.served_tokens, >, TOTAL_TOKENS * 97ull / 100);
+  tear_down (&world);
+}
+
+/* A router that is killed and back at once leaves most of its lease. */
+static void
+test_reclaimed_after_a_kill (void)
+{
+  struct world world;
+  set_up (&world, 2);
+  for (uint32_t step = 0; step < 100; step++)
+    {
+      world.now_ms += STEP_MS;
+      request (&world, &world.routers[0]);
+      finish (&world, &world.routers[0]);
+      step_router (&world, &world.routers[0], false);
+    }
+  for (uint32_t kills = 0; kills < 10; kills++)
+    {
+      kill_router (&world, &world.routers[0]);
+      world.now_ms += 500;
+      start_router (&world, &world.routers[0]);
+      for (uint32_t step = 0; step < 30; step++)
+        {
+          world.now_ms += STEP_MS;
+          step_router (&world, &world.routers[0], false);
+        }
+    }
+  uint64_t left = control_prepaid_left (world.pool, "a")
+                  + edge_prepaid_free (world.routers[0].prepaid, "a");
+  /* Ten kills at a quarter of what is held would leave a twentieth. */
+  g_assert_cmpuint (left + world.served_tokens, >, TOTAL_TOKENS / 20);
+  g_assert_cmpuint (left + world.served_tokens, <=, TOTAL_TOKENS);
+  tear_down (&world);
+}
+
+/* The bench's quiet day: all routers are cut off from control for eight
+   seconds, and their demand goes on. */
+static void
+test_lasts_through_a_cut (void)
+{
+  struct world world;
+  uint32_t refused = 0;
+  uint32_t asked = 0;
+  set_up (&world, 3);
+  for (uint32_t step = 0; step < 1700; step++)
+    {
+      world.now_ms += STEP_MS;
+      for (uint32_t i = 0; i < ROUTERS; i++)
+        {
+          struct router *router = &world.routers[i];
+          router->is_cut = step >= 300 && step < 700;
+          uint32_t before = router->refused;
+          if (step % 25 == 5 * i)
+            {
+              request (&world, router);
+              finish (&world, router);
+              asked += router->is_cut;
+              refused += router->is_cut ? router->refused - before : 0;
+            }
+          if (router->in_call || edge_prepaid_is_urgent (router->prepaid)
+              || world.now_ms >= router->call_due_ms)
+            call (&world, router);
+        }
+    }
+  g_assert_cmpuint (refused, <=, asked / 50);
+  tear_down (&world);
+}
+
+static void
+test_allowance_grows_to_all (void)
+{
+  g_assert_cmpuint (escrow_allowance (1000, 0), ==, 1000);
+  g_assert_cmpuint (escrow_allowance (1000000, 0), ==, 200000);
+  g_assert_cmpuint (escrow_allowance (1000000, 4000), ==, 600000);
+  g_assert_cmpuint (escrow_allowance (1000000, 8000), ==, 1000000);
+  for (uint64_t tokens = 1; tokens < 200000; tokens += 777)
+    g_assert_cmpuint (
+        escrow_allowance (escrow_allowance_needs (tokens), 0), >=, tokens);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/edge-prepaid/never-overspent", test_never_overspent);
+  g_test_add_func ("/edge-prepaid/nearly-all-is-used",
+                   test_nearly_all_is_used);
+  g_test_add_func ("/edge-prepaid/reclaimed-after-a-kill",
+                   test_reclaimed_after_a_kill);
+  g_test_add_func ("/edge-prepaid/lasts-through-a-cut",
+                   test_lasts_through_a_cut);
+  g_test_add_func ("/edge-prepaid/allowance-grows-to-all",
+                   test_allowance_grows_to_all);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,255 @@
+/** @file
+ *  Tests of the platform's adapter: configuration, announcements, headers,
+ *  settings. */
+
+#include <string.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "platform_beat.h"
+#include "platform_config.h"
+#include "platform_dialect.h"
+#include "platform_settings.h"
+
+#define CONFIG                                                                \
+  "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\","       \
+  "\"pathPrefix\":\"/a/\",\"kind\":\"streaming\",\"timeoutMs\":%s,"           \
+  "\"targetLatencyMs\":800,\"priority\":1,\"trafficSplit\":[{\"service\":"    \
+  "\"%s\",\"weight\":%s},{\"service\":\"s2\",\"weight\":0}],\"maxAttempts\":" \
+  "2,\"public\":false,\"resumable\":true},{\"name\":\"r2\",\"host\":"         \
+  "\"h.example\",\"pathPrefix\":\"%s\",\"kind\":\"safe\",\"timeoutMs\":9,"    \
+  "\"service\":\"s2\"}],\"services\":[{\"name\":\"s1\",\"engine\":{\"slots\"" \
+  ":64,\"kvCapacityTokens\":500,\"stride\":5}},{\"name\":\"s2\"}],"           \
+  "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1," \
+  "\"prepaid\":1000},{\"name\":\"t2\",\"apiKeys\":[\"%s\"]}]}"
+
+/* Reads the configuration with these texts in it; NULL and the place of the
+   first finding when it is invalid. */
+static struct platform_config *
+read_config (const char *timeout, const char *service, const char *weight,
+             const char *prefix, const char *key, char *place, size_t bytes)
+{
+  char *text
+      = g_strdup_printf (CONFIG, timeout, service, weight, prefix, key);
+  struct base_findings *findings = base_findings_create ();
+  struct platform_config *config
+      = platform_config_read (text, strlen (text), findings);
+  g_strlcpy (place, config ? "" : base_findings_place (findings, 0), bytes);
+  base_findings_destroy (findings);
+  g_free (text);
+  return config;
+}
+
+static void
+test_config (void)
+{
+  char place[100];
+  struct platform_config *config
+      = read_config ("15000", "s1", "1", "/b/", "k3", place, sizeof place);
+  g_assert_nonnull (config);
+  g_assert_cmpuint (platform_config_version (config), ==, 7);
+  struct edge_table *table = platform_config_table (config);
+  const struct edge_route *route
+      = edge_table_route (table, "h.example", "/a/1");
+  g_assert_cmpint (route->kind, ==, EDGE_STREAM);
+  g_assert_true (route->is_resumable);
+  g_assert_cmpuint (route->timeout_ms, ==, 15000);
+  g_assert_cmpuint (route->share_count, ==, 2);
+  g_assert_cmpuint (route->shares[0].service->tokens_per_event, ==, 5);
+  const struct edge_account *account
+      = edge_table_account_by_key (table, "k2");
+  g_assert_cmpstr (account->name, ==, "t1");
+  g_assert_true (account->is_prepaid);
+  g_assert_cmpuint (account->prepaid_tokens, ==, 1000);
+  g_assert_false (edge_table_account_by_key (table, "k3")->is_prepaid);
+  platform_config_destroy (config);
+}
+
+static void
+test_invalid_configs (void)
+{
+  char place[100];
+  g_assert_null (
+      read_config ("0", "s1", "1", "/b/", "k3", place, sizeof place));
+  g_assert_cmpstr (place, ==, "routes[0].timeoutMs");
+  g_assert_null (
+      read_config ("9", "s3", "1", "/b/", "k3", place, sizeof place));
+  g_assert_cmpstr (place, ==, "routes[0].service");
+  g_assert_null (
+      read_config ("9", "s1", "0", "/b/", "k3", place, sizeof place));
+  g_assert_cmpstr (place, ==, "routes[0].trafficSplit");
+  g_assert_null (
+      read_config ("9", "s1", "1", "/a/", "k3", place, sizeof place));
+  g_assert_cmpstr (place, ==, "routes[1].pathPrefix");
+  g_assert_null (
+      read_config ("9", "s1", "1", "/b/", "k1", place, sizeof place));
+  g_assert_cmpstr (place, ==, "tenants[1].apiKeys");
+}
+
+/* A document that was cut short anywhere is never taken. */
+static void
+test_cut_configs (void)
+{
+  char *text = g_strdup_printf (CONFIG, "9", "s1", "1", "/b/", "k3");
+  for (size_t bytes = 0; bytes < strlen (text); bytes++)
+    {
+      struct base_findings *findings = base_findings_create ();
+      g_assert_null (platform_config_read (text, bytes, findings));
+      g_assert_cmpuint (base_findings_count (findings), >, 0);
+      base_findings_destroy (findings);
+    }
+  g_free (text);
+}
+
+static bool
+read_beat (const char *text)
+{
+  struct control_target target;
+  struct base_findings *findings = base_findings_create ();
+  bool good
+      = platform_beat_read ("i-1", text, strlen (text), &target, findings);
+  if (good)
+    {
+      g_assert_cmpstr (target.address, ==, "10.0.0.9");
+      g_assert_cmpuint (target.port, ==, 8080);
+      g_assert_cmpuint (target.sequence, ==, 4);
+    }
+  xdr_free ((xdrproc_t)xdr_control_target, (char *)&target);
+  base_findings_destroy (findings);
+  return good;
+}
+
+static void
+test_announcements (void)
+{
+  g_assert_true (read_beat (
+      "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+      "\"slots\":64,\"state\":\"ready\",\"seq\":4,\"born\":17,\"more\":[]}"));
+  g_assert_true (read_beat (
+      "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+      "\"slots\":64,\"state\":\"draining\",\"seq\":4}"));
+  g_assert_false (read_beat (
+      "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+      "\"slots\":64,\"state\":\"away\",\"seq\":4}"));
+  g_assert_false (read_beat (
+      "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+      "\"slots\":64,\"state\":\"ready\",\"seq\":4,\"born\":1.5}"));
+  g_assert_false (read_beat (
+      "{\"service\":5,\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+      "\"slots\":64,\"state\":\"ready\",\"seq\":4}"));
+  g_assert_false (read_beat (
+      "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+      "\"slots\":64,\"state\":\"ready\",\"seq\":4}"));
+  g_assert_false (read_beat ("{\"service\":\"s\""));
+}
+
+static bool
+has_line (const GPtrArray *lines, const char *line)
+{
+  for (guint i = 0; i < lines->len; i++)
+    if (strcmp (lines->pdata[i], line) == 0)
+      return true;
+  return false;
+}
+
+static void
+test_caller_headers (void)
+{
+  const struct edge_dialect *dialect = platform_dialect ();
+  struct edge_head head = { .last_event = EDGE_NO_EVENT };
+  head.lines = g_ptr_array_new_with_free_func (g_free);
+  dialect->read_header (dialect, &head, "Host", "h.example");
+  dialect->read_header (dialect, &head, "X-Request-Id", "abc");
+  dialect->read_header (dialect, &head, "x-credential", "secret");
+  dialect->read_header (dialect, &head, "X-Tenant", "forged");
+  dialect->read_header (dialect, &head, "X-Kv-Hold", "1");
+  dialect->read_header (dialect, &head, "Connection", "close");
+  dialect->read_header (dialect, &head, "X-Deadline-Ms", "2500");
+  dialect->read_header (dialect, &head, "X-Token-Count", "1460,80");
+  dialect->read_header (dialect, &head, "X-Prompt-Prefix", "5c:800, 91:410");
+  dialect->read_header (dialect, &head, "Last-Event-Id", "12");
+  g_assert_cmpstr (head.request_id, ==, "abc");
+  g_assert_cmpstr (head.key, ==, "secret");
+  g_assert_cmpuint (head.deadline_ms, ==, 2500);
+  g_assert_cmpuint (head.prompt_tokens, ==, 1460);
+  g_assert_cmpuint (head.output_tokens, ==, 80);
+  g_assert_cmpuint (head.part_count, ==, 2);
+  g_assert_cmpuint (head.parts[1].tokens, ==, 410);
+  g_assert_cmpint (head.last_event, ==, 12);
+  g_assert_cmpuint (head.lines->len, ==, 4);
+  g_assert_true (has_line (head.lines, "X-Request-Id: abc"));
+  g_assert_true (has_line (head.lines, "X-Token-Count: 1460,80"));
+  g_ptr_array_unref (head.lines);
+  g_free (head.host);
+  g_free (head.key);
+}
+
+static void
+test_answer_headers (void)
+{
+  const struct edge_dialect *dialect = platform_dialect ();
+  struct edge_answer answer = { .status = 503 };
+  answer.lines = g_ptr_array_new_with_free_func (g_free);
+  dialect->read_answer (dialect, &answer, "abc", "X-Request-Id", "abc");
+  dialect->read_answer (dialect, &answer, "abc", "X-Not-Executed", "1");
+  dialect->read_answer (dialect, &answer, "abc", "Content-Length", "5");
+  g_assert_true (answer.is_echoed);
+  g_assert_false (answer.is_foreign);
+  g_assert_true (answer.not_run);
+  g_assert_cmpuint (answer.lines->len, ==, 2);
+  dialect->read_answer (dialect, &answer, "abc", "X-Request-Id", "other");
+  g_assert_true (answer.is_foreign);
+  g_ptr_array_unref (answer.lines);
+}
+
+static struct platform_settings *
+read_settings (const char *text, struct base_findings *findings)
+{
+  char *path = NULL;
+  int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+  g_assert_cmpint (fd, >=, 0);
+  g_close (fd, NULL);
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  struct platform_settings *settings
+      = platform_settings_read (path, findings);
+  g_unlink (path);
+  g_free (path);
+  return settings;
+}
+
+static void
+test_settings (void)
+{
+  struct base_findings *findings = base_findings_create ();
+  struct platform_settings *settings = read_settings (
+      "[process]\nhost=n1\naddress=10.0.0.1\navailability-zone=z1\n"
+      "region=r1\nbootstrap=true\nfirst-port=7000\nlast-port=7010\n"
+      "members=10.0.0.1:80,10.0.0.2:80\n[listen]\ncallers=10.0.0.1:81\n"
+      "[limits]\ngrace-s=8\nretry-ratio=0.2\n[regions]\nz1=r1\nz2=r2\n",
+      findings);
+  g_assert_nonnull (settings);
+  g_assert_true (settings->is_first_start);
+  g_assert_cmpstr (settings->members[1], ==, "10.0.0.2:7000");
+  g_assert_cmpuint (settings->grace_ms, ==, 8000);
+  g_assert_cmpstr (platform_settings_region (settings, "z2"), ==, "r2");
+  platform_settings_destroy (settings);
+  g_assert_null (read_settings (
+      "[process]\nhost=n1\nfirst-port=x\nmembers=nowhere\n", findings));
+  g_assert_cmpuint (base_findings_count (findings), >=, 4);
+  base_findings_destroy (findings);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/config", test_config);
+  g_test_add_func ("/platform/invalid-configs", test_invalid_configs);
+  g_test_add_func ("/platform/cut-configs", test_cut_configs);
+  g_test_add_func ("/platform/announcements", test_announcements);
+  g_test_add_func ("/platform/caller-headers", test_caller_headers);
+  g_test_add_func ("/platform/answer-headers", test_answer_headers);
+  g_test_add_func ("/platform/settings", test_settings);
+  return g_test_run ();
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -331,6 +331,47 @@
   wire_client_destroy (client);
 }
 
+/* Connects and sends the start of a large record, no more. */
+static int
+send_half_a_call (uint16_t port)
+{
+  struct sockaddr_in name
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  uint32_t mark = htonl (UINT32_C (0x80000000) | 100000);
+  char half[5000] = { 0 };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  inet_pton (AF_INET, "127.0.0.1", &name.sin_addr);
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&name, sizeof name), ==, 0);
+  g_assert_cmpint (send (fd, &mark, sizeof mark, 0), ==, sizeof mark);
+  g_assert_cmpint (send (fd, half, sizeof half, 0), ==, sizeof half);
+  return fd;
+}
+
+/* Rounds go on while half a call waits for its rest, and others are served. */
+static void
+test_half_sent_call (void)
+{
+  static const struct wire_program program
+      = { LEDGER_PROGRAM, LEDGER_VERSION };
+  struct late_handler late = { 0 };
+  late.base.call = take_call;
+  late.base.round = answer_old_calls;
+  struct wire_server *server
+      = wire_server_create ("127.0.0.1", 0, &program, 1, &late.base);
+  g_assert_nonnull (server);
+  int fd = send_half_a_call (wire_server_port (server));
+  for (uint32_t i = 0; i < 20; i++)
+    wire_server_round (server, 1);
+  g_assert_cmpuint (late.rounds, ==, 20);
+  atomic_store (&stopping, false);
+  GThread *thread = g_thread_new ("server", serve, server);
+  call_many (GUINT_TO_POINTER (wire_server_port (server)));
+  atomic_store (&stopping, true);
+  g_thread_join (thread);
+  close (fd);
+  wire_server_destroy (server);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -340,5 +381,6 @@
   g_test_add_func ("/wire/large", test_large);
   g_test_add_func ("/wire/posts", test_posts);
   g_test_add_func ("/wire/unsent", test_unsent);
+  g_test_add_func ("/wire/half-sent-call", test_half_sent_call);
   return g_test_run ();
 }
