Bound what a router may use between reports by its demand; report what waits as used

Cause: after a stop of all hosts a third of each total was lost: the allowance was a share of what is held, and clocks were taken to differ by 2.7 s. Now it follows the reported demand, and ages are taken between the earlier and the later of two hosts' times.

--- a/src/base_clock.c
+++ b/src/base_clock.c
@@ -1,5 +1,6 @@
 #include "base_clock.h"
 
+#include <stdatomic.h>
 #include <time.h>
 
 static uint64_t
@@ -46,3 +47,21 @@
 {
   return clock->wall_ms (clock);
 }
+
+uint64_t
+base_clock_steady_wall_ms (void)
+{
+  static atomic_uint_least64_t offset_ms;
+  struct timespec passed;
+  clock_gettime (CLOCK_BOOTTIME, &passed);
+  uint64_t passed_ms
+      = (uint64_t)passed.tv_sec * 1000 + (uint64_t)passed.tv_nsec / 1000000;
+  uint64_t offset = atomic_load (&offset_ms);
+  if (offset == 0)
+    {
+      uint64_t first = system_wall_ms (&system_clock) - passed_ms;
+      if (atomic_compare_exchange_strong (&offset_ms, &offset, first))
+        offset = first;
+    }
+  return offset + passed_ms;
+}
--- a/src/consensus.c
+++ b/src/consensus.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Part of an election timeout that the first one takes. */
+#define FIRST_ELECTION_PART 3
+
 static void
 free_message (gpointer data)
 {
@@ -92,7 +95,11 @@
 {
   consensus->persisted_index = consensus_log_last (consensus->log);
   consensus_refresh_peers (consensus);
+  /* Sooner than later ones: where a leader lives, the others refuse, and after
+     a stop of all nobody else is waited for. */
   consensus_reset_election (consensus, now_ms);
+  consensus->election_due_ms
+      = now_ms + (consensus->election_due_ms - now_ms) / FIRST_ELECTION_PART;
 }
 
 struct consensus_peer *
--- a/src/control_calls.c
+++ b/src/control_calls.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "base_clock.h"
 #include "base_hash.h"
@@ -104,27 +103,12 @@
   xdr_free (forms[procedure].result_codec, (char *)&result);
 }
 
-/* Time of day as of the start, and what has passed since: steps of the time of
-   day don't move it, and a suspended host's time counts. */
-static uint64_t
-steady_wall_ms (struct control_daemon *daemon)
-{
-  struct timespec passed;
-  clock_gettime (CLOCK_BOOTTIME, &passed);
-  uint64_t passed_ms = (uint64_t)passed.tv_sec * 1000
-                       + (uint64_t)passed.tv_nsec / 1000000;
-  if (daemon->wall_offset_ms == 0)
-    daemon->wall_offset_ms
-        = base_clock_wall_ms (base_clock_system ()) - passed_ms;
-  return daemon->wall_offset_ms + passed_ms;
-}
-
 /* Proposes the command; its index, or 0. */
 static uint64_t
 propose (struct control_daemon *daemon, struct control_command *command)
 {
   uint32_t bytes = 0;
-  command->wall_ms = steady_wall_ms (daemon);
+  command->wall_ms = base_clock_steady_wall_ms ();
   char *data = control_command_encode (command, &bytes);
   uint64_t index = consensus_propose (daemon->consensus, data, bytes);
   g_free (data);
@@ -159,9 +143,6 @@
   command.body.kind = forms[procedure].command;
   memcpy (&command.body.control_command_body_u, args,
           MIN (sizeof command.body.control_command_body_u, sizeof *args));
-  if (procedure == CONTROL_LEASE)
-    command.body.control_command_body_u.lease.clock
-        = daemon->identity.incarnation;
   uint64_t index = propose (daemon, &command);
   if (index == 0)
     control_call_refuse (daemon, call, procedure, CONTROL_UNAVAILABLE,
--- a/src/control_lessee.c
+++ b/src/control_lessee.c
@@ -6,10 +6,9 @@
 
 #include "escrow_allowance.h"
 
-/* Error of one host's clock, and of two hosts' clocks that may have been
-   stepped, in milliseconds. */
-#define SAME_CLOCK_ERROR_MS 300
-#define OTHER_CLOCK_ERROR_MS 2700
+/* Error of hosts' times of day; one that was stepped only makes an age longer,
+   since the earlier and the later of two hosts' times are taken. */
+#define CLOCK_ERROR_MS 300
 
 struct control_lessee *
 control_lessee_create (uint64_t incarnation)
@@ -32,13 +31,10 @@
 }
 
 void
-control_lessee_called (struct control_lessee *lessee, uint64_t wall_ms,
-                       uint64_t clock)
+control_lessee_called (struct control_lessee *lessee, uint64_t wall_ms)
 {
   lessee->former_called_ms = lessee->called_ms;
-  lessee->former_called_clock = lessee->called_clock;
   lessee->called_ms = wall_ms;
-  lessee->called_clock = clock;
 }
 
 struct control_holding *
@@ -55,39 +51,36 @@
 }
 
 static uint64_t
-age_ms (uint64_t since_ms, uint64_t since_clock, uint64_t wall_ms,
-        uint64_t clock)
+age_ms (uint64_t since_ms, uint64_t wall_ms)
 {
-  uint64_t error_ms
-      = since_clock == clock ? SAME_CLOCK_ERROR_MS : OTHER_CLOCK_ERROR_MS;
-  return (wall_ms > since_ms ? wall_ms - since_ms : 0) + error_ms;
+  return (wall_ms > since_ms ? wall_ms - since_ms : 0) + CLOCK_ERROR_MS;
 }
 
 /* The router may not have got the last answer, and gone on by the one
    before. */
 uint64_t
 control_lessee_unused (const struct control_lessee *lessee,
-                       const struct control_holding *holding, uint64_t wall_ms,
-                       uint64_t clock)
+                       const struct control_holding *holding, uint64_t wall_ms)
 {
   uint64_t leased = holding->leased_tokens;
   uint64_t free_tokens
       = leased > holding->used_tokens ? leased - holding->used_tokens : 0;
-  bool is_latest = holding->sequence == lessee->last.sequence;
-  uint64_t former_used
-      = is_latest ? holding->former_used_tokens : holding->used_tokens;
-  uint64_t former_free = is_latest ? holding->former_free_tokens : free_tokens;
+  struct control_holding former = *holding;
+  if (holding->sequence != lessee->last.sequence)
+    {
+      former.former_used_tokens = holding->used_tokens;
+      former.former_free_tokens = free_tokens;
+      former.former_tokens_per_s = holding->tokens_per_s;
+    }
   uint64_t most
       = holding->used_tokens
-        + escrow_allowance (free_tokens,
-                            age_ms (lessee->called_ms, lessee->called_clock,
-                                    wall_ms, clock));
+        + escrow_allowance (free_tokens, holding->tokens_per_s,
+                            age_ms (lessee->called_ms, wall_ms));
   uint64_t former_most
-      = former_used
-        + escrow_allowance (former_free,
-                            age_ms (lessee->former_called_ms,
-                                    lessee->former_called_clock, wall_ms,
-                                    clock));
+      = former.former_used_tokens
+        + escrow_allowance (former.former_free_tokens,
+                            former.former_tokens_per_s,
+                            age_ms (lessee->former_called_ms, wall_ms));
   most = MAX (most, former_most);
   return leased > most ? leased - most : 0;
 }
@@ -132,6 +125,8 @@
       to->used_tokens = holding->used_tokens;
       to->former_used_tokens = holding->former_used_tokens;
       to->former_free_tokens = holding->former_free_tokens;
+      to->tokens_per_s = holding->tokens_per_s;
+      to->former_tokens_per_s = holding->former_tokens_per_s;
       to->sequence = holding->sequence;
     }
 }
@@ -142,9 +137,7 @@
 {
   image->incarnation = lessee->incarnation;
   image->called_ms = lessee->called_ms;
-  image->called_clock = lessee->called_clock;
   image->former_called_ms = lessee->former_called_ms;
-  image->former_called_clock = lessee->former_called_clock;
   control_lease_copy (&lessee->last, &image->last);
   save_holdings (lessee, image);
 }
@@ -156,9 +149,7 @@
   xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&lessee->last);
   control_lease_copy (&image->last, &lessee->last);
   lessee->called_ms = image->called_ms;
-  lessee->called_clock = image->called_clock;
   lessee->former_called_ms = image->former_called_ms;
-  lessee->former_called_clock = image->former_called_clock;
   for (u_int i = 0; i < image->holdings.holdings_len; i++)
     {
       const struct control_holding_image *from
@@ -167,6 +158,8 @@
           = (struct control_holding){ from->leased_tokens, from->used_tokens,
                                       from->former_used_tokens,
                                       from->former_free_tokens,
+                                      from->tokens_per_s,
+                                      from->former_tokens_per_s,
                                       from->sequence };
     }
   return lessee;
--- a/src/control_lessee.h
+++ b/src/control_lessee.h
@@ -17,11 +17,10 @@
   uint64_t incarnation;
   /** Last answer, for a repeated call. */
   struct control_lease_result last;
-  /** When the last two calls were applied, and by whose clock. */
+  /** When the last two calls were applied, or sent where that was earlier by
+   *  the router's time of day. */
   uint64_t called_ms;
-  uint64_t called_clock;
   uint64_t former_called_ms;
-  uint64_t former_called_clock;
   /** struct control_holding by account. */
   GHashTable *holdings;
 };
@@ -35,6 +34,8 @@
   uint64_t used_tokens;
   uint64_t former_used_tokens;
   uint64_t former_free_tokens;
+  uint64_t tokens_per_s;
+  uint64_t former_tokens_per_s;
   uint64_t sequence;
 };
 
@@ -43,8 +44,7 @@
 /** Frees it. */
 void control_lessee_destroy (struct control_lessee *lessee);
 /** Notes that a call was applied. */
-void control_lessee_called (struct control_lessee *lessee, uint64_t wall_ms,
-                            uint64_t clock);
+void control_lessee_called (struct control_lessee *lessee, uint64_t wall_ms);
 /** The holding of an account, made when new. */
 struct control_holding *control_lessee_holding (struct control_lessee *lessee,
                                                 const char *account);
@@ -52,7 +52,7 @@
  *  used. */
 uint64_t control_lessee_unused (const struct control_lessee *lessee,
                                 const struct control_holding *holding,
-                                uint64_t wall_ms, uint64_t clock);
+                                uint64_t wall_ms);
 /** Fills the snapshot's part; freed with the image. */
 void control_lessee_save (const struct control_lessee *lessee,
                           struct control_lessee_image *image);
--- a/src/control_member.h
+++ b/src/control_member.h
@@ -62,8 +62,6 @@
   uint64_t logged_leader;
   bool was_ready;
   uint64_t sweep_due_ms;
-  /* Time of day at the start of the boot clock, as of the first command. */
-  uint64_t wall_offset_ms;
   /* Time that the last round's end took, in milliseconds. */
   uint64_t end_took_ms;
   uint64_t stop_by_ms;
--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -127,6 +127,8 @@
   holding->former_free_tokens
       = holding->leased_tokens
         - MIN (holding->used_tokens, holding->leased_tokens);
+  holding->former_tokens_per_s = holding->tokens_per_s;
+  holding->tokens_per_s = ask->tokens_per_s;
   holding->sequence = sequence;
   holding->used_tokens = ask->used_tokens;
   holding->leased_tokens -= returned;
@@ -157,7 +159,7 @@
 /* A router started anew: what its former run can't have used is free. */
 static void
 reclaim (struct control_prepaid *prepaid, const struct control_lessee *lessee,
-         uint64_t wall_ms, uint64_t clock)
+         uint64_t wall_ms)
 {
   GHashTableIter iterator;
   gpointer name, value;
@@ -165,7 +167,7 @@
   while (g_hash_table_iter_next (&iterator, &name, &value))
     {
       struct account *account = find_account (prepaid, name);
-      uint64_t unused = control_lessee_unused (lessee, value, wall_ms, clock);
+      uint64_t unused = control_lessee_unused (lessee, value, wall_ms);
       account->leased_tokens -= MIN (unused, account->leased_tokens);
     }
 }
@@ -180,7 +182,7 @@
   if (lessee && lessee->incarnation == args->router_incarnation)
     return lessee;
   if (lessee)
-    reclaim (prepaid, lessee, wall_ms, args->clock);
+    reclaim (prepaid, lessee, MAX (wall_ms, args->sent_ms));
   lessee = control_lessee_create (args->router_incarnation);
   g_hash_table_replace (prepaid->lessees, g_strdup (args->router), lessee);
   return lessee;
@@ -221,7 +223,7 @@
   if (args->sequence > lessee->last.sequence)
     {
       apply_asks (prepaid, lessee, args, wall_ms);
-      control_lessee_called (lessee, wall_ms, args->clock);
+      control_lessee_called (lessee, MIN (wall_ms, args->sent_ms));
     }
   control_lease_copy (&lessee->last, result);
 }
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base_clock.h"
 #include "base_event.h"
 #include "base_log.h"
 #include "base_settings.h"
@@ -284,6 +285,7 @@
   args.router = strdup (links->shared.router);
   args.router_incarnation = links->shared.incarnation;
   args.sequence = ++links->sequence;
+  args.sent_ms = base_clock_steady_wall_ms ();
   edge_lessee_call (links->lessee, &args);
   xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&args);
 }
--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -21,6 +21,8 @@
 #define WORD_LIFE_MS 1000
 /* Interval over which demand is averaged, in milliseconds. */
 #define DEMAND_WINDOW_MS 2000
+/* Part of the former rate that a window's end keeps. */
+#define RATE_KEPT 0.6
 /* Requests of the largest recent size that a lease covers at least. */
 #define AHEAD_REQUESTS 2
 /* A lease above this many times its aim is trimmed to the aim. */
@@ -65,9 +67,11 @@
   bool in_call;
   /* Used when the call was made. */
   uint64_t reported_tokens;
+  uint64_t reported_tokens_per_s;
   /* Used and free by the last report that was answered. */
   uint64_t base_tokens;
   uint64_t base_free_tokens;
+  uint64_t base_tokens_per_s;
 };
 
 struct edge_prepaid
@@ -136,7 +140,8 @@
   uint64_t age_ms
       = now_ms > prepaid->answered_ms ? now_ms - prepaid->answered_ms : 0;
   uint64_t limit = lease->base_tokens
-                   + escrow_allowance (lease->base_free_tokens, age_ms);
+                   + escrow_allowance (lease->base_free_tokens,
+                                       lease->base_tokens_per_s, age_ms);
   return MIN (free_tokens (lease), limit > used ? limit - used : 0);
 }
 
@@ -146,8 +151,12 @@
   if (now_ms >= lease->window_ms + DEMAND_WINDOW_MS)
     {
       uint64_t age_ms = now_ms - lease->window_ms;
-      lease->tokens_per_ms = (double)lease->window_tokens
-                             / (double)MAX (age_ms, DEMAND_WINDOW_MS);
+      double rate = (double)lease->window_tokens
+                    / (double)MAX (age_ms, DEMAND_WINDOW_MS);
+      lease->tokens_per_ms
+          = lease->tokens_per_ms > 0.0
+                ? RATE_KEPT * lease->tokens_per_ms + (1.0 - RATE_KEPT) * rate
+                : rate;
       lease->window_ms = now_ms;
       lease->window_tokens = 0;
       lease->largest_tokens = lease->largest_tokens / 2;
@@ -168,12 +177,19 @@
          / (all + mixed + 1.0);
 }
 
+/* Tokens that callers ask for in a millisecond. */
+static double
+demand_rate (const struct lease *lease)
+{
+  return MAX (lease->tokens_per_ms,
+              (double)lease->window_tokens / DEMAND_WINDOW_MS);
+}
+
 /* Tokens that the lease should have free. */
 static uint64_t
 aim_tokens (const struct lease *lease, uint32_t routers)
 {
-  double rate = MAX (lease->tokens_per_ms, (double)lease->window_tokens
-                                               / DEMAND_WINDOW_MS);
+  double rate = demand_rate (lease);
   double least
       = rate * AHEAD_MS + (double)(AHEAD_REQUESTS * lease->largest_tokens);
   double held = HELD_SHARE
@@ -281,9 +297,7 @@
 static uint64_t
 missing_tokens (const struct lease *lease, uint32_t routers)
 {
-  uint64_t wanted
-      = MAX (lease->waiting_tokens,
-             escrow_allowance_needs (lease->smallest_waiting));
+  uint64_t wanted = lease->waiting_tokens;
   uint64_t spare = free_tokens (lease);
   if (!lease->is_scarce)
     wanted += aim_tokens (lease, routers);
@@ -298,20 +312,25 @@
   ask->want_tokens
       = ask->returned_tokens > 0 ? 0 : missing_tokens (lease, routers);
   uint64_t spare = free_tokens (lease);
-  uint64_t needed = escrow_allowance_needs (lease->smallest_waiting);
-  ask->need_tokens
-      = needed > spare ? MIN (needed - spare, ask->want_tokens) : 0;
+  ask->need_tokens = lease->smallest_waiting > spare
+                         ? MIN (lease->smallest_waiting - spare,
+                                ask->want_tokens)
+                         : 0;
+  /* What waits is reported as used, so that it may be once that is known. */
+  uint64_t used = lease->reserved_tokens + lease->spent_tokens
+                  + lease->waiting_tokens;
   lease->waiting_tokens = 0;
   lease->smallest_waiting = 0;
   ask->demand_tokens = lease->demand_tokens - lease->told_demand_tokens;
   if (ask->returned_tokens == 0 && ask->want_tokens == 0
       && ask->demand_tokens == 0
-      && lease->reported_tokens
-             == lease->reserved_tokens + lease->spent_tokens)
+      && lease->reported_tokens == used)
     return false;
   lease->told_demand_tokens = lease->demand_tokens;
-  lease->reported_tokens = lease->reserved_tokens + lease->spent_tokens;
+  lease->reported_tokens = used;
   ask->used_tokens = lease->reported_tokens;
+  lease->reported_tokens_per_s = (uint64_t)(demand_rate (lease) * 1000.0);
+  ask->tokens_per_s = lease->reported_tokens_per_s;
   ask->account = strdup (lease->name);
   lease->leased_tokens -= ask->returned_tokens;
   lease->in_call = true;
@@ -359,6 +378,7 @@
       lease->in_call = false;
       lease->leased_tokens += line->granted_tokens;
       lease->base_tokens = lease->reported_tokens;
+      lease->base_tokens_per_s = lease->reported_tokens_per_s;
       lease->base_free_tokens
           = lease->leased_tokens
             - MIN (lease->reported_tokens, lease->leased_tokens);
--- a/src/edge_settle.c
+++ b/src/edge_settle.c
@@ -24,9 +24,11 @@
 
 /* Input counts once a request ran, output as far as it may have been
    delivered. */
-static uint64_t
-used_tokens (const struct edge_request *request)
+uint64_t
+edge_settle_tokens (const struct edge_request *request)
 {
+  if (!request->service)
+    return 0;
   uint64_t output = (uint64_t)request->event_count
                     * MAX (request->service->tokens_per_event, 1);
   if (request->runs == 0)
@@ -42,7 +44,7 @@
     return;
   request->holds_tokens = false;
   edge_prepaid_settle (request->edge->prepaid, request->account->name,
-                       request->reserved_tokens, used_tokens (request));
+                       request->reserved_tokens, edge_settle_tokens (request));
 }
 
 void
--- a/src/edge_settle.h
+++ b/src/edge_settle.h
@@ -12,6 +12,8 @@
 void edge_settle_target (struct edge_request *request);
 /** The first part of the answer came. */
 void edge_settle_first (struct edge_request *request);
+/** Tokens that the request counts for so far. */
+uint64_t edge_settle_tokens (const struct edge_request *request);
 /** Ends the request: target, tokens, its place among the open ones. */
 void edge_settle_close (struct edge_request *request);
 
--- a/src/escrow_allowance.c
+++ b/src/escrow_allowance.c
@@ -1,35 +1,22 @@
 #include "escrow_allowance.h"
 
-/* Percent that may be used at once, between two reports. */
-#define AT_ONCE_PERCENT 20
-/* Tokens that may be used at once in any case: those of a large prompt. */
-#define AT_ONCE_TOKENS 20000
-/* Time after which all may be used, in milliseconds: as long as a router may
-   be cut off from control on an ordinary day. */
-#define WHOLE_AFTER_MS 8000
-
-static uint64_t
-growing_share (uint64_t free_tokens, uint64_t age_ms)
-{
-  uint64_t percent_ms
-      = (uint64_t)AT_ONCE_PERCENT * WHOLE_AFTER_MS
-        + (100 - (uint64_t)AT_ONCE_PERCENT) * age_ms;
-  return (uint64_t)((double)free_tokens * (double)percent_ms
-                    / (100.0 * WHOLE_AFTER_MS));
-}
-
-uint64_t
-escrow_allowance (uint64_t free_tokens, uint64_t age_ms)
-{
-  if (age_ms >= WHOLE_AFTER_MS || free_tokens <= AT_ONCE_TOKENS)
-    return free_tokens;
-  uint64_t share = growing_share (free_tokens, age_ms);
-  return share > AT_ONCE_TOKENS ? share : AT_ONCE_TOKENS;
-}
+/* Tokens that may be used at once in any case: those of a few prompts. */
+#define AT_ONCE_TOKENS 8000.0
+/* Demand ahead of time that may be used, in milliseconds: a report's interval
+   and its way. */
+#define AHEAD_MS 400.0
+/* Demand may rise by this factor while control can't be reached. */
+#define RISE_FACTOR 1.5
+/* Percent of what is free that may be used a second, whatever the demand. */
+#define PERCENT_PER_S 4.0
 
 uint64_t
-escrow_allowance_needs (uint64_t tokens)
+escrow_allowance (uint64_t free_tokens, uint64_t tokens_per_s, uint64_t age_ms)
 {
-  return tokens <= AT_ONCE_TOKENS ? tokens
-                                  : tokens * 100 / AT_ONCE_PERCENT + 1;
+  double demand = RISE_FACTOR * (double)tokens_per_s
+                  * ((double)age_ms + AHEAD_MS) / 1000.0;
+  double share
+      = (double)free_tokens * PERCENT_PER_S / 100.0 * (double)age_ms / 1000.0;
+  double tokens = AT_ONCE_TOKENS + demand + share;
+  return tokens < (double)free_tokens ? (uint64_t)tokens : free_tokens;
 }
--- a/src/escrow_allowance.h
+++ b/src/escrow_allowance.h
@@ -9,9 +9,9 @@
 #include <stdint.h>
 
 /** Tokens of @p free_tokens, free at the report, that may be used within
- *  @p age_ms of its answer. */
-uint64_t escrow_allowance (uint64_t free_tokens, uint64_t age_ms);
-/** The least that must be free for @p tokens to be used at once. */
-uint64_t escrow_allowance_needs (uint64_t tokens);
+ *  @p age_ms of its answer, by a router whose callers asked for
+ *  @p tokens_per_s. */
+uint64_t escrow_allowance (uint64_t free_tokens, uint64_t tokens_per_s,
+                           uint64_t age_ms);
 
 #endif
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -369,6 +369,7 @@
 	u_quad_t returned_tokens;
 	u_quad_t demand_tokens;
 	u_quad_t used_tokens;
+	u_quad_t tokens_per_s;
 };
 typedef struct control_lease_ask control_lease_ask;
 
@@ -377,7 +378,7 @@
 	wire_name router;
 	u_quad_t router_incarnation;
 	u_quad_t sequence;
-	u_quad_t clock;
+	u_quad_t sent_ms;
 	struct {
 		u_int asks_len;
 		control_lease_ask *asks_val;
@@ -555,6 +556,8 @@
 	u_quad_t used_tokens;
 	u_quad_t former_used_tokens;
 	u_quad_t former_free_tokens;
+	u_quad_t tokens_per_s;
+	u_quad_t former_tokens_per_s;
 	u_quad_t sequence;
 };
 typedef struct control_holding_image control_holding_image;
@@ -564,9 +567,7 @@
 	u_quad_t incarnation;
 	control_lease_result last;
 	u_quad_t called_ms;
-	u_quad_t called_clock;
 	u_quad_t former_called_ms;
-	u_quad_t former_called_clock;
 	struct {
 		u_int holdings_len;
 		control_holding_image *holdings_val;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -347,6 +347,7 @@
   unsigned hyper returned_tokens;
   unsigned hyper demand_tokens;   /* asked for by callers since the last call */
   unsigned hyper used_tokens;     /* reserved or spent since the start */
+  unsigned hyper tokens_per_s;    /* recent demand */
 };
 
 struct control_lease_args
@@ -355,8 +356,7 @@
   wire_name router;
   unsigned hyper router_incarnation;
   unsigned hyper sequence;
-  unsigned hyper clock;           /* filled in by the leader: whose clock wall_ms
-                                     is */
+  unsigned hyper sent_ms;         /* the router's time of day */
   control_lease_ask asks<CONTROL_BATCH_MAX>;
 };
 
@@ -531,6 +531,8 @@
   unsigned hyper used_tokens;
   unsigned hyper former_used_tokens;
   unsigned hyper former_free_tokens;
+  unsigned hyper tokens_per_s;
+  unsigned hyper former_tokens_per_s;
   unsigned hyper sequence;
 };
 
@@ -540,9 +542,7 @@
   unsigned hyper incarnation;
   control_lease_result last;
   unsigned hyper called_ms;
-  unsigned hyper called_clock;
   unsigned hyper former_called_ms;
-  unsigned hyper former_called_clock;
   control_holding_image holdings<>;
 };
 
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -728,6 +728,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->used_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tokens_per_s))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -744,7 +746,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+	 if (!xdr_u_quad_t (xdrs, &objp->sent_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, CONTROL_BATCH_MAX,
 		sizeof (control_lease_ask), (xdrproc_t) xdr_control_lease_ask))
@@ -1057,6 +1059,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->former_free_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tokens_per_s))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->former_tokens_per_s))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
 	return TRUE;
@@ -1075,12 +1081,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->called_ms))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->called_clock))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->former_called_ms))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->former_called_clock))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->holdings.holdings_val, (u_int *) &objp->holdings.holdings_len, ~0,
 		sizeof (control_holding_image), (xdrproc_t) xdr_control_holding_image))
 		 return FALSE;
