--- a/src/edge_retry.c
+++ b/src/edge_retry.c
@@ -51,6 +51,12 @@
   retry->routers = MAX (routers, 1);
 }
 
+uint32_t
+edge_retry_routers (const struct edge_retry *retry)
+{
+  return retry->routers;
+}
+
 /* The service's window, with parts that are over emptied. */
 static struct window *
 find_window (struct edge_retry *retry, const char *service, uint64_t now_ms)
--- a/src/edge_retry.h
+++ b/src/edge_retry.h
@@ -26,6 +26,8 @@
 void edge_retry_destroy (struct edge_retry *retry);
 /** Number of routers that share the slack. */
 void edge_retry_set_routers (struct edge_retry *retry, uint32_t routers);
+/** Number of routers as it was set last. */
+uint32_t edge_retry_routers (const struct edge_retry *retry);
 /** Counts a request for the service. */
 void edge_retry_request (struct edge_retry *retry, const char *service,
                          uint64_t now_ms);
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -66,6 +66,7 @@
     .kv_tokens = request->service->kv_tokens,
     .is_silent = edge_target_is_silent (target, edge_now_ms ()),
     .is_avoided = is_avoided (request, target->record.name),
+    .routers = edge_retry_routers (request->edge->retry),
   };
 }
 
--- a/src/place.c
+++ b/src/place.c
@@ -16,7 +16,7 @@
 #define PLAIN_CALL_MS 60.0
 /* Round trips and paid traffic, as time. */
 #define REGION_COST_MS 3.0
-#define FAR_COST_MS 100.0
+#define FAR_COST_MS 60.0
 /* Cost of a recent fault: about what a repeated request loses. */
 #define FAULT_COST_MS 400.0
 #define FAULT_HALF_LIFE_MS 3000.0
@@ -35,11 +35,15 @@
 #define PARTS_MAX 4096
 /* Chance that another router made the home of a part read it, for the first
    and the second home. */
-#define FIRST_HOME_SHARE 0.8
-#define SECOND_HOME_SHARE 0.3
-/* Share of the memory above which a target counts as full. */
-#define MEMORY_FULL_SHARE 0.85
-#define FULL_COST_MS 500.0
+#define FIRST_HOME_SHARE 0.9
+#define SECOND_HOME_SHARE 0.2
+/* Weight of reading a shared part again against reading a new one: it is paid
+   for, and takes the engine's time from all its requests. */
+#define REREAD_WEIGHT 6.0
+/* Share of slots or memory above which a target counts as crowded, and the
+   cost of all of it. */
+#define CROWDED_SHARE 0.7
+#define CROWDED_COST_MS 3000.0
 
 void
 place_load_init (struct place_load *load)
@@ -114,7 +118,7 @@
   return rank;
 }
 
-/* The two homes of the call's shared part among the near candidates. */
+/* The two homes of the call's shared part. */
 static void
 find_homes (const struct place_candidate *candidates, uint32_t count,
             const struct place_call *call, int homes[2])
@@ -124,8 +128,7 @@
   homes[0] = homes[1] = -1;
   for (uint32_t i = 0; part && i < count; i++)
     {
-      if (candidates[i].is_silent
-          || candidates[i].distance != PLACE_SAME_ZONE)
+      if (candidates[i].is_silent || candidates[i].is_avoided)
         continue;
       uint64_t rank = home_rank (candidates[i].name, part->id);
       if (homes[0] < 0 || rank > best[0])
@@ -166,25 +169,43 @@
   return cost;
 }
 
+/* Cost of a share of slots or memory in use. */
+static double
+crowded_cost (double share)
+{
+  return share > CROWDED_SHARE ? (share - CROWDED_SHARE) * CROWDED_COST_MS
+                               : 0.0;
+}
+
+/* Slots and memory that all routers' requests take there, by this one's. */
+static double
+capacity_cost (const struct place_candidate *candidate,
+               const struct place_call *call)
+{
+  const struct place_load *load = candidate->load;
+  double routers = MAX (candidate->routers, 1);
+  double cost = 0.0;
+  if (candidate->slots > 0)
+    cost += crowded_cost (routers * load->running / candidate->slots);
+  if (candidate->kv_tokens > 0)
+    cost += crowded_cost ((routers * (double)load->held_tokens
+                           + call->prompt_tokens + call->output_tokens)
+                          / (double)candidate->kv_tokens);
+  return cost;
+}
+
 static double
 engine_cost (const struct place_candidate *candidate,
              const struct place_call *call, double home_share, uint64_t now_ms)
 {
   const struct place_load *load = candidate->load;
-  double unread = place_unread_tokens (candidate, call, now_ms);
-  double guess
-      = call->prompt_tokens - home_share * shared_tokens (call);
-  double cost = (MIN (unread, guess) + (double)load->unread_tokens)
-                / READ_TOKENS_PER_MS;
-  cost += load->running * RUNNING_COST_MS;
-  if (candidate->kv_tokens > 0
-      && (double)(load->held_tokens + call->prompt_tokens
-                  + call->output_tokens)
-             > MEMORY_FULL_SHARE * (double)candidate->kv_tokens)
-    cost += FULL_COST_MS;
-  if (candidate->slots > 0 && load->running >= candidate->slots)
-    cost += FULL_COST_MS;
-  return cost;
+  double shared = shared_tokens (call);
+  double kept = MIN (read_tokens (load, call, now_ms), shared);
+  double again = shared - MAX (kept, home_share * shared);
+  double unread = call->prompt_tokens - shared + again * REREAD_WEIGHT
+                  + (double)load->unread_tokens;
+  return unread / READ_TOKENS_PER_MS + load->running * RUNNING_COST_MS
+         + capacity_cost (candidate, call);
 }
 
 static double
--- a/src/place.h
+++ b/src/place.h
@@ -73,6 +73,8 @@
   bool is_silent;
   /** It failed this call before. */
   bool is_avoided;
+  /** Routers that send to it, each about as much as this one. */
+  uint32_t routers;
 };
 
 /** Prepares a load without history. */
