--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -256,10 +256,15 @@
               PRIu32,
               request->head.request_id, request->target->record.name,
               answer->status, request->target->load.running);
+  if (answer->status == STATUS_MISDIRECTED)
+    {
+      /* Its run is over, though no announcement has said so yet. */
+      request->target->is_replaced = true;
+      take_not_run (request, "the address has another target");
+      return;
+    }
   place_failed (&request->target->load, edge_now_ms ());
-  take_not_run (request, answer->status == STATUS_MISDIRECTED
-                             ? "the address has another target"
-                             : "the target is full");
+  take_not_run (request, "the target is full");
 }
 
 /* A whole answer that is not a stream in progress. */
