--- a/src/control_client.c
+++ b/src/control_client.c
@@ -16,7 +16,7 @@
 
 #define IDLE_CONNECTIONS_MAX 8
 #define FIRST_PAUSE_MS 20
-#define LONGEST_PAUSE_MS 320
+#define LONGEST_PAUSE_MS 160
 #define MEMBERS_MAX (2 * CONTROL_MEMBERS_MAX)
 
 /** What one attempt at one member came to. */
--- a/src/control_lessee.c
+++ b/src/control_lessee.c
@@ -8,7 +8,7 @@
 
 /* Error of hosts' times of day; one that was stepped only makes an age longer,
    since the earlier and the later of two hosts' times are taken. */
-#define CLOCK_ERROR_MS 300
+#define CLOCK_ERROR_MS 200
 
 struct control_lessee *
 control_lessee_create (uint64_t incarnation)
--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -1,5 +1,6 @@
 #include "control_prepaid.h"
 
+#include "base_log.h"
 #include "control_lessee.h"
 
 #include <stdbool.h>
@@ -167,7 +168,17 @@
   while (g_hash_table_iter_next (&iterator, &name, &value))
     {
       struct account *account = find_account (prepaid, name);
-      uint64_t unused = control_lessee_unused (lessee, value, wall_ms);
+      const struct control_holding *holding = value;
+      uint64_t unused = control_lessee_unused (lessee, holding, wall_ms);
+      base_log (BASE_LOG_INFO,
+                "lease-reclaimed account=%s unused_tokens=%lu "
+                "leased_tokens=%lu used_tokens=%lu tokens_per_s=%lu "
+                "reported_ago_ms=%ld",
+                (const char *)name, (unsigned long)unused,
+                (unsigned long)holding->leased_tokens,
+                (unsigned long)holding->used_tokens,
+                (unsigned long)holding->tokens_per_s,
+                (long)(wall_ms - lessee->called_ms));
       account->leased_tokens -= MIN (unused, account->leased_tokens);
     }
 }
--- a/src/edge.c
+++ b/src/edge.c
@@ -117,7 +117,7 @@
   struct loop_state *state = (struct loop_state *)edge;
   if (!edge)
     return;
-  edge_links_destroy (edge->links, RETURN_WAIT_MS);
+  edge_links_destroy (edge->links);
   http_status_destroy (state->status);
   edge_front_destroy (edge->front);
   router_poll_destroy (edge->loop);
@@ -253,7 +253,8 @@
       run_timers (state, now_ms);
       edge_front_run (edge->front);
     }
+  edge_links_return (edge->links, RETURN_WAIT_MS);
   base_event ("stopped open=%u after_ms=%" G_GUINT64_FORMAT,
-              edge->requests.length, now_ms - edge->stopping_ms);
+              edge->requests.length, edge_now_ms () - edge->stopping_ms);
   base_event_flush ();
 }
--- a/src/edge.h
+++ b/src/edge.h
@@ -90,7 +90,7 @@
                           const char *const *members);
 /** Frees it. */
 void edge_destroy (struct edge *edge);
-/** Runs until a graceful stop is over. */
+/** Runs until a graceful stop is over, and gives leases back. */
 void edge_run (struct edge *edge);
 /** Asks for a graceful stop; from any thread and from a signal handler. */
 void edge_stop (struct edge *edge);
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -257,13 +257,17 @@
   for (u_int i = 0; i < result.lines.lines_len; i++)
     {
       const struct control_lease_line *line = &result.lines.lines_val[i];
+      uint64_t reserved = 0;
+      uint64_t spent = 0;
+      edge_prepaid_used (edge->prepaid, line->account, &reserved, &spent);
       base_event ("lease account=%s granted_tokens=%" PRIu64
                   " left_tokens=%" PRIu64 " total_tokens=%" PRIu64
-                  " free_tokens=%" PRIu64 " sequence=%" PRIu64,
+                  " free_tokens=%" PRIu64 " reserved_tokens=%" PRIu64
+                  " spent_tokens=%" PRIu64 " recalled=%d sequence=%" PRIu64,
                   line->account, (uint64_t)line->granted_tokens,
                   (uint64_t)line->left_tokens, (uint64_t)line->total_tokens,
-                  edge_prepaid_free (edge->prepaid, line->account),
-                  (uint64_t)result.sequence);
+                  edge_prepaid_free (edge->prepaid, line->account), reserved,
+                  spent, (int)line->recalled, (uint64_t)result.sequence);
     }
   edge_prepaid_take (edge->prepaid, &result, now_ms);
   xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
@@ -323,9 +327,8 @@
          && edge_now_ms () < links->heard_ms + within_ms;
 }
 
-/* Gives back what no request holds. */
-static void
-return_leases (struct edge_links *links, uint32_t wait_ms)
+void
+edge_links_return (struct edge_links *links, uint32_t wait_ms)
 {
   uint64_t until_ms = edge_now_ms () + wait_ms;
   bool returned = false;
@@ -344,12 +347,11 @@
 }
 
 void
-edge_links_destroy (struct edge_links *links, uint32_t wait_ms)
+edge_links_destroy (struct edge_links *links)
 {
   struct edge_news *news;
   if (!links)
     return;
-  return_leases (links, wait_ms);
   for (uint32_t i = 0; i < EDGE_SOURCES_MAX; i++)
     if (links->links[i])
       edge_watcher_stop (links->links[i]->watcher);
--- a/src/edge_links.h
+++ b/src/edge_links.h
@@ -10,9 +10,10 @@
 /** Starts the links to @p members ("A.B.C.D:PORT", ended by NULL). */
 struct edge_links *edge_links_create (struct edge *edge,
                                       const char *const *members);
-/** Gives the leases back, waiting for @p wait_ms at most, and ends all links.
- */
-void edge_links_destroy (struct edge_links *links, uint32_t wait_ms);
+/** Gives back what no request holds, waiting for @p wait_ms at most. */
+void edge_links_return (struct edge_links *links, uint32_t wait_ms);
+/** Ends all links; waits for the calls under way. */
+void edge_links_destroy (struct edge_links *links);
 /** Replaces the members that settings name. */
 void edge_links_set_members (struct edge_links *links,
                              const char *const *members);
--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -329,7 +329,10 @@
   lease->told_demand_tokens = lease->demand_tokens;
   lease->reported_tokens = used;
   ask->used_tokens = lease->reported_tokens;
-  lease->reported_tokens_per_s = (uint64_t)(demand_rate (lease) * 1000.0);
+  lease->reported_tokens_per_s
+      = (uint64_t)(1000.0
+                   * (lease->tokens_per_ms > 0.0 ? lease->tokens_per_ms
+                                                 : demand_rate (lease)));
   ask->tokens_per_s = lease->reported_tokens_per_s;
   ask->account = strdup (lease->name);
   lease->leased_tokens -= ask->returned_tokens;
@@ -402,3 +405,12 @@
   const struct lease *lease = g_hash_table_lookup (prepaid->leases, account);
   return lease ? free_tokens (lease) : 0;
 }
+
+void
+edge_prepaid_used (const struct edge_prepaid *prepaid, const char *account,
+                   uint64_t *reserved_tokens, uint64_t *spent_tokens)
+{
+  const struct lease *lease = g_hash_table_lookup (prepaid->leases, account);
+  *reserved_tokens = lease ? lease->reserved_tokens : 0;
+  *spent_tokens = lease ? lease->spent_tokens : 0;
+}
--- a/src/edge_prepaid.h
+++ b/src/edge_prepaid.h
@@ -55,6 +55,10 @@
 void edge_prepaid_take (struct edge_prepaid *prepaid,
                         const struct control_lease_result *result,
                         uint64_t now_ms);
+/** Tokens of the account that requests hold, and those that were spent. */
+void edge_prepaid_used (const struct edge_prepaid *prepaid,
+                        const char *account, uint64_t *reserved_tokens,
+                        uint64_t *spent_tokens);
 /** Tokens of the account that are leased and free. */
 uint64_t edge_prepaid_free (const struct edge_prepaid *prepaid,
                             const char *account);
--- a/src/escrow_allowance.c
+++ b/src/escrow_allowance.c
@@ -6,9 +6,9 @@
    and its way. */
 #define AHEAD_MS 400.0
 /* Demand may rise by this factor while control can't be reached. */
-#define RISE_FACTOR 1.25
+#define RISE_FACTOR 1.2
 /* Percent of what is free that may be used a second, whatever the demand. */
-#define PERCENT_PER_S 3.0
+#define PERCENT_PER_S 1.5
 
 uint64_t
 escrow_allowance (uint64_t free_tokens, uint64_t tokens_per_s, uint64_t age_ms)
