--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -16,8 +16,13 @@
 #define DEADLINE_SLACK_MS 100
 /* Time that a caller waits where none is said. */
 #define DEADLINE_DEFAULT_MS 30000
-#define NO_TABLE_RETRY_AFTER_MS 300
-#define LEASE_RETRY_AFTER_MS 500
+/* Time that a caller is told to stay away: next to none where another router
+   may serve it, else until control may have answered. */
+#define ELSEWHERE_RETRY_AFTER_MS 50
+#define LEASE_RETRY_AFTER_MS 200
+/* Age of control's last answer above which it counts as cut off: three
+   intervals of calls. */
+#define CUT_OFF_MS 1000
 /* Longest wait for a lease while control does not answer. */
 #define LEASE_WAIT_MAX_MS 400
 /* Part of the objective after which a safe call without an answer is tried
@@ -100,7 +105,7 @@
   if (!edge->table)
     {
       edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE,
-                          NO_TABLE_RETRY_AFTER_MS,
+                          ELSEWHERE_RETRY_AFTER_MS,
                           "no configuration is in force yet");
       return false;
     }
@@ -194,6 +199,14 @@
                     edge_prepaid_usable (edge->prepaid,
                                          request->account->name, now_ms),
                     now_ms - edge_prepaid_answered_ms (edge->prepaid));
+      if (now_ms > edge_prepaid_answered_ms (edge->prepaid) + CUT_OFF_MS)
+        {
+          edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE,
+                              ELSEWHERE_RETRY_AFTER_MS,
+                              "this router lacks tokens and control is cut "
+                              "off");
+          return false;
+        }
       request->step = EDGE_STEP_LEASE;
       edge_links_lease (edge->links);
       return false;
@@ -220,8 +233,8 @@
                                    + (uint64_t)edge->options.grace_ms
                                          * STOP_SERVE_PERCENT / 100)
     return true;
-  edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE, 1,
-                      "this router is stopping");
+  edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE,
+                      ELSEWHERE_RETRY_AFTER_MS, "this router is stopping");
   return false;
 }
 
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -13,8 +13,8 @@
 /* Time for a connection: several round trips between regions. */
 #define CONNECT_TIMEOUT_MS 400
 /* Time that a caller is told to stay away when targets are full or gone. */
-#define FULL_RETRY_AFTER_MS 300
-#define GONE_RETRY_AFTER_MS 500
+#define FULL_RETRY_AFTER_MS 150
+#define GONE_RETRY_AFTER_MS 200
 /* Least time left that makes another send worthwhile, in milliseconds. */
 #define SEND_TIME_MIN_MS 50
 #define STATUS_SERVER_ERROR 500
