--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -137,6 +137,19 @@
   account->demand_tokens += ask->demand_tokens;
 }
 
+static void
+fill_line (const char *name, const struct account *account, uint64_t wall_ms,
+           struct control_lease_line *line)
+{
+  line->account = strdup (name);
+  line->total_tokens = account->total_tokens;
+  line->left_tokens = left_tokens (account);
+  line->demand_tokens = account->demand_tokens;
+  line->known = account->known;
+  line->recalled = account->short_ms > 0
+                   && wall_ms < account->short_ms + RECALL_MS;
+}
+
 static void
 lease_line (struct control_prepaid *prepaid, struct control_lessee *lessee,
             const struct control_lease_ask *ask, uint64_t sequence,
@@ -146,15 +159,9 @@
   struct control_holding *holding
       = control_lessee_holding (lessee, ask->account);
   take_report (account, holding, ask, sequence);
-  line->account = strdup (ask->account);
   line->granted_tokens = grant (account, ask, wall_ms);
   holding->leased_tokens += line->granted_tokens;
-  line->total_tokens = account->total_tokens;
-  line->left_tokens = left_tokens (account);
-  line->demand_tokens = account->demand_tokens;
-  line->known = account->known;
-  line->recalled = account->short_ms > 0
-                   && wall_ms < account->short_ms + RECALL_MS;
+  fill_line (ask->account, account, wall_ms, line);
 }
 
 /* A router started anew: what its former run can't have used is free. */
@@ -199,6 +206,32 @@
   return lessee;
 }
 
+/* Tells of recalls of what the router holds without having asked. */
+static void
+add_notices (struct control_prepaid *prepaid, struct control_lessee *lessee,
+             uint64_t sequence, uint64_t wall_ms,
+             struct control_lease_result *result)
+{
+  GHashTableIter iterator;
+  gpointer name, value;
+  g_hash_table_iter_init (&iterator, lessee->holdings);
+  while (g_hash_table_iter_next (&iterator, &name, &value))
+    {
+      const struct control_holding *holding = value;
+      const struct account *account = find_account (prepaid, name);
+      if (holding->sequence == sequence
+          || holding->leased_tokens <= holding->used_tokens
+          || account->short_ms == 0
+          || wall_ms >= account->short_ms + RECALL_MS
+          || result->lines.lines_len == CONTROL_BATCH_MAX)
+        continue;
+      struct control_lease_line *line
+          = &result->lines.lines_val[result->lines.lines_len++];
+      fill_line (name, account, wall_ms, line);
+      line->notice = true;
+    }
+}
+
 static void
 apply_asks (struct control_prepaid *prepaid, struct control_lessee *lessee,
             const struct control_lease_args *args, uint64_t wall_ms)
@@ -211,10 +244,12 @@
   last->sequence = args->sequence;
   last->lines.lines_len = args->asks.asks_len;
   last->lines.lines_val
-      = calloc (args->asks.asks_len + 1, sizeof *last->lines.lines_val);
+      = calloc (args->asks.asks_len + g_hash_table_size (lessee->holdings) + 1,
+                sizeof *last->lines.lines_val);
   for (u_int i = 0; i < args->asks.asks_len; i++)
     lease_line (prepaid, lessee, &args->asks.asks_val[i], args->sequence,
                 wall_ms, &last->lines.lines_val[i]);
+  add_notices (prepaid, lessee, args->sequence, wall_ms, last);
 }
 
 void
--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -369,6 +369,19 @@
   args->asks.asks_len = count;
 }
 
+/* What was reported is known by now. */
+static void
+take_grant (struct lease *lease, const struct control_lease_line *line)
+{
+  lease->in_call = false;
+  lease->leased_tokens += line->granted_tokens;
+  lease->base_tokens = lease->reported_tokens;
+  lease->base_tokens_per_s = lease->reported_tokens_per_s;
+  lease->base_free_tokens
+      = lease->leased_tokens
+        - MIN (lease->reported_tokens, lease->leased_tokens);
+}
+
 void
 edge_prepaid_take (struct edge_prepaid *prepaid,
                    const struct control_lease_result *result, uint64_t now_ms)
@@ -378,13 +391,8 @@
     {
       const struct control_lease_line *line = &result->lines.lines_val[i];
       struct lease *lease = find_lease (prepaid, line->account);
-      lease->in_call = false;
-      lease->leased_tokens += line->granted_tokens;
-      lease->base_tokens = lease->reported_tokens;
-      lease->base_tokens_per_s = lease->reported_tokens_per_s;
-      lease->base_free_tokens
-          = lease->leased_tokens
-            - MIN (lease->reported_tokens, lease->leased_tokens);
+      if (!line->notice)
+        take_grant (lease, line);
       lease->left_tokens = line->left_tokens;
       lease->all_demand_tokens = line->demand_tokens;
       lease->total_tokens = line->total_tokens;
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -394,6 +394,7 @@
 	u_quad_t demand_tokens;
 	bool_t known;
 	bool_t recalled;
+	bool_t notice;
 };
 typedef struct control_lease_line control_lease_line;
 
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -369,6 +369,7 @@
   unsigned hyper demand_tokens;  /* of all routers so far */
   bool known;
   bool recalled;                 /* a router lacks what others hold */
+  bool notice;                   /* not asked for: only tells of the recall */
 };
 
 struct control_lease_result
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -773,6 +773,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->recalled))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->notice))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "base_log.h"
 #include "base_random.h"
 #include "control_prepaid.h"
 #include "edge_prepaid.h"
@@ -281,6 +282,42 @@
   tear_down (&world);
 }
 
+/* What an idle router holds comes back when another one lacks it. */
+static void
+test_idle_holder_is_recalled (void)
+{
+  struct world world;
+  set_up (&world, 4);
+  struct router *idle = &world.routers[0];
+  struct router *busy = &world.routers[1];
+  for (uint32_t step = 0; step < 50; step++)
+    {
+      world.now_ms += STEP_MS;
+      request (&world, idle);
+      finish (&world, idle);
+      step_router (&world, idle, false);
+    }
+  while (idle->open > 0)
+    finish (&world, idle);
+  g_assert_cmpuint (edge_prepaid_free (idle->prepaid, "a"), >,
+                    TOTAL_TOKENS / 20);
+  uint64_t before = world.served_tokens;
+  for (uint32_t step = 0; step < 3000; step++)
+    {
+      world.now_ms += STEP_MS;
+      request (&world, busy);
+      finish (&world, busy);
+      if (world.now_ms >= idle->call_due_ms || idle->in_call)
+        call (&world, idle);
+      if (world.now_ms >= busy->call_due_ms || busy->in_call
+          || edge_prepaid_is_urgent (busy->prepaid))
+        call (&world, busy);
+    }
+  g_assert_cmpuint (world.served_tokens, >, TOTAL_TOKENS * 97ull / 100);
+  g_assert_cmpuint (world.served_tokens - before, >, TOTAL_TOKENS / 2);
+  tear_down (&world);
+}
+
 static void
 test_allowance_grows_to_all (void)
 {
@@ -301,6 +338,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  base_log_limit (BASE_LOG_ERROR);
   g_test_add_func ("/edge-prepaid/never-overspent", test_never_overspent);
   g_test_add_func ("/edge-prepaid/nearly-all-is-used",
                    test_nearly_all_is_used);
@@ -308,6 +346,8 @@
                    test_reclaimed_after_a_kill);
   g_test_add_func ("/edge-prepaid/lasts-through-a-cut",
                    test_lasts_through_a_cut);
+  g_test_add_func ("/edge-prepaid/idle-holder-is-recalled",
+                   test_idle_holder_is_recalled);
   g_test_add_func ("/edge-prepaid/allowance-grows-to-all",
                    test_allowance_grows_to_all);
   return g_test_run ();
