--- a/src/base_clock.h
+++ b/src/base_clock.h
@@ -24,8 +24,8 @@
 /** Time since the Unix epoch in milliseconds. */
 uint64_t base_clock_wall_ms (struct base_clock *clock);
 
-/** Time of day as it was at the first call, and what has passed since: steps of
- *  the time of day don't move it, and a suspended host's time counts. */
+/** Time of day as it was at the first call, and what has passed since: steps
+ * of the time of day don't move it, and a suspended host's time counts. */
 uint64_t base_clock_steady_wall_ms (void);
 
 #endif
--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -15,7 +15,7 @@
 /* Interval at which lapsed sessions are looked for. */
 #define SWEEP_MS 250
 /* Time of a round above which it is logged: a third of the shortest election.
-   */
+ */
 #define SLOW_ROUND_MS 200
 /* Longest time to hand over before the end. */
 #define HAND_OVER_MS 1000
@@ -325,9 +325,9 @@
   daemon->proposals = control_pending_create ();
   daemon->reads = control_pending_create ();
   daemon->watch = control_watch_create (daemon);
-  daemon->targets = control_targets_create (
-      options->target_silent_ms ? options->target_silent_ms
-                                : CACTUS_TARGET_LAPSE_MS);
+  daemon->targets = control_targets_create (options->target_silent_ms
+                                                ? options->target_silent_ms
+                                                : CACTUS_TARGET_LAPSE_MS);
   g_mutex_init (&daemon->mutex);
   control_counters_create (daemon);
   if (open_store (daemon, findings) == 0 && listen_on (daemon, findings) == 0)
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -65,9 +65,8 @@
 void control_daemon_leave (struct control_daemon *daemon, const char *target);
 /** Tells which members there are, for a member that has no log yet; from any
  *  thread. */
-void
-control_daemon_learn (struct control_daemon *daemon,
-                      const struct consensus_configuration *members);
+void control_daemon_learn (struct control_daemon *daemon,
+                           const struct consensus_configuration *members);
 /** The document that this member holds, with its version; NULL when there is
  *  none.  Freed with g_bytes_unref; from any thread. */
 GBytes *control_daemon_document (struct control_daemon *daemon,
--- a/src/control_join.c
+++ b/src/control_join.c
@@ -10,7 +10,7 @@
 #include "base_log.h"
 
 /* Interval of the check while this process is a member, and while it is not.
-   */
+ */
 #define MEMBER_INTERVAL_MS 1000
 #define JOIN_INTERVAL_MS 200
 #define CALL_TIMEOUT_MS 1000
--- a/src/control_lessee.c
+++ b/src/control_lessee.c
@@ -72,10 +72,9 @@
       former.former_free_tokens = free_tokens;
       former.former_tokens_per_s = holding->tokens_per_s;
     }
-  uint64_t most
-      = holding->used_tokens
-        + escrow_allowance (free_tokens, holding->tokens_per_s,
-                            age_ms (lessee->called_ms, wall_ms));
+  uint64_t most = holding->used_tokens
+                  + escrow_allowance (free_tokens, holding->tokens_per_s,
+                                      age_ms (lessee->called_ms, wall_ms));
   uint64_t former_most
       = former.former_used_tokens
         + escrow_allowance (former.former_free_tokens,
@@ -155,7 +154,8 @@
       const struct control_holding_image *from
           = &image->holdings.holdings_val[i];
       *control_lessee_holding (lessee, from->account)
-          = (struct control_holding){ from->leased_tokens, from->used_tokens,
+          = (struct control_holding){ from->leased_tokens,
+                                      from->used_tokens,
                                       from->former_used_tokens,
                                       from->former_free_tokens,
                                       from->tokens_per_s,
--- a/src/control_members.c
+++ b/src/control_members.c
@@ -140,10 +140,9 @@
       view[i].role = member->role;
       view[i].silent_ms
           = consensus_silent_ms (daemon->consensus, member->id, now_ms);
-      view[i].caught_up
-          = consensus_match_index (daemon->consensus, member->id)
-                + CAUGHT_UP_ENTRIES
-            >= commit;
+      view[i].caught_up = consensus_match_index (daemon->consensus, member->id)
+                              + CAUGHT_UP_ENTRIES
+                          >= commit;
     }
   return members->count;
 }
@@ -158,9 +157,9 @@
   if (daemon->options.wanted_voters == 0
       || !consensus_is_ready (daemon->consensus))
     return;
-  enum control_succession_action action = control_succession_decide (
-      view, view_members (daemon, now_ms, view),
-      daemon->options.wanted_voters, &id);
+  enum control_succession_action action
+      = control_succession_decide (view, view_members (daemon, now_ms, view),
+                                   daemon->options.wanted_voters, &id);
   if (action == CONTROL_SUCCESSION_NONE)
     return;
   struct consensus_member member
--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -146,8 +146,8 @@
   line->left_tokens = left_tokens (account);
   line->demand_tokens = account->demand_tokens;
   line->known = account->known;
-  line->recalled = account->short_ms > 0
-                   && wall_ms < account->short_ms + RECALL_MS;
+  line->recalled
+      = account->short_ms > 0 && wall_ms < account->short_ms + RECALL_MS;
 }
 
 static void
@@ -221,8 +221,7 @@
       const struct account *account = find_account (prepaid, name);
       if (holding->sequence == sequence
           || holding->leased_tokens <= holding->used_tokens
-          || account->short_ms == 0
-          || wall_ms >= account->short_ms + RECALL_MS
+          || account->short_ms == 0 || wall_ms >= account->short_ms + RECALL_MS
           || result->lines.lines_len == CONTROL_BATCH_MAX)
         continue;
       struct control_lease_line *line
@@ -333,8 +332,7 @@
     }
   for (u_int i = 0; i < image->lessees.lessees_len; i++)
     {
-      const struct control_lessee_image *from
-          = &image->lessees.lessees_val[i];
+      const struct control_lessee_image *from = &image->lessees.lessees_val[i];
       g_hash_table_replace (prepaid->lessees, g_strdup (from->router),
                             control_lessee_load (from));
     }
--- a/src/control_state.c
+++ b/src/control_state.c
@@ -184,8 +184,7 @@
       outcome->codec = (xdrproc_t)xdr_control_lease_result;
       control_prepaid_lease (state->prepaid,
                              &body->control_command_body_u.lease,
-                             state->wall_ms,
-                             &outcome->result.lease);
+                             state->wall_ms, &outcome->result.lease);
       break;
     }
 }
--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -170,8 +170,7 @@
   GHashTableIter iterator;
   gpointer value;
   uint32_t count = 0;
-  *list
-      = calloc (g_hash_table_size (targets->entries) + 1, sizeof **list);
+  *list = calloc (g_hash_table_size (targets->entries) + 1, sizeof **list);
   g_hash_table_iter_init (&iterator, targets->entries);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
--- a/src/edge.c
+++ b/src/edge.c
@@ -210,8 +210,8 @@
 static uint32_t
 wait_ms (struct loop_state *state)
 {
-  uint32_t limit = state->edge.requests.length > 0 ? SWEEP_INTERVAL_MS
-                                                   : IDLE_WAIT_MS;
+  uint32_t limit
+      = state->edge.requests.length > 0 ? SWEEP_INTERVAL_MS : IDLE_WAIT_MS;
   return MIN (limit, edge_front_wait_ms (state->edge.front));
 }
 
--- a/src/edge_lessee.c
+++ b/src/edge_lessee.c
@@ -50,8 +50,8 @@
     }
   if (result.answer.status != CONTROL_OK)
     base_log (BASE_LOG_ERROR, "lease-refused sequence=%lu status=%d text=%s",
-              (unsigned long)lessee->args.sequence,
-              (int)result.answer.status, result.answer.text);
+              (unsigned long)lessee->args.sequence, (int)result.answer.status,
+              result.answer.text);
   g_mutex_lock (&lessee->mutex);
   lessee->result = result;
   lessee->state = STATE_ANSWERED;
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -147,10 +147,9 @@
         continue;
       base_counter_add (edge->counters.targets_changed, 1);
       base_event ("target-changed target=%s service=%s address=%s:%u state=%d "
-                  "silent=%d born_ms=%" PRIu64 " sequence=%" PRIu64
-                  " from=%s",
-                  target->name, target->service, target->address,
-                  target->port, (int)target->state, (int)target->silent,
+                  "silent=%d born_ms=%" PRIu64 " sequence=%" PRIu64 " from=%s",
+                  target->name, target->service, target->address, target->port,
+                  (int)target->state, (int)target->silent,
                   (uint64_t)target->born_ms, (uint64_t)target->sequence,
                   links->links[news->source]->address);
     }
@@ -323,8 +322,7 @@
 bool
 edge_links_heard (const struct edge_links *links, uint64_t within_ms)
 {
-  return links->heard_ms > 0
-         && edge_now_ms () < links->heard_ms + within_ms;
+  return links->heard_ms > 0 && edge_now_ms () < links->heard_ms + within_ms;
 }
 
 void
--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -312,19 +312,18 @@
   ask->want_tokens
       = ask->returned_tokens > 0 ? 0 : missing_tokens (lease, routers);
   uint64_t spare = free_tokens (lease);
-  ask->need_tokens = lease->smallest_waiting > spare
-                         ? MIN (lease->smallest_waiting - spare,
-                                ask->want_tokens)
-                         : 0;
+  ask->need_tokens
+      = lease->smallest_waiting > spare
+            ? MIN (lease->smallest_waiting - spare, ask->want_tokens)
+            : 0;
   /* What waits is reported as used, so that it may be once that is known. */
-  uint64_t used = lease->reserved_tokens + lease->spent_tokens
-                  + lease->waiting_tokens;
+  uint64_t used
+      = lease->reserved_tokens + lease->spent_tokens + lease->waiting_tokens;
   lease->waiting_tokens = 0;
   lease->smallest_waiting = 0;
   ask->demand_tokens = lease->demand_tokens - lease->told_demand_tokens;
   if (ask->returned_tokens == 0 && ask->want_tokens == 0
-      && ask->demand_tokens == 0
-      && lease->reported_tokens == used)
+      && ask->demand_tokens == 0 && lease->reported_tokens == used)
     return false;
   lease->told_demand_tokens = lease->demand_tokens;
   lease->reported_tokens = used;
--- a/src/edge_prepaid.h
+++ b/src/edge_prepaid.h
@@ -29,11 +29,9 @@
 void edge_prepaid_destroy (struct edge_prepaid *prepaid);
 /** Reserves @p tokens of the account.  @p waited_ms is how long this request
  *  has been waiting; 0 the first time. */
-enum edge_prepaid_outcome edge_prepaid_reserve (struct edge_prepaid *prepaid,
-                                                const char *account,
-                                                uint64_t tokens,
-                                                uint32_t waited_ms,
-                                                uint64_t now_ms);
+enum edge_prepaid_outcome
+edge_prepaid_reserve (struct edge_prepaid *prepaid, const char *account,
+                      uint64_t tokens, uint32_t waited_ms, uint64_t now_ms);
 /** Tokens of the account that could be reserved now. */
 uint64_t edge_prepaid_usable (const struct edge_prepaid *prepaid,
                               const char *account, uint64_t now_ms);
@@ -47,8 +45,9 @@
 /** Whether a call to control is due at once. */
 bool edge_prepaid_is_urgent (const struct edge_prepaid *prepaid);
 /** Fills the asks of the next call, and takes out of the lease what is given
- *  back.  The call is sent again unchanged until it is answered; also an empty one
- *  tells control that this router lives, and that its former run is over.  @p returns_all gives back all that is free. */
+ *  back.  The call is sent again unchanged until it is answered; also an empty
+ * one tells control that this router lives, and that its former run is over.
+ * @p returns_all gives back all that is free. */
 void edge_prepaid_ask (struct edge_prepaid *prepaid, uint64_t now_ms,
                        bool returns_all, struct control_lease_args *args);
 /** Takes the answer to the last call. */
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -31,8 +31,9 @@
 /* Silence inside a stream after which it is resumed elsewhere, in
    milliseconds; callers leave after 2,000 at the earliest. */
 #define GAP_PATIENCE_MS 1200
-/* Part of the grace after a stop in which new requests are served: the balancer
-   notices within two checks, and later ones could be cut off by the end. */
+/* Part of the grace after a stop in which new requests are served: the
+   balancer notices within two checks, and later ones could be cut off by the
+   end. */
 #define STOP_SERVE_PERCENT 28
 
 static bool take_data (struct edge_attempt_user *user, const char *data,
@@ -178,10 +179,9 @@
     return true;
   request->reserved_tokens
       = (uint64_t)request->call.prompt_tokens + request->call.output_tokens;
-  uint32_t waited_ms
-      = request->step == EDGE_STEP_LEASE
-            ? (uint32_t)MAX (now_ms - request->arrived_ms, 1)
-            : 0;
+  uint32_t waited_ms = request->step == EDGE_STEP_LEASE
+                           ? (uint32_t)MAX (now_ms - request->arrived_ms, 1)
+                           : 0;
   switch (edge_prepaid_reserve (edge->prepaid, request->account->name,
                                 request->reserved_tokens, waited_ms, now_ms))
     {
@@ -196,8 +196,8 @@
                     request->head.request_id, request->account->name,
                     request->reserved_tokens,
                     edge_prepaid_free (edge->prepaid, request->account->name),
-                    edge_prepaid_usable (edge->prepaid,
-                                         request->account->name, now_ms),
+                    edge_prepaid_usable (edge->prepaid, request->account->name,
+                                         now_ms),
                     now_ms - edge_prepaid_answered_ms (edge->prepaid));
       if (now_ms > edge_prepaid_answered_ms (edge->prepaid) + CUT_OFF_MS)
         {
@@ -246,8 +246,7 @@
   g_queue_push_tail_link (&edge->requests, &request->link);
   base_counter_add (edge->counters.requests, 1);
   base_counter_set (edge->counters.open, edge->requests.length);
-  if (!may_begin (request) || !find_route (request)
-      || !find_account (request))
+  if (!may_begin (request) || !find_route (request) || !find_account (request))
     return;
   set_limits (request);
   edge_retry_request (edge->retry, request->service->name,
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -60,8 +60,7 @@
   choice->candidates[choice->count++] = (struct place_candidate){
     .name = target->record.name,
     .load = &target->load,
-    .distance
-    = distance_to (request->edge, target->record.availability_zone),
+    .distance = distance_to (request->edge, target->record.availability_zone),
     .slots = target->record.slots,
     .kv_tokens = request->service->kv_tokens,
     .is_silent = edge_target_is_silent (target, edge_now_ms ()),
@@ -75,8 +74,8 @@
 choose (struct choice *choice, uint64_t now_ms, uint64_t random)
 {
   const struct place_call *call = &choice->request->call;
-  int index = place_choose (choice->candidates, choice->count, call, now_ms,
-                            random);
+  int index
+      = place_choose (choice->candidates, choice->count, call, now_ms, random);
   return index >= 0 ? index
                     : place_choose (choice->candidates, choice->count, call,
                                     UINT64_MAX / 2, random);
@@ -252,8 +251,8 @@
 static void
 take_refusal (struct edge_request *request, const struct edge_answer *answer)
 {
-  base_event ("target-refused id=%s target=%s status=%" PRIu32 " running=%"
-              PRIu32,
+  base_event ("target-refused id=%s target=%s status=%" PRIu32
+              " running=%" PRIu32,
               request->head.request_id, request->target->record.name,
               answer->status, request->target->load.running);
   if (answer->status == STATUS_MISDIRECTED)
@@ -337,10 +336,10 @@
   if (send_again (request, reason))
     {
       place_failed (&target->load, now_ms);
-      base_event ("target-silent id=%s target=%s reason=\"%s\" after_ms=%"
-                  PRIu64,
-                  request->head.request_id, target->record.name, reason,
-                  now_ms - sent_ms);
+      base_event (
+          "target-silent id=%s target=%s reason=\"%s\" after_ms=%" PRIu64,
+          request->head.request_id, target->record.name, reason,
+          now_ms - sent_ms);
     }
   edge_target_unref (target);
 }
--- a/src/edge_table.c
+++ b/src/edge_table.c
@@ -60,8 +60,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_route);
   table->accounts
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_account);
-  table->keys
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  table->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return table;
 }
 
@@ -105,8 +104,8 @@
 fold_host (const char *host)
 {
   const char *colon = strrchr (host, ':');
-  char *name = colon ? g_strndup (host, (gsize)(colon - host))
-                     : g_strdup (host);
+  char *name
+      = colon ? g_strndup (host, (gsize)(colon - host)) : g_strdup (host);
   char *folded = g_ascii_strdown (name, -1);
   g_free (name);
   return folded;
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -40,11 +40,10 @@
 bool edge_targets_take (struct edge_targets *targets, uint32_t source,
                         const struct control_target *record, uint64_t now_ms);
 /** The source's word is void: it was lost, or begins anew. */
-void edge_targets_forget_source (struct edge_targets *targets,
-                                 uint32_t source, uint64_t now_ms);
+void edge_targets_forget_source (struct edge_targets *targets, uint32_t source,
+                                 uint64_t now_ms);
 /** Whether no source has heard it for a while. */
-bool edge_target_is_silent (const struct edge_target *target,
-                            uint64_t now_ms);
+bool edge_target_is_silent (const struct edge_target *target, uint64_t now_ms);
 /** Whether new work may go there. */
 bool edge_target_is_open (const struct edge_target *target);
 /** Calls @p visit for each target of the service that new work may go to. */
--- a/src/edge_watcher.c
+++ b/src/edge_watcher.c
@@ -153,8 +153,8 @@
   watcher->shared = shared;
   watcher->source = source;
   watcher->pieces = g_byte_array_new ();
-  watcher->client = wire_client_create (address, port, CONTROL_PROGRAM,
-                                        CONTROL_VERSION);
+  watcher->client
+      = wire_client_create (address, port, CONTROL_PROGRAM, CONTROL_VERSION);
   watcher->thread = g_thread_new ("watch", run, watcher);
   return watcher;
 }
--- a/src/place.c
+++ b/src/place.c
@@ -111,8 +111,8 @@
   uint8_t digest[16];
   uint64_t rank;
   char text[192];
-  int length = g_snprintf (text, sizeof text, "%016lx %s",
-                           (unsigned long)part, name);
+  int length
+      = g_snprintf (text, sizeof text, "%016lx %s", (unsigned long)part, name);
   base_digest (digest, text, (size_t)length);
   memcpy (&rank, digest, sizeof rank);
   return rank;
@@ -149,8 +149,8 @@
 double
 place_faults (const struct place_load *load, uint64_t now_ms)
 {
-  double age_ms = now_ms > load->fault_ms ? (double)(now_ms - load->fault_ms)
-                                          : 0.0;
+  double age_ms
+      = now_ms > load->fault_ms ? (double)(now_ms - load->fault_ms) : 0.0;
   return load->faults * exp2 (-age_ms / FAULT_HALF_LIFE_MS);
 }
 
@@ -321,8 +321,8 @@
 place_unreachable (struct place_load *load, uint64_t now_ms)
 {
   uint32_t doublings = MIN (load->unreachable, 8);
-  uint64_t hold_ms = MIN ((uint64_t)HOLD_FIRST_MS << doublings,
-                          (uint64_t)HOLD_LONGEST_MS);
+  uint64_t hold_ms
+      = MIN ((uint64_t)HOLD_FIRST_MS << doublings, (uint64_t)HOLD_LONGEST_MS);
   load->unreachable++;
   load->hold_until_ms = now_ms + hold_ms;
   place_failed (load, now_ms);
--- a/src/router_poll.c
+++ b/src/router_poll.c
@@ -154,8 +154,7 @@
   if (event->data.u64 & WATCH_MARK)
     {
       uint64_t pointer = event->data.u64 & ~WATCH_MARK;
-      struct router_watch *watch
-          = (struct router_watch *)(uintptr_t)pointer;
+      struct router_watch *watch = (struct router_watch *)(uintptr_t)pointer;
       watch->ready (watch, event->events);
       return;
     }
--- a/src/wire_server.c
+++ b/src/wire_server.c
@@ -81,8 +81,7 @@
   int yes = 1;
   struct sockaddr_in name
       = { .sin_family = AF_INET, .sin_port = htons (port) };
-  int fd
-      = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (fd < 0)
     return -1;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
@@ -161,9 +160,8 @@
   for (guint i = 0; i < server->peers->len; i++)
     {
       const struct peer *peer = server->peers->pdata[i];
-      struct pollfd entry
-          = { .fd = wire_connection_fd (peer->connection),
-              .events = peer->open_call ? POLLRDHUP : POLLIN };
+      struct pollfd entry = { .fd = wire_connection_fd (peer->connection),
+                              .events = peer->open_call ? POLLRDHUP : POLLIN };
       if (wire_connection_wants_write (peer->connection))
         entry.events |= POLLOUT;
       g_array_append_val (server->poll_set, entry);
@@ -332,9 +330,9 @@
 wire_server_round (struct wire_server *server, uint32_t wait_ms)
 {
   fill_poll_set (server);
-  int ready = poll ((struct pollfd *)server->poll_set->data,
-                    server->poll_set->len,
-                    server->has_work ? 0 : (int)wait_ms);
+  int ready
+      = poll ((struct pollfd *)server->poll_set->data, server->poll_set->len,
+              server->has_work ? 0 : (int)wait_ms);
   server->has_work = false;
   if (ready > 0)
     serve_ready (server);
--- a/tests/test_edge_events.c
+++ b/tests/test_edge_events.c
@@ -44,8 +44,7 @@
   g_assert_false (edge_events_partial (events));
   g_assert_cmpint (edge_events_feed (events, second, strlen (second), out), ==,
                    1);
-  g_assert_cmpstr (out->str, ==,
-                   "id: 4\ndata: a\n\nid: 5\ndata: half\n\n");
+  g_assert_cmpstr (out->str, ==, "id: 4\ndata: a\n\nid: 5\ndata: half\n\n");
   edge_events_destroy (events);
   g_string_free (out, TRUE);
 }
--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -156,8 +156,7 @@
     world->served_tokens += router->reserved[--router->open];
   edge_prepaid_destroy (router->prepaid);
   router->is_dead = true;
-  router->starts_ms
-      = world->now_ms + base_random_below (&world->random, 4000);
+  router->starts_ms = world->now_ms + base_random_below (&world->random, 4000);
 }
 
 static void
--- a/tests/test_edge_retry.c
+++ b/tests/test_edge_retry.c
@@ -45,8 +45,7 @@
     {
       uint32_t in_window[2] = { 0, 0 };
       for (guint i = 0; i < sends->len; i++)
-        in_window[0]
-            += g_array_index (sends, uint64_t, i) - start_ms < 10000;
+        in_window[0] += g_array_index (sends, uint64_t, i) - start_ms < 10000;
       for (guint i = 0; i < requests->len; i++)
         in_window[1]
             += g_array_index (requests, uint64_t, i) - start_ms < 10000;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -30,8 +30,7 @@
 read_config (const char *timeout, const char *service, const char *weight,
              const char *prefix, const char *key, char *place, size_t bytes)
 {
-  char *text
-      = g_strdup_printf (CONFIG, timeout, service, weight, prefix, key);
+  char *text = g_strdup_printf (CONFIG, timeout, service, weight, prefix, key);
   struct base_findings *findings = base_findings_create ();
   struct platform_config *config
       = platform_config_read (text, strlen (text), findings);
@@ -57,8 +56,7 @@
   g_assert_cmpuint (route->timeout_ms, ==, 15000);
   g_assert_cmpuint (route->share_count, ==, 2);
   g_assert_cmpuint (route->shares[0].service->tokens_per_event, ==, 5);
-  const struct edge_account *account
-      = edge_table_account_by_key (table, "k2");
+  const struct edge_account *account = edge_table_account_by_key (table, "k2");
   g_assert_cmpstr (account->name, ==, "t1");
   g_assert_true (account->is_prepaid);
   g_assert_cmpuint (account->prepaid_tokens, ==, 1000);
@@ -135,12 +133,12 @@
   g_assert_false (read_beat (
       "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
       "\"slots\":64,\"state\":\"ready\",\"seq\":4,\"born\":1.5}"));
-  g_assert_false (read_beat (
-      "{\"service\":5,\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
-      "\"slots\":64,\"state\":\"ready\",\"seq\":4}"));
-  g_assert_false (read_beat (
-      "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
-      "\"slots\":64,\"state\":\"ready\",\"seq\":4}"));
+  g_assert_false (
+      read_beat ("{\"service\":5,\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+                 "\"slots\":64,\"state\":\"ready\",\"seq\":4}"));
+  g_assert_false (
+      read_beat ("{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+                 "\"slots\":64,\"state\":\"ready\",\"seq\":4}"));
   g_assert_false (read_beat ("{\"service\":\"s\""));
 }
 
@@ -211,8 +209,7 @@
   g_assert_cmpint (fd, >=, 0);
   g_close (fd, NULL);
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
-  struct platform_settings *settings
-      = platform_settings_read (path, findings);
+  struct platform_settings *settings = platform_settings_read (path, findings);
   g_unlink (path);
   g_free (path);
   return settings;
