--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -85,14 +85,13 @@
 {
   struct edge_attempt *attempt = context;
   size_t bytes = size * count;
-  if (attempt->answer.is_foreign || !attempt->answer.is_echoed)
-    attempt->bad = true;
-  else if (attempt->answer.is_stream && is_success (attempt))
+  bool is_ours = attempt->answer.is_echoed && !attempt->answer.is_foreign;
+  if (is_ours && attempt->answer.is_stream && is_success (attempt))
     attempt->bad = !attempt->user->data (attempt->user, data, bytes);
-  else if (attempt->body->len + bytes > BODY_MAX_BYTES)
-    attempt->bad = true;
-  else
+  else if (is_ours && attempt->body->len + bytes <= BODY_MAX_BYTES)
     g_string_append_len (attempt->body, data, (gssize)bytes);
+  else
+    attempt->bad = true;
   return attempt->bad ? 0 : bytes;
 }
 
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -68,16 +68,18 @@
           uint64_t now_ms)
 {
   struct link *link = find_link (links, address, port);
-  for (uint32_t i = 0; !link && i < EDGE_SOURCES_MAX; i++)
+  uint32_t source = 0;
+  while (source < EDGE_SOURCES_MAX && links->links[source])
+    source++;
+  if (!link && source < EDGE_SOURCES_MAX)
     {
-      if (links->links[i])
-        continue;
       link = g_new0 (struct link, 1);
       g_strlcpy (link->address, address, sizeof link->address);
       link->port = port;
       link->heard_ms = now_ms;
-      links->links[i] = link;
-      link->watcher = edge_watcher_create (&links->shared, i, address, port);
+      links->links[source] = link;
+      link->watcher
+          = edge_watcher_create (&links->shared, source, address, port);
       edge_lessee_add_member (links->lessee, address, port);
       base_event ("member-watched address=%s:%u", address, (unsigned)port);
     }
