--- a/src/edge_answer.c
+++ b/src/edge_answer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base_event.h"
+#include "edge_front.h"
 #include "edge_settle.h"
 
 #define STATUS_UNAVAILABLE 503
@@ -55,6 +56,15 @@
               table ? edge_table_version (table) : 0);
 }
 
+/* Hands the answer to the server, which is run with this round. */
+static void
+give_answer (struct edge_request *request, uint32_t status,
+             struct MHD_Response *response)
+{
+  router_stream_answer (&request->stream, status, response);
+  edge_front_touch (request->edge->front);
+}
+
 static void
 count_served (const struct edge_request *request)
 {
@@ -89,7 +99,7 @@
                              : request->edge->counters.failed,
                     1);
   log_over (request, status, promises ? "refused" : "failed", reason);
-  router_stream_answer (&request->stream, status, response);
+  give_answer (request, status, response);
   edge_settle_close (request);
 }
 
@@ -104,7 +114,7 @@
   add_connection (request, response);
   count_served (request);
   log_over (request, answer->status, "answered", "-");
-  router_stream_answer (&request->stream, answer->status, response);
+  give_answer (request, answer->status, response);
   edge_settle_close (request);
 }
 
@@ -119,7 +129,7 @@
   base_histogram_record (
       request->edge->counters.first_us[request->route->kind],
       1000 * (edge_now_ms () - request->arrived_ms));
-  router_stream_answer (&request->stream, answer->status, response);
+  give_answer (request, answer->status, response);
 }
 
 void
@@ -131,5 +141,6 @@
     count_served (request);
   log_over (request, MHD_HTTP_OK, cut ? "cut" : "streamed", reason);
   router_stream_end (&request->stream, cut);
+  edge_front_touch (request->edge->front);
   edge_settle_close (request);
 }
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -294,7 +294,6 @@
 {
   struct edge_request *request = (struct edge_request *)user;
   edge_send_done (request, outcome);
-  edge_front_touch (request->edge->front);
 }
 
 static void
@@ -354,7 +353,6 @@
   else
     edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE,
                         LEASE_RETRY_AFTER_MS, "the deadline passed unsent");
-  edge_front_touch (request->edge->front);
 }
 
 /* A target that took the request and is silent. */
@@ -390,7 +388,6 @@
       edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE,
                           LEASE_RETRY_AFTER_MS,
                           "control does not lease tokens now");
-      edge_front_touch (request->edge->front);
       return;
     }
   if (request->step == EDGE_STEP_LEASE
@@ -405,8 +402,5 @@
     return;
   const char *reason = find_silence (request, now_ms);
   if (reason)
-    {
-      edge_send_abandon (request, reason);
-      edge_front_touch (request->edge->front);
-    }
+    edge_send_abandon (request, reason);
 }
--- /dev/null
+++ b/tools/platform_rig.c
@@ -0,0 +1,224 @@
+#include "platform_rig.h"
+
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "tool_folder.h"
+
+#define HOST "h.example"
+#define CALL_TIMEOUT_MS 15000L
+#define WAIT_STEPS 200
+#define WAIT_STEP_US 50000
+
+static void
+core_address (uint32_t core, char address[16])
+{
+  g_snprintf (address, 16, "127.0.0.%u", core + 2);
+}
+
+/* Writes a settings file as the deploy template has it. */
+static char *
+write_settings (struct platform_rig *rig, const char *name,
+                const char *address, uint16_t rpc_port, const char *listen)
+{
+  char *path = g_strdup_printf ("%s/%s.settings", rig->folder, name);
+  char *data = g_strdup_printf ("%s/%s", rig->folder, name);
+  char *text = g_strdup_printf (
+      "[process]\nhost=%s\naddress=%s\navailability-zone=z1\nregion=r1\n"
+      "bootstrap=true\ndata-dir=%s\nfirst-port=%u\nlast-port=%u\n"
+      "members=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1\nannounce-ms=1000\n"
+      "tolerated-hosts=1\n[listen]\n%s[limits]\ngrace-s=8\n"
+      "retry-ratio=0.5\nretry-window-s=10\nretry-slack=100\n"
+      "[regions]\nz1=r1\n",
+      name, address, data, (unsigned)rpc_port, (unsigned)rpc_port + 9, listen);
+  g_mkdir_with_parents (data, 0700);
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  g_free (text);
+  g_free (data);
+  return path;
+}
+
+static struct fleet_process *
+start (struct platform_rig *rig, const char *name, const char *program,
+       char *settings)
+{
+  const char *const arguments[] = { settings, NULL };
+  struct fleet_process *process
+      = fleet_process_create (name, program, arguments, rig->folder);
+  g_assert_cmpint (fleet_process_start (process), ==, 0);
+  g_free (settings);
+  return process;
+}
+
+struct platform_rig *
+platform_rig_create (void)
+{
+  char address[16];
+  char name[16];
+  struct platform_rig *rig = g_new0 (struct platform_rig, 1);
+  rig->folder = g_dir_make_tmp ("platform-XXXXXX", NULL);
+  uint16_t rpc_port = fleet_free_port ("127.0.0.2");
+  rig->control_port = fleet_free_port ("127.0.0.2");
+  rig->callers_port = fleet_free_port ("127.0.0.1");
+  rig->ready_port = fleet_free_port ("127.0.0.1");
+  for (uint32_t i = 0; i < PLATFORM_RIG_CORES; i++)
+    {
+      core_address (i, address);
+      g_snprintf (name, sizeof name, "core-%u", i);
+      char *listen = g_strdup_printf ("control=%s:%u\n", address,
+                                      (unsigned)rig->control_port);
+      rig->cores[i]
+          = start (rig, name, "cactus-core",
+                   write_settings (rig, name, address, rpc_port, listen));
+      g_free (listen);
+    }
+  char *listen = g_strdup_printf ("callers=127.0.0.1:%u\nready=127.0.0.1:%u\n",
+                                  (unsigned)rig->callers_port,
+                                  (unsigned)rig->ready_port);
+  rig->entry
+      = start (rig, "entry", "cactus-entry",
+               write_settings (rig, "entry", "127.0.0.1", rpc_port, listen));
+  g_free (listen);
+  return rig;
+}
+
+void
+platform_rig_destroy (struct platform_rig *rig)
+{
+  fleet_process_destroy (rig->entry);
+  for (uint32_t i = 0; i < PLATFORM_RIG_CORES; i++)
+    fleet_process_destroy (rig->cores[i]);
+  tool_folder_remove (rig->folder);
+  g_free (rig->folder);
+  g_free (rig);
+}
+
+static size_t
+append (char *data, size_t size, size_t count, void *context)
+{
+  g_string_append_len (context, data, (gssize)(size * count));
+  return size * count;
+}
+
+struct platform_reply
+platform_rig_call (const char *method, const char *url, const char *body,
+                   const char *const *lines)
+{
+  struct platform_reply reply
+      = { .head = g_string_new (NULL), .body = g_string_new (NULL) };
+  struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
+  CURL *easy = curl_easy_init ();
+  for (; lines && *lines; lines++)
+    headers = curl_slist_append (headers, *lines);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  if (body)
+    curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, body);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, append);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, reply.head);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, reply.body);
+  reply.whole = curl_easy_perform (easy) == CURLE_OK;
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &reply.status);
+  curl_easy_cleanup (easy);
+  curl_slist_free_all (headers);
+  return reply;
+}
+
+void
+platform_reply_clear (struct platform_reply *reply)
+{
+  g_string_free (reply->head, TRUE);
+  g_string_free (reply->body, TRUE);
+}
+
+long
+platform_rig_control (struct platform_rig *rig, uint32_t core,
+                      const char *method, const char *path, const char *body)
+{
+  char address[16];
+  core_address (core, address);
+  char *url = g_strdup_printf ("http://%s:%u%s", address,
+                               (unsigned)rig->control_port, path);
+  struct platform_reply reply = platform_rig_call (method, url, body, NULL);
+  long status = reply.whole ? reply.status : 0;
+  platform_reply_clear (&reply);
+  g_free (url);
+  return status;
+}
+
+void
+platform_rig_configure (struct platform_rig *rig, const char *body)
+{
+  long status = 0;
+  for (uint32_t i = 0; status != 200 && i < WAIT_STEPS; i++)
+    {
+      status = platform_rig_control (rig, i % PLATFORM_RIG_CORES, "PUT",
+                                     "/v1/config", body);
+      if (status != 200)
+        g_usleep (WAIT_STEP_US);
+    }
+  g_assert_cmpint (status, ==, 200);
+}
+
+void
+platform_rig_announce (struct platform_rig *rig, const char *id,
+                       const char *service, uint16_t port, const char *state,
+                       uint32_t sequence)
+{
+  char *path = g_strdup_printf ("/v1/replicas/%s", id);
+  char *body = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
+      "\"slots\":8,\"state\":\"%s\",\"seq\":%u,\"born\":5}",
+      service, (unsigned)port, state, sequence);
+  g_assert_cmpint (platform_rig_control (rig, 0, "PUT", path, body), ==, 200);
+  g_free (body);
+  g_free (path);
+}
+
+struct platform_reply
+platform_rig_request (struct platform_rig *rig, const char *path,
+                      const char *key, const char *tokens)
+{
+  static uint32_t number;
+  char *url = g_strdup_printf ("http://127.0.0.1:%u%s",
+                               (unsigned)rig->callers_port, path);
+  char *id = g_strdup_printf ("X-Request-Id: r%u", ++number);
+  char *credential = g_strdup_printf ("X-Credential: %s", key);
+  char *count = g_strdup_printf ("X-Token-Count: %s", tokens ? tokens : "0,0");
+  const char *const lines[] = { "Host: " HOST,
+                                "X-Deadline-Ms: 9000",
+                                "X-Tenant: forged",
+                                id,
+                                credential,
+                                count,
+                                NULL };
+  struct platform_reply reply = platform_rig_call ("POST", url, "abc", lines);
+  g_free (count);
+  g_free (credential);
+  g_free (id);
+  g_free (url);
+  return reply;
+}
+
+bool
+platform_rig_wait (struct platform_rig *rig, const char *path, const char *key,
+                   long status)
+{
+  for (uint32_t i = 0; i < WAIT_STEPS; i++)
+    {
+      struct platform_reply reply
+          = platform_rig_request (rig, path, key, NULL);
+      bool found = reply.whole && reply.status == status;
+      platform_reply_clear (&reply);
+      if (found)
+        return true;
+      g_usleep (WAIT_STEP_US);
+    }
+  return false;
+}
--- /dev/null
+++ b/tools/platform_target.c
@@ -0,0 +1,209 @@
+#include "platform_target.h"
+
+#include <arpa/inet.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include <glib.h>
+#include <microhttpd.h>
+
+/* Events of a whole stream, of which the broken one gives less. */
+#define EVENTS 5
+#define BREAK_AFTER 2
+#define BLOCK_BYTES 512
+
+struct platform_target
+{
+  char *id;
+  struct MHD_Daemon *daemon;
+  _Atomic int mode;
+  atomic_uint pause_ms;
+  atomic_uint runs;
+  GMutex mutex;
+  /* Headers of the last request, by name in lower case. */
+  GHashTable *headers;
+};
+
+/* A stream on its way. */
+struct stream
+{
+  struct platform_target *target;
+  uint32_t next;
+  bool breaks;
+};
+
+static enum MHD_Result
+take_line (void *context, enum MHD_ValueKind kind, const char *name,
+           const char *value)
+{
+  struct platform_target *target = context;
+  (void)kind;
+  g_hash_table_replace (target->headers, g_ascii_strdown (name, -1),
+                        g_strdup (value));
+  return MHD_YES;
+}
+
+static ssize_t
+give_events (void *context, uint64_t position, char *buffer, size_t limit)
+{
+  struct stream *stream = context;
+  (void)position;
+  if (stream->next > EVENTS)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (stream->breaks && stream->next > BREAK_AFTER + 1)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  g_usleep (1000 * atomic_load (&stream->target->pause_ms));
+  bool half = stream->breaks && stream->next == BREAK_AFTER + 1;
+  int bytes = g_snprintf (buffer, limit, "id: %u\ndata: %s", stream->next,
+                          half ? "ha" : "half\n\n");
+  stream->next++;
+  return bytes;
+}
+
+static enum MHD_Result
+send_response (struct platform_target *target,
+               struct MHD_Connection *connection, unsigned int status,
+               struct MHD_Response *response)
+{
+  char *id = platform_target_header (target, "X-Request-Id");
+  MHD_add_response_header (response, "X-Request-Id", id ? id : "");
+  MHD_add_response_header (response, "X-Replica-Signature", target->id);
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  g_free (id);
+  return result;
+}
+
+static enum MHD_Result
+answer_text (struct platform_target *target, struct MHD_Connection *connection,
+             unsigned int status, const char *text)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
+  if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+    MHD_add_response_header (response, "X-Not-Executed", "1");
+  return send_response (target, connection, status, response);
+}
+
+static enum MHD_Result
+answer_stream (struct platform_target *target,
+               struct MHD_Connection *connection, bool breaks)
+{
+  struct stream *stream = g_new0 (struct stream, 1);
+  char *last = platform_target_header (target, "Last-Event-Id");
+  stream->target = target;
+  stream->next = last ? (uint32_t)g_ascii_strtoull (last, NULL, 10) + 1 : 1;
+  stream->breaks = breaks;
+  g_free (last);
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, BLOCK_BYTES, give_events, stream, g_free);
+  MHD_add_response_header (response, "Content-Type", "text/event-stream");
+  return send_response (target, connection, MHD_HTTP_OK, response);
+}
+
+static enum MHD_Result
+answer (struct platform_target *target, struct MHD_Connection *connection,
+        bool is_stream)
+{
+  int mode = atomic_load (&target->mode);
+  if (mode == PLATFORM_TARGET_FULL)
+    return answer_text (target, connection, MHD_HTTP_SERVICE_UNAVAILABLE, "");
+  atomic_fetch_add (&target->runs, 1);
+  if (mode == PLATFORM_TARGET_LOSE)
+    return MHD_NO;
+  if (mode == PLATFORM_TARGET_FAIL)
+    return answer_text (target, connection, MHD_HTTP_INTERNAL_SERVER_ERROR,
+                        "failed");
+  if (is_stream)
+    return answer_stream (target, connection, mode == PLATFORM_TARGET_BREAK);
+  return answer_text (target, connection, MHD_HTTP_OK, target->id);
+}
+
+static enum MHD_Result
+handle (void *context, struct MHD_Connection *connection, const char *url,
+        const char *method, const char *version, const char *upload,
+        size_t *upload_bytes, void **state)
+{
+  struct platform_target *target = context;
+  (void)method;
+  (void)version;
+  (void)upload;
+  if (!*state)
+    {
+      *state = target;
+      return MHD_YES;
+    }
+  if (*upload_bytes > 0)
+    {
+      *upload_bytes = 0;
+      return MHD_YES;
+    }
+  g_mutex_lock (&target->mutex);
+  g_hash_table_remove_all (target->headers);
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, take_line, target);
+  g_mutex_unlock (&target->mutex);
+  return answer (target, connection, strstr (url, "stream") != NULL);
+}
+
+struct platform_target *
+platform_target_create (const char *id)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct platform_target *target = g_new0 (struct platform_target, 1);
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  target->id = g_strdup (id);
+  g_mutex_init (&target->mutex);
+  target->headers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  target->daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
+      NULL, handle, target, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_END);
+  g_assert_nonnull (target->daemon);
+  return target;
+}
+
+void
+platform_target_destroy (struct platform_target *target)
+{
+  MHD_stop_daemon (target->daemon);
+  g_hash_table_unref (target->headers);
+  g_mutex_clear (&target->mutex);
+  g_free (target->id);
+  g_free (target);
+}
+
+uint16_t
+platform_target_port (const struct platform_target *target)
+{
+  return MHD_get_daemon_info (target->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void
+platform_target_set (struct platform_target *target,
+                     enum platform_target_mode mode)
+{
+  atomic_store (&target->mode, (int)mode);
+}
+
+void
+platform_target_set_pause (struct platform_target *target, uint32_t pause_ms)
+{
+  atomic_store (&target->pause_ms, pause_ms);
+}
+
+uint32_t
+platform_target_runs (struct platform_target *target)
+{
+  return atomic_load (&target->runs);
+}
+
+char *
+platform_target_header (struct platform_target *target, const char *name)
+{
+  char *key = g_ascii_strdown (name, -1);
+  g_mutex_lock (&target->mutex);
+  char *value = g_strdup (g_hash_table_lookup (target->headers, key));
+  g_mutex_unlock (&target->mutex);
+  g_free (key);
+  return value;
+}
