Share leases by recent demand and by what is unspent; recall no more than is lacked

Control now adds up what is used and asked for, a router holds its share of what is unspent, and a recall names what is lacked.

--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -20,8 +20,13 @@
   uint64_t leased_tokens;
   /* Asked for by callers at all routers so far. */
   uint64_t demand_tokens;
-  /* When a router last got less than it needed. */
+  /* Used by the routers' reports, with what died with a router. */
+  uint64_t used_tokens;
+  /* Recent demand at all routers. */
+  uint64_t tokens_per_s;
+  /* When a router last got less than it needed, and what it lacked. */
   uint64_t short_ms;
+  uint64_t short_tokens;
   /* Named by the configuration in force. */
   bool known;
 };
@@ -113,7 +118,10 @@
   else if (left >= ask->need_tokens)
     granted = MAX (ask->need_tokens, left / 2);
   if (granted < ask->need_tokens)
-    account->short_ms = wall_ms;
+    {
+      account->short_ms = wall_ms;
+      account->short_tokens = ask->need_tokens - left;
+    }
   account->leased_tokens += granted;
   return granted;
 }
@@ -129,8 +137,13 @@
       = holding->leased_tokens
         - MIN (holding->used_tokens, holding->leased_tokens);
   holding->former_tokens_per_s = holding->tokens_per_s;
+  account->tokens_per_s += ask->tokens_per_s;
+  account->tokens_per_s -= MIN (holding->tokens_per_s, account->tokens_per_s);
   holding->tokens_per_s = ask->tokens_per_s;
   holding->sequence = sequence;
+  /* Reservations that end may have used less than was reported. */
+  account->used_tokens += ask->used_tokens;
+  account->used_tokens -= MIN (holding->used_tokens, account->used_tokens);
   holding->used_tokens = ask->used_tokens;
   holding->leased_tokens -= returned;
   account->leased_tokens -= MIN (returned, account->leased_tokens);
@@ -145,9 +158,16 @@
   line->total_tokens = account->total_tokens;
   line->left_tokens = left_tokens (account);
   line->demand_tokens = account->demand_tokens;
+  line->tokens_per_s = account->tokens_per_s;
   line->known = account->known;
-  line->recalled
-      = account->short_ms > 0 && wall_ms < account->short_ms + RECALL_MS;
+  line->unspent_tokens
+      = account->total_tokens
+        - MIN (account->used_tokens, account->total_tokens);
+  if (account->short_ms > 0 && wall_ms < account->short_ms + RECALL_MS)
+    {
+      line->recalled_tokens = account->short_tokens;
+      line->recall_id = account->short_ms;
+    }
 }
 
 static void
@@ -187,6 +207,10 @@
                 (unsigned long)holding->tokens_per_s,
                 (long)(wall_ms - lessee->called_ms));
       account->leased_tokens -= MIN (unused, account->leased_tokens);
+      account->tokens_per_s
+          -= MIN (holding->tokens_per_s, account->tokens_per_s);
+      account->used_tokens += holding->leased_tokens - unused;
+      account->used_tokens -= MIN (holding->used_tokens, account->used_tokens);
     }
 }
 
@@ -299,7 +323,10 @@
       to->total_tokens = account->total_tokens;
       to->leased_tokens = account->leased_tokens;
       to->demand_tokens = account->demand_tokens;
+      to->used_tokens = account->used_tokens;
+      to->tokens_per_s = account->tokens_per_s;
       to->short_ms = account->short_ms;
+      to->short_tokens = account->short_tokens;
       to->known = account->known;
     }
   i = 0;
@@ -327,7 +354,10 @@
       account->total_tokens = from->total_tokens;
       account->leased_tokens = from->leased_tokens;
       account->demand_tokens = from->demand_tokens;
+      account->used_tokens = from->used_tokens;
+      account->tokens_per_s = from->tokens_per_s;
       account->short_ms = from->short_ms;
+      account->short_tokens = from->short_tokens;
       account->known = from->known;
     }
   for (u_int i = 0; i < image->lessees.lessees_len; i++)
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -264,11 +264,14 @@
       base_event ("lease account=%s granted_tokens=%" PRIu64
                   " left_tokens=%" PRIu64 " total_tokens=%" PRIu64
                   " free_tokens=%" PRIu64 " reserved_tokens=%" PRIu64
-                  " spent_tokens=%" PRIu64 " recalled=%d sequence=%" PRIu64,
+                  " spent_tokens=%" PRIu64 " unspent_tokens=%" PRIu64
+                  " recalled_tokens=%" PRIu64 " sequence=%" PRIu64,
                   line->account, (uint64_t)line->granted_tokens,
                   (uint64_t)line->left_tokens, (uint64_t)line->total_tokens,
                   edge_prepaid_free (edge->prepaid, line->account), reserved,
-                  spent, (int)line->recalled, (uint64_t)result.sequence);
+                  spent, (uint64_t)line->unspent_tokens,
+                  (uint64_t)line->recalled_tokens,
+                  (uint64_t)result.sequence);
     }
   edge_prepaid_take (edge->prepaid, &result, now_ms);
   xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -24,12 +24,12 @@
 /* Part of the former rate that a window's end keeps. */
 #define RATE_KEPT 0.6
 /* Requests of the largest recent size that a lease covers at least. */
-#define AHEAD_REQUESTS 2
+#define AHEAD_REQUESTS 1
 /* A lease above this many times its aim is trimmed to the aim. */
 #define SURPLUS_FACTOR 1.5
-/* An account with less than this part of its total left is scarce, as one that
-   control recalls: routers keep only what they need at once. */
-#define SCARCE_PART 100
+/* An account with less than this part of its total unspent is scarce: routers
+   keep only what they need at once. */
+#define SCARCE_PART 32
 /* Demand that a lease of a scarce account covers, in milliseconds: an interval
    of calls. */
 #define SCARCE_KEEP_MS 300
@@ -56,6 +56,10 @@
   bool is_scarce;
   uint64_t scarce_since_ms;
   uint64_t left_tokens;
+  uint64_t unspent_tokens;
+  uint64_t recalled_tokens;
+  uint64_t recall_id;
+  uint64_t followed_recall_id;
   uint64_t total_tokens;
   uint64_t told_ms;
   /* Demand here so far, the part that control knows of, and that of all
@@ -63,6 +67,7 @@
   uint64_t demand_tokens;
   uint64_t told_demand_tokens;
   uint64_t all_demand_tokens;
+  uint64_t all_tokens_per_s;
   /* Part of the call that is under way. */
   bool in_call;
   /* Used when the call was made. */
@@ -166,15 +171,18 @@
   lease->largest_tokens = MAX (lease->largest_tokens, tokens);
 }
 
-/* This router's part of the account's demand so far; an equal part before
-   there is much of it. */
+/* This router's part of the account's demand, as the mean of its parts so far
+   and of late; an equal part before there is much of it. */
 static double
 demand_share (const struct lease *lease, uint32_t routers)
 {
   double mixed = (double)lease->total_tokens / DEMAND_MIXED_PART;
   double all = (double)MAX (lease->all_demand_tokens, lease->demand_tokens);
-  return ((double)lease->demand_tokens + mixed / routers)
-         / (all + mixed + 1.0);
+  double so_far = ((double)lease->demand_tokens + mixed / routers)
+                  / (all + mixed + 1.0);
+  double rate = lease->tokens_per_ms * 1000.0;
+  double all_rate = MAX ((double)lease->all_tokens_per_s, rate);
+  return all_rate > 0.0 ? (so_far + rate / all_rate) / 2.0 : so_far;
 }
 
 /* Tokens that callers ask for in a millisecond. */
@@ -192,9 +200,8 @@
   double rate = demand_rate (lease);
   double least
       = rate * AHEAD_MS + (double)(AHEAD_REQUESTS * lease->largest_tokens);
-  double held = HELD_SHARE
-                * (demand_share (lease, routers) * (double)lease->left_tokens
-                   + (double)free_tokens (lease));
+  double held = HELD_SHARE * demand_share (lease, routers)
+                * (double)lease->unspent_tokens;
   return (uint64_t)MAX (least, held);
 }
 
@@ -205,12 +212,16 @@
   return lease->is_scarce && tokens > free_tokens (lease) + lease->left_tokens;
 }
 
-/* Control has been short for long enough for all routers to give back what
-   they don't need. */
+/* The whole account has too little unspent, or has been scarce for long enough
+   for all routers to have given back what they don't need. */
 static bool
 is_exhausted (const struct lease *lease, uint64_t tokens, uint64_t now_ms)
 {
-  return is_short (lease, tokens) && now_ms < lease->told_ms + WORD_LIFE_MS
+  if (now_ms >= lease->told_ms + WORD_LIFE_MS)
+    return false;
+  if (tokens > lease->unspent_tokens)
+    return true;
+  return is_short (lease, tokens)
          && now_ms >= lease->scarce_since_ms + RECALL_WAIT_MS;
 }
 
@@ -285,11 +296,12 @@
     return 0;
   if (returns_all)
     return spare;
+  uint64_t keep = (uint64_t)(lease->tokens_per_ms * SCARCE_KEEP_MS);
   if (lease->is_scarce)
-    {
-      uint64_t keep = (uint64_t)(lease->tokens_per_ms * SCARCE_KEEP_MS);
-      return spare > keep ? spare - keep : 0;
-    }
+    return spare > keep ? spare - keep : 0;
+  if (lease->recalled_tokens > 0
+      && lease->recall_id != lease->followed_recall_id)
+    return MIN (MAX (lease->recalled_tokens, spare / 8), spare / 2);
   return (double)spare > SURPLUS_FACTOR * (double)aim ? spare - aim : 0;
 }
 
@@ -304,11 +316,21 @@
   return wanted > spare ? wanted - spare : 0;
 }
 
+/* Smoothed demand in tokens a second. */
+static uint64_t
+reported_rate (const struct lease *lease)
+{
+  double rate = lease->tokens_per_ms > 0.0 ? lease->tokens_per_ms
+                                           : demand_rate (lease);
+  return (uint64_t)(1000.0 * rate);
+}
+
 static bool
 fill_ask (struct lease *lease, uint32_t routers, bool returns_all,
           struct control_lease_ask *ask)
 {
   ask->returned_tokens = surplus_tokens (lease, routers, returns_all);
+  lease->followed_recall_id = lease->recall_id;
   ask->want_tokens
       = ask->returned_tokens > 0 ? 0 : missing_tokens (lease, routers);
   uint64_t spare = free_tokens (lease);
@@ -323,15 +345,13 @@
   lease->smallest_waiting = 0;
   ask->demand_tokens = lease->demand_tokens - lease->told_demand_tokens;
   if (ask->returned_tokens == 0 && ask->want_tokens == 0
-      && ask->demand_tokens == 0 && lease->reported_tokens == used)
+      && ask->demand_tokens == 0 && lease->reported_tokens == used
+      && lease->reported_tokens_per_s == reported_rate (lease))
     return false;
   lease->told_demand_tokens = lease->demand_tokens;
   lease->reported_tokens = used;
   ask->used_tokens = lease->reported_tokens;
-  lease->reported_tokens_per_s
-      = (uint64_t)(1000.0
-                   * (lease->tokens_per_ms > 0.0 ? lease->tokens_per_ms
-                                                 : demand_rate (lease)));
+  lease->reported_tokens_per_s = reported_rate (lease);
   ask->tokens_per_s = lease->reported_tokens_per_s;
   ask->account = strdup (lease->name);
   lease->leased_tokens -= ask->returned_tokens;
@@ -394,12 +414,15 @@
         take_grant (lease, line);
       lease->left_tokens = line->left_tokens;
       lease->all_demand_tokens = line->demand_tokens;
+      lease->all_tokens_per_s = line->tokens_per_s;
       lease->total_tokens = line->total_tokens;
       lease->told_ms = now_ms;
       bool is_scarce
-          = line->recalled
-            || (line->known
-                && line->left_tokens < line->total_tokens / SCARCE_PART);
+          = line->known
+            && line->unspent_tokens < line->total_tokens / SCARCE_PART;
+      lease->unspent_tokens = line->unspent_tokens;
+      lease->recalled_tokens = line->recalled_tokens;
+      lease->recall_id = line->recall_id;
       if (is_scarce && !lease->is_scarce)
         lease->scarce_since_ms = now_ms;
       lease->is_scarce = is_scarce;
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -392,8 +392,11 @@
 	u_quad_t total_tokens;
 	u_quad_t left_tokens;
 	u_quad_t demand_tokens;
+	u_quad_t tokens_per_s;
 	bool_t known;
-	bool_t recalled;
+	u_quad_t unspent_tokens;
+	u_quad_t recalled_tokens;
+	u_quad_t recall_id;
 	bool_t notice;
 };
 typedef struct control_lease_line control_lease_line;
@@ -546,7 +549,10 @@
 	u_quad_t total_tokens;
 	u_quad_t leased_tokens;
 	u_quad_t demand_tokens;
+	u_quad_t used_tokens;
+	u_quad_t tokens_per_s;
 	u_quad_t short_ms;
+	u_quad_t short_tokens;
 	bool_t known;
 };
 typedef struct control_prepaid_image control_prepaid_image;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -367,8 +367,11 @@
   unsigned hyper total_tokens;   /* prepaid; 0 with known false */
   unsigned hyper left_tokens;    /* not leased to any router */
   unsigned hyper demand_tokens;  /* of all routers so far */
+  unsigned hyper tokens_per_s;   /* recent demand of all routers */
   bool known;
-  bool recalled;                 /* a router lacks what others hold */
+  unsigned hyper unspent_tokens; /* not used by any router, as reported */
+  unsigned hyper recalled_tokens;/* a router lacks these, others hold them */
+  unsigned hyper recall_id;      /* each recall is followed once */
   bool notice;                   /* not asked for: only tells of the recall */
 };
 
@@ -521,7 +524,10 @@
   unsigned hyper total_tokens;
   unsigned hyper leased_tokens;
   unsigned hyper demand_tokens;
+  unsigned hyper used_tokens;
+  unsigned hyper tokens_per_s;
   unsigned hyper short_ms;
+  unsigned hyper short_tokens;
   bool known;
 };
 
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -769,9 +769,15 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->demand_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tokens_per_s))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->known))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->recalled))
+	 if (!xdr_u_quad_t (xdrs, &objp->unspent_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->recalled_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->recall_id))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->notice))
 		 return FALSE;
@@ -1039,8 +1045,14 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->demand_tokens))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->used_tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tokens_per_s))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->short_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->short_tokens))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->known))
 		 return FALSE;
 	return TRUE;
