--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -160,9 +160,8 @@
   line->demand_tokens = account->demand_tokens;
   line->tokens_per_s = account->tokens_per_s;
   line->known = account->known;
-  line->unspent_tokens
-      = account->total_tokens
-        - MIN (account->used_tokens, account->total_tokens);
+  line->unspent_tokens = account->total_tokens
+                         - MIN (account->used_tokens, account->total_tokens);
   if (account->short_ms > 0 && wall_ms < account->short_ms + RECALL_MS)
     {
       line->recalled_tokens = account->short_tokens;
--- a/src/edge.h
+++ b/src/edge.h
@@ -42,8 +42,6 @@
   struct edge_retry_limits retry;
   /** Time from a stop to its forced end, in milliseconds. */
   uint32_t grace_ms;
-  /** Interval of targets' announcements, in milliseconds. */
-  uint32_t announce_ms;
 };
 
 /** Counters of a router. */
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -42,7 +42,6 @@
   struct edge_lessee *lessee;
   uint64_t sequence;
   uint64_t lease_due_ms;
-  bool lease_wanted;
   uint64_t heard_ms;
 };
 
@@ -270,8 +269,7 @@
                   (uint64_t)line->left_tokens, (uint64_t)line->total_tokens,
                   edge_prepaid_free (edge->prepaid, line->account), reserved,
                   spent, (uint64_t)line->unspent_tokens,
-                  (uint64_t)line->recalled_tokens,
-                  (uint64_t)result.sequence);
+                  (uint64_t)line->recalled_tokens, (uint64_t)result.sequence);
     }
   edge_prepaid_take (edge->prepaid, &result, now_ms);
   xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
@@ -298,12 +296,6 @@
   xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&args);
 }
 
-void
-edge_links_lease (struct edge_links *links)
-{
-  links->lease_wanted = true;
-}
-
 void
 edge_links_round (struct edge_links *links, uint64_t now_ms)
 {
@@ -320,7 +312,6 @@
       || (!is_urgent && now_ms < links->lease_due_ms))
     return;
   links->lease_due_ms = now_ms + LEASE_INTERVAL_MS;
-  links->lease_wanted = false;
   start_lease (links, false, now_ms);
 }
 
--- a/src/edge_links.h
+++ b/src/edge_links.h
@@ -17,8 +17,6 @@
 /** Replaces the members that settings name. */
 void edge_links_set_members (struct edge_links *links,
                              const char *const *members);
-/** A lease call is wanted with the next round. */
-void edge_links_lease (struct edge_links *links);
 /** Takes in news and starts calls that are due; once a round. */
 void edge_links_round (struct edge_links *links, uint64_t now_ms);
 /** Whether a member answered within the last @p within_ms. */
--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -178,8 +178,8 @@
 {
   double mixed = (double)lease->total_tokens / DEMAND_MIXED_PART;
   double all = (double)MAX (lease->all_demand_tokens, lease->demand_tokens);
-  double so_far = ((double)lease->demand_tokens + mixed / routers)
-                  / (all + mixed + 1.0);
+  double so_far
+      = ((double)lease->demand_tokens + mixed / routers) / (all + mixed + 1.0);
   double rate = lease->tokens_per_ms * 1000.0;
   double all_rate = MAX ((double)lease->all_tokens_per_s, rate);
   return all_rate > 0.0 ? (so_far + rate / all_rate) / 2.0 : so_far;
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -7,7 +7,6 @@
 #include "base_event.h"
 #include "edge_answer.h"
 #include "edge_front.h"
-#include "edge_links.h"
 #include "edge_send.h"
 #include "edge_settle.h"
 
@@ -208,7 +207,6 @@
           return false;
         }
       request->step = EDGE_STEP_LEASE;
-      edge_links_lease (edge->links);
       return false;
     case EDGE_PREPAID_EXHAUSTED:
     default:
--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -44,6 +44,8 @@
   struct base_random random;
   uint64_t now_ms;
   uint64_t served_tokens;
+  /* Used by routers that died, by their own count. */
+  uint64_t dead_tokens;
 };
 
 static void
@@ -152,6 +154,10 @@
 static void
 kill_router (struct world *world, struct router *router)
 {
+  uint64_t reserved = 0;
+  uint64_t spent = 0;
+  edge_prepaid_used (router->prepaid, "a", &reserved, &spent);
+  world->dead_tokens += reserved + spent;
   while (router->open > 0)
     world->served_tokens += router->reserved[--router->open];
   edge_prepaid_destroy (router->prepaid);
@@ -182,6 +188,25 @@
     call (world, router);
 }
 
+/* Each token is in one place at most: at control, at a router that lives, or
+   used by one that died. */
+static void
+check_places (const struct world *world)
+{
+  uint64_t sum = control_prepaid_left (world->pool, "a") + world->dead_tokens;
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    {
+      const struct router *router = &world->routers[i];
+      uint64_t reserved = 0;
+      uint64_t spent = 0;
+      if (router->is_dead)
+        continue;
+      edge_prepaid_used (router->prepaid, "a", &reserved, &spent);
+      sum += reserved + spent + edge_prepaid_free (router->prepaid, "a");
+    }
+  g_assert_cmpuint (sum, <=, TOTAL_TOKENS);
+}
+
 static void
 test_never_overspent (void)
 {
@@ -195,6 +220,7 @@
           for (uint32_t i = 0; i < ROUTERS; i++)
             step_router (&world, &world.routers[i], true);
           g_assert_cmpuint (world.served_tokens, <=, TOTAL_TOKENS);
+          check_places (&world);
         }
       tear_down (&world);
     }
@@ -317,6 +343,47 @@
   tear_down (&world);
 }
 
+/* A router's call with one ask, or none where @p want_tokens is 0. */
+static struct control_lease_result
+ask_pool (struct control_prepaid *pool, const char *router, uint64_t sequence,
+          uint64_t want_tokens, uint64_t need_tokens)
+{
+  struct control_lease_result result;
+  struct control_lease_ask ask = { .account = (char *)"a",
+                                   .want_tokens = want_tokens,
+                                   .need_tokens = need_tokens };
+  struct control_lease_args args = { .cluster = (char *)"c",
+                                     .router = (char *)(uintptr_t)router,
+                                     .router_incarnation = 1,
+                                     .sequence = sequence,
+                                     .sent_ms = 1000 };
+  args.asks.asks_len = want_tokens > 0 ? 1 : 0;
+  args.asks.asks_val = &ask;
+  control_prepaid_lease (pool, &args, 1000, &result);
+  return result;
+}
+
+/* A holder that has nothing to report is told of a recall all the same. */
+static void
+test_notice_of_a_recall (void)
+{
+  struct control_prepaid_total total = { (char *)"a", 1000 };
+  struct control_prepaid *pool = control_prepaid_create ();
+  control_prepaid_set_totals (pool, &total, 1);
+  struct control_lease_result held = ask_pool (pool, "r1", 1, 900, 0);
+  struct control_lease_result lacking = ask_pool (pool, "r2", 1, 400, 400);
+  struct control_lease_result notice = ask_pool (pool, "r1", 2, 0, 0);
+  g_assert_cmpuint (held.lines.lines_val[0].granted_tokens, ==, 900);
+  g_assert_cmpuint (lacking.lines.lines_val[0].granted_tokens, ==, 0);
+  g_assert_cmpuint (notice.lines.lines_len, ==, 1);
+  g_assert_true (notice.lines.lines_val[0].notice);
+  g_assert_cmpuint (notice.lines.lines_val[0].recalled_tokens, ==, 300);
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&held);
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&lacking);
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&notice);
+  control_prepaid_destroy (pool);
+}
+
 static void
 test_allowance_grows_to_all (void)
 {
@@ -347,6 +414,8 @@
                    test_lasts_through_a_cut);
   g_test_add_func ("/edge-prepaid/idle-holder-is-recalled",
                    test_idle_holder_is_recalled);
+  g_test_add_func ("/edge-prepaid/notice-of-a-recall",
+                   test_notice_of_a_recall);
   g_test_add_func ("/edge-prepaid/allowance-grows-to-all",
                    test_allowance_grows_to_all);
   return g_test_run ();
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -97,8 +97,8 @@
   g_assert_cmpfloat (place_faults (&view.loads[first], 40000), <, 0.01);
   for (uint32_t i = 0; i < TARGETS; i++)
     place_unreachable (&view.loads[i], 2000);
-  g_assert_cmpint (place_choose (view.candidates, TARGETS, &call, 2001, 1),
-                   ==, -1);
+  g_assert_cmpint (place_choose (view.candidates, TARGETS, &call, 2001, 1), ==,
+                   -1);
   g_assert_cmpint (place_choose (view.candidates, TARGETS, &call, 60000, 1),
                    >=, 0);
   tear_down (&view);
@@ -156,8 +156,7 @@
   for (guint i = list->len; i-- > 0;)
     {
       struct running *running = &g_array_index (list, struct running, i);
-      struct place_load *load
-          = &views[running->router].loads[running->target];
+      struct place_load *load = &views[running->router].loads[running->target];
       if (!running->is_read && now_ms >= running->first_ms)
         {
           running->is_read = true;
@@ -175,8 +174,8 @@
 read_prompt (struct engine *engine, uint64_t part, uint64_t now_ms,
              bool *anywhere, struct replayed *replayed)
 {
-  bool kept = engine->used_ms[part] > 0
-              && now_ms < engine->used_ms[part] + 20000;
+  bool kept
+      = engine->used_ms[part] > 0 && now_ms < engine->used_ms[part] + 20000;
   uint64_t tokens = 6610 + (kept ? 0 : 4870);
   if (!kept && *anywhere)
     replayed->again_tokens += 4870;
@@ -226,9 +225,8 @@
                                 : least_running (view, draw);
       running.unread = place_sent (&view->candidates[running.target],
                                    &running.call, now_ms);
-      running.first_ms
-          = read_prompt (&engines[running.target], part, now_ms,
-                         &anywhere[part], &replayed);
+      running.first_ms = read_prompt (&engines[running.target], part, now_ms,
+                                      &anywhere[part], &replayed);
       running.end_ms = running.first_ms + 1900;
       g_array_append_val (list, running);
     }
@@ -243,12 +241,11 @@
 {
   struct replayed baseline = replay (false);
   struct replayed homes = replay (true);
-  g_test_message ("read again: %lu against %lu tokens; waited: %lu against "
-                  "%lu ms",
-                  (unsigned long)homes.again_tokens,
-                  (unsigned long)baseline.again_tokens,
-                  (unsigned long)homes.wait_ms,
-                  (unsigned long)baseline.wait_ms);
+  g_test_message (
+      "read again: %lu against %lu tokens; waited: %lu against "
+      "%lu ms",
+      (unsigned long)homes.again_tokens, (unsigned long)baseline.again_tokens,
+      (unsigned long)homes.wait_ms, (unsigned long)baseline.wait_ms);
   g_assert_cmpuint (homes.again_tokens, <, baseline.again_tokens / 3);
   g_assert_cmpuint (homes.wait_ms, <, baseline.wait_ms);
 }
