--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -315,12 +315,6 @@
   start_lease (links, false, now_ms);
 }
 
-bool
-edge_links_heard (const struct edge_links *links, uint64_t within_ms)
-{
-  return links->heard_ms > 0 && edge_now_ms () < links->heard_ms + within_ms;
-}
-
 void
 edge_links_return (struct edge_links *links, uint32_t wait_ms)
 {
--- a/src/edge_links.h
+++ b/src/edge_links.h
@@ -19,7 +19,5 @@
                              const char *const *members);
 /** Takes in news and starts calls that are due; once a round. */
 void edge_links_round (struct edge_links *links, uint64_t now_ms);
-/** Whether a member answered within the last @p within_ms. */
-bool edge_links_heard (const struct edge_links *links, uint64_t within_ms);
 
 #endif
--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -9,6 +9,7 @@
 
 #include "base_log.h"
 #include "base_random.h"
+#include "control_lessee.h"
 #include "control_prepaid.h"
 #include "edge_prepaid.h"
 #include "escrow_allowance.h"
@@ -384,6 +385,25 @@
   control_prepaid_destroy (pool);
 }
 
+/* A router that never got the last answer went on by the one before, when it
+   held much more and had held it for longer. */
+static void
+test_bound_without_the_last_answer (void)
+{
+  struct control_lessee *lessee = control_lessee_create (1);
+  struct control_holding *holding = control_lessee_holding (lessee, "a");
+  lessee->last.sequence = 2;
+  holding->sequence = 2;
+  holding->leased_tokens = 100000;
+  holding->former_free_tokens = 1000000;
+  control_lessee_called (lessee, 1000);
+  control_lessee_called (lessee, 6000);
+  g_assert_cmpuint (control_lessee_unused (lessee, holding, 11000), ==, 0);
+  holding->former_free_tokens = 0;
+  g_assert_cmpuint (control_lessee_unused (lessee, holding, 11000), >, 50000);
+  control_lessee_destroy (lessee);
+}
+
 static void
 test_allowance_grows_to_all (void)
 {
@@ -416,6 +436,8 @@
                    test_idle_holder_is_recalled);
   g_test_add_func ("/edge-prepaid/notice-of-a-recall",
                    test_notice_of_a_recall);
+  g_test_add_func ("/edge-prepaid/bound-without-the-last-answer",
+                   test_bound_without_the_last_answer);
   g_test_add_func ("/edge-prepaid/allowance-grows-to-all",
                    test_allowance_grows_to_all);
   return g_test_run ();
