--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -275,7 +275,7 @@
   tear_down (&world);
 }
 
-/* The bench's quiet day: all routers are cut off from control for eight
+/* All routers are cut off from control for eight
    seconds, and their demand goes on. */
 static void
 test_lasts_through_a_cut (void)
--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -6,7 +6,7 @@
 
 #include "tool_folder.h"
 
-#define HOST "h.example"
+#define HOST_LINE "Host: h.example"
 #define CALL_TIMEOUT_MS 15000L
 #define WAIT_STEPS 200
 #define WAIT_STEP_US 50000
@@ -191,7 +191,7 @@
   char *id = g_strdup_printf ("X-Request-Id: r%u", ++number);
   char *credential = g_strdup_printf ("X-Credential: %s", key);
   char *count = g_strdup_printf ("X-Token-Count: %s", tokens ? tokens : "0,0");
-  const char *const lines[] = { "Host: " HOST,
+  const char *const lines[] = { HOST_LINE,
                                 "X-Deadline-Ms: 9000",
                                 "X-Tenant: forged",
                                 id,
