--- a/src/consensus.c
+++ b/src/consensus.c
@@ -3,9 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Part of an election timeout that the first one takes. */
-#define FIRST_ELECTION_PART 3
-
 static void
 free_message (gpointer data)
 {
@@ -98,8 +95,11 @@
   /* Sooner than later ones: where a leader lives, the others refuse, and after
      a stop of all nobody else is waited for. */
   consensus_reset_election (consensus, now_ms);
-  consensus->election_due_ms
-      = now_ms + (consensus->election_due_ms - now_ms) / FIRST_ELECTION_PART;
+  if (consensus->options.first_election_ms > 0)
+    consensus->election_due_ms
+        = now_ms + consensus->options.first_election_ms
+          + base_random_below (&consensus->random,
+                               consensus->options.first_election_ms);
 }
 
 struct consensus_peer *
--- a/src/consensus.h
+++ b/src/consensus.h
@@ -24,6 +24,8 @@
   uint64_t seed;
   /** Shortest election timeout; the longest is twice as long. */
   uint32_t election_ms;
+  /** Shortest first election timeout after a start; 0: as the others. */
+  uint32_t first_election_ms;
   uint32_t heartbeat_ms;
   /** Members that found the log together, all with fresh folders; others
    *  ask them for readmission. */
--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -270,13 +270,15 @@
               options->member_id);
   if (store_identity_open (options->data_dir, identity, findings) != 0)
     return -1;
-  struct consensus_options consensus = { .member_id = options->member_id,
-                                         .incarnation = identity->incarnation,
-                                         .seed = base_random_system_seed (),
-                                         .election_ms = options->election_ms,
-                                         .heartbeat_ms = options->heartbeat_ms,
-                                         .bootstrap = options->members,
-                                         .joins_only = options->joins_only };
+  struct consensus_options consensus
+      = { .member_id = options->member_id,
+          .incarnation = identity->incarnation,
+          .seed = base_random_system_seed (),
+          .election_ms = options->election_ms,
+          .first_election_ms = options->first_election_ms,
+          .heartbeat_ms = options->heartbeat_ms,
+          .bootstrap = options->members,
+          .joins_only = options->joins_only };
   daemon->consensus = consensus_create (&consensus);
   daemon->store = control_store_open (options->data_dir, findings);
   if (!daemon->store
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -37,6 +37,8 @@
   bool has_root_key;
   uint8_t root_key[32];
   uint32_t election_ms;
+  /** Shortest first election timeout after a start; 0: as the others. */
+  uint32_t first_election_ms;
   uint32_t heartbeat_ms;
   uint32_t lease_ms;
   /** Applied entries after which a snapshot replaces them. */
