--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -1,4 +1,5 @@
 #include "edge_attempt.h"
+#include "http_transfer.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -165,25 +166,18 @@
   CURL *easy = attempt->easy;
   char *url = g_strdup_printf ("http://%s:%u%s", call->address,
                                (unsigned)call->port, call->head->uri);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
+  struct http_transfer_limits limits
+      = { call->connect_timeout_ms, call->timeout_ms };
+  http_transfer_set (easy, url, &limits, call->reuse);
   g_free (url);
-  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (easy, CURLOPT_PRIVATE, attempt);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_socket);
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)call->connect_timeout_ms);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
-  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, call->reuse ? 0L : 1L);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, call->reuse ? 0L : 1L);
 }
 
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -12,6 +12,9 @@
 #define REFUSED_SENDS_MAX 2
 /* Time for a connection: several round trips between regions. */
 #define CONNECT_TIMEOUT_MS 400
+/* Time past a request's deadline after which the library ends a transfer; the
+   router's own limit comes first. */
+#define TRANSFER_SLACK_MS 2000
 /* Time that a caller is told to stay away when targets are full or gone. */
 #define FULL_RETRY_AFTER_MS 150
 #define GONE_RETRY_AFTER_MS 200
@@ -120,8 +123,7 @@
     .body = request->body,
     .reuse = request->is_idempotent,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-    /* The router's own limit ends it first. */
-    .timeout_ms = request->send.deadline_ms + 2000,
+    .timeout_ms = request->send.deadline_ms + TRANSFER_SLACK_MS,
   };
   return edge_attempt_create (request->edge->loop, &call, &request->user);
 }
--- /dev/null
+++ b/src/http_transfer.c
@@ -0,0 +1,17 @@
+#include "http_transfer.h"
+
+void
+http_transfer_set (CURL *easy, const char *url,
+                   const struct http_transfer_limits *limits, bool reuse)
+{
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)limits->connect_timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)limits->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, reuse ? 0L : 1L);
+}
--- a/src/router_attempt.c
+++ b/src/router_attempt.c
@@ -5,8 +5,9 @@
 #include "base_address_map.h"
 #include "base_clock.h"
 #include "http_sse.h"
+#include "http_transfer.h"
 
-#define CONNECT_TIMEOUT_MS 1000L
+#define CONNECT_TIMEOUT_MS 1000
 #define READ_BUFFER_BYTES 8192L
 #define UPLOAD_BUFFER_BYTES 16384L
 #define EVENT_MAX_BYTES (1024u * 1024)
@@ -118,8 +119,9 @@
   base_address_map (call->address, address);
   char *url = g_strdup_printf ("http://%s:%u%s", address, (unsigned)call->port,
                                call->path);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  struct http_transfer_limits limits
+      = { CONNECT_TIMEOUT_MS, call->timeout_ms };
+  http_transfer_set (easy, url, &limits, call->reuse);
   g_free (url);
   if (call->body_bytes > 0 || strcmp (call->method, "POST") == 0)
     {
@@ -134,8 +136,7 @@
 }
 
 static void
-set_transfer (struct router_attempt *attempt,
-              const struct router_attempt_call *call)
+set_callbacks (struct router_attempt *attempt)
 {
   CURL *easy = attempt->easy;
   curl_easy_setopt (easy, CURLOPT_PRIVATE, attempt);
@@ -143,15 +144,8 @@
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
   curl_easy_setopt (easy, CURLOPT_UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES);
-  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, call->reuse ? 0L : 1L);
 }
 
 struct router_attempt *
@@ -169,7 +163,7 @@
     goto failed;
   set_request (attempt, call);
   set_headers (attempt, call);
-  set_transfer (attempt, call);
+  set_callbacks (attempt);
   if (router_poll_add (loop, attempt->easy) != 0)
     goto failed;
   attempt->active = true;
