--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -20,6 +20,7 @@
 #define GONE_RETRY_AFTER_MS 200
 /* Least time left that makes another send worthwhile, in milliseconds. */
 #define SEND_TIME_MIN_MS 50
+#define STATUS_REDIRECTION 300
 #define STATUS_SERVER_ERROR 500
 #define STATUS_MISDIRECTED 421
 
@@ -268,28 +269,39 @@
   take_not_run (request, "the target is full");
 }
 
-/* A whole answer that is not a stream in progress. */
+/* The target ended a stream that is under way; only a successful stream that
+   ends after a whole event is complete. */
 static void
-take_whole (struct edge_request *request)
+end_stream (struct edge_request *request, const struct edge_answer *answer,
+            uint64_t now_ms)
 {
-  const struct edge_answer *answer = edge_attempt_answer (request->attempt);
-  uint64_t now_ms = edge_now_ms ();
-  if (request->is_started)
+  if (!answer->is_stream || answer->status >= STATUS_REDIRECTION)
+    take_lost (request, "the target did not go on with the stream");
+  else if (edge_events_partial (request->events))
+    take_lost (request, "the stream ended inside an event");
+  else
     {
-      if (edge_events_partial (request->events))
-        {
-          take_lost (request, "the stream ended inside an event");
-          return;
-        }
       place_served (&request->target->load, now_ms);
       edge_answer_end (request, false, "-");
-      return;
     }
+}
+
+/* A whole answer of the target. */
+static void
+take_whole (struct edge_request *request)
+{
+  const struct edge_answer *answer = edge_attempt_answer (request->attempt);
+  uint64_t now_ms = edge_now_ms ();
   if (answer->not_run)
     {
       take_refusal (request, answer);
       return;
     }
+  if (request->is_started)
+    {
+      end_stream (request, answer, now_ms);
+      return;
+    }
   request->maybe_ran = true;
   if (answer->status < STATUS_SERVER_ERROR)
     {
--- a/tests/test_platform_process.c
+++ b/tests/test_platform_process.c
@@ -216,6 +216,25 @@
   return status;
 }
 
+/* A target that refuses to go on with a broken stream does not end it: the
+   caller must see that it isn't whole. */
+static void
+test_refused_resumption (void)
+{
+  struct fixture fixture;
+  set_up (&fixture);
+  platform_target_set (fixture.engine[0], PLATFORM_TARGET_BREAK);
+  platform_target_set (fixture.engine[1], PLATFORM_TARGET_FULL);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      struct platform_reply reply
+          = platform_rig_request (fixture.rig, "/stream/stream", "k2", NULL);
+      g_assert_true (!reply.whole || reply.status != 200);
+      platform_reply_clear (&reply);
+    }
+  tear_down (&fixture);
+}
+
 static uint32_t
 count_served (struct fixture *fixture, uint32_t requests)
 {
@@ -335,6 +354,8 @@
   g_test_add_func ("/platform-process/answers", test_answers);
   g_test_add_func ("/platform-process/second-sends", test_second_sends);
   g_test_add_func ("/platform-process/broken-streams", test_broken_streams);
+  g_test_add_func ("/platform-process/refused-resumption",
+                   test_refused_resumption);
   g_test_add_func ("/platform-process/budget-over-restarts",
                    test_budget_over_restarts);
   g_test_add_func ("/platform-process/leaving-target", test_leaving_target);
