Don't count a waiting request against itself in what is unspent

Cause: a router reports what waits as used, and compared the waiting request with control's word on what is unspent, which is lower by that request. A request larger than half of what was left got 402 although it fit and another router held the rest. Ruled out: leaving what waits out of the report (control would then take back what the request is about to use). Change: the word is kept as what other routers leave, and a router's own use at present is taken off it.

--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -56,7 +56,8 @@
   bool is_scarce;
   uint64_t scarce_since_ms;
   uint64_t left_tokens;
-  uint64_t unspent_tokens;
+  /* Unspent, or used here by the report that control's word is based on. */
+  uint64_t unspent_elsewhere_tokens;
   uint64_t recalled_tokens;
   uint64_t recall_id;
   uint64_t followed_recall_id;
@@ -171,6 +172,15 @@
   lease->largest_tokens = MAX (lease->largest_tokens, tokens);
 }
 
+/* Of the whole account, as far as is known: what waits here is not used. */
+static uint64_t
+unspent_tokens (const struct lease *lease)
+{
+  uint64_t used = lease->reserved_tokens + lease->spent_tokens;
+  return lease->unspent_elsewhere_tokens
+         - MIN (used, lease->unspent_elsewhere_tokens);
+}
+
 /* This router's part of the account's demand, as the mean of its parts so far
    and of late; an equal part before there is much of it. */
 static double
@@ -201,7 +211,7 @@
   double least
       = rate * AHEAD_MS + (double)(AHEAD_REQUESTS * lease->largest_tokens);
   double held = HELD_SHARE * demand_share (lease, routers)
-                * (double)lease->unspent_tokens;
+                * (double)unspent_tokens (lease);
   return (uint64_t)MAX (least, held);
 }
 
@@ -219,7 +229,7 @@
 {
   if (now_ms >= lease->told_ms + WORD_LIFE_MS)
     return false;
-  if (tokens > lease->unspent_tokens)
+  if (tokens > unspent_tokens (lease))
     return true;
   return is_short (lease, tokens)
          && now_ms >= lease->scarce_since_ms + RECALL_WAIT_MS;
@@ -420,7 +430,8 @@
       bool is_scarce
           = line->known
             && line->unspent_tokens < line->total_tokens / SCARCE_PART;
-      lease->unspent_tokens = line->unspent_tokens;
+      lease->unspent_elsewhere_tokens
+          = line->unspent_tokens + lease->reported_tokens;
       lease->recalled_tokens = line->recalled_tokens;
       lease->recall_id = line->recall_id;
       if (is_scarce && !lease->is_scarce)
--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -404,6 +404,78 @@
   control_lessee_destroy (lessee);
 }
 
+/* Sends @p router's call and hands it the answer. */
+static void
+call_pool (struct control_prepaid *pool, struct edge_prepaid *router,
+           const char *name, uint64_t sequence, uint64_t now_ms)
+{
+  struct control_lease_args args = { .cluster = strdup ("c"),
+                                     .router = strdup (name),
+                                     .router_incarnation = 1,
+                                     .sequence = sequence,
+                                     .sent_ms = now_ms };
+  struct control_lease_result result;
+  edge_prepaid_ask (router, now_ms, false, &args);
+  control_prepaid_lease (pool, &args, now_ms, &result);
+  edge_prepaid_take (router, &result, now_ms);
+  xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&args);
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
+}
+
+/* A request that is larger than half of what is unspent is not counted against
+   itself: it waits for what the other router holds, and gets it. */
+static void
+test_last_request_that_fits (void)
+{
+  struct control_prepaid_total total = { (char *)"a", 10000 };
+  struct control_prepaid *pool = control_prepaid_create ();
+  struct edge_prepaid *holder = edge_prepaid_create ();
+  struct edge_prepaid *lacking = edge_prepaid_create ();
+  uint64_t now_ms = 100000;
+  uint32_t waits = 0;
+  enum edge_prepaid_outcome outcome = EDGE_PREPAID_WAIT;
+  edge_prepaid_set_routers (holder, 2);
+  edge_prepaid_set_routers (lacking, 2);
+  control_prepaid_set_totals (pool, &total, 1);
+  edge_prepaid_reserve (holder, "a", 4000, 0, now_ms);
+  call_pool (pool, holder, "r1", 1, now_ms);
+  g_assert_cmpint (edge_prepaid_reserve (holder, "a", 4000, 1, now_ms), ==,
+                   EDGE_PREPAID_RESERVED);
+  edge_prepaid_settle (holder, "a", 4000, 1000);
+  for (uint64_t sequence = 2; outcome == EDGE_PREPAID_WAIT; sequence++)
+    {
+      outcome = edge_prepaid_reserve (lacking, "a", 6000, waits, now_ms);
+      g_assert_cmpint (outcome, !=, EDGE_PREPAID_EXHAUSTED);
+      g_assert_cmpuint (waits++, <, 10);
+      call_pool (pool, lacking, "r2", sequence, now_ms);
+      call_pool (pool, holder, "r1", sequence, now_ms);
+      now_ms += CALL_INTERVAL_MS;
+    }
+  g_assert_cmpint (outcome, ==, EDGE_PREPAID_RESERVED);
+  edge_prepaid_destroy (lacking);
+  edge_prepaid_destroy (holder);
+  control_prepaid_destroy (pool);
+}
+
+/* What was reserved here since control's word is off what it said is unspent.
+ */
+static void
+test_own_use_since_the_word (void)
+{
+  struct control_prepaid_total total = { (char *)"a", 10000 };
+  struct control_prepaid *pool = control_prepaid_create ();
+  struct edge_prepaid *router = edge_prepaid_create ();
+  control_prepaid_set_totals (pool, &total, 1);
+  edge_prepaid_reserve (router, "a", 6000, 0, 100000);
+  call_pool (pool, router, "r1", 1, 100000);
+  g_assert_cmpint (edge_prepaid_reserve (router, "a", 6000, 1, 100000), ==,
+                   EDGE_PREPAID_RESERVED);
+  g_assert_cmpint (edge_prepaid_reserve (router, "a", 6000, 0, 100100), ==,
+                   EDGE_PREPAID_EXHAUSTED);
+  edge_prepaid_destroy (router);
+  control_prepaid_destroy (pool);
+}
+
 static void
 test_allowance_grows_to_all (void)
 {
@@ -438,6 +510,10 @@
                    test_notice_of_a_recall);
   g_test_add_func ("/edge-prepaid/bound-without-the-last-answer",
                    test_bound_without_the_last_answer);
+  g_test_add_func ("/edge-prepaid/last-request-that-fits",
+                   test_last_request_that_fits);
+  g_test_add_func ("/edge-prepaid/own-use-since-the-word",
+                   test_own_use_since_the_word);
   g_test_add_func ("/edge-prepaid/allowance-grows-to-all",
                    test_allowance_grows_to_all);
   return g_test_run ();
