Refuse lease calls of a router's former runs

Cause: control took each call with another run's number for a new run of the router. A call of a stopped run, held up by a cut, came after the first call of its successor: control took back what the successor held, and gave it out again. Change: a later run's number is higher; a call with a lower one is fenced. A new run whose time of day was set back takes a higher number when told.

--- a/src/control_prepaid.c
+++ b/src/control_prepaid.c
@@ -186,8 +186,8 @@
 /* A router started anew, by @p started_ms at the latest: what its former run
    can't have used until then is free. */
 static void
-reclaim (struct control_prepaid *prepaid, const struct control_lessee *lessee,
-         uint64_t started_ms)
+reclaim (struct control_prepaid *prepaid, const char *router,
+         const struct control_lessee *lessee, uint64_t started_ms)
 {
   GHashTableIter iterator;
   gpointer name, value;
@@ -198,10 +198,10 @@
       const struct control_holding *holding = value;
       uint64_t unused = control_lessee_unused (lessee, holding, started_ms);
       base_log (BASE_LOG_INFO,
-                "lease-reclaimed account=%s unused_tokens=%lu "
+                "lease-reclaimed router=%s account=%s unused_tokens=%lu "
                 "leased_tokens=%lu used_tokens=%lu tokens_per_s=%lu "
                 "unreported_ms=%ld",
-                (const char *)name, (unsigned long)unused,
+                router, (const char *)name, (unsigned long)unused,
                 (unsigned long)holding->leased_tokens,
                 (unsigned long)holding->used_tokens,
                 (unsigned long)holding->tokens_per_s,
@@ -214,7 +214,8 @@
     }
 }
 
-/* The router's entry; a new incarnation begins anew. */
+/* The router's entry; a new run begins anew.  NULL for an earlier run: its
+   calls may come late. */
 static struct control_lessee *
 find_lessee (struct control_prepaid *prepaid,
              const struct control_lease_args *args, uint64_t wall_ms)
@@ -224,8 +225,11 @@
   if (lessee && lessee->incarnation == args->router_incarnation)
     return lessee;
   uint64_t now_ms = MAX (wall_ms, args->sent_ms);
+  if (lessee && args->router_incarnation < lessee->incarnation)
+    return NULL;
   if (lessee)
-    reclaim (prepaid, lessee, now_ms - MIN (args->uptime_ms, now_ms));
+    reclaim (prepaid, args->router, lessee,
+             now_ms - MIN (args->uptime_ms, now_ms));
   lessee = control_lessee_create (args->router_incarnation);
   g_hash_table_replace (prepaid->lessees, g_strdup (args->router), lessee);
   return lessee;
@@ -276,18 +280,46 @@
   add_notices (prepaid, lessee, args->sequence, wall_ms, last);
 }
 
+static void
+refuse (struct control_lease_result *result, enum control_status status,
+        const char *text)
+{
+  memset (result, 0, sizeof *result);
+  result->answer.status = status;
+  result->answer.leader_address = strdup ("");
+  result->answer.text = strdup (text);
+}
+
+/* Refuses the call of a run that a later one of the router has replaced. */
+static void
+refuse_former_run (const struct control_prepaid *prepaid,
+                   const struct control_lease_args *args,
+                   struct control_lease_result *result)
+{
+  const struct control_lessee *lessee
+      = g_hash_table_lookup (prepaid->lessees, args->router);
+  base_log (BASE_LOG_WARNING,
+            "lease-late router=%s incarnation=%lu latest=%lu sequence=%lu",
+            args->router, (unsigned long)args->router_incarnation,
+            (unsigned long)lessee->incarnation, (unsigned long)args->sequence);
+  refuse (result, CONTROL_FENCED, "a later run of the router has called");
+  result->router_incarnation = lessee->incarnation;
+}
+
 void
 control_prepaid_lease (struct control_prepaid *prepaid,
                        const struct control_lease_args *args, uint64_t wall_ms,
                        struct control_lease_result *result)
 {
   struct control_lessee *lessee = find_lessee (prepaid, args, wall_ms);
+  if (!lessee)
+    {
+      refuse_former_run (prepaid, args, result);
+      return;
+    }
   if (args->sequence < lessee->last.sequence)
     {
-      memset (result, 0, sizeof *result);
-      result->answer.status = CONTROL_CONFLICT;
-      result->answer.leader_address = strdup ("");
-      result->answer.text = strdup ("a later call was applied");
+      refuse (result, CONTROL_CONFLICT, "a later call was applied");
       return;
     }
   if (args->sequence > lessee->last.sequence)
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -10,6 +10,7 @@
 #include "base_settings.h"
 #include "edge_lessee.h"
 #include "edge_request.h"
+#include "edge_run.h"
 #include "edge_watcher.h"
 
 /* Interval of lease calls that nobody waits for, in milliseconds. */
@@ -40,6 +41,7 @@
   struct edge_watcher_shared shared;
   struct link *links[EDGE_SOURCES_MAX];
   struct edge_lessee *lessee;
+  struct edge_run run;
   uint64_t sequence;
   uint64_t lease_due_ms;
   uint64_t heard_ms;
@@ -112,7 +114,9 @@
   links->edge = edge;
   links->shared.cluster = g_strdup (edge->options.cluster);
   links->shared.router = g_strdup (edge->options.host);
-  links->shared.incarnation = base_random_system_seed ();
+  edge_run_begin (&links->run, base_clock_steady_wall_ms (),
+                  base_random_system_seed ());
+  links->shared.incarnation = links->run.incarnation;
   links->shared.news = g_async_queue_new ();
   links->shared.wake = wake;
   links->shared.wake_context = links;
@@ -271,7 +275,8 @@
                   spent, (uint64_t)line->unspent_tokens,
                   (uint64_t)line->recalled_tokens, (uint64_t)result.sequence);
     }
-  edge_prepaid_take (edge->prepaid, &result, now_ms);
+  if (edge_run_take (&links->run, &result))
+    edge_prepaid_take (edge->prepaid, &result, now_ms);
   xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
   GList *link = edge->requests.head;
   while (link)
@@ -289,7 +294,7 @@
   edge_prepaid_ask (links->edge->prepaid, now_ms, returns_all, &args);
   args.cluster = strdup (links->shared.cluster);
   args.router = strdup (links->shared.router);
-  args.router_incarnation = links->shared.incarnation;
+  args.router_incarnation = links->run.incarnation;
   args.sequence = ++links->sequence;
   edge_lessee_call (links->lessee, &args);
   xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&args);
--- /dev/null
+++ b/src/edge_run.c
@@ -0,0 +1,34 @@
+#include "edge_run.h"
+
+#include <inttypes.h>
+
+#include "base_event.h"
+
+/* Low bits of a number that are drawn. */
+#define CHANCE_BITS 10
+
+void
+edge_run_begin (struct edge_run *run, uint64_t wall_ms, uint64_t chance)
+{
+  run->incarnation
+      = wall_ms << CHANCE_BITS | (chance & ((1u << CHANCE_BITS) - 1));
+  run->is_known = false;
+}
+
+bool
+edge_run_take (struct edge_run *run, const struct control_lease_result *result)
+{
+  if (result->answer.status == CONTROL_OK)
+    {
+      run->is_known = true;
+      return true;
+    }
+  if (result->answer.status == CONTROL_FENCED && !run->is_known
+      && result->router_incarnation >= run->incarnation)
+    {
+      base_event ("run-renumbered incarnation=%" PRIu64 " latest=%" PRIu64,
+                  run->incarnation, (uint64_t)result->router_incarnation);
+      run->incarnation = result->router_incarnation + 1;
+    }
+  return false;
+}
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -404,6 +404,7 @@
 
 struct control_lease_result {
 	control_answer answer;
+	u_quad_t router_incarnation;
 	u_quad_t sequence;
 	struct {
 		u_int lines_len;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -354,7 +354,7 @@
 {
   wire_name cluster;
   wire_name router;
-  unsigned hyper router_incarnation;
+  unsigned hyper router_incarnation; /* higher for a later run */
   unsigned hyper sequence;
   unsigned hyper sent_ms;         /* the router's time of day */
   unsigned hyper uptime_ms;       /* age of this run of the router */
@@ -379,6 +379,7 @@
 struct control_lease_result
 {
   control_answer answer;
+  unsigned hyper router_incarnation; /* the latest run that has called */
   unsigned hyper sequence;
   control_lease_line lines<CONTROL_BATCH_MAX>;
 };
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -793,6 +793,8 @@
 
 	 if (!xdr_control_answer (xdrs, &objp->answer))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->router_incarnation))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->lines.lines_val, (u_int *) &objp->lines.lines_len, CONTROL_BATCH_MAX,
--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -34,6 +34,9 @@
   bool is_dead;
   uint64_t starts_ms;
   uint64_t started_ms;
+  /* Call of a run that died, still on its way. */
+  struct control_lease_args late;
+  uint64_t late_due_ms;
   uint64_t reserved[OPEN_MAX];
   uint32_t open;
   uint32_t refused;
@@ -88,12 +91,21 @@
   memset (&router->args, 0, sizeof router->args);
 }
 
+static void
+free_late (struct router *router)
+{
+  xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&router->late);
+  memset (&router->late, 0, sizeof router->late);
+  router->late_due_ms = 0;
+}
+
 static void
 tear_down (struct world *world)
 {
   for (uint32_t i = 0; i < ROUTERS; i++)
     {
       free_args (&world->routers[i]);
+      free_late (&world->routers[i]);
       if (!world->routers[i].is_dead)
         edge_prepaid_destroy (world->routers[i].prepaid);
     }
@@ -130,6 +142,29 @@
   xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
 }
 
+/* The call under way of a run that dies may come any time later. */
+static void
+leave_late_call (struct world *world, struct router *router)
+{
+  if (!router->in_call || router->late_due_ms > 0)
+    return;
+  router->late = router->args;
+  memset (&router->args, 0, sizeof router->args);
+  router->late_due_ms
+      = world->now_ms + base_random_below (&world->random, 6000);
+}
+
+static void
+deliver_late_call (struct world *world, struct router *router)
+{
+  struct control_lease_result result;
+  if (router->late_due_ms == 0 || world->now_ms < router->late_due_ms)
+    return;
+  control_prepaid_lease (world->pool, &router->late, world->now_ms, &result);
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
+  free_late (router);
+}
+
 static void
 request (struct world *world, struct router *router)
 {
@@ -165,6 +200,7 @@
   while (router->open > 0)
     world->served_tokens += router->reserved[--router->open];
   edge_prepaid_destroy (router->prepaid);
+  leave_late_call (world, router);
   router->is_dead = true;
   router->starts_ms = world->now_ms + base_random_below (&world->random, 4000);
 }
@@ -172,6 +208,7 @@
 static void
 step_router (struct world *world, struct router *router, bool with_faults)
 {
+  deliver_late_call (world, router);
   if (router->is_dead && world->now_ms >= router->starts_ms)
     start_router (world, router);
   if (router->is_dead)
@@ -407,6 +444,49 @@
   control_lessee_destroy (lessee);
 }
 
+/* A call of a router's former run comes after its present run's first: what
+   the present run holds stays leased, also when control hears of the former
+   run for the first time. */
+static void
+test_late_call_of_a_former_run (void)
+{
+  struct control_prepaid_total total = { (char *)"a", 1000000 };
+  struct control_prepaid *pool = control_prepaid_create ();
+  struct control_lease_ask ask
+      = { .account = (char *)"a", .want_tokens = 100000 };
+  struct control_lease_args args = { .cluster = (char *)"c",
+                                     .router = (char *)"r1",
+                                     .router_incarnation = 1,
+                                     .sequence = 1,
+                                     .sent_ms = 100000,
+                                     .uptime_ms = 50000,
+                                     .asks = { 1, &ask } };
+  struct control_lease_result result;
+  control_prepaid_set_totals (pool, &total, 1);
+  control_prepaid_lease (pool, &args, 100000, &result);
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
+  args.router_incarnation = 3;
+  args.uptime_ms = 100;
+  ask.want_tokens = 800000;
+  control_prepaid_lease (pool, &args, 101000, &result);
+  xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
+  uint64_t left = control_prepaid_left (pool, "a");
+  args.router_incarnation = 2;
+  args.sequence = 2;
+  args.uptime_ms = 51000;
+  ask.want_tokens = 0;
+  ask.returned_tokens = 100000;
+  for (; args.router_incarnation > 0; args.router_incarnation--)
+    {
+      control_prepaid_lease (pool, &args, 101100, &result);
+      g_assert_cmpint (result.answer.status, ==, CONTROL_FENCED);
+      g_assert_cmpuint (result.router_incarnation, ==, 3);
+      xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&result);
+      g_assert_cmpuint (control_prepaid_left (pool, "a"), ==, left);
+    }
+  control_prepaid_destroy (pool);
+}
+
 /* A run that is cut off from its start on tells how long it has gone on: what
    its former run can't have used by then comes back. */
 static void
@@ -548,6 +628,8 @@
                    test_bound_without_the_last_answer);
   g_test_add_func ("/edge-prepaid/reclaimed-by-the-start",
                    test_reclaimed_by_the_start);
+  g_test_add_func ("/edge-prepaid/late-call-of-a-former-run",
+                   test_late_call_of_a_former_run);
   g_test_add_func ("/edge-prepaid/last-request-that-fits",
                    test_last_request_that_fits);
   g_test_add_func ("/edge-prepaid/own-use-since-the-word",
