Tell a run's age as each try is sent

Cause: the age was taken once for a round over the members of up to 1.5 s, so that a new run's start seemed up to a second later, and that much more of its former run's lease counted as used. Change: times are filled in as the call is encoded, once the connection stands.

--- a/src/edge_lessee.c
+++ b/src/edge_lessee.c
@@ -19,44 +19,58 @@
   STATE_ANSWERED
 };
 
+/* A call's arguments, with what each try fills in anew. */
+struct lease_call
+{
+  struct control_lease_args args;
+  uint64_t started_ms;
+};
+
 struct edge_lessee
 {
   struct control_client *client;
-  uint64_t started_ms;
   void (*wake) (void *context);
   void *context;
   GMutex mutex;
   GCond asked;
   enum state state;
   bool stopping;
-  struct control_lease_args args;
+  struct lease_call call;
   struct control_lease_result result;
   GThread *thread;
 };
 
+/* Encodes with the times of this try: an older age of the run would make more
+   of its former run's lease count as used. */
+static bool_t
+encode_call (XDR *stream, struct lease_call *call)
+{
+  call->args.sent_ms = base_clock_steady_wall_ms ();
+  call->args.uptime_ms
+      = base_clock_now_ms (base_clock_system ()) - call->started_ms;
+  return xdr_control_lease_args (stream, &call->args);
+}
+
 /* One try; whether it was answered. */
 static bool
 call_control (struct edge_lessee *lessee)
 {
   struct control_lease_result result;
-  lessee->args.sent_ms = base_clock_steady_wall_ms ();
-  lessee->args.uptime_ms
-      = base_clock_now_ms (base_clock_system ()) - lessee->started_ms;
   enum wire_status status = control_client_call (
-      lessee->client, CONTROL_LEASE, (xdrproc_t)xdr_control_lease_args,
-      &lessee->args, (xdrproc_t)xdr_control_lease_result, &result,
-      sizeof result, CALL_TIMEOUT_MS);
+      lessee->client, CONTROL_LEASE, (xdrproc_t)encode_call, &lessee->call,
+      (xdrproc_t)xdr_control_lease_result, &result, sizeof result,
+      CALL_TIMEOUT_MS);
   if (status != WIRE_OK)
     {
       base_log (BASE_LOG_WARNING, "lease-unanswered sequence=%lu status=%s",
-                (unsigned long)lessee->args.sequence,
+                (unsigned long)lessee->call.args.sequence,
                 wire_status_name (status));
       return false;
     }
   if (result.answer.status != CONTROL_OK)
     base_log (BASE_LOG_ERROR, "lease-refused sequence=%lu status=%d text=%s",
-              (unsigned long)lessee->args.sequence, (int)result.answer.status,
-              result.answer.text);
+              (unsigned long)lessee->call.args.sequence,
+              (int)result.answer.status, result.answer.text);
   g_mutex_lock (&lessee->mutex);
   lessee->result = result;
   lessee->state = STATE_ANSWERED;
@@ -93,7 +107,7 @@
 {
   struct edge_lessee *lessee = g_new0 (struct edge_lessee, 1);
   lessee->client = control_client_create (members);
-  lessee->started_ms = base_clock_now_ms (base_clock_system ());
+  lessee->call.started_ms = base_clock_now_ms (base_clock_system ());
   lessee->wake = wake;
   lessee->context = context;
   g_mutex_init (&lessee->mutex);
@@ -117,7 +131,7 @@
   g_cond_signal (&lessee->asked);
   g_mutex_unlock (&lessee->mutex);
   g_thread_join (lessee->thread);
-  xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&lessee->args);
+  xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&lessee->call.args);
   if (lessee->state == STATE_ANSWERED)
     xdr_free ((xdrproc_t)xdr_control_lease_result, (char *)&lessee->result);
   control_client_destroy (lessee->client);
@@ -133,8 +147,8 @@
   bool is_idle = lessee->state == STATE_IDLE;
   if (is_idle)
     {
-      xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&lessee->args);
-      lessee->args = *args;
+      xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&lessee->call.args);
+      lessee->call.args = *args;
       memset (args, 0, sizeof *args);
       lessee->state = STATE_ASKED;
       g_cond_signal (&lessee->asked);
--- a/src/wire_client.c
+++ b/src/wire_client.c
@@ -267,18 +267,23 @@
   return good ? status_of (&reply) : WIRE_LOST;
 }
 
+/* Opens the connection unless it is; false when that fails. */
+static bool
+open_connection (struct wire_client *client, gint64 deadline_us)
+{
+  if (client->fd >= 0 && peer_closed (client))
+    disconnect (client);
+  if (client->fd < 0)
+    client->fd = connect_socket (&client->address, deadline_us);
+  return client->fd >= 0;
+}
+
 /* Sends an encoded call and waits for its answer. */
 static enum wire_status
 exchange (struct wire_client *client, const char *record, size_t bytes,
           xdrproc_t result_codec, void *result, gint64 deadline_us)
 {
   enum wire_status status = WIRE_LOST;
-  if (client->fd >= 0 && peer_closed (client))
-    disconnect (client);
-  if (client->fd < 0)
-    client->fd = connect_socket (&client->address, deadline_us);
-  if (client->fd < 0)
-    return WIRE_UNSENT;
   if (send_all (client->fd, record, bytes, deadline_us) == 0)
     status = receive_reply (client, result_codec, result, deadline_us);
   if (status == WIRE_LOST)
@@ -296,7 +301,10 @@
   memset (result, 0, result_bytes);
   g_mutex_lock (&client->mutex);
   gint64 deadline_us = g_get_monotonic_time () + timeout_ms * INT64_C (1000);
-  char *record = encode_call (client, procedure, args_codec, args, &bytes);
+  char *record = NULL;
+  /* Encoded when it can be sent at once, since a codec may fill in times. */
+  if (open_connection (client, deadline_us))
+    record = encode_call (client, procedure, args_codec, args, &bytes);
   if (record)
     status
         = exchange (client, record, bytes, result_codec, result, deadline_us);
