--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,6 +10,16 @@
   echo "$files" | xargs clang-format -i
   exit 0
 fi
+echo "platform words"
+# The platform's names stay in platform/, its deployment and its stand-ins.
+words=$(sed -n 's/^#define PLATFORM_[A-Z_]* "\(.*\)"$/\1/p' platform/platform_words.h \
+  | grep -v '^Last-Event-Id$')
+words=$(printf '%s\ntenant\nreplica\napiKeys\npathPrefix\nkvCapacityTokens' "$words")
+if git ls-files -co --exclude-standard 'src/*' 'tools/*' 'bench/*' 'fuzz/*' \
+  | grep -v '/platform_\|/fuzz_platform' | xargs grep -nwiF -e "$words"; then
+  echo "names of the platform outside of its folder" >&2
+  exit 1
+fi
 echo "clang-format"
 echo "$files" | xargs clang-format --dry-run -Werror
 echo "clang-tidy"
