Refuse requests whose end readers could see in different places

Cause: the HTTP library serves requests with a length and chunks, two lengths, folded headers (joined to the name), a missing Host, a blank before the colon (the body then stands as the next request), and reads on for an unknown coding. Ruled out: the library's strict mode alone: of 17 cases it refuses the missing Host, four more are refused by default.

--- a/src/edge_answer.c
+++ b/src/edge_answer.c
@@ -45,8 +45,7 @@
   base_event ("request-over id=%s outcome=%s status=%" PRIu32
               " reason=\"%s\" route=%s account=%s target=%s sends=%" PRIu32
               " runs=%" PRIu32 " events=%" PRIu32 " age_ms=%" PRIu64
-              " tokens=%" PRIu64 " reserved_tokens=%" PRIu64
-              " table=%" PRIu64,
+              " tokens=%" PRIu64 " reserved_tokens=%" PRIu64 " table=%" PRIu64,
               request->head.request_id, outcome, status, reason,
               request->route ? request->route->name : "-",
               request->account ? request->account->name : "-",
--- a/src/edge_front.c
+++ b/src/edge_front.c
@@ -4,8 +4,10 @@
 #include <string.h>
 #include <sys/epoll.h>
 
+#include "base_event.h"
 #include "base_log.h"
 #include "edge_request.h"
+#include "http_framing.h"
 
 /* An idle connection is kept for longer than callers reuse it. */
 #define IDLE_TIMEOUT_S 60u
@@ -80,6 +82,27 @@
   return MHD_YES;
 }
 
+/* The caller's connection can't be trusted any more. */
+static enum MHD_Result
+refuse_unsound (struct edge_front *front, struct MHD_Connection *connection,
+                const char *fault)
+{
+  base_counter_add (front->edge->counters.requests, 1);
+  base_counter_add (front->edge->counters.refused, 1);
+  base_event ("request-unsound fault=\"%s\"", fault);
+  char *text = g_strdup_printf ("%s\n", fault);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), text, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                           "text/plain");
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  enum MHD_Result result
+      = MHD_queue_response (connection, MHD_HTTP_BAD_REQUEST, response);
+  MHD_destroy_response (response);
+  g_free (text);
+  return result;
+}
+
 static enum MHD_Result
 take_body (struct call *call, const char *data, size_t *bytes)
 {
@@ -99,9 +122,12 @@
   struct edge_front *front = context;
   struct call *call = *state;
   (void)url;
-  (void)version;
   if (!call->request)
-    return start_request (front, connection, method, call);
+    {
+      const char *fault = http_framing_fault (connection, version);
+      return fault ? refuse_unsound (front, connection, fault)
+                   : start_request (front, connection, method, call);
+    }
   if (*upload_bytes > 0)
     return take_body (call, upload, upload_bytes);
   if (!call->begun)
@@ -202,9 +228,9 @@
       CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)CONNECTION_BYTES, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
-      take_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED, complete_caller, front,
-      MHD_OPTION_END);
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+      MHD_OPTION_URI_LOG_CALLBACK, take_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED,
+      complete_caller, front, MHD_OPTION_END);
   return watch_server (front, &front->callers);
 }
 
--- a/src/router_callers.c
+++ b/src/router_callers.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "http_framing.h"
 #include "http_status.h"
 #include "router_answer.h"
 #include "router_request.h"
@@ -119,6 +120,23 @@
   return MHD_YES;
 }
 
+/* The caller's connection can't be trusted any more. */
+static enum MHD_Result
+refuse_unsound (struct router_callers *callers,
+                struct MHD_Connection *connection, const char *fault)
+{
+  struct MHD_Response *response
+      = router_refusal_response (ROUTER_REFUSAL_BAD_REQUEST, fault, NULL, 0);
+  router_metrics_refused (callers->router->metrics,
+                          router_refusal_code (ROUTER_REFUSAL_BAD_REQUEST));
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  enum MHD_Result result = MHD_queue_response (
+      connection, router_refusal_status (ROUTER_REFUSAL_BAD_REQUEST),
+      response);
+  MHD_destroy_response (response);
+  return result;
+}
+
 static enum MHD_Result
 take_upload (struct router_callers *callers, struct router_call *call,
              const char *upload, size_t *bytes)
@@ -191,9 +209,12 @@
 {
   struct router_callers *callers = data;
   struct router_call *call = *state;
-  (void)version;
   if (call->kind == CALL_NEW)
-    return start_call (callers, connection, url, method, call);
+    {
+      const char *fault = http_framing_fault (connection, version);
+      return fault ? refuse_unsound (callers, connection, fault)
+                   : start_call (callers, connection, url, method, call);
+    }
   if (*upload_bytes > 0)
     return take_upload (callers, call, upload, upload_bytes);
   return serve_call (callers, connection, url, call);
@@ -241,8 +262,9 @@
       MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CACTUS_CALLERS_MAX,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)timeout_s,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
-      MHD_OPTION_URI_LOG_CALLBACK, log_uri, NULL, MHD_OPTION_NOTIFY_COMPLETED,
-      complete_request, NULL, MHD_OPTION_END);
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK, log_uri,
+      NULL, MHD_OPTION_NOTIFY_COMPLETED, complete_request, NULL,
+      MHD_OPTION_END);
   if (!callers->daemon)
     {
       g_free (callers);
