--- /dev/null
+++ b/fuzz/fuzz_platform.c
@@ -0,0 +1,16 @@
+/** @file
+ *  Fuzzes the adapter's readers: the first byte chooses one. */
+
+#include "platform_fuzz.h"
+
+/** The fuzz target, as libFuzzer calls it. */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t bytes);
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t bytes)
+{
+  if (bytes > 0)
+    platform_fuzz_feed (data[0] % PLATFORM_FUZZ_READERS,
+                        (const char *)data + 1, bytes - 1);
+  return 0;
+}
--- a/src/edge_dialect.h
+++ b/src/edge_dialect.h
@@ -39,6 +39,8 @@
   int64_t last_event;
   /** Lines that go to the target unchanged, "Name: value". */
   GPtrArray *lines;
+  /** Name of a header whose value can't be read, or NULL. */
+  const char *unread;
 };
 
 /** What the router adds when it sends a request to a target. */
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -236,6 +236,18 @@
   return false;
 }
 
+/* A value that can't be read is never taken for another. */
+static bool
+is_read (struct edge_request *request)
+{
+  if (!request->head.unread)
+    return true;
+  char *reason = g_strdup_printf ("%s can't be read", request->head.unread);
+  edge_answer_refuse (request, MHD_HTTP_BAD_REQUEST, 0, reason);
+  g_free (reason);
+  return false;
+}
+
 void
 edge_request_begin (struct edge_request *request)
 {
@@ -244,7 +256,8 @@
   g_queue_push_tail_link (&edge->requests, &request->link);
   base_counter_add (edge->counters.requests, 1);
   base_counter_set (edge->counters.open, edge->requests.length);
-  if (!may_begin (request) || !find_route (request) || !find_account (request))
+  if (!may_begin (request) || !is_read (request) || !find_route (request)
+      || !find_account (request))
     return;
   set_limits (request);
   edge_retry_request (edge->retry, request->service->name,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -183,6 +183,28 @@
   g_free (head.key);
 }
 
+/* A value that can't be read is named, never zeroed. */
+static void
+test_unreadable_headers (void)
+{
+  static const char *const lines[][2]
+      = { { "X-Token-Count", "1s460,80" }, { "X-Token-Count", "1460,8/0" },
+          { "X-Token-Count", "" },         { "X-Token-Count", "-1,5" },
+          { "X-Deadline-Ms", "2.5" },      { "X-Deadline-Ms", "99999999999" },
+          { "X-Request-Id", "a b" },       { "X-Request-Id", "" },
+          { "Last-Event-Id", "-112" },     { "Last-Event-Id", "x" },
+          { "X-Prompt-Prefix", "5c" },     { "X-Prompt-Prefix", "5c:8,:4" } };
+  const struct edge_dialect *dialect = platform_dialect ();
+  for (uint32_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    {
+      struct edge_head head = { .last_event = EDGE_NO_EVENT };
+      head.lines = g_ptr_array_new_with_free_func (g_free);
+      dialect->read_header (dialect, &head, lines[i][0], lines[i][1]);
+      g_assert_cmpstr (head.unread, ==, lines[i][0]);
+      g_ptr_array_unref (head.lines);
+    }
+}
+
 static void
 test_answer_headers (void)
 {
@@ -229,6 +251,7 @@
   g_assert_true (settings->is_first_start);
   g_assert_cmpstr (settings->members[1], ==, "10.0.0.2:7000");
   g_assert_cmpuint (settings->grace_ms, ==, 8000);
+  g_assert_cmpuint (settings->metrics_port, ==, 7001);
   g_assert_cmpstr (platform_settings_region (settings, "z2"), ==, "r2");
   platform_settings_destroy (settings);
   g_assert_null (read_settings (
@@ -237,6 +260,24 @@
   base_findings_destroy (findings);
 }
 
+/* A misspelt setting is named with its place. */
+static void
+test_unknown_settings (void)
+{
+  struct base_findings *findings = base_findings_create ();
+  g_assert_null (read_settings (
+      "[process]\nhost=n1\naddress=10.0.0.1\navailability-zone=z1\n"
+      "region=r1\nfirst-port=7000\nlast-port=7010\nmembers=10.0.0.1:80\n"
+      "[listen]\nmetric-port=9464\n[limit]\ngrace-s=8\n",
+      findings));
+  char *text = base_findings_join (findings);
+  g_assert_cmpuint (base_findings_count (findings), ==, 2);
+  g_assert_nonnull (strstr (text, "metric-port"));
+  g_assert_nonnull (strstr (text, "limit"));
+  g_free (text);
+  base_findings_destroy (findings);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -246,7 +287,9 @@
   g_test_add_func ("/platform/cut-configs", test_cut_configs);
   g_test_add_func ("/platform/announcements", test_announcements);
   g_test_add_func ("/platform/caller-headers", test_caller_headers);
+  g_test_add_func ("/platform/unreadable-headers", test_unreadable_headers);
   g_test_add_func ("/platform/answer-headers", test_answer_headers);
   g_test_add_func ("/platform/settings", test_settings);
+  g_test_add_func ("/platform/unknown-settings", test_unknown_settings);
   return g_test_run ();
 }
--- /dev/null
+++ b/tools/platform_fuzz.c
@@ -0,0 +1,124 @@
+#include "platform_fuzz.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "platform_beat.h"
+#include "platform_config.h"
+#include "platform_dialect.h"
+
+static void
+need (bool holds)
+{
+  if (!holds)
+    abort ();
+}
+
+static void
+feed_config (const char *data, size_t bytes)
+{
+  struct base_findings *findings = base_findings_create ();
+  struct platform_config *config
+      = platform_config_read (data, bytes, findings);
+  need ((config != NULL) == (base_findings_count (findings) == 0));
+  if (config)
+    need (platform_config_table (config) != NULL);
+  platform_config_destroy (config);
+  base_findings_destroy (findings);
+}
+
+static void
+feed_beat (const char *data, size_t bytes)
+{
+  struct control_target target;
+  struct base_findings *findings = base_findings_create ();
+  bool good = platform_beat_read ("i-1", data, bytes, &target, findings);
+  need (good == (base_findings_count (findings) == 0));
+  if (good)
+    need (strcmp (target.name, "i-1") == 0 && target.port > 0
+          && target.port <= UINT16_MAX);
+  xdr_free ((xdrproc_t)xdr_control_target, (char *)&target);
+  base_findings_destroy (findings);
+}
+
+/* Calls @p take with each line's name and value. */
+static void
+each_line (const char *data, size_t bytes,
+           void (*take) (void *context, const char *name, const char *value),
+           void *context)
+{
+  char *text = g_strndup (data, bytes);
+  char **lines = g_strsplit (text, "\n", -1);
+  for (char **line = lines; *line; line++)
+    {
+      char *colon = strchr (*line, ':');
+      if (!colon)
+        continue;
+      *colon = '\0';
+      take (context, *line, g_strstrip (colon + 1));
+    }
+  g_strfreev (lines);
+  g_free (text);
+}
+
+static void
+take_caller (void *context, const char *name, const char *value)
+{
+  const struct edge_dialect *dialect = platform_dialect ();
+  dialect->read_header (dialect, context, name, value);
+}
+
+static void
+feed_caller (const char *data, size_t bytes)
+{
+  struct edge_head head = { .last_event = EDGE_NO_EVENT };
+  head.lines = g_ptr_array_new_with_free_func (g_free);
+  each_line (data, bytes, take_caller, &head);
+  need (memchr (head.request_id, '\0', sizeof head.request_id) != NULL);
+  need (head.part_count <= PLACE_PARTS_MAX);
+  need (head.last_event >= EDGE_NO_EVENT);
+  g_ptr_array_unref (head.lines);
+  g_free (head.host);
+  g_free (head.key);
+}
+
+static void
+take_answer (void *context, const char *name, const char *value)
+{
+  const struct edge_dialect *dialect = platform_dialect ();
+  dialect->read_answer (dialect, context, "abc", name, value);
+}
+
+static void
+feed_answer (const char *data, size_t bytes)
+{
+  struct edge_answer answer = { .status = 200 };
+  answer.lines = g_ptr_array_new_with_free_func (g_free);
+  each_line (data, bytes, take_answer, &answer);
+  g_ptr_array_unref (answer.lines);
+}
+
+void
+platform_fuzz_feed (enum platform_fuzz_reader reader, const char *data,
+                    size_t bytes)
+{
+  switch (reader)
+    {
+    case PLATFORM_FUZZ_CONFIG:
+      feed_config (data, bytes);
+      break;
+    case PLATFORM_FUZZ_BEAT:
+      feed_beat (data, bytes);
+      break;
+    case PLATFORM_FUZZ_CALLER:
+      feed_caller (data, bytes);
+      break;
+    case PLATFORM_FUZZ_ANSWER:
+    case PLATFORM_FUZZ_READERS:
+    default:
+      feed_answer (data, bytes);
+      break;
+    }
+}
--- /dev/null
+++ b/tools/platform_fuzz.h
@@ -0,0 +1,27 @@
+#ifndef PLATFORM_FUZZ_H
+#define PLATFORM_FUZZ_H
+
+/** @file
+ *  Feeds any bytes to the readers of the adapter and aborts where what they
+ *  took breaks a promise of their headers. */
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** Readers by the first byte of an input. */
+enum platform_fuzz_reader
+{
+  PLATFORM_FUZZ_CONFIG,
+  PLATFORM_FUZZ_BEAT,
+  /** Lines "Name: value" of a caller. */
+  PLATFORM_FUZZ_CALLER,
+  /** Lines "Name: value" of a target's answer. */
+  PLATFORM_FUZZ_ANSWER,
+  PLATFORM_FUZZ_READERS
+};
+
+/** Reads @p data. */
+void platform_fuzz_feed (enum platform_fuzz_reader reader, const char *data,
+                         size_t bytes);
+
+#endif
