Explain a request from the logs of several processes

Cause: a failed request's causes stand in the logs of its router, of the core hosts and under other names than its id; the routers' lines had no date. Routers' lines carry the date.

--- a/src/base_event.c
+++ b/src/base_event.c
@@ -49,10 +49,11 @@
   struct tm parts;
   clock_gettime (CLOCK_REALTIME, &now);
   gmtime_r (&now.tv_sec, &parts);
-  int length = snprintf (line, LINE_BYTES, "%02d:%02d:%02d.%03ld %s ",
-                         parts.tm_hour, parts.tm_min, parts.tm_sec,
-                         now.tv_nsec / 1000000, event_host);
-  return (size_t)length;
+  size_t length = strftime (line, LINE_BYTES, "%Y-%m-%dT%H:%M:%S", &parts);
+  length
+      += (size_t)snprintf (line + length, LINE_BYTES - length, ".%03ldZ %s ",
+                           now.tv_nsec / 1000000, event_host);
+  return length;
 }
 
 /* The mutex is held. */
--- a/src/ctl_command.c
+++ b/src/ctl_command.c
@@ -6,6 +6,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Logs of one call of explain. */
+#define LOGS_MAX 4096
+
 static const char *const no_options[] = { NULL };
 static const char *const keygen_options[] = { "output", NULL };
 static const char *const sign_options[]
@@ -58,6 +61,8 @@
           no_options, 1, 1, true, ctl_target_undrain },
         { "bills", "", "Prints the statement of bills", bills_options, 0, 0,
           true, ctl_bills },
+        { "explain", "REQUEST LOG...", "Shows what logs say about a request",
+          no_options, 2, LOGS_MAX, false, ctl_explain },
         { 0 } };
 
 static void
--- a/src/ctl_command.h
+++ b/src/ctl_command.h
@@ -116,5 +116,6 @@
 enum ctl_exit ctl_target_drain (struct ctl_context *context);
 enum ctl_exit ctl_target_undrain (struct ctl_context *context);
 enum ctl_exit ctl_bills (struct ctl_context *context);
+enum ctl_exit ctl_explain (struct ctl_context *context);
 
 #endif
--- /dev/null
+++ b/src/ctl_explain.c
@@ -0,0 +1,73 @@
+/** @file
+ *  cactusctl explain: a request's time line over the logs of several
+ *  processes. */
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl_command.h"
+#include "log_timeline.h"
+
+/* Hands each line of a file on; false with errno set. */
+static bool
+read_lines (const char *path, struct log_timeline *timeline,
+            void (*take) (struct log_timeline *timeline, const char *text))
+{
+  char *text = NULL;
+  size_t room = 0;
+  FILE *file = fopen (path, "re");
+  if (!file)
+    return false;
+  while (getline (&text, &room, file) >= 0)
+    take (timeline, text);
+  bool good = !ferror (file);
+  free (text);
+  fclose (file);
+  return good;
+}
+
+/* One pass over all files; false after an error was printed. */
+static bool
+read_files (const struct ctl_context *context, struct log_timeline *timeline,
+            void (*take) (struct log_timeline *timeline, const char *text))
+{
+  for (uint32_t i = 2; i <= context->argument_count; i++)
+    if (!read_lines (context->arguments[i], timeline, take))
+      {
+        ctl_fail (CTL_USAGE, "%s: %s", context->arguments[i],
+                  g_strerror (errno));
+        return false;
+      }
+  return true;
+}
+
+enum ctl_exit
+ctl_explain (struct ctl_context *context)
+{
+  enum ctl_exit code = CTL_USAGE;
+  const char *id = context->arguments[1];
+  struct log_timeline *timeline = log_timeline_create (id);
+  GString *text = g_string_new (NULL);
+  if (!read_files (context, timeline, log_timeline_find))
+    goto done;
+  if (!log_timeline_is_found (timeline))
+    {
+      ctl_fail (
+          CTL_USAGE,
+          "no line of these logs has id=%s; name the logs of all routers "
+          "at that time",
+          id);
+      goto done;
+    }
+  if (!read_files (context, timeline, log_timeline_add))
+    goto done;
+  log_timeline_print (timeline, text);
+  fputs (text->str, stdout);
+  code = CTL_DONE;
+done:
+  g_string_free (text, TRUE);
+  log_timeline_destroy (timeline);
+  return code;
+}
