Count requests and tokens by client account

Cause: from the metrics nobody could tell whose requests were refused. A refusal of a request that was never sent says not-run in its body, whatever its status. Ruled out: histograms by account (8 KB each; those by kind of route stay).

--- a/src/edge.c
+++ b/src/edge.c
@@ -89,6 +89,7 @@
   edge->options = *options;
   edge->set = base_metrics_create ();
   make_counters (edge);
+  edge->accounts = edge_accounts_create (edge->set);
   base_random_seed (&edge->random, base_random_system_seed ());
   edge->targets = edge_targets_create ();
   edge->prepaid = edge_prepaid_create ();
@@ -125,6 +126,7 @@
   edge_targets_destroy (edge->targets);
   edge_prepaid_destroy (edge->prepaid);
   edge_retry_destroy (edge->retry);
+  edge_accounts_destroy (edge->accounts);
   base_metrics_destroy (edge->set);
   g_free (state);
 }
--- a/src/edge.h
+++ b/src/edge.h
@@ -10,6 +10,7 @@
 
 #include "base_metrics.h"
 #include "base_random.h"
+#include "edge_accounts.h"
 #include "edge_dialect.h"
 #include "edge_prepaid.h"
 #include "edge_retry.h"
@@ -69,6 +70,7 @@
   struct edge_options options;
   struct base_metrics *set;
   struct edge_counters counters;
+  struct edge_accounts *accounts;
   struct base_random random;
   struct router_poll *loop;
   struct edge_front *front;
--- a/src/edge_answer.c
+++ b/src/edge_answer.c
@@ -56,6 +56,24 @@
               table ? edge_table_version (table) : 0);
 }
 
+/* Counts a request that is over under its account, if it has one. */
+static void
+count_over (const struct edge_request *request,
+            enum edge_account_outcome outcome)
+{
+  if (request->account)
+    edge_accounts_over (request->edge->accounts, request->account->name,
+                        outcome, edge_settle_tokens (request));
+}
+
+static enum edge_account_outcome
+refusal_outcome (uint32_t status, bool promises)
+{
+  if (status == MHD_HTTP_PAYMENT_REQUIRED)
+    return EDGE_ACCOUNT_EXHAUSTED;
+  return promises ? EDGE_ACCOUNT_REFUSED : EDGE_ACCOUNT_FAILED;
+}
+
 /* Hands the answer to the server, which is run with this round. */
 static void
 give_answer (struct edge_request *request, uint32_t status,
@@ -81,9 +99,9 @@
   char text[256];
   char seconds[24];
   bool promises = status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY;
-  int length = g_snprintf (text, sizeof text,
-                           "{\"error\":{\"message\":\"%s\",\"run\":\"%s\"}}\n",
-                           reason, promises ? "not-run" : "unknown");
+  int length = g_snprintf (
+      text, sizeof text, "{\"error\":{\"message\":\"%s\",\"run\":\"%s\"}}\n",
+      reason, promises || request->sends == 0 ? "not-run" : "unknown");
   struct MHD_Response *response = MHD_create_response_from_buffer (
       (size_t)length, text, MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
@@ -98,6 +116,7 @@
   base_counter_add (promises ? request->edge->counters.refused
                              : request->edge->counters.failed,
                     1);
+  count_over (request, refusal_outcome (status, promises));
   log_over (request, status, promises ? "refused" : "failed", reason);
   give_answer (request, status, response);
   edge_settle_close (request);
@@ -113,6 +132,7 @@
   add_target_lines (request, response);
   add_connection (request, response);
   count_served (request);
+  count_over (request, EDGE_ACCOUNT_SERVED);
   log_over (request, answer->status, "answered", "-");
   give_answer (request, answer->status, response);
   edge_settle_close (request);
@@ -139,6 +159,7 @@
     base_counter_add (request->edge->counters.failed, 1);
   else
     count_served (request);
+  count_over (request, cut ? EDGE_ACCOUNT_FAILED : EDGE_ACCOUNT_SERVED);
   log_over (request, MHD_HTTP_OK, cut ? "cut" : "streamed", reason);
   router_stream_end (&request->stream, cut);
   edge_front_touch (request->edge->front);
