Report the rate of what is reserved, not of what is asked

Cause: a router's rate, by which control bounds what it may have used when it dies, counted each try of callers who were refused and came back. Change: the reported rate is that of reservations.

--- a/src/edge_prepaid.c
+++ b/src/edge_prepaid.c
@@ -51,6 +51,10 @@
   uint64_t window_ms;
   uint64_t window_tokens;
   double tokens_per_ms;
+  /* The same for what was reserved: callers who are refused and come back
+     raise the demand, but not the use. */
+  uint64_t window_reserved_tokens;
+  double reserved_per_ms;
   uint64_t largest_tokens;
   /* As control last said. */
   bool is_scarce;
@@ -151,20 +155,28 @@
   return MIN (free_tokens (lease), limit > used ? limit - used : 0);
 }
 
+/* The rate after a window with @p rate. */
+static double
+smooth (double former, double rate)
+{
+  return former > 0.0 ? RATE_KEPT * former + (1.0 - RATE_KEPT) * rate : rate;
+}
+
 static void
 note_demand (struct lease *lease, uint64_t tokens, uint64_t now_ms)
 {
   if (now_ms >= lease->window_ms + DEMAND_WINDOW_MS)
     {
       uint64_t age_ms = now_ms - lease->window_ms;
-      double rate = (double)lease->window_tokens
-                    / (double)MAX (age_ms, DEMAND_WINDOW_MS);
-      lease->tokens_per_ms
-          = lease->tokens_per_ms > 0.0
-                ? RATE_KEPT * lease->tokens_per_ms + (1.0 - RATE_KEPT) * rate
-                : rate;
+      double window_ms = (double)MAX (age_ms, DEMAND_WINDOW_MS);
+      lease->tokens_per_ms = smooth (lease->tokens_per_ms,
+                                     (double)lease->window_tokens / window_ms);
+      lease->reserved_per_ms
+          = smooth (lease->reserved_per_ms,
+                    (double)lease->window_reserved_tokens / window_ms);
       lease->window_ms = now_ms;
       lease->window_tokens = 0;
+      lease->window_reserved_tokens = 0;
       lease->largest_tokens = lease->largest_tokens / 2;
     }
   lease->window_tokens += tokens;
@@ -245,6 +257,7 @@
   if (usable_tokens (prepaid, lease, now_ms) >= tokens)
     {
       lease->reserved_tokens += tokens;
+      lease->window_reserved_tokens += tokens;
       if (!lease->in_call && !lease->is_scarce
           && usable_tokens (prepaid, lease, now_ms) < lease->largest_tokens)
         prepaid->is_urgent = true;
@@ -326,12 +339,13 @@
   return wanted > spare ? wanted - spare : 0;
 }
 
-/* Smoothed demand in tokens a second. */
+/* Smoothed rate of what is reserved, in tokens a second; the demand before
+   there is one. */
 static uint64_t
 reported_rate (const struct lease *lease)
 {
-  double rate = lease->tokens_per_ms > 0.0 ? lease->tokens_per_ms
-                                           : demand_rate (lease);
+  double rate = lease->reserved_per_ms > 0.0 ? lease->reserved_per_ms
+                                             : demand_rate (lease);
   return (uint64_t)(1000.0 * rate);
 }
 
--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -573,6 +573,41 @@
   control_prepaid_destroy (pool);
 }
 
+/* Callers who were refused and come back don't raise what a router may use
+   unreported, and what is written off when it dies. */
+static void
+test_refused_requests_are_no_use (void)
+{
+  struct control_prepaid_total total = { (char *)"a", 60000 };
+  struct control_prepaid *pool = control_prepaid_create ();
+  struct edge_prepaid *router = edge_prepaid_create ();
+  struct control_lease_args args = { 0 };
+  uint64_t now_ms = 100000;
+  control_prepaid_set_totals (pool, &total, 1);
+  edge_prepaid_reserve (router, "a", 1000, 0, now_ms);
+  call_pool (pool, router, "r1", 1, now_ms);
+  for (uint64_t step = 1; step <= 100; step++)
+    {
+      now_ms += 100;
+      if (step % 10 == 0
+          && edge_prepaid_reserve (router, "a", 1000, 0, now_ms)
+                 == EDGE_PREPAID_RESERVED)
+        edge_prepaid_settle (router, "a", 1000, 1000);
+      g_assert_cmpint (edge_prepaid_reserve (router, "a", 70000, 0, now_ms),
+                       !=, EDGE_PREPAID_RESERVED);
+      if (step % 3 == 0)
+        call_pool (pool, router, "r1", 1 + step, now_ms);
+    }
+  edge_prepaid_ask (router, now_ms + 1, false, &args);
+  g_assert_cmpuint (args.asks.asks_len, ==, 1);
+  /* A thousand tokens a second were used. */
+  g_assert_cmpuint (args.asks.asks_val[0].tokens_per_s, <=, 2000);
+  g_assert_cmpuint (args.asks.asks_val[0].tokens_per_s, >=, 500);
+  xdr_free ((xdrproc_t)xdr_control_lease_args, (char *)&args);
+  edge_prepaid_destroy (router);
+  control_prepaid_destroy (pool);
+}
+
 /* What was reserved here since control's word is off what it said is unspent.
  */
 static void
@@ -632,6 +667,8 @@
                    test_late_call_of_a_former_run);
   g_test_add_func ("/edge-prepaid/last-request-that-fits",
                    test_last_request_that_fits);
+  g_test_add_func ("/edge-prepaid/refused-requests-are-no-use",
+                   test_refused_requests_are_no_use);
   g_test_add_func ("/edge-prepaid/own-use-since-the-word",
                    test_own_use_since_the_word);
   g_test_add_func ("/edge-prepaid/allowance-grows-to-all",
