--- a/src/log_timeline.c
+++ b/src/log_timeline.c
@@ -127,6 +127,21 @@
   return false;
 }
 
+/* Each control member logs a write-off as it applies it, again after a
+   start. */
+static bool
+is_repeated (const struct log_timeline *timeline, const struct log_line *line)
+{
+  for (guint i = 0; i < timeline->lines->len; i++)
+    {
+      const struct log_line *kept = timeline->lines->pdata[i];
+      if (strcmp (kept->event, "lease-reclaimed") == 0
+          && strcmp (kept->fields, line->fields) == 0)
+        return true;
+    }
+  return false;
+}
+
 /* Whether the line may have to do with how the request ended. */
 static bool
 concerns (const struct log_timeline *timeline, const struct log_line *line)
@@ -138,7 +153,8 @@
     return false;
   if (strcmp (line->event, "lease-reclaimed") == 0)
     return before_ms <= WRITE_OFFS_BEFORE_MS
-           && is_in (timeline->accounts, line, "account");
+           && is_in (timeline->accounts, line, "account")
+           && !is_repeated (timeline, line);
   if (g_str_has_prefix (line->event, "target-"))
     return before_ms <= TARGET_BEFORE_MS
            && g_hash_table_contains (timeline->hosts, line->host)
--- a/tests/test_log_timeline.c
+++ b/tests/test_log_timeline.c
@@ -21,6 +21,8 @@
   DAY "10:00:19.700Z r1 lease account=other granted_tokens=0 free_tokens=7",
   "<6>" DAY "09:59:30.000Z cactus-core[c1]: lease-reclaimed router=r3 "
   "account=acme unused_tokens=5 leased_tokens=900",
+  "<6>" DAY "09:59:30.100Z cactus-core[c2]: lease-reclaimed router=r3 "
+  "account=acme unused_tokens=5 leased_tokens=900",
   DAY "10:00:22.000Z r1 lease-wait id=ab12 account=acme tokens=500 "
       "free_tokens=30 answered_ago_ms=2100",
   DAY "10:00:22.000Z r1 lease-wait id=ab123 account=acme tokens=1",
@@ -36,7 +38,7 @@
 test_lines (void)
 {
   struct log_line line;
-  g_assert_true (log_line_read (lines[9], &line));
+  g_assert_true (log_line_read (lines[10], &line));
   g_assert_cmpstr (line.host, ==, "r1");
   g_assert_cmpstr (line.event, ==, "request-over");
   char *reason = log_line_field (&line, "reason");
