Give up a connection that doesn't stand after 300 ms, and make a new one

Ruled out: fetching the document (110 ms), the election (0.1 s). Change: a connect has a time limit of its own.

--- a/src/cactus_config.h
+++ b/src/cactus_config.h
@@ -27,6 +27,11 @@
 /** Deadline of one call between processes, in milliseconds. */
 #define CACTUS_CALL_TIMEOUT_MS 1000
 
+/** Time for a connection to stand, in milliseconds: several times the longest
+ *  way between regions (60 ms both ways).  The kernel would send its first
+ *  packet again after a second only; a new connection sends one at once. */
+#define CACTUS_CONNECT_TIMEOUT_MS 300
+
 /** Interval of a target's announcements, in milliseconds. */
 #define CACTUS_ANNOUNCE_INTERVAL_MS 500
 /** Age at which a target's record lapses, in milliseconds. */
--- a/src/wire_client.c
+++ b/src/wire_client.c
@@ -105,8 +105,10 @@
   if (fd < 0)
     return -1;
   int status = connect (fd, (const struct sockaddr *)address, sizeof *address);
+  gint64 limit_us = g_get_monotonic_time ()
+                    + CACTUS_CONNECT_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND;
   if (status != 0 && errno == EINPROGRESS)
-    status = wait_connected (fd, deadline_us);
+    status = wait_connected (fd, MIN (deadline_us, limit_us));
   if (status != 0)
     {
       close (fd);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -372,6 +372,45 @@
   wire_server_destroy (server);
 }
 
+/* A host that answers nothing, as one without power: a listener whose queue is
+   full drops what comes. */
+static void
+test_silent_host (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+  int queued[8];
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  g_assert_cmpint (
+      bind (listener, (struct sockaddr *)&address, sizeof address), ==, 0);
+  g_assert_cmpint (listen (listener, 0), ==, 0);
+  g_assert_cmpint (
+      getsockname (listener, (struct sockaddr *)&address, &length), ==, 0);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (queued); i++)
+    {
+      queued[i]
+          = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      connect (queued[i], (struct sockaddr *)&address, sizeof address);
+    }
+  gint64 start_us = g_get_monotonic_time ();
+  struct control_status_args args = { (char *)"c" };
+  struct control_status_result result;
+  struct wire_client *client = wire_client_create (
+      "127.0.0.1", ntohs (address.sin_port), CONTROL_PROGRAM, CONTROL_VERSION);
+  enum wire_status status = wire_client_call (
+      client, CONTROL_STATUS, (xdrproc_t)xdr_control_status_args, &args,
+      (xdrproc_t)xdr_control_status_result, &result, sizeof result, 60000);
+  gint64 took_us = g_get_monotonic_time () - start_us;
+  wire_client_destroy (client);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (queued); i++)
+    close (queued[i]);
+  close (listener);
+  g_assert_cmpint (status, ==, WIRE_UNSENT);
+  /* Far from the call's deadline of a minute, so that it is tried anew. */
+  g_assert_cmpint (took_us, <, 30 * G_TIME_SPAN_SECOND);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -381,6 +420,7 @@
   g_test_add_func ("/wire/large", test_large);
   g_test_add_func ("/wire/posts", test_posts);
   g_test_add_func ("/wire/unsent", test_unsent);
+  g_test_add_func ("/wire/silent-host", test_silent_host);
   g_test_add_func ("/wire/half-sent-call", test_half_sent_call);
   return g_test_run ();
 }
