Let requests wait for a leader at a router that has just started

Change: a run that control never answered counts as cut off only once no member was heard for a second. Conclusion: in; /platform-process/waits-for-a-leader fails without it.

--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -211,6 +211,12 @@
     }
 }
 
+uint64_t
+edge_links_heard_ms (const struct edge_links *links)
+{
+  return links->heard_ms;
+}
+
 static gpointer
 destroy_watcher (gpointer watcher)
 {
--- a/src/edge_links.h
+++ b/src/edge_links.h
@@ -17,6 +17,8 @@
 /** Replaces the members that settings name. */
 void edge_links_set_members (struct edge_links *links,
                              const char *const *members);
+/** When a control member was last heard, in milliseconds; 0: never. */
+uint64_t edge_links_heard_ms (const struct edge_links *links);
 /** Takes in news and starts calls that are due; once a round. */
 void edge_links_round (struct edge_links *links, uint64_t now_ms);
 
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -7,6 +7,7 @@
 #include "base_event.h"
 #include "edge_answer.h"
 #include "edge_front.h"
+#include "edge_links.h"
 #include "edge_send.h"
 #include "edge_settle.h"
 
@@ -167,6 +168,17 @@
         = edge_events_create (EVENT_MAX_BYTES, request->head.last_event);
 }
 
+/* Whether control has not answered for a while.  A run that it has never
+   answered waits for the leader while members can be heard. */
+static bool
+is_cut_off (const struct edge *edge, uint64_t now_ms)
+{
+  uint64_t heard_ms = edge_prepaid_answered_ms (edge->prepaid);
+  if (heard_ms == 0)
+    heard_ms = edge_links_heard_ms (edge->links);
+  return now_ms > heard_ms + CUT_OFF_MS;
+}
+
 /* Reserves the worst case; true when the request may be sent. */
 static bool
 reserve (struct edge_request *request)
@@ -198,7 +210,7 @@
                     edge_prepaid_usable (edge->prepaid, request->account->name,
                                          now_ms),
                     now_ms - edge_prepaid_answered_ms (edge->prepaid));
-      if (now_ms > edge_prepaid_answered_ms (edge->prepaid) + CUT_OFF_MS)
+      if (is_cut_off (edge, now_ms))
         {
           edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE,
                               ELSEWHERE_RETRY_AFTER_MS,
--- a/tests/test_platform_process.c
+++ b/tests/test_platform_process.c
@@ -261,6 +261,50 @@
   tear_down (&fixture);
 }
 
+/* Waits until a process's log has this text. */
+static bool
+wait_for_text (const struct platform_rig *rig, const char *process,
+               const char *needle)
+{
+  bool found = false;
+  char *path = g_strdup_printf ("%s/%s.log", rig->folder, process);
+  for (uint32_t i = 0; !found && i < 200; i++)
+    {
+      char *text = NULL;
+      found = g_file_get_contents (path, &text, NULL, NULL)
+              && strstr (text, needle);
+      g_free (text);
+      g_usleep (found ? 0 : 50000);
+    }
+  g_free (path);
+  return found;
+}
+
+/* A router that starts while control has no leader lets requests wait for one
+   as long as a member answers. */
+static void
+test_waits_for_a_leader (void)
+{
+  struct fixture fixture;
+  set_up (&fixture);
+  g_assert_true (
+      wait_for_text (fixture.rig, "core-0", "document-held version=3"));
+  fleet_process_kill (fixture.rig->entry);
+  fleet_process_kill (fixture.rig->cores[1]);
+  fleet_process_kill (fixture.rig->cores[2]);
+  g_assert_cmpint (fleet_process_start (fixture.rig->entry), ==, 0);
+  g_assert_true (platform_rig_wait (fixture.rig, "/safe/x", "k2", 200));
+  struct platform_reply reply
+      = platform_rig_request (fixture.rig, "/stream/stream", "k1", "9,5");
+  g_assert_cmpint (reply.status, ==, 503);
+  g_assert_nonnull (
+      strstr (reply.body->str, "control does not lease tokens now"));
+  platform_reply_clear (&reply);
+  g_assert_cmpint (fleet_process_start (fixture.rig->cores[1]), ==, 0);
+  g_assert_true (platform_rig_wait (fixture.rig, "/stream/stream", "k1", 200));
+  tear_down (&fixture);
+}
+
 static void
 test_leaving_target (void)
 {
@@ -358,6 +402,8 @@
                    test_refused_resumption);
   g_test_add_func ("/platform-process/budget-over-restarts",
                    test_budget_over_restarts);
+  g_test_add_func ("/platform-process/waits-for-a-leader",
+                   test_waits_for_a_leader);
   g_test_add_func ("/platform-process/leaving-target", test_leaving_target);
   g_test_add_func ("/platform-process/graceful-stop", test_graceful_stop);
   g_test_add_func ("/platform-process/configurations", test_configurations);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -391,7 +391,7 @@
     {
       queued[i]
           = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      connect (queued[i], (struct sockaddr *)&address, sizeof address);
+      (void)connect (queued[i], (struct sockaddr *)&address, sizeof address);
     }
   gint64 start_us = g_get_monotonic_time ();
   struct control_status_args args = { (char *)"c" };
