--- a/src/base_event.c
+++ b/src/base_event.c
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -9,6 +10,8 @@
 
 #include <glib.h>
 
+#include "base_event_limit.h"
+
 /* Bytes that are gathered before lines are dropped. */
 #define BUFFER_BYTES (128u * 1024)
 /* Bytes at which the lines are written at once. */
@@ -20,6 +23,7 @@
 static char buffer[BUFFER_BYTES];
 static size_t used;
 static uint64_t dropped;
+static struct base_event_limit *limit;
 static uint64_t reported;
 
 void
@@ -27,6 +31,8 @@
 {
   int flags = fcntl (STDOUT_FILENO, F_GETFL);
   g_strlcpy (event_host, host, sizeof event_host);
+  if (!limit)
+    limit = base_event_limit_create ();
   if (flags >= 0)
     fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
@@ -71,11 +77,38 @@
   used += bytes;
 }
 
+/* Whether the limit of its event lets a line be written. */
+static bool
+is_wanted (const char *format)
+{
+  bool wanted = true;
+  g_mutex_lock (&mutex);
+  if (limit)
+    wanted = base_event_limit_take (limit, format, time (NULL));
+  g_mutex_unlock (&mutex);
+  return wanted;
+}
+
+/* The mutex is held. */
+static void
+add_left_out (void *context, const char *event, uint64_t lines)
+{
+  char line[LINE_BYTES];
+  size_t bytes = print_prefix (line);
+  (void)context;
+  bytes += (size_t)snprintf (line + bytes, sizeof line - bytes,
+                             "log-lines-left-out event=%s lines=%lu\n", event,
+                             (unsigned long)lines);
+  add_line (line, bytes);
+}
+
 void
 base_event (const char *format, ...)
 {
   char line[LINE_BYTES];
   va_list arguments;
+  if (!is_wanted (format))
+    return;
   size_t bytes = print_prefix (line);
   va_start (arguments, format);
   int length
@@ -95,6 +128,8 @@
 {
   char line[LINE_BYTES];
   g_mutex_lock (&mutex);
+  if (limit)
+    base_event_limit_tell (limit, time (NULL), add_left_out, NULL);
   if (dropped > reported)
     {
       size_t bytes = print_prefix (line);
--- /dev/null
+++ b/src/base_event_limit.c
@@ -0,0 +1,83 @@
+#include "base_event_limit.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* Events by name; there are about 40. */
+#define NAME_BYTES 40
+
+/* Lines of one event. */
+struct event_lines
+{
+  int64_t second;
+  uint32_t taken;
+  uint64_t left_out;
+};
+
+struct base_event_limit
+{
+  /* struct event_lines by name. */
+  GHashTable *events;
+};
+
+struct base_event_limit *
+base_event_limit_create (void)
+{
+  struct base_event_limit *limit = g_new0 (struct base_event_limit, 1);
+  limit->events
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return limit;
+}
+
+void
+base_event_limit_destroy (struct base_event_limit *limit)
+{
+  g_hash_table_unref (limit->events);
+  g_free (limit);
+}
+
+bool
+base_event_limit_take (struct base_event_limit *limit, const char *line,
+                       int64_t second)
+{
+  char name[NAME_BYTES];
+  g_strlcpy (name, line, MIN (sizeof name, strcspn (line, " ") + 1));
+  struct event_lines *lines = g_hash_table_lookup (limit->events, name);
+  if (!lines)
+    {
+      lines = g_new0 (struct event_lines, 1);
+      g_hash_table_insert (limit->events, g_strdup (name), lines);
+    }
+  if (lines->second != second)
+    {
+      lines->second = second;
+      lines->taken = 0;
+    }
+  if (lines->taken < BASE_EVENT_LIMIT_LINES)
+    {
+      lines->taken++;
+      return true;
+    }
+  lines->left_out++;
+  return false;
+}
+
+void
+base_event_limit_tell (struct base_event_limit *limit, int64_t second,
+                       void (*tell) (void *context, const char *event,
+                                     uint64_t lines),
+                       void *context)
+{
+  GHashTableIter iterator;
+  gpointer name, value;
+  g_hash_table_iter_init (&iterator, limit->events);
+  while (g_hash_table_iter_next (&iterator, &name, &value))
+    {
+      struct event_lines *lines = value;
+      if (lines->left_out == 0 || lines->second == second)
+        continue;
+      tell (context, name, lines->left_out);
+      lines->left_out = 0;
+    }
+}
