Say when the metrics address is taken; the loop's state in struct edge

Cause: a metrics page that could not be served was not mentioned anywhere; and struct edge was the first member of a struct of which nobody else knew. Before: no line; /platform-process/taken-metrics-port fails without it.

--- a/src/edge.c
+++ b/src/edge.c
@@ -25,19 +25,6 @@
 /* Part of the grace after which a stop ends by force. */
 #define GRACE_USED_PERCENT 88
 
-/* What is private to the loop. */
-struct loop_state
-{
-  struct edge edge;
-  atomic_bool stop_wanted;
-  struct http_status *status;
-  uint64_t swept_ms;
-  uint64_t logged_ms;
-  uint64_t ticked_ms;
-  void (*tick) (void *context);
-  void *tick_context;
-};
-
 uint64_t
 edge_now_ms (void)
 {
@@ -84,8 +71,7 @@
 struct edge *
 edge_create (const struct edge_options *options, const char *const *members)
 {
-  struct loop_state *state = g_new0 (struct loop_state, 1);
-  struct edge *edge = &state->edge;
+  struct edge *edge = g_new0 (struct edge, 1);
   edge->options = *options;
   edge->set = base_metrics_create ();
   make_counters (edge);
@@ -102,9 +88,12 @@
   if (!edge->front)
     goto failed;
   if (options->metrics_port > 0)
-    state->status
+    edge->status
         = http_status_create (options->metrics_address, options->metrics_port,
                               edge->set, status_ready, edge);
+  if (options->metrics_port > 0 && !edge->status)
+    base_log (BASE_LOG_ERROR, "metrics-unserved address=%s:%u",
+              options->metrics_address, (unsigned)options->metrics_port);
   edge->links = edge_links_create (edge, members);
   return edge;
 failed:
@@ -115,11 +104,10 @@
 void
 edge_destroy (struct edge *edge)
 {
-  struct loop_state *state = (struct loop_state *)edge;
   if (!edge)
     return;
   edge_links_destroy (edge->links);
-  http_status_destroy (state->status);
+  http_status_destroy (edge->status);
   edge_front_destroy (edge->front);
   router_poll_destroy (edge->loop);
   edge_table_unref (edge->table);
@@ -128,14 +116,13 @@
   edge_retry_destroy (edge->retry);
   edge_accounts_destroy (edge->accounts);
   base_metrics_destroy (edge->set);
-  g_free (state);
+  g_free (edge);
 }
 
 void
 edge_stop (struct edge *edge)
 {
-  struct loop_state *state = (struct loop_state *)edge;
-  atomic_store (&state->stop_wanted, true);
+  atomic_store (&edge->stop_wanted, true);
   router_poll_wake (edge->loop);
 }
 
@@ -148,9 +135,8 @@
 void
 edge_set_tick (struct edge *edge, void (*tick) (void *context), void *context)
 {
-  struct loop_state *state = (struct loop_state *)edge;
-  state->tick = tick;
-  state->tick_context = context;
+  edge->tick = tick;
+  edge->tick_context = context;
 }
 
 void
@@ -177,10 +163,10 @@
 }
 
 static void
-sweep (struct loop_state *state, uint64_t now_ms)
+sweep (struct edge *edge, uint64_t now_ms)
 {
-  GList *link = state->edge.requests.head;
-  state->swept_ms = now_ms;
+  GList *link = edge->requests.head;
+  edge->swept_ms = now_ms;
   while (link)
     {
       GList *next = link->next;
@@ -190,39 +176,38 @@
 }
 
 static void
-run_timers (struct loop_state *state, uint64_t now_ms)
+run_timers (struct edge *edge, uint64_t now_ms)
 {
-  if (now_ms >= state->swept_ms + SWEEP_INTERVAL_MS)
-    sweep (state, now_ms);
-  if (now_ms >= state->logged_ms + LOG_INTERVAL_MS)
+  if (now_ms >= edge->swept_ms + SWEEP_INTERVAL_MS)
+    sweep (edge, now_ms);
+  if (now_ms >= edge->logged_ms + LOG_INTERVAL_MS)
     {
-      state->logged_ms = now_ms;
+      edge->logged_ms = now_ms;
       base_event_flush ();
-      base_counter_set (state->edge.counters.log_lines_dropped,
+      base_counter_set (edge->counters.log_lines_dropped,
                         base_event_dropped ());
     }
-  if (now_ms >= state->ticked_ms + TICK_INTERVAL_MS)
+  if (now_ms >= edge->ticked_ms + TICK_INTERVAL_MS)
     {
-      state->ticked_ms = now_ms;
-      if (state->tick)
-        state->tick (state->tick_context);
+      edge->ticked_ms = now_ms;
+      if (edge->tick)
+        edge->tick (edge->tick_context);
     }
 }
 
 static uint32_t
-wait_ms (struct loop_state *state)
+wait_ms (struct edge *edge)
 {
   uint32_t limit
-      = state->edge.requests.length > 0 ? SWEEP_INTERVAL_MS : IDLE_WAIT_MS;
-  return MIN (limit, edge_front_wait_ms (state->edge.front));
+      = edge->requests.length > 0 ? SWEEP_INTERVAL_MS : IDLE_WAIT_MS;
+  return MIN (limit, edge_front_wait_ms (edge->front));
 }
 
 /* Whether a graceful stop is over. */
 static bool
-is_over (struct loop_state *state, uint64_t now_ms)
+is_over (struct edge *edge, uint64_t now_ms)
 {
-  struct edge *edge = &state->edge;
-  if (!edge->stopping && atomic_load (&state->stop_wanted))
+  if (!edge->stopping && atomic_load (&edge->stop_wanted))
     {
       edge->stopping = true;
       edge->stopping_ms = now_ms;
@@ -241,18 +226,17 @@
 void
 edge_run (struct edge *edge)
 {
-  struct loop_state *state = (struct loop_state *)edge;
   uint64_t now_ms = edge_now_ms ();
   base_event ("started zone=%s region=%s callers=%s:%u",
               edge->options.availability_zone, edge->options.region,
               edge->options.callers_address,
               (unsigned)edge->options.callers_port);
-  while (!is_over (state, now_ms))
+  while (!is_over (edge, now_ms))
     {
-      router_poll_run (edge->loop, wait_ms (state));
+      router_poll_run (edge->loop, wait_ms (edge));
       now_ms = edge_now_ms ();
       edge_links_round (edge->links, now_ms);
-      run_timers (state, now_ms);
+      run_timers (edge, now_ms);
       edge_front_run (edge->front);
     }
   edge_links_return (edge->links, RETURN_WAIT_MS);
--- a/src/edge.h
+++ b/src/edge.h
@@ -5,6 +5,7 @@
  *  A router that passes requests on by routes: what its parts share.  All of
  *  it is used on the loop's thread, but for what edge_links.h says. */
 
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -20,6 +21,7 @@
 
 struct edge_links;
 struct edge_front;
+struct http_status;
 
 /** Settings; strings outlive the router. */
 struct edge_options
@@ -83,6 +85,16 @@
   GQueue requests;
   bool stopping;
   uint64_t stopping_ms;
+  /** Status pages, or NULL. */
+  struct http_status *status;
+  /** Set by edge_stop. */
+  atomic_bool stop_wanted;
+  /** When the loop last checked time limits, wrote the log, and ticked. */
+  uint64_t swept_ms;
+  uint64_t logged_ms;
+  uint64_t ticked_ms;
+  void (*tick) (void *context);
+  void *tick_context;
 };
 
 /** Starts everything; NULL when it can't listen. */
--- a/tests/test_platform_process.c
+++ b/tests/test_platform_process.c
@@ -2,8 +2,11 @@
  *  The platform's programs as real processes: answers, refusals, retries,
  *  resumed streams, budgets over restarts, leaving targets, stops. */
 
+#include <arpa/inet.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 #include <glib.h>
@@ -305,6 +308,29 @@
   tear_down (&fixture);
 }
 
+/* A router whose metrics address is taken says so and serves. */
+static void
+test_taken_metrics_port (void)
+{
+  struct fixture fixture;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int yes = 1;
+  set_up (&fixture);
+  fleet_process_kill (fixture.rig->entry);
+  int taken = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (taken, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  address.sin_port = htons (fixture.rig->first_port + 1);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  g_assert_cmpint (bind (taken, (struct sockaddr *)&address, sizeof address),
+                   ==, 0);
+  g_assert_cmpint (listen (taken, 1), ==, 0);
+  g_assert_cmpint (fleet_process_start (fixture.rig->entry), ==, 0);
+  g_assert_true (wait_for_text (fixture.rig, "entry", "metrics-unserved"));
+  g_assert_true (platform_rig_wait (fixture.rig, "/safe/x", "k2", 200));
+  close (taken);
+  tear_down (&fixture);
+}
+
 static void
 test_leaving_target (void)
 {
@@ -404,6 +430,8 @@
                    test_budget_over_restarts);
   g_test_add_func ("/platform-process/waits-for-a-leader",
                    test_waits_for_a_leader);
+  g_test_add_func ("/platform-process/taken-metrics-port",
+                   test_taken_metrics_port);
   g_test_add_func ("/platform-process/leaving-target", test_leaving_target);
   g_test_add_func ("/platform-process/graceful-stop", test_graceful_stop);
   g_test_add_func ("/platform-process/configurations", test_configurations);
