--- a/src/control_lessee.c
+++ b/src/control_lessee.c
@@ -66,6 +66,9 @@
   uint64_t free_tokens
       = leased > holding->used_tokens ? leased - holding->used_tokens : 0;
   struct control_holding former = *holding;
+  /* Times of day were set back since, nobody knows how far. */
+  if (wall_ms + CLOCK_ERROR_MS < lessee->called_ms)
+    return 0;
   if (holding->sequence != lessee->last.sequence)
     {
       former.former_used_tokens = holding->used_tokens;
--- a/tests/test_edge_prepaid.c
+++ b/tests/test_edge_prepaid.c
@@ -627,6 +627,22 @@
   control_prepaid_destroy (pool);
 }
 
+/* A new run that seems to have begun well before its former run's last report:
+   both times of day were set back, and nobody knows how long ago that was. */
+static void
+test_nothing_back_from_the_future (void)
+{
+  struct control_lessee *lessee = control_lessee_create (1);
+  struct control_holding *holding = control_lessee_holding (lessee, "a");
+  lessee->last.sequence = 1;
+  holding->sequence = 1;
+  holding->leased_tokens = 1000000;
+  control_lessee_called (lessee, 10000);
+  g_assert_cmpuint (control_lessee_unused (lessee, holding, 9900), >, 900000);
+  g_assert_cmpuint (control_lessee_unused (lessee, holding, 9000), ==, 0);
+  control_lessee_destroy (lessee);
+}
+
 static void
 test_allowance_grows_to_all (void)
 {
@@ -671,6 +687,8 @@
                    test_refused_requests_are_no_use);
   g_test_add_func ("/edge-prepaid/own-use-since-the-word",
                    test_own_use_since_the_word);
+  g_test_add_func ("/edge-prepaid/nothing-back-from-the-future",
+                   test_nothing_back_from_the_future);
   g_test_add_func ("/edge-prepaid/allowance-grows-to-all",
                    test_allowance_grows_to_all);
   return g_test_run ();
