Join twins that a last read of the change found

- The router and the gateway wrote the same 400: http_framing_refuse.
- Both kinds of attempt set the same reader of answers: http_transfer_read.
- Requests were counted by account in two places: edge_settle_count.
- Dead: a router's run in watch calls, which no member read.
Used in one file only, now static: edge_target_is_open, place_unread_tokens.

--- a/src/edge_answer.c
+++ b/src/edge_answer.c
@@ -56,16 +56,6 @@
               table ? edge_table_version (table) : 0);
 }
 
-/* Counts a request that is over under its account, if it has one. */
-static void
-count_over (const struct edge_request *request,
-            enum edge_account_outcome outcome)
-{
-  if (request->account)
-    edge_accounts_over (request->edge->accounts, request->account->name,
-                        outcome, edge_settle_tokens (request));
-}
-
 static enum edge_account_outcome
 refusal_outcome (uint32_t status, bool promises)
 {
@@ -116,7 +106,7 @@
   base_counter_add (promises ? request->edge->counters.refused
                              : request->edge->counters.failed,
                     1);
-  count_over (request, refusal_outcome (status, promises));
+  edge_settle_count (request, refusal_outcome (status, promises));
   log_over (request, status, promises ? "refused" : "failed", reason);
   give_answer (request, status, response);
   edge_settle_close (request);
@@ -132,7 +122,7 @@
   add_target_lines (request, response);
   add_connection (request, response);
   count_served (request);
-  count_over (request, EDGE_ACCOUNT_SERVED);
+  edge_settle_count (request, EDGE_ACCOUNT_SERVED);
   log_over (request, answer->status, "answered", "-");
   give_answer (request, answer->status, response);
   edge_settle_close (request);
@@ -159,7 +149,7 @@
     base_counter_add (request->edge->counters.failed, 1);
   else
     count_served (request);
-  count_over (request, cut ? EDGE_ACCOUNT_FAILED : EDGE_ACCOUNT_SERVED);
+  edge_settle_count (request, cut ? EDGE_ACCOUNT_FAILED : EDGE_ACCOUNT_SERVED);
   log_over (request, MHD_HTTP_OK, cut ? "cut" : "streamed", reason);
   router_stream_end (&request->stream, cut);
   edge_front_touch (request->edge->front);
--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -170,13 +170,9 @@
       = { call->connect_timeout_ms, call->timeout_ms };
   http_transfer_set (easy, url, &limits, call->reuse);
   g_free (url);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, attempt);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
+  http_transfer_read (easy, attempt, take_header, take_body,
+                      READ_BUFFER_BYTES);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_socket);
-  curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, call->reuse ? 0L : 1L);
 }
--- a/src/edge_front.c
+++ b/src/edge_front.c
@@ -82,7 +82,6 @@
   return MHD_YES;
 }
 
-/* The caller's connection can't be trusted any more. */
 static enum MHD_Result
 refuse_unsound (struct edge_front *front, struct MHD_Connection *connection,
                 const char *fault)
@@ -90,17 +89,7 @@
   base_counter_add (front->edge->counters.requests, 1);
   base_counter_add (front->edge->counters.refused, 1);
   base_event ("request-unsound fault=\"%s\"", fault);
-  char *text = g_strdup_printf ("%s\n", fault);
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      strlen (text), text, MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                           "text/plain");
-  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
-  enum MHD_Result result
-      = MHD_queue_response (connection, MHD_HTTP_BAD_REQUEST, response);
-  MHD_destroy_response (response);
-  g_free (text);
-  return result;
+  return http_framing_refuse (connection, fault);
 }
 
 static enum MHD_Result
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -116,7 +116,6 @@
   links->shared.router = g_strdup (edge->options.host);
   edge_run_begin (&links->run, base_clock_steady_wall_ms (),
                   base_random_system_seed ());
-  links->shared.incarnation = links->run.incarnation;
   links->shared.news = g_async_queue_new ();
   links->shared.wake = wake;
   links->shared.wake_context = links;
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -341,9 +341,7 @@
   if (request->step == EDGE_STEP_OVER)
     return;
   base_counter_add (request->edge->counters.left, 1);
-  if (request->account)
-    edge_accounts_over (request->edge->accounts, request->account->name,
-                        EDGE_ACCOUNT_LEFT, edge_settle_tokens (request));
+  edge_settle_count (request, EDGE_ACCOUNT_LEFT);
   base_event ("caller-left id=%s target=%s events=%" PRIu32 " age_ms=%" PRIu64,
               request->head.request_id,
               request->target ? request->target->record.name : "-",
--- a/src/edge_settle.c
+++ b/src/edge_settle.c
@@ -37,6 +37,15 @@
          + MIN (output, request->call.output_tokens);
 }
 
+void
+edge_settle_count (const struct edge_request *request,
+                   enum edge_account_outcome outcome)
+{
+  if (request->account)
+    edge_accounts_over (request->edge->accounts, request->account->name,
+                        outcome, edge_settle_tokens (request));
+}
+
 static void
 settle_tokens (struct edge_request *request)
 {
--- a/src/edge_settle.h
+++ b/src/edge_settle.h
@@ -14,6 +14,10 @@
 void edge_settle_first (struct edge_request *request);
 /** Tokens that the request counts for so far. */
 uint64_t edge_settle_tokens (const struct edge_request *request);
+/** Counts a request that is over, or left, under its client account, if it has
+ *  one. */
+void edge_settle_count (const struct edge_request *request,
+                        enum edge_account_outcome outcome);
 /** Ends the request: target, tokens, its place among the open ones. */
 void edge_settle_close (struct edge_request *request);
 
--- a/src/edge_targets.c
+++ b/src/edge_targets.c
@@ -70,8 +70,9 @@
   target->heard_by = heard_by;
 }
 
-bool
-edge_target_is_open (const struct edge_target *target)
+/* Whether new work may go there. */
+static bool
+is_open (const struct edge_target *target)
 {
   return target->record.state == CONTROL_TARGET_READY && !target->is_replaced;
 }
@@ -143,7 +144,7 @@
     target = add_target (targets, record);
   else if (target->record.born_ms > record->born_ms)
     return false;
-  bool was_open = edge_target_is_open (target);
+  bool was_open = is_open (target);
   bool was_heard = target->heard_by != 0;
   if (!is_new && is_newer (&target->record, record))
     {
@@ -154,7 +155,7 @@
              record->silent ? target->heard_by & ~bit : target->heard_by | bit,
              now_ms);
   resolve_address (targets, target);
-  return is_new || was_open != edge_target_is_open (target)
+  return is_new || was_open != is_open (target)
          || was_heard != (target->heard_by != 0);
 }
 
@@ -184,8 +185,7 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       struct edge_target *target = value;
-      if (edge_target_is_open (target)
-          && strcmp (target->record.service, service) == 0)
+      if (is_open (target) && strcmp (target->record.service, service) == 0)
         visit (context, target);
     }
 }
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -44,8 +44,6 @@
                                  uint64_t now_ms);
 /** Whether no source has heard it for a while. */
 bool edge_target_is_silent (const struct edge_target *target, uint64_t now_ms);
-/** Whether new work may go there. */
-bool edge_target_is_open (const struct edge_target *target);
 /** Calls @p visit for each target of the service that new work may go to. */
 void edge_targets_visit (struct edge_targets *targets, const char *service,
                          void (*visit) (void *context,
--- a/src/edge_watcher.c
+++ b/src/edge_watcher.c
@@ -113,7 +113,6 @@
   struct edge_news *news = g_new0 (struct edge_news, 1);
   args.cluster = shared->cluster;
   args.router = shared->router;
-  args.router_incarnation = shared->incarnation;
   args.epoch = watcher->epoch;
   args.change = watcher->change;
   args.want_document = claims_document (watcher);
--- a/src/edge_watcher.h
+++ b/src/edge_watcher.h
@@ -18,7 +18,6 @@
 {
   char *cluster;
   char *router;
-  uint64_t incarnation;
   /** Versions of the document that the router has, and that a watcher is
    *  fetching. */
   atomic_uint_least64_t held_version;
--- a/src/http_framing.c
+++ b/src/http_framing.c
@@ -99,3 +99,19 @@
     return "Transfer-Encoding needs HTTP/1.1";
   return NULL;
 }
+
+enum MHD_Result
+http_framing_refuse (struct MHD_Connection *connection, const char *fault)
+{
+  char *text = g_strdup_printf ("%s\n", fault);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), text, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                           "text/plain");
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  enum MHD_Result result
+      = MHD_queue_response (connection, MHD_HTTP_BAD_REQUEST, response);
+  MHD_destroy_response (response);
+  g_free (text);
+  return result;
+}
--- a/src/http_framing.h
+++ b/src/http_framing.h
@@ -11,5 +11,9 @@
  *  nothing is. */
 const char *http_framing_fault (struct MHD_Connection *connection,
                                 const char *version);
+/** Answers 400 with @p fault as text and closes the connection, which can't be
+ *  trusted any more. */
+enum MHD_Result http_framing_refuse (struct MHD_Connection *connection,
+                                     const char *fault);
 
 #endif
--- a/src/http_transfer.c
+++ b/src/http_transfer.c
@@ -15,3 +15,15 @@
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)limits->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, reuse ? 0L : 1L);
 }
+
+void
+http_transfer_read (CURL *easy, void *context, curl_write_callback take_header,
+                    curl_write_callback take_body, long buffer_bytes)
+{
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, context);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, context);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, context);
+  curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, buffer_bytes);
+}
--- a/src/place.c
+++ b/src/place.c
@@ -81,9 +81,10 @@
   return MIN (tokens, call->prompt_tokens);
 }
 
-uint32_t
-place_unread_tokens (const struct place_candidate *candidate,
-                     const struct place_call *call, uint64_t now_ms)
+/* Prompt tokens of the call that the target would have to read. */
+static uint32_t
+unread_tokens (const struct place_candidate *candidate,
+               const struct place_call *call, uint64_t now_ms)
 {
   return call->prompt_tokens - read_tokens (candidate->load, call, now_ms);
 }
@@ -278,7 +279,7 @@
             const struct place_call *call, uint64_t now_ms)
 {
   struct place_load *load = candidate->load;
-  uint32_t unread = place_unread_tokens (candidate, call, now_ms);
+  uint32_t unread = unread_tokens (candidate, call, now_ms);
   load->running++;
   load->unread_tokens += unread;
   load->held_tokens += call->prompt_tokens + call->output_tokens;
--- a/src/place.h
+++ b/src/place.h
@@ -81,9 +81,6 @@
 void place_load_init (struct place_load *load);
 /** Frees what it holds. */
 void place_load_clear (struct place_load *load);
-/** Prompt tokens of the call that the target would have to read. */
-uint32_t place_unread_tokens (const struct place_candidate *candidate,
-                              const struct place_call *call, uint64_t now_ms);
 /** Index of the best candidate, or -1; @p random breaks ties. */
 int place_choose (const struct place_candidate *candidates, uint32_t count,
                   const struct place_call *call, uint64_t now_ms,
--- a/src/router_attempt.c
+++ b/src/router_attempt.c
@@ -135,19 +135,6 @@
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->method);
 }
 
-static void
-set_callbacks (struct router_attempt *attempt)
-{
-  CURL *easy = attempt->easy;
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, attempt);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
-  curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
-  curl_easy_setopt (easy, CURLOPT_UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES);
-}
-
 struct router_attempt *
 router_attempt_create (struct router_poll *loop,
                        const struct router_attempt_call *call,
@@ -163,7 +150,10 @@
     goto failed;
   set_request (attempt, call);
   set_headers (attempt, call);
-  set_callbacks (attempt);
+  http_transfer_read (attempt->easy, attempt, take_header, take_body,
+                      READ_BUFFER_BYTES);
+  curl_easy_setopt (attempt->easy, CURLOPT_UPLOAD_BUFFERSIZE,
+                    UPLOAD_BUFFER_BYTES);
   if (router_poll_add (loop, attempt->easy) != 0)
     goto failed;
   attempt->active = true;
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -440,7 +440,6 @@
 struct control_watch_args {
 	wire_name cluster;
 	wire_name router;
-	u_quad_t router_incarnation;
 	u_quad_t epoch;
 	u_quad_t change;
 	u_quad_t document_version;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -421,7 +421,6 @@
 {
   wire_name cluster;
   wire_name router;
-  unsigned hyper router_incarnation;
   unsigned hyper epoch;
   unsigned hyper change;
   unsigned hyper document_version;
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -852,8 +852,6 @@
 		 return FALSE;
 	 if (!xdr_wire_name (xdrs, &objp->router))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->router_incarnation))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->change))
