Take a port from the kernel in the test of a taken metrics address

Cause: the test bound the port after the rig's first one, which nobody had reserved; of two runs of the tests at once one found it in use (bind failed, status 134, 260 passed and 1 failed; the other run: 264 and 0). Change: the kernel picks the port, and the router's settings name it. The assertions are the same.

--- a/tests/test_platform_process.c
+++ b/tests/test_platform_process.c
@@ -308,22 +308,37 @@
   tear_down (&fixture);
 }
 
+/* Names the port of the router's metrics pages in its settings. */
+static void
+set_metrics_port (const struct platform_rig *rig, uint16_t port)
+{
+  GKeyFile *file = g_key_file_new ();
+  char *path = g_strdup_printf ("%s/entry.settings", rig->folder);
+  g_assert_true (
+      g_key_file_load_from_file (file, path, G_KEY_FILE_NONE, NULL));
+  g_key_file_set_integer (file, "listen", "metrics-port", port);
+  g_assert_true (g_key_file_save_to_file (file, path, NULL));
+  g_key_file_free (file);
+  g_free (path);
+}
+
 /* A router whose metrics address is taken says so and serves. */
 static void
 test_taken_metrics_port (void)
 {
   struct fixture fixture;
   struct sockaddr_in address = { .sin_family = AF_INET };
-  int yes = 1;
+  socklen_t length = sizeof address;
   set_up (&fixture);
   fleet_process_kill (fixture.rig->entry);
   int taken = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (taken, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-  address.sin_port = htons (fixture.rig->first_port + 1);
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   g_assert_cmpint (bind (taken, (struct sockaddr *)&address, sizeof address),
                    ==, 0);
   g_assert_cmpint (listen (taken, 1), ==, 0);
+  g_assert_cmpint (getsockname (taken, (struct sockaddr *)&address, &length),
+                   ==, 0);
+  set_metrics_port (fixture.rig, ntohs (address.sin_port));
   g_assert_cmpint (fleet_process_start (fixture.rig->entry), ==, 0);
   g_assert_true (wait_for_text (fixture.rig, "entry", "metrics-unserved"));
   g_assert_true (platform_rig_wait (fixture.rig, "/safe/x", "k2", 200));
--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -59,7 +59,6 @@
   struct platform_rig *rig = g_new0 (struct platform_rig, 1);
   rig->folder = g_dir_make_tmp ("platform-XXXXXX", NULL);
   uint16_t rpc_port = fleet_free_port ("127.0.0.2");
-  rig->first_port = rpc_port;
   rig->control_port = fleet_free_port ("127.0.0.2");
   rig->callers_port = fleet_free_port ("127.0.0.1");
   rig->ready_port = fleet_free_port ("127.0.0.1");
--- a/tools/platform_rig.h
+++ b/tools/platform_rig.h
@@ -20,8 +20,6 @@
   char *folder;
   struct fleet_process *cores[PLATFORM_RIG_CORES];
   struct fleet_process *entry;
-  /** First port of each process's range. */
-  uint16_t first_port;
   uint16_t control_port;
   uint16_t callers_port;
   uint16_t ready_port;
