Choose test ports that the kernel gives to nobody

Cause: fleet_free_port took a port from the kernel's own range and let it go. A stand-in target that listened on any port got the router's callers' port before the router did (its log: can't listen callers=127.0.0.1:41447), and answered the test's caller itself: test_platform_process/broken-streams got a whole 200, once in a full run. Change: ports are drawn below that range, and tried. Assertions are unchanged.

--- a/tools/fleet_process.c
+++ b/tools/fleet_process.c
@@ -15,6 +15,7 @@
 #include <jansson.h>
 
 #include "base_clock.h"
+#include "base_random.h"
 
 #define POLL_US 2000
 /* Most processes that are ended with this one by a signal. */
@@ -22,6 +23,13 @@
 
 extern char **environ;
 
+/* Ports below those that the kernel gives to sockets without one, so that none
+   of these takes a port between its choice and the process that is to listen
+   there. */
+#define PORT_FIRST 20000
+#define PORT_COUNT 12000
+#define PORT_TRIES 100
+
 struct fleet_process
 {
   char *name;
@@ -87,21 +95,33 @@
   return folder ? folder : "build/bin";
 }
 
-uint16_t
-fleet_free_port (const char *address)
+static bool
+is_free (const char *address, uint16_t port)
 {
-  struct sockaddr_in name = { .sin_family = AF_INET };
-  socklen_t length = sizeof name;
-  uint16_t port = 0;
+  struct sockaddr_in name
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (fd < 0)
-    return 0;
-  if (inet_pton (AF_INET, address, &name.sin_addr) == 1
-      && bind (fd, (struct sockaddr *)&name, sizeof name) == 0
-      && getsockname (fd, (struct sockaddr *)&name, &length) == 0)
-    port = ntohs (name.sin_port);
+    return false;
+  bool is_free = inet_pton (AF_INET, address, &name.sin_addr) == 1
+                 && bind (fd, (struct sockaddr *)&name, sizeof name) == 0;
   close (fd);
-  return port;
+  return is_free;
+}
+
+uint16_t
+fleet_free_port (const char *address)
+{
+  struct base_random random;
+  base_random_seed (&random, base_random_system_seed ());
+  for (uint32_t i = 0; i < PORT_TRIES; i++)
+    {
+      uint16_t port
+          = (uint16_t)(PORT_FIRST + base_random_below (&random, PORT_COUNT));
+      if (is_free (address, port))
+        return port;
+    }
+  return 0;
 }
 
 struct fleet_process *
