Log and count routers' reads of configuration documents

Logs and pages could not tell what a router waits for between the acknowledgement of a configuration and its table-in-force line: from which member it reads, how much came, and whether a read was given up or began again. A line document-read says so for each read that ends; the members count the bytes that they send.

--- a/src/control_counters.c
+++ b/src/control_counters.c
@@ -50,6 +50,8 @@
       metrics, "cactus_control_dropped_messages_total", NULL);
   counters->snapshots
       = base_metrics_counter (metrics, "cactus_control_snapshots_total", NULL);
+  counters->document_bytes = base_metrics_counter (
+      metrics, "cactus_control_document_bytes_total", NULL);
   counters->leader_changes = base_metrics_counter (
       metrics, "cactus_control_leader_changes_total", NULL);
   counters->round_us
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -31,6 +31,8 @@
   struct base_counter *claims;
   struct base_counter *snapshots;
   struct base_counter *leader_changes;
+  /** Bytes of configuration documents sent to routers. */
+  struct base_counter *document_bytes;
   /** Duration of end_round, from the last call of a round to the replies, in
    *  microseconds. */
   struct base_histogram *round_us;
--- a/src/control_watch.c
+++ b/src/control_watch.c
@@ -115,6 +115,7 @@
   result->document.document_val = malloc (piece + 1);
   memcpy (result->document.document_val, data + result->document_offset,
           piece);
+  base_counter_add (watch->daemon->counters.document_bytes, piece);
 }
 
 static void
--- a/src/edge.c
+++ b/src/edge.c
@@ -55,6 +55,14 @@
     .open_requests = base_metrics_gauge (metrics, "edge_open_requests", NULL),
     .log_lines_dropped
     = base_metrics_gauge (metrics, "edge_log_lines_dropped", NULL),
+    .documents_read = base_metrics_counter (
+        metrics, "edge_document_reads_total", "outcome=\"complete\""),
+    .document_reads_restarted = base_metrics_counter (
+        metrics, "edge_document_reads_total", "outcome=\"restarted\""),
+    .document_reads_failed = base_metrics_counter (
+        metrics, "edge_document_reads_total", "outcome=\"failed\""),
+    .document_bytes
+    = base_metrics_counter (metrics, "edge_document_bytes_total", NULL),
   };
   for (size_t i = 0; i < G_N_ELEMENTS (kind_labels); i++)
     {
--- a/src/edge.h
+++ b/src/edge.h
@@ -66,6 +66,12 @@
   struct base_counter *targets_changed;
   struct base_counter *open_requests;
   struct base_counter *log_lines_dropped;
+  /** Reads of configuration documents that ended, by how, and the bytes that
+   *  all reads received. */
+  struct base_counter *documents_read;
+  struct base_counter *document_reads_restarted;
+  struct base_counter *document_reads_failed;
+  struct base_counter *document_bytes;
   /** Latency histograms, indexed by enum edge_route_kind. */
   struct base_histogram *first_event_us[3];
   struct base_histogram *request_us[3];
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -125,6 +125,7 @@
   links->edge = edge;
   links->shared.cluster = g_strdup (edge->options.cluster);
   links->shared.router = g_strdup (edge->options.host);
+  links->shared.counters = &edge->counters;
   edge_incarnation_begin (&links->incarnation, base_clock_steady_wall_ms (),
                           base_random_system_seed ());
   links->shared.updates = g_async_queue_new ();
--- a/src/edge_watcher.c
+++ b/src/edge_watcher.c
@@ -1,8 +1,11 @@
 #include "edge_watcher.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base_event.h"
+
 /* Maximum time for which a member may hold a long-poll call, and the call's
    deadline, in milliseconds. */
 #define LONG_POLL_MS 400
@@ -14,6 +17,7 @@
 {
   struct edge_watcher_shared *shared;
   uint32_t source;
+  char address[16];
   struct wire_client *client;
   /* Last change that was received, within the member's epoch. */
   uint64_t epoch;
@@ -23,6 +27,9 @@
   /* The part of document version pieces_version received so far. */
   GByteArray *pieces;
   uint64_t pieces_version;
+  /* Time of the first call of the read in progress, and its calls so far. */
+  uint64_t read_began_ms;
+  uint32_t read_calls;
   atomic_bool stopping;
   GThread *thread;
 };
@@ -63,16 +70,44 @@
   return MAX (held, fetching);
 }
 
+/* Logs how the read of a document ended, and counts it. */
+static void
+log_read (const struct edge_watcher *watcher, struct base_counter *counter,
+          const char *outcome, uint64_t next_version)
+{
+  base_counter_add (counter, 1);
+  base_event ("document-read outcome=%s version=%" PRIu64 " held=%" PRIu64
+              " next=%" PRIu64 " from=%s bytes=%u calls=%u took_ms=%" PRIu64,
+              outcome, watcher->pieces_version,
+              (uint64_t)atomic_load (&watcher->shared->held_version),
+              next_version, watcher->address, watcher->pieces->len,
+              (unsigned)watcher->read_calls,
+              edge_now_ms () - watcher->read_began_ms);
+}
+
 /* Adds a received piece of the document; once the document is complete, the
    update carries it. */
 static void
 add_piece (struct edge_watcher *watcher, struct edge_update *update)
 {
   const struct control_watch_result *result = &update->result;
+  const struct edge_counters *counters = watcher->shared->counters;
   if (watcher->pieces_version != result->document_version
       || result->document_offset != watcher->pieces->len)
-    g_byte_array_set_size (watcher->pieces, 0);
+    {
+      if (watcher->pieces->len > 0)
+        log_read (watcher, counters->document_reads_restarted, "restarted",
+                  result->document_version);
+      g_byte_array_set_size (watcher->pieces, 0);
+    }
+  if (watcher->pieces->len == 0)
+    {
+      watcher->read_began_ms = edge_now_ms ();
+      watcher->read_calls = 0;
+    }
   watcher->pieces_version = result->document_version;
+  watcher->read_calls++;
+  base_counter_add (counters->document_bytes, result->document.document_len);
   if (result->document_offset != watcher->pieces->len)
     return;
   g_byte_array_append (watcher->pieces,
@@ -80,6 +115,7 @@
                        result->document.document_len);
   if (watcher->pieces->len < result->document_bytes)
     return;
+  log_read (watcher, counters->documents_read, "complete", 0);
   update->document = watcher->pieces;
   watcher->pieces = g_byte_array_new ();
   watcher->pieces_version = 0;
@@ -101,6 +137,9 @@
     }
   else
     watcher->epoch = 0;
+  if (update->status != WIRE_OK && fetches)
+    log_read (watcher, shared->counters->document_reads_failed,
+              wire_status_name (update->status), 0);
   if (update->document)
     atomic_store (&shared->held_version, result->document_version);
   /* Lets another watcher fetch a document that this one has not completed. */
@@ -156,6 +195,7 @@
   struct edge_watcher *watcher = g_new0 (struct edge_watcher, 1);
   watcher->shared = shared;
   watcher->source = source;
+  g_strlcpy (watcher->address, address, sizeof watcher->address);
   watcher->pieces = g_byte_array_new ();
   watcher->client
       = wire_client_create (address, port, CONTROL_PROGRAM, CONTROL_VERSION);
--- a/src/edge_watcher.h
+++ b/src/edge_watcher.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "edge.h"
 #include "wire_client.h"
 #include "wire_control.h"
 
@@ -19,6 +20,7 @@
 {
   char *cluster;
   char *router;
+  const struct edge_counters *counters;
   /** Version of the configuration document that the router has, and the
    *  version that a watcher is fetching. */
   atomic_uint_least64_t held_version;
