--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -472,6 +472,27 @@
 	} members;
 };
 typedef struct control_watch_result control_watch_result;
+#define CONTROL_EDITS_MAX 262144
+
+struct control_edit {
+	struct {
+		u_int insert_len;
+		char *insert_val;
+	} insert;
+	u_int copy_offset;
+	u_int copy_bytes;
+};
+typedef struct control_edit control_edit;
+
+struct control_difference {
+	u_quad_t from_digest;
+	u_quad_t to_digest;
+	struct {
+		u_int edits_len;
+		control_edit *edits_val;
+	} edits;
+};
+typedef struct control_difference control_difference;
 
 enum control_command_kind {
 	CONTROL_COMMAND_PUSH = 1,
@@ -769,6 +790,8 @@
 extern  bool_t xdr_control_target (XDR *, control_target*);
 extern  bool_t xdr_control_watch_args (XDR *, control_watch_args*);
 extern  bool_t xdr_control_watch_result (XDR *, control_watch_result*);
+extern  bool_t xdr_control_edit (XDR *, control_edit*);
+extern  bool_t xdr_control_difference (XDR *, control_difference*);
 extern  bool_t xdr_control_command_kind (XDR *, control_command_kind*);
 extern  bool_t xdr_control_command_body (XDR *, control_command_body*);
 extern  bool_t xdr_control_command (XDR *, control_command*);
@@ -822,6 +845,8 @@
 extern bool_t xdr_control_target ();
 extern bool_t xdr_control_watch_args ();
 extern bool_t xdr_control_watch_result ();
+extern bool_t xdr_control_edit ();
+extern bool_t xdr_control_difference ();
 extern bool_t xdr_control_command_kind ();
 extern bool_t xdr_control_command_body ();
 extern bool_t xdr_control_command ();
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -455,6 +455,25 @@
   control_member members<CONTROL_MEMBERS_MAX>;
 };
 
+/* The difference between two configuration documents: for each edit, insert
+   is appended to the result, then copy_bytes at copy_offset of the older
+   document. */
+const CONTROL_EDITS_MAX = 262144;
+
+struct control_edit
+{
+  opaque insert<CONTROL_DOCUMENT_BYTES>;
+  unsigned int copy_offset;
+  unsigned int copy_bytes;
+};
+
+struct control_difference
+{
+  unsigned hyper from_digest;
+  unsigned hyper to_digest;
+  control_edit edits<CONTROL_EDITS_MAX>;
+};
+
 /* A command in the replicated log.  wall_ms is the wall time of the member
    that proposed it. */
 enum control_command_kind
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -899,6 +899,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_control_edit (XDR *xdrs, control_edit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->insert.insert_val, (u_int *) &objp->insert.insert_len, CONTROL_DOCUMENT_BYTES))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->copy_offset))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->copy_bytes))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_difference (XDR *xdrs, control_difference *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->from_digest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to_digest))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->edits.edits_val, (u_int *) &objp->edits.edits_len, CONTROL_EDITS_MAX,
+		sizeof (control_edit), (xdrproc_t) xdr_control_edit))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_command_kind (XDR *xdrs, control_command_kind *objp)
 {
