Finish each read of a document, and read it within the region

Callers of newly added routes got 404 from one region for seconds after the configuration was acknowledged, and routers skipped whole versions.

Cause: a router read a document from the member that announced it first, which for the region without the leader is one across the narrow link; each router read it whole, one piece of 12 KB a round trip. And only the newest document could be read: each newer one began the read anew, so documents that followed each other faster than a read took kept all of them out of force. The failing tests' logs showed both (document-read outcome=restarted version=2 held=1 next=3 from=127.0.1.1 bytes=122880, where 127.0.1.1 is across the link).

A thread of its own now reads documents, by CONTROL_FETCH: the difference from the held document, from a member of the own region, and elsewhere after 0.5 s or if no member of the region responds. Members keep the last 16 documents, so a read goes on to its end, at another member if need be. Parsing moves off the loop's thread.

--- a/src/control_calls.c
+++ b/src/control_calls.c
@@ -5,6 +5,7 @@
 
 #include "base_clock.h"
 #include "base_hash.h"
+#include "control_fetch.h"
 
 /* Arguments of any call; each begins with the cluster's name. */
 union call_args
@@ -25,6 +26,7 @@
   struct control_read_args read;
   struct control_lease_args lease;
   struct control_watch_args watch;
+  struct control_fetch_args fetch;
 };
 
 /* Result of any call; each begins with a control_answer. */
@@ -43,6 +45,7 @@
   struct control_read_result read;
   struct control_lease_result lease;
   struct control_watch_result watch;
+  struct control_fetch_result fetch;
 };
 
 /* Codecs of a procedure, and the command that carries its arguments in the
@@ -80,6 +83,7 @@
   [CONTROL_LEASE]
   = PROCEDURE (lease_args, lease_result, CONTROL_COMMAND_LEASE),
   [CONTROL_WATCH] = PROCEDURE (watch_args, watch_result, 0),
+  [CONTROL_FETCH] = PROCEDURE (fetch_args, fetch_result, 0),
 };
 
 void
@@ -103,6 +107,8 @@
     result.status.member = strdup ("");
   else if (procedure == CONTROL_CLAIM)
     result.claim.state = CONTROL_CLAIM_RUNNING;
+  else if (procedure == CONTROL_WATCH)
+    result.watch.availability_zone = strdup ("");
   wire_call_reply (call, procedures[procedure].result_codec, &result);
   xdr_free (procedures[procedure].result_codec, (char *)&result);
 }
@@ -367,6 +373,8 @@
     reply_status (daemon, call);
   else if (procedure == CONTROL_WATCH)
     control_watch_handle (daemon->watch, call, &args.watch, now_ms);
+  else if (procedure == CONTROL_FETCH)
+    control_fetch_handle (daemon, call, &args.fetch);
   else
     handle_leader_call (daemon, call, procedure, &args, now_ms);
   xdr_free (procedures[procedure].args_codec, (char *)&args);
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -20,6 +20,8 @@
 {
   const char *cluster;
   const char *host;
+  /** Availability zone of the host, which routers are told; may be NULL. */
+  const char *availability_zone;
   uint64_t member_id;
   const char *address;
   uint16_t port;
--- a/src/control_documents.h
+++ b/src/control_documents.h
@@ -3,7 +3,8 @@
 
 /** @file
  *  The configuration document of the highest version, stored unchanged, byte
- *  for byte.  Deterministic, without I/O. */
+ *  for byte, and the transfers by which routers get it.  Deterministic,
+ *  without I/O. */
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -27,5 +28,15 @@
 uint64_t control_documents_version (const struct control_documents *documents);
 /** Returns the document, or NULL; owned by the store. */
 GBytes *control_documents_bytes (const struct control_documents *documents);
+/** Returns whether a transfer can start from the document of @p version: it is
+ *  0, or among the last documents. */
+bool control_documents_has (const struct control_documents *documents,
+                            uint64_t version);
+/** Returns the transfer (a control_difference) from the document of @p
+ *  from_version to that of @p to_version, owned by the store; NULL when one of
+ *  them is no longer stored. */
+GBytes *control_documents_transfer (struct control_documents *documents,
+                                    uint64_t from_version,
+                                    uint64_t to_version);
 
 #endif
--- a/src/control_main.c
+++ b/src/control_main.c
@@ -72,6 +72,7 @@
 {
   options->cluster = settings->cluster;
   options->host = settings->host;
+  options->availability_zone = settings->availability_zone;
   options->member_id = settings->member_id;
   options->data_dir = settings->data_dir;
   options->election_ms = (uint32_t)settings->election_ms;
--- a/src/control_watch.c
+++ b/src/control_watch.c
@@ -20,10 +20,8 @@
   struct wire_call *call;
   /* Change number up to which the router knows the targets. */
   uint64_t change;
+  /* Version up to which the router knows this member's document. */
   uint64_t document_version;
-  bool want_document;
-  uint64_t piece_version;
-  uint32_t piece_offset;
   /* Time at which the reply is sent even if there is nothing newer. */
   uint64_t due_ms;
 };
@@ -92,32 +90,6 @@
   return g_hash_table_size (watch->routers);
 }
 
-static void
-fill_document (struct control_watch *watch, const struct watcher *watcher,
-               struct control_watch_result *result)
-{
-  struct control_documents *documents
-      = control_state_documents (watch->daemon->state);
-  GBytes *bytes = control_documents_bytes (documents);
-  gsize size = 0;
-  result->document_version = control_documents_version (documents);
-  if (!bytes || !watcher->want_document
-      || result->document_version <= watcher->document_version)
-    return;
-  const char *data = g_bytes_get_data (bytes, &size);
-  if (watcher->piece_version == result->document_version
-      && watcher->piece_offset < size)
-    result->document_offset = watcher->piece_offset;
-  size_t piece
-      = MIN (size - result->document_offset, CONTROL_WATCH_PIECE_BYTES);
-  result->document_bytes = (u_int)size;
-  result->document.document_len = (u_int)piece;
-  result->document.document_val = malloc (piece + 1);
-  memcpy (result->document.document_val, data + result->document_offset,
-          piece);
-  base_counter_add (watch->daemon->counters.document_bytes, piece);
-}
-
 static void
 reply (struct control_watch *watch, const struct watcher *watcher,
        uint64_t now_ms)
@@ -127,7 +99,11 @@
   result.answer.leader_address = strdup ("");
   result.answer.text = strdup ("");
   result.epoch = watch->epoch;
-  fill_document (watch, watcher, &result);
+  result.availability_zone = strdup (daemon->options.availability_zone
+                                         ? daemon->options.availability_zone
+                                         : "");
+  result.document_version
+      = control_documents_version (control_state_documents (daemon->state));
   g_mutex_lock (&daemon->mutex);
   result.change = control_targets_newest_change (daemon->targets);
   result.targets.targets_len = control_targets_changed_since (
@@ -162,9 +138,6 @@
   watcher->call = call;
   watcher->change = args->epoch == watch->epoch ? args->change : 0;
   watcher->document_version = args->document_version;
-  watcher->want_document = args->want_document;
-  watcher->piece_version = args->piece_version;
-  watcher->piece_offset = args->piece_offset;
   watcher->due_ms = now_ms + MIN (args->wait_ms, WAIT_MAX_MS);
   if (args->epoch != watch->epoch)
     watcher->due_ms = now_ms;
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -10,6 +10,7 @@
 #include "base_settings.h"
 #include "edge_incarnation.h"
 #include "edge_lease_client.h"
+#include "edge_reader.h"
 #include "edge_request.h"
 #include "edge_watcher.h"
 
@@ -49,6 +50,7 @@
   struct edge_watcher_shared shared;
   /* Links by source number; NULL where the number is unused. */
   struct link *links[EDGE_SOURCES_MAX];
+  struct edge_reader *reader;
   struct edge_lease_client *lease_client;
   struct edge_incarnation incarnation;
   /* Sequence number of the last lease call. */
@@ -125,29 +127,28 @@
   links->edge = edge;
   links->shared.cluster = g_strdup (edge->options.cluster);
   links->shared.router = g_strdup (edge->options.host);
-  links->shared.counters = &edge->counters;
   edge_incarnation_begin (&links->incarnation, base_clock_steady_wall_ms (),
                           base_random_system_seed ());
   links->shared.updates = g_async_queue_new ();
   links->shared.wake = wake;
   links->shared.wake_context = links;
+  links->reader = edge_reader_create (edge, wake, links);
   links->lease_client = edge_lease_client_create (members, wake, links);
   edge_links_set_members (links, members);
   return links;
 }
 
+/* Tells the reader which document the member holds. */
 static void
-apply_document (struct edge_links *links, const struct edge_update *update)
+report_document (struct edge_links *links, const struct link *link,
+                 const struct edge_update *update)
 {
-  struct edge *edge = links->edge;
-  const struct edge_dialect *dialect = edge->options.dialect;
-  if (!update->document)
-    return;
-  struct edge_table *table = dialect->read_table (
-      dialect, update->result.document_version,
-      (const char *)update->document->data, update->document->len);
-  if (table)
-    edge_set_table (edge, table);
+  const struct edge_options *options = &links->edge->options;
+  const char *region = options->region_of (options->region_context,
+                                           update->result.availability_zone);
+  edge_reader_report (links->reader, update->source, link->address, link->port,
+                      region && strcmp (region, options->region) == 0,
+                      update->result.document_version);
 }
 
 static void
@@ -200,7 +201,7 @@
   links->last_answer_ms = now_ms;
   edge_retry_set_routers (links->edge->retry, result->routers);
   edge_prepaid_set_routers (links->edge->prepaid, result->routers);
-  apply_document (links, update);
+  report_document (links, link, update);
   apply_targets (links, update, now_ms);
   apply_members (links, result, now_ms);
 }
@@ -217,6 +218,7 @@
   else if (!link->is_unreachable)
     {
       link->is_unreachable = true;
+      edge_reader_report_lost (links->reader, update->source);
       base_event ("member-lost address=%s:%u status=%s heard_ago_ms=%" PRIu64,
                   link->address, (unsigned)link->port,
                   wire_status_name (update->status),
@@ -246,6 +248,7 @@
   base_event ("member-left address=%s:%u", link->address,
               (unsigned)link->port);
   edge_targets_forget_source (links->edge->targets, source, now_ms);
+  edge_reader_forget (links->reader, source);
   g_thread_unref (g_thread_new ("unwatch", destroy_watcher, link->watcher));
   g_free (link);
   links->links[source] = NULL;
@@ -333,6 +336,9 @@
       handle_update (links, update, now_ms);
       edge_update_free (update);
     }
+  struct edge_table *table = edge_reader_take_table (links->reader);
+  if (table)
+    edge_set_table (links->edge, table);
   apply_lease_result (links, now_ms);
   expire_links (links, now_ms);
   bool is_urgent = edge_prepaid_needs_call_now (links->edge->prepaid);
@@ -377,6 +383,7 @@
         edge_watcher_destroy (links->links[i]->watcher);
         g_free (links->links[i]);
       }
+  edge_reader_destroy (links->reader);
   edge_lease_client_destroy (links->lease_client);
   while ((update = g_async_queue_try_pop (links->shared.updates)))
     edge_update_free (update);
--- a/src/edge_watcher.h
+++ b/src/edge_watcher.h
@@ -11,7 +11,6 @@
 
 #include <glib.h>
 
-#include "edge.h"
 #include "wire_client.h"
 #include "wire_control.h"
 
@@ -20,11 +19,6 @@
 {
   char *cluster;
   char *router;
-  const struct edge_counters *counters;
-  /** Version of the configuration document that the router has, and the
-   *  version that a watcher is fetching. */
-  atomic_uint_least64_t held_version;
-  atomic_uint_least64_t fetching_version;
   /** Queue of struct edge_update, read by the loop's thread. */
   GAsyncQueue *updates;
   /** Called by a watcher after it queued an update. */
@@ -41,8 +35,6 @@
    *  is unset. */
   enum wire_status status;
   struct control_watch_result result;
-  /** The complete document of the result's version, or NULL. */
-  GByteArray *document;
 };
 
 struct edge_watcher;
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -435,7 +435,6 @@
 	bool_t silent;
 };
 typedef struct control_target control_target;
-#define CONTROL_WATCH_PIECE_BYTES 12288
 
 struct control_watch_args {
 	wire_name cluster;
@@ -443,24 +442,16 @@
 	u_quad_t epoch;
 	u_quad_t change;
 	u_quad_t document_version;
-	bool_t want_document;
-	u_quad_t piece_version;
-	u_int piece_offset;
 	u_int wait_ms;
 };
 typedef struct control_watch_args control_watch_args;
 
 struct control_watch_result {
 	control_answer answer;
+	wire_name availability_zone;
 	u_quad_t epoch;
 	u_quad_t change;
 	u_quad_t document_version;
-	u_int document_bytes;
-	u_int document_offset;
-	struct {
-		u_int document_len;
-		char *document_val;
-	} document;
 	struct {
 		u_int targets_len;
 		control_target *targets_val;
@@ -472,6 +463,29 @@
 	} members;
 };
 typedef struct control_watch_result control_watch_result;
+#define CONTROL_FETCH_PIECE_BYTES 32768
+
+struct control_fetch_args {
+	wire_name cluster;
+	u_quad_t from_version;
+	u_quad_t to_version;
+	u_quad_t digest;
+	u_int offset;
+};
+typedef struct control_fetch_args control_fetch_args;
+
+struct control_fetch_result {
+	control_answer answer;
+	u_quad_t from_version;
+	u_quad_t to_version;
+	u_quad_t digest;
+	u_int transfer_bytes;
+	struct {
+		u_int piece_len;
+		char *piece_val;
+	} piece;
+};
+typedef struct control_fetch_result control_fetch_result;
 #define CONTROL_EDITS_MAX 262144
 
 struct control_edit {
@@ -647,103 +661,109 @@
 typedef struct control_state_image control_state_image;
 
 #define CONTROL_PROGRAM 0x20CAC702
-#define CONTROL_VERSION 1
+#define CONTROL_VERSION 2
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define CONTROL_SYNC 1
-extern  enum clnt_stat control_sync_1(control_sync_args , control_sync_result *, CLIENT *);
-extern  bool_t control_sync_1_svc(control_sync_args , control_sync_result *, struct svc_req *);
+extern  enum clnt_stat control_sync_2(control_sync_args , control_sync_result *, CLIENT *);
+extern  bool_t control_sync_2_svc(control_sync_args , control_sync_result *, struct svc_req *);
 #define CONTROL_PUSH 2
-extern  enum clnt_stat control_push_1(control_push_args , control_push_result *, CLIENT *);
-extern  bool_t control_push_1_svc(control_push_args , control_push_result *, struct svc_req *);
+extern  enum clnt_stat control_push_2(control_push_args , control_push_result *, CLIENT *);
+extern  bool_t control_push_2_svc(control_push_args , control_push_result *, struct svc_req *);
 #define CONTROL_BUNDLE 3
-extern  enum clnt_stat control_bundle_1(control_bundle_args , control_bundle_result *, CLIENT *);
-extern  bool_t control_bundle_1_svc(control_bundle_args , control_bundle_result *, struct svc_req *);
+extern  enum clnt_stat control_bundle_2(control_bundle_args , control_bundle_result *, CLIENT *);
+extern  bool_t control_bundle_2_svc(control_bundle_args , control_bundle_result *, struct svc_req *);
 #define CONTROL_TOP_UP 4
-extern  enum clnt_stat control_top_up_1(control_top_up_args , control_top_up_result *, CLIENT *);
-extern  bool_t control_top_up_1_svc(control_top_up_args , control_top_up_result *, struct svc_req *);
+extern  enum clnt_stat control_top_up_2(control_top_up_args , control_top_up_result *, CLIENT *);
+extern  bool_t control_top_up_2_svc(control_top_up_args , control_top_up_result *, struct svc_req *);
 #define CONTROL_LEDGER 5
-extern  enum clnt_stat control_ledger_1(control_ledger_args , control_ledger_result *, CLIENT *);
-extern  bool_t control_ledger_1_svc(control_ledger_args , control_ledger_result *, struct svc_req *);
+extern  enum clnt_stat control_ledger_2(control_ledger_args , control_ledger_result *, CLIENT *);
+extern  bool_t control_ledger_2_svc(control_ledger_args , control_ledger_result *, struct svc_req *);
 #define CONTROL_CLAIM 6
-extern  enum clnt_stat control_claim_1(control_claim_args , control_claim_result *, CLIENT *);
-extern  bool_t control_claim_1_svc(control_claim_args , control_claim_result *, struct svc_req *);
+extern  enum clnt_stat control_claim_2(control_claim_args , control_claim_result *, CLIENT *);
+extern  bool_t control_claim_2_svc(control_claim_args , control_claim_result *, struct svc_req *);
 #define CONTROL_FINISH 7
-extern  enum clnt_stat control_finish_1(control_finish_args , control_answer *, CLIENT *);
-extern  bool_t control_finish_1_svc(control_finish_args , control_answer *, struct svc_req *);
+extern  enum clnt_stat control_finish_2(control_finish_args , control_answer *, CLIENT *);
+extern  bool_t control_finish_2_svc(control_finish_args , control_answer *, struct svc_req *);
 #define CONTROL_BUDGET 8
-extern  enum clnt_stat control_budget_1(control_budget_args , control_budget_result *, CLIENT *);
-extern  bool_t control_budget_1_svc(control_budget_args , control_budget_result *, struct svc_req *);
+extern  enum clnt_stat control_budget_2(control_budget_args , control_budget_result *, CLIENT *);
+extern  bool_t control_budget_2_svc(control_budget_args , control_budget_result *, struct svc_req *);
 #define CONTROL_DRAIN 9
-extern  enum clnt_stat control_drain_1(control_drain_args , control_answer *, CLIENT *);
-extern  bool_t control_drain_1_svc(control_drain_args , control_answer *, struct svc_req *);
+extern  enum clnt_stat control_drain_2(control_drain_args , control_answer *, CLIENT *);
+extern  bool_t control_drain_2_svc(control_drain_args , control_answer *, struct svc_req *);
 #define CONTROL_STATUS 10
-extern  enum clnt_stat control_status_1(control_status_args , control_status_result *, CLIENT *);
-extern  bool_t control_status_1_svc(control_status_args , control_status_result *, struct svc_req *);
+extern  enum clnt_stat control_status_2(control_status_args , control_status_result *, CLIENT *);
+extern  bool_t control_status_2_svc(control_status_args , control_status_result *, struct svc_req *);
 #define CONTROL_MEMBER_CHANGE 11
-extern  enum clnt_stat control_member_change_1(control_member_args , control_answer *, CLIENT *);
-extern  bool_t control_member_change_1_svc(control_member_args , control_answer *, struct svc_req *);
+extern  enum clnt_stat control_member_change_2(control_member_args , control_answer *, CLIENT *);
+extern  bool_t control_member_change_2_svc(control_member_args , control_answer *, struct svc_req *);
 #define CONTROL_DOCUMENT 12
-extern  enum clnt_stat control_document_1(control_document_args , control_document_result *, CLIENT *);
-extern  bool_t control_document_1_svc(control_document_args , control_document_result *, struct svc_req *);
+extern  enum clnt_stat control_document_2(control_document_args , control_document_result *, CLIENT *);
+extern  bool_t control_document_2_svc(control_document_args , control_document_result *, struct svc_req *);
 #define CONTROL_READ 13
-extern  enum clnt_stat control_read_1(control_read_args , control_read_result *, CLIENT *);
-extern  bool_t control_read_1_svc(control_read_args , control_read_result *, struct svc_req *);
+extern  enum clnt_stat control_read_2(control_read_args , control_read_result *, CLIENT *);
+extern  bool_t control_read_2_svc(control_read_args , control_read_result *, struct svc_req *);
 #define CONTROL_LEASE 14
-extern  enum clnt_stat control_lease_1(control_lease_args , control_lease_result *, CLIENT *);
-extern  bool_t control_lease_1_svc(control_lease_args , control_lease_result *, struct svc_req *);
+extern  enum clnt_stat control_lease_2(control_lease_args , control_lease_result *, CLIENT *);
+extern  bool_t control_lease_2_svc(control_lease_args , control_lease_result *, struct svc_req *);
 #define CONTROL_WATCH 15
-extern  enum clnt_stat control_watch_1(control_watch_args , control_watch_result *, CLIENT *);
-extern  bool_t control_watch_1_svc(control_watch_args , control_watch_result *, struct svc_req *);
-extern int control_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  enum clnt_stat control_watch_2(control_watch_args , control_watch_result *, CLIENT *);
+extern  bool_t control_watch_2_svc(control_watch_args , control_watch_result *, struct svc_req *);
+#define CONTROL_FETCH 16
+extern  enum clnt_stat control_fetch_2(control_fetch_args , control_fetch_result *, CLIENT *);
+extern  bool_t control_fetch_2_svc(control_fetch_args , control_fetch_result *, struct svc_req *);
+extern int control_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define CONTROL_SYNC 1
-extern  enum clnt_stat control_sync_1();
-extern  bool_t control_sync_1_svc();
+extern  enum clnt_stat control_sync_2();
+extern  bool_t control_sync_2_svc();
 #define CONTROL_PUSH 2
-extern  enum clnt_stat control_push_1();
-extern  bool_t control_push_1_svc();
+extern  enum clnt_stat control_push_2();
+extern  bool_t control_push_2_svc();
 #define CONTROL_BUNDLE 3
-extern  enum clnt_stat control_bundle_1();
-extern  bool_t control_bundle_1_svc();
+extern  enum clnt_stat control_bundle_2();
+extern  bool_t control_bundle_2_svc();
 #define CONTROL_TOP_UP 4
-extern  enum clnt_stat control_top_up_1();
-extern  bool_t control_top_up_1_svc();
+extern  enum clnt_stat control_top_up_2();
+extern  bool_t control_top_up_2_svc();
 #define CONTROL_LEDGER 5
-extern  enum clnt_stat control_ledger_1();
-extern  bool_t control_ledger_1_svc();
+extern  enum clnt_stat control_ledger_2();
+extern  bool_t control_ledger_2_svc();
 #define CONTROL_CLAIM 6
-extern  enum clnt_stat control_claim_1();
-extern  bool_t control_claim_1_svc();
+extern  enum clnt_stat control_claim_2();
+extern  bool_t control_claim_2_svc();
 #define CONTROL_FINISH 7
-extern  enum clnt_stat control_finish_1();
-extern  bool_t control_finish_1_svc();
+extern  enum clnt_stat control_finish_2();
+extern  bool_t control_finish_2_svc();
 #define CONTROL_BUDGET 8
-extern  enum clnt_stat control_budget_1();
-extern  bool_t control_budget_1_svc();
+extern  enum clnt_stat control_budget_2();
+extern  bool_t control_budget_2_svc();
 #define CONTROL_DRAIN 9
-extern  enum clnt_stat control_drain_1();
-extern  bool_t control_drain_1_svc();
+extern  enum clnt_stat control_drain_2();
+extern  bool_t control_drain_2_svc();
 #define CONTROL_STATUS 10
-extern  enum clnt_stat control_status_1();
-extern  bool_t control_status_1_svc();
+extern  enum clnt_stat control_status_2();
+extern  bool_t control_status_2_svc();
 #define CONTROL_MEMBER_CHANGE 11
-extern  enum clnt_stat control_member_change_1();
-extern  bool_t control_member_change_1_svc();
+extern  enum clnt_stat control_member_change_2();
+extern  bool_t control_member_change_2_svc();
 #define CONTROL_DOCUMENT 12
-extern  enum clnt_stat control_document_1();
-extern  bool_t control_document_1_svc();
+extern  enum clnt_stat control_document_2();
+extern  bool_t control_document_2_svc();
 #define CONTROL_READ 13
-extern  enum clnt_stat control_read_1();
-extern  bool_t control_read_1_svc();
+extern  enum clnt_stat control_read_2();
+extern  bool_t control_read_2_svc();
 #define CONTROL_LEASE 14
-extern  enum clnt_stat control_lease_1();
-extern  bool_t control_lease_1_svc();
+extern  enum clnt_stat control_lease_2();
+extern  bool_t control_lease_2_svc();
 #define CONTROL_WATCH 15
-extern  enum clnt_stat control_watch_1();
-extern  bool_t control_watch_1_svc();
-extern int control_program_1_freeresult ();
+extern  enum clnt_stat control_watch_2();
+extern  bool_t control_watch_2_svc();
+#define CONTROL_FETCH 16
+extern  enum clnt_stat control_fetch_2();
+extern  bool_t control_fetch_2_svc();
+extern int control_program_2_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
@@ -790,6 +810,8 @@
 extern  bool_t xdr_control_target (XDR *, control_target*);
 extern  bool_t xdr_control_watch_args (XDR *, control_watch_args*);
 extern  bool_t xdr_control_watch_result (XDR *, control_watch_result*);
+extern  bool_t xdr_control_fetch_args (XDR *, control_fetch_args*);
+extern  bool_t xdr_control_fetch_result (XDR *, control_fetch_result*);
 extern  bool_t xdr_control_edit (XDR *, control_edit*);
 extern  bool_t xdr_control_difference (XDR *, control_difference*);
 extern  bool_t xdr_control_command_kind (XDR *, control_command_kind*);
@@ -845,6 +867,8 @@
 extern bool_t xdr_control_target ();
 extern bool_t xdr_control_watch_args ();
 extern bool_t xdr_control_watch_result ();
+extern bool_t xdr_control_fetch_args ();
+extern bool_t xdr_control_fetch_result ();
 extern bool_t xdr_control_edit ();
 extern bool_t xdr_control_difference ();
 extern bool_t xdr_control_command_kind ();
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -421,12 +421,8 @@
 
 /* Long poll: any member answers as soon as it has newer data than the router,
    at the latest after wait_ms.  epoch is drawn at each start of the member;
-   change counts the changes of its targets since then.  A document comes in
-   pieces that fit a connection's buffer, so that a slow router doesn't delay
-   others: document is the piece at document_offset of document_bytes, and the
-   next call requests the piece at piece_offset of piece_version. */
-const CONTROL_WATCH_PIECE_BYTES = 12288;
-
+   change counts the changes of its targets since then.  document_version is
+   the newest document that the caller knows this member to hold. */
 struct control_watch_args
 {
   wire_name cluster;
@@ -434,27 +430,50 @@
   unsigned hyper epoch;
   unsigned hyper change;
   unsigned hyper document_version;
-  bool want_document;
-  unsigned hyper piece_version;
-  unsigned int piece_offset;
   unsigned int wait_ms;
 };
 
 struct control_watch_result
 {
   control_answer answer;
+  wire_name availability_zone;    /* of the member */
   unsigned hyper epoch;
   unsigned hyper change;
   unsigned hyper document_version;
-  unsigned int document_bytes;
-  unsigned int document_offset;
-  opaque document<CONTROL_WATCH_PIECE_BYTES>;
   control_target targets<CONTROL_TARGETS_MAX>;
   unsigned int routers;           /* number of routers that recently called
                                      this member */
   control_member members<CONTROL_MEMBERS_MAX>;
 };
 
+/* Fetches a transfer: the control_difference from one document (version 0: the
+   empty one) to a newer one, in pieces.  Any member answers from its own
+   documents.  The first call names the version that the caller holds, and
+   to_version 0; it gets the transfer to the newest document, or to_version 0
+   when there is nothing newer.  Later calls name the transfer, also at another
+   member, and get it to its end even if there is a newer document by then.
+   CONTROL_NOT_FOUND: this member can't make the transfer; begin again. */
+const CONTROL_FETCH_PIECE_BYTES = 32768;
+
+struct control_fetch_args
+{
+  wire_name cluster;
+  unsigned hyper from_version;
+  unsigned hyper to_version;
+  unsigned hyper digest;
+  unsigned int offset;
+};
+
+struct control_fetch_result
+{
+  control_answer answer;
+  unsigned hyper from_version;    /* 0: of the whole document */
+  unsigned hyper to_version;
+  unsigned hyper digest;          /* of the whole transfer */
+  unsigned int transfer_bytes;
+  opaque piece<CONTROL_FETCH_PIECE_BYTES>;
+};
+
 /* The difference between two configuration documents: for each edit, insert
    is appended to the result, then copy_bytes at copy_offset of the older
    document. */
@@ -619,5 +638,6 @@
     control_read_result CONTROL_READ (control_read_args) = 13;
     control_lease_result CONTROL_LEASE (control_lease_args) = 14;
     control_watch_result CONTROL_WATCH (control_watch_args) = 15;
-  } = 1;
+    control_fetch_result CONTROL_FETCH (control_fetch_args) = 16;
+  } = 2;
 } = 0x20CAC702;
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -858,12 +858,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->want_document))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->piece_version))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->piece_offset))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
 	return TRUE;
@@ -876,18 +870,14 @@
 
 	 if (!xdr_control_answer (xdrs, &objp->answer))
 		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->availability_zone))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->change))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->document_bytes))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->document_offset))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, CONTROL_WATCH_PIECE_BYTES))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, CONTROL_TARGETS_MAX,
 		sizeof (control_target), (xdrproc_t) xdr_control_target))
 		 return FALSE;
@@ -899,6 +889,44 @@
 	return TRUE;
 }
 
+bool_t
+xdr_control_fetch_args (XDR *xdrs, control_fetch_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->cluster))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_fetch_result (XDR *xdrs, control_fetch_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->transfer_bytes))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->piece.piece_val, (u_int *) &objp->piece.piece_len, CONTROL_FETCH_PIECE_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_edit (XDR *xdrs, control_edit *objp)
 {
--- a/tests/test_edge_documents.c
+++ b/tests/test_edge_documents.c
@@ -176,6 +176,44 @@
   platform_regions_destroy (regions);
 }
 
+/* The routers' region has no member that responds. */
+static void
+test_own_member_lost (void)
+{
+  struct platform_regions *regions = set_up ();
+  fleet_process_kill (regions->members[PLATFORM_REGIONS_NEAR]);
+  uint64_t acked_ms = put (regions, 2, MANY_ROUTES);
+  check_in_force (regions, "/many/x", acked_ms);
+  platform_regions_destroy (regions);
+}
+
+static void
+test_own_member_frozen (void)
+{
+  struct platform_regions *regions = set_up ();
+  fleet_process_signal (regions->members[PLATFORM_REGIONS_NEAR], SIGSTOP);
+  uint64_t acked_ms = put (regions, 2, MANY_ROUTES);
+  check_in_force (regions, "/many/x", acked_ms);
+  platform_regions_destroy (regions);
+}
+
+/* A member loses its documents' history with its process. */
+static void
+test_processes_restarted (void)
+{
+  struct platform_regions *regions = set_up ();
+  put (regions, 2, MANY_ROUTES);
+  for (uint32_t i = 0; i < ROUTERS; i += 3)
+    fleet_process_kill (regions->routers[i]);
+  fleet_process_kill (regions->members[PLATFORM_REGIONS_NEAR]);
+  uint64_t acked_ms = put (regions, 3, MANY_ROUTES + 1);
+  for (uint32_t i = 0; i < ROUTERS; i += 3)
+    fleet_process_start (regions->routers[i]);
+  fleet_process_start (regions->members[PLATFORM_REGIONS_NEAR]);
+  check_in_force (regions, "/last-3/x", acked_ms);
+  platform_regions_destroy (regions);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -186,5 +224,10 @@
                    test_large_change_late);
   g_test_add_func ("/edge-documents/read-starved-by-newer-documents",
                    test_read_starved);
+  g_test_add_func ("/edge-documents/own-member-lost", test_own_member_lost);
+  g_test_add_func ("/edge-documents/own-member-frozen",
+                   test_own_member_frozen);
+  g_test_add_func ("/edge-documents/processes-restarted",
+                   test_processes_restarted);
   return g_test_run ();
 }
