Compress documents in the replicated log

Each change carries the whole document through the log: once from the member that the operator called to the leader, and once to each member of the other region. In a series of changes of a document of 500 KB that alone fills the link.

A document that can't be decompressed is refused by every member alike.

Routers without any table answered 503 like those with a route but no target; the tests now tell them apart.

--- a/src/control_documents.c
+++ b/src/control_documents.c
@@ -1,5 +1,6 @@
 #include "control_documents.h"
 
+#include "base_deflate.h"
 #include "control_difference.h"
 
 /* Number of documents that transfers may start from or lead to, and the limit
@@ -77,16 +78,24 @@
     }
 }
 
+GBytes *
+control_documents_unpack (const char *data, uint32_t bytes)
+{
+  return base_is_deflated (data, bytes)
+             ? base_inflate (data, bytes, CONTROL_DOCUMENT_BYTES)
+             : g_bytes_new (data, bytes);
+}
+
 bool
 control_documents_put (struct control_documents *documents, uint64_t version,
-                       const char *data, uint32_t bytes)
+                       GBytes *bytes)
 {
   if (version <= control_documents_version (documents))
     return false;
   struct document *document = g_new0 (struct document, 1);
   document->version = version;
-  document->bytes = g_bytes_new (data, bytes);
-  documents->total_bytes += bytes;
+  document->bytes = g_bytes_ref (bytes);
+  documents->total_bytes += g_bytes_get_size (bytes);
   g_queue_push_head (&documents->documents, document);
   drop_old (documents);
   return true;
--- a/src/control_documents.h
+++ b/src/control_documents.h
@@ -19,11 +19,13 @@
 struct control_documents *control_documents_create (void);
 /** Frees the store. */
 void control_documents_destroy (struct control_documents *documents);
+/** Returns the document that @p data holds: the output of base_deflate, or the
+ *  document itself.  NULL when it can't be decompressed. */
+GBytes *control_documents_unpack (const char *data, uint32_t bytes);
 /** Replaces the document when @p version is higher than the stored one.
  *  Returns whether it did. */
 bool control_documents_put (struct control_documents *documents,
-                            uint64_t version, const char *data,
-                            uint32_t bytes);
+                            uint64_t version, GBytes *bytes);
 /** Returns the stored version, or 0 when there is no document. */
 uint64_t control_documents_version (const struct control_documents *documents);
 /** Returns the document, or NULL; owned by the store. */
--- a/src/control_state.c
+++ b/src/control_state.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "base_deflate.h"
+
 struct control_state
 {
   uint64_t wall_ms;
@@ -117,12 +119,19 @@
                 const struct control_document_args *args,
                 struct control_document_result *result)
 {
-  if (control_documents_put (state->documents, args->document_version,
-                             args->document.document_val,
-                             args->document.document_len))
+  GBytes *bytes = control_documents_unpack (args->document.document_val,
+                                            args->document.document_len);
+  if (bytes
+      && control_documents_put (state->documents, args->document_version,
+                                bytes))
     control_prepaid_set_totals (state->prepaid, args->totals.totals_val,
                                 args->totals.totals_len);
-  set_answer (&result->answer, CONTROL_OK, "");
+  if (bytes)
+    set_answer (&result->answer, CONTROL_OK, "");
+  else
+    set_answer (&result->answer, CONTROL_REFUSED,
+                "the document can't be decompressed");
+  g_clear_pointer (&bytes, g_bytes_unref);
   result->held_version = control_documents_version (state->documents);
 }
 
@@ -221,12 +230,31 @@
 {
   GBytes *bytes = control_documents_bytes (state->documents);
   gsize size = 0;
-  const void *data = bytes ? g_bytes_get_data (bytes, &size) : NULL;
   image->held_version = control_documents_version (state->documents);
+  if (!bytes)
+    return;
+  const void *data = g_bytes_get_data (bytes, &size);
+  GBytes *packed = base_deflate (data, size);
+  data = g_bytes_get_data (packed, &size);
   image->held_document.held_document_len = (u_int)size;
   image->held_document.held_document_val = malloc (size + 1);
-  if (size > 0)
-    memcpy (image->held_document.held_document_val, data, size);
+  memcpy (image->held_document.held_document_val, data, size);
+  g_bytes_unref (packed);
+}
+
+/* Loads the document; false when it can't be decompressed. */
+static bool
+load_document (struct control_state *state,
+               const struct control_state_image *image)
+{
+  GBytes *bytes
+      = control_documents_unpack (image->held_document.held_document_val,
+                                  image->held_document.held_document_len);
+  if (!bytes)
+    return false;
+  control_documents_put (state->documents, image->held_version, bytes);
+  g_bytes_unref (bytes);
+  return true;
 }
 
 static char *
@@ -284,16 +312,14 @@
       && control_bundles_load (state->bundles, &image) == 0
       && escrow_pool_load (state->pool, (const uint8_t *)image.pool.pool_val,
                            image.pool.pool_len, &used)
-             == 0)
+             == 0
+      && load_document (state, &image))
     {
       state->wall_ms = image.wall_ms;
       control_processes_load (state->processes, &image);
       control_claims_load (state->claims, &image);
       control_drains_load (state->drains, image.drained.drained_val,
                            image.drained.drained_len);
-      control_documents_put (state->documents, image.held_version,
-                             image.held_document.held_document_val,
-                             image.held_document.held_document_len);
       control_prepaid_load (state->prepaid, &image);
       status = 0;
     }
--- a/src/wire_consensus.h
+++ b/src/wire_consensus.h
@@ -135,19 +135,19 @@
 typedef struct consensus_wire_message consensus_wire_message;
 
 #define CONSENSUS_PROGRAM 0x20CAC703
-#define CONSENSUS_VERSION 1
+#define CONSENSUS_VERSION 2
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define CONSENSUS_STEP 1
-extern  enum clnt_stat consensus_step_1(consensus_wire_message , bool_t *, CLIENT *);
-extern  bool_t consensus_step_1_svc(consensus_wire_message , bool_t *, struct svc_req *);
-extern int consensus_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  enum clnt_stat consensus_step_2(consensus_wire_message , bool_t *, CLIENT *);
+extern  bool_t consensus_step_2_svc(consensus_wire_message , bool_t *, struct svc_req *);
+extern int consensus_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define CONSENSUS_STEP 1
-extern  enum clnt_stat consensus_step_1();
-extern  bool_t consensus_step_1_svc();
-extern int consensus_program_1_freeresult ();
+extern  enum clnt_stat consensus_step_2();
+extern  bool_t consensus_step_2_svc();
+extern int consensus_program_2_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
--- a/src/wire_consensus.x
+++ b/src/wire_consensus.x
@@ -122,5 +122,5 @@
   version CONSENSUS_VERSION
   {
     bool CONSENSUS_STEP (consensus_wire_message) = 1;
-  } = 1;
+  } = 2;
 } = 0x20CAC703;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -304,7 +304,8 @@
 
 /* Stores a configuration document unchanged.  Only a version higher than the
    stored one has an effect.  totals are the accounts' prepaid tokens from the
-   budgets of the document. */
+   budgets of the document.  The document may be compressed by base_deflate, so
+   that the log carries less. */
 const CONTROL_BUDGETS_MAX = 300000;
 
 struct control_prepaid_total
--- a/tests/test_control_documents.c
+++ b/tests/test_control_documents.c
@@ -17,9 +17,9 @@
 {
   char *text = g_strdup_printf ("{\"version\":%u},{\"a\":1},{\"b\":2}",
                                 (unsigned)version);
-  bool stored = control_documents_put (documents, version, text,
-                                       (uint32_t)strlen (text));
-  g_free (text);
+  GBytes *bytes = g_bytes_new_take (text, strlen (text));
+  bool stored = control_documents_put (documents, version, bytes);
+  g_bytes_unref (bytes);
   return stored;
 }
 
--- a/tests/test_control_state.c
+++ b/tests/test_control_state.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <sodium.h>
 
+#include "base_deflate.h"
 #include "base_hash.h"
 #include "base_random.h"
 #include "control_state.h"
@@ -463,6 +464,62 @@
   g_assert_cmpuint (granted, >, 100);
 }
 
+static enum control_status
+send_document (struct fixture *fixture, uint64_t version, const char *data,
+               gsize bytes)
+{
+  struct control_outcome outcome = { 0 };
+  struct control_command command = { .body.kind = CONTROL_COMMAND_DOCUMENT };
+  struct control_document_args *args
+      = &command.body.control_command_body_u.document;
+  args->cluster = (char *)(uintptr_t) "trial";
+  args->document_version = version;
+  args->document.document_val = (char *)(uintptr_t)data;
+  args->document.document_len = (u_int)bytes;
+  apply (fixture, &command, &outcome);
+  enum control_status status = outcome.result.document.answer.status;
+  control_outcome_clear (&outcome);
+  return status;
+}
+
+static void
+check_document (struct fixture *fixture, uint64_t version, const char *text)
+{
+  gsize bytes = 0;
+  struct control_documents *documents
+      = control_state_documents (fixture->state);
+  const char *data
+      = g_bytes_get_data (control_documents_bytes (documents), &bytes);
+  g_assert_cmpuint (control_documents_version (documents), ==, version);
+  g_assert_cmpmem (data, bytes, text, strlen (text));
+}
+
+/* The log holds documents compressed, or as text as older builds wrote them;
+   both are stored byte by byte and survive a restart. */
+static void
+test_compressed_documents (struct fixture *fixture, gconstpointer data)
+{
+  gsize bytes = 0;
+  const char *text = "{ \"version\" : 3 }\n";
+  GBytes *packed = base_deflate (text, strlen (text));
+  const char *packed_data = g_bytes_get_data (packed, &bytes);
+  (void)data;
+  g_assert_cmpint (send_document (fixture, 2, "{\"version\":2}", 13), ==,
+                   CONTROL_OK);
+  check_document (fixture, 2, "{\"version\":2}");
+  g_assert_cmpint (send_document (fixture, 3, packed_data, bytes - 1), ==,
+                   CONTROL_REFUSED);
+  check_document (fixture, 2, "{\"version\":2}");
+  reload (fixture);
+  check_document (fixture, 2, "{\"version\":2}");
+  g_assert_cmpint (send_document (fixture, 3, packed_data, bytes), ==,
+                   CONTROL_OK);
+  check_document (fixture, 3, text);
+  reload (fixture);
+  check_document (fixture, 3, text);
+  g_bytes_unref (packed);
+}
+
 #define ADD(name, function)                                                   \
   g_test_add ("/control/state/" name, struct fixture, NULL, set_up, function, \
               tear_down)
@@ -481,6 +538,7 @@
   ADD ("given_up_before", test_given_up_before);
   ADD ("router_restarts", test_router_restarts);
   ADD ("snapshot", test_snapshot);
+  ADD ("compressed_documents", test_compressed_documents);
   ADD ("fuzz", test_fuzz);
   return g_test_run ();
 }
--- a/tests/test_edge_documents.c
+++ b/tests/test_edge_documents.c
@@ -23,6 +23,9 @@
 #define MANY_ROUTES 2000
 /* Time after the acknowledgement by which a document is in force. */
 #define IN_FORCE_MS 3000
+/* Share of a document that one change of it may cost on the link between the
+   regions: a document compresses to a tenth. */
+#define LINK_SHARE 0.25
 /* Time after which a test stops waiting, so that it reports by how much the
    bound was missed. */
 #define WAIT_MAX_MS 15000
@@ -142,7 +145,6 @@
 test_large_change_late (void)
 {
   struct platform_regions *regions = set_up ();
-  uint64_t link_bytes = link_relay_forwarded_bytes (regions->far_link);
   uint64_t acked_ms = put_late_near (regions, 2, MANY_ROUTES);
   g_usleep (300000);
   put_late_near (regions, 3, MANY_ROUTES);
@@ -150,8 +152,25 @@
   uint64_t last_acked_ms = put_late_near (regions, 4, MANY_ROUTES);
   check_in_force (regions, "/many/x", acked_ms);
   check_in_force (regions, "/last-4/x", last_acked_ms);
+  platform_regions_destroy (regions);
+}
+
+/* The log carries each document to each member, and to no router. */
+static void
+test_link_carries_whole_documents (void)
+{
+  struct platform_regions *regions = set_up ();
+  char *document = make_document (2, MANY_ROUTES);
+  uint64_t limit_bytes
+      = (uint64_t)(3 * LINK_SHARE * (double)strlen (document));
+  uint64_t link_bytes = link_relay_forwarded_bytes (regions->far_link);
+  for (uint64_t version = 2; version < 5; version++)
+    put (regions, version, MANY_ROUTES);
+  check_in_force (regions, "/last-4/x", now_ms ());
   link_bytes = link_relay_forwarded_bytes (regions->far_link) - link_bytes;
   g_test_message ("the link carried %u bytes", (unsigned)link_bytes);
+  g_assert_cmpuint (link_bytes, <=, limit_bytes);
+  g_free (document);
   platform_regions_destroy (regions);
 }
 
@@ -167,7 +186,9 @@
   while (!routed && now_ms () < acked_ms + IN_FORCE_MS)
     {
       put_late_near (regions, version++, MANY_ROUTES);
-      routed = platform_regions_count_routed (regions, "/many/x") == ROUTERS;
+      routed = true;
+      for (uint32_t i = 0; routed && i < ROUTERS; i++)
+        routed = platform_regions_is_routed (regions, i, "/many/x");
     }
   g_test_message ("%u documents, routed=%d", (unsigned)version - 2,
                   (int)routed);
@@ -222,6 +243,8 @@
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/edge-documents/large-change-late-in-other-region",
                    test_large_change_late);
+  g_test_add_func ("/edge-documents/link-carries-whole-documents",
+                   test_link_carries_whole_documents);
   g_test_add_func ("/edge-documents/read-starved-by-newer-documents",
                    test_read_starved);
   g_test_add_func ("/edge-documents/own-member-lost", test_own_member_lost);
--- a/tools/platform_regions.c
+++ b/tools/platform_regions.c
@@ -3,12 +3,15 @@
 #include <string.h>
 
 #include "base_clock.h"
+#include "base_deflate.h"
 #include "platform_process.h"
 #include "platform_rig.h"
 #include "tool_folder.h"
 #include "wire_control.h"
 
 #define HOST_HEADER "Host: h.example"
+/* Text of a router's response before it has a configuration. */
+#define NO_TABLE_TEXT "no configuration is in force yet"
 #define CALL_TIMEOUT_MS 5000
 #define START_TIMEOUT_MS 20000
 #define POLL_INTERVAL_US 20000
@@ -212,8 +215,11 @@
   struct control_document_result result = { 0 };
   args.cluster = cluster;
   args.document_version = version;
-  args.document.document_len = (u_int)strlen (document);
-  args.document.document_val = (char *)(uintptr_t)document;
+  gsize packed_bytes = 0;
+  GBytes *packed = base_deflate (document, strlen (document));
+  args.document.document_val
+      = (char *)(uintptr_t)g_bytes_get_data (packed, &packed_bytes);
+  args.document.document_len = (u_int)packed_bytes;
   enum wire_status status = control_client_call (
       regions->client, CONTROL_DOCUMENT, (xdrproc_t)xdr_control_document_args,
       &args, (xdrproc_t)xdr_control_document_result, &result, sizeof result,
@@ -221,12 +227,13 @@
   bool accepted = status == WIRE_OK && result.answer.status == CONTROL_OK;
   if (status == WIRE_OK)
     xdr_free ((xdrproc_t)xdr_control_document_result, (char *)&result);
+  g_bytes_unref (packed);
   return accepted;
 }
 
-long
-platform_regions_request (struct platform_regions *regions, uint32_t router,
-                          const char *path)
+bool
+platform_regions_is_routed (struct platform_regions *regions, uint32_t router,
+                            const char *path)
 {
   static const char *const lines[] = { HOST_HEADER, NULL };
   char address[16];
@@ -234,23 +241,11 @@
   char *url = g_strdup_printf ("http://%s:%u%s", address,
                                (unsigned)regions->callers_ports[router], path);
   struct platform_reply reply = platform_rig_call ("GET", url, NULL, lines);
-  long status = reply.whole ? reply.status : 0;
+  bool routed = reply.whole && reply.status == 503
+                && !strstr (reply.body->str, NO_TABLE_TEXT);
   platform_reply_clear (&reply);
   g_free (url);
-  return status;
-}
-
-uint32_t
-platform_regions_count_routed (struct platform_regions *regions,
-                               const char *path)
-{
-  uint32_t count = 0;
-  for (uint32_t i = 0; i < regions->router_count; i++)
-    {
-      long status = platform_regions_request (regions, i, path);
-      count += status != 0 && status != 404;
-    }
-  return count;
+  return routed;
 }
 
 uint64_t
@@ -261,8 +256,7 @@
   uint32_t router = 0;
   while (router < regions->router_count && now_ms () < since_ms + limit_ms)
     {
-      long status = platform_regions_request (regions, router, path);
-      if (status != 0 && status != 404)
+      if (platform_regions_is_routed (regions, router, path))
         router++;
       else
         g_usleep (POLL_INTERVAL_US);
--- a/tools/platform_regions.h
+++ b/tools/platform_regions.h
@@ -49,14 +49,10 @@
 /** Sends a configuration to the leader; true when it was accepted. */
 bool platform_regions_put (struct platform_regions *regions, uint64_t version,
                            const char *document);
-/** Calls @p path at a router; returns the response status, or 0 when there was
- *  none. */
-long platform_regions_request (struct platform_regions *regions,
-                               uint32_t router, const char *path);
-/** Returns the number of routers that answer @p path with anything but 404 or
- *  an error of the connection. */
-uint32_t platform_regions_count_routed (struct platform_regions *regions,
-                                        const char *path);
+/** Returns whether a router has a route for @p path.  There are no targets, so
+ *  it refuses the request with 503 then. */
+bool platform_regions_is_routed (struct platform_regions *regions,
+                                 uint32_t router, const char *path);
 /** Waits until all routers route @p path; returns how long that took from @p
  *  since_ms on, in milliseconds, or @p limit_ms when it took longer. */
 uint64_t platform_regions_wait_routed (struct platform_regions *regions,
