Finish the read of a whole bundle that was begun

The same fault as with configuration documents, found by looking for it: the pieces of a whole bundle are those of the newest one, so a process without a bundle, or with one that is too old for a difference, began anew with each accepted bundle, and had none while they followed each other faster than its pieces came.

--- a/src/control_bundles.c
+++ b/src/control_bundles.c
@@ -288,18 +288,35 @@
   return text;
 }
 
-/* Copies the requested piece of the whole document.  Pieces keep the reply
-   small enough for a connection to take it without blocking. */
+/* Returns the bundle that the caller has received pieces of, or NULL when
+   there is none or it is no longer kept. */
+static struct bundle *
+bundle_in_progress (const struct control_bundles *bundles,
+                    const struct control_sync_args *args)
+{
+  size_t bytes = 0;
+  if (args->piece_offset == 0
+      || args->piece_version <= args->process.bundle_version)
+    return NULL;
+  struct bundle *bundle = find_document (bundles, args->piece_version);
+  if (bundle)
+    bundle_canonical (bundle, &bytes);
+  return args->piece_offset < bytes ? bundle : NULL;
+}
+
+/* Copies the requested piece of a whole document, the first one when @p
+   continues is false.  Pieces keep the reply small enough for a connection to
+   take it without blocking. */
 static void
-copy_piece (struct bundle *bundle, const struct control_sync_args *args,
+copy_piece (struct bundle *bundle, bool continues,
+            const struct control_sync_args *args,
             struct control_sync_result *result)
 {
   size_t bytes = 0;
   const char *canonical = bundle_canonical (bundle, &bytes);
-  bool continues = args->piece_version == result->new_version
-                   && args->piece_offset < bytes;
   size_t offset = continues ? args->piece_offset : 0;
   size_t length = MIN (bytes - offset, CONTROL_PIECE_BYTES);
+  result->new_version = bundle_version (bundle);
   result->full = true;
   result->document_bytes = (u_int)bytes;
   result->document_offset = (u_int)offset;
@@ -318,11 +335,14 @@
   result->new_version = control_bundles_version (bundles);
   if (!newest || version >= result->new_version)
     return;
+  struct bundle *begun = bundle_in_progress (bundles, args);
   struct bundle *old = find_document (bundles, version);
   const char *difference = old ? difference_from (bundles, old) : NULL;
   if (!difference || strlen (difference) > CONTROL_PIECE_BYTES)
     {
-      copy_piece (newest, args, result);
+      /* A read that has begun goes on to its end, so that a process gets a
+         whole bundle also while newer ones are accepted. */
+      copy_piece (begun ? begun : newest, begun != NULL, args, result);
       return;
     }
   result->document.document_len = (u_int)strlen (difference);
--- a/tests/test_control_state.c
+++ b/tests/test_control_state.c
@@ -19,6 +19,9 @@
 #define FUZZ_STEPS 20000
 #define FUZZ_KEYS 250
 #define FUZZ_ROUTERS 4
+/* A bundle of this many accounts takes three pieces. */
+#define LARGE_ACCOUNTS 5000
+#define PIECE_CALLS_MAX 20
 
 /* A state, and the key pair that signs its bundles. */
 struct fixture
@@ -520,6 +523,53 @@
   g_bytes_unref (packed);
 }
 
+/* Accepts a bundle that is sent in several pieces. */
+static void
+push_large (struct fixture *fixture, uint64_t version)
+{
+  struct control_outcome outcome;
+  struct control_command command = { .body.kind = CONTROL_COMMAND_PUSH };
+  struct control_push_args *args = &command.body.control_command_body_u.push;
+  char *document = control_rig_document (&fixture->keys, version,
+                                         LARGE_ACCOUNTS, (uint32_t)version);
+  control_rig_make_push_args (&fixture->keys, version, document, args);
+  apply (fixture, &command, &outcome);
+  g_assert_cmpint (outcome.result.push.answer.status, ==, CONTROL_OK);
+  control_outcome_clear (&outcome);
+  xdr_free ((xdrproc_t)xdr_control_push_args, (char *)args);
+  g_free (document);
+}
+
+/* Bundles that follow each other faster than the pieces of one are read must
+   not keep a new process from ever having a whole one. */
+static void
+test_bundle_read_starved (struct fixture *fixture, gconstpointer data)
+{
+  uint64_t version = 1;
+  uint32_t calls = 0;
+  bool complete = false;
+  struct control_sync_args args = { 0 };
+  struct control_bundles *bundles = control_state_bundles (fixture->state);
+  (void)data;
+  push_large (fixture, version);
+  while (!complete && calls < PIECE_CALLS_MAX)
+    {
+      struct control_sync_result result = { 0 };
+      control_bundles_sync (bundles, &args, &result);
+      calls++;
+      if (result.document_offset != args.piece_offset)
+        args.piece_offset = 0;
+      g_assert_true (result.full);
+      args.piece_version = result.new_version;
+      args.piece_offset += result.document.document_len;
+      complete = args.piece_offset == result.document_bytes;
+      xdr_free ((xdrproc_t)xdr_control_sync_result, (char *)&result);
+      push_large (fixture, ++version);
+    }
+  g_assert_true (complete);
+  g_assert_cmpuint (calls, >, 1);
+}
+
 #define ADD(name, function)                                                   \
   g_test_add ("/control/state/" name, struct fixture, NULL, set_up, function, \
               tear_down)
@@ -539,6 +589,7 @@
   ADD ("router_restarts", test_router_restarts);
   ADD ("snapshot", test_snapshot);
   ADD ("compressed_documents", test_compressed_documents);
+  ADD ("bundle_read_starved", test_bundle_read_starved);
   ADD ("fuzz", test_fuzz);
   return g_test_run ();
 }
