--- a/src/consensus.h
+++ b/src/consensus.h
@@ -172,6 +172,10 @@
  *  member itself, the last persisted index.  Only valid on the leader. */
 uint64_t consensus_match_index (const struct consensus *consensus,
                                 uint64_t member_id);
+/** Returns whether a responding member is catching up with this leader: it
+ *  receives a snapshot, or lacks many entries.  Compacting the log would make
+ *  it begin again. */
+bool consensus_is_helping (const struct consensus *consensus, uint64_t now_ms);
 /** Time since a member's last response, or since this member became leader if
  *  that is later, in milliseconds; UINT64_MAX for an unknown member.  Only
  *  valid on the leader. */
--- a/src/consensus_view.c
+++ b/src/consensus_view.c
@@ -2,6 +2,10 @@
 
 #include <stdlib.h>
 
+/* Time without a response after which a member no longer counts as catching
+   up, in milliseconds. */
+#define CATCH_UP_SILENCE_MS 2000
+
 const struct consensus_wire_entry *
 consensus_entry (const struct consensus *consensus, uint64_t index)
 {
@@ -121,6 +125,22 @@
   return consensus_log_configuration (consensus->log);
 }
 
+bool
+consensus_is_helping (const struct consensus *consensus, uint64_t now_ms)
+{
+  uint64_t last = consensus_log_last (consensus->log);
+  for (uint32_t i = 0; i < consensus->peer_count; i++)
+    {
+      const struct consensus_peer *peer = &consensus->peers[i];
+      if (consensus->phase == CONSENSUS_LEADER
+          && now_ms < peer->last_response_ms + CATCH_UP_SILENCE_MS
+          && (peer->sending_snapshot
+              || peer->match_index + CONSENSUS_ENTRIES_MAX < last))
+        return true;
+    }
+  return false;
+}
+
 uint64_t
 consensus_contact_age_ms (const struct consensus *consensus,
                           uint64_t member_id, uint64_t now_ms)
--- a/src/control_snapshot.c
+++ b/src/control_snapshot.c
@@ -7,6 +7,10 @@
 
 /* Bytes of log records after which a snapshot replaces them. */
 #define SNAPSHOT_LOG_BYTES (16u * 1024 * 1024)
+/* Factors by which the log may grow beyond its limits while another member
+   catches up. */
+#define CATCH_UP_ENTRIES_FACTOR 8
+#define CATCH_UP_BYTES_FACTOR 2
 
 int
 control_snapshot_load (struct control_daemon *daemon, GBytes *snapshot)
@@ -31,18 +35,24 @@
 
 /* Returns whether the log is long enough for a snapshot.  A member does not
    respond while it writes one, so the limits are staggered by member id,
-   which keeps members from writing at the same time. */
+   which keeps members from writing at the same time.  While another member
+   catches up, the log may grow further, so that the snapshot that it receives
+   is followed by entries and not by the next snapshot. */
 static bool
-is_snapshot_due (const struct control_daemon *daemon)
+is_snapshot_due (const struct control_daemon *daemon, uint64_t now_ms)
 {
   const struct consensus *consensus = daemon->consensus;
+  bool helps = consensus_is_helping (consensus, now_ms);
   uint64_t entries = consensus_applied_index (consensus)
                      - consensus_snapshot_index (consensus);
   uint64_t limit_eighths = 8 + daemon->options.member_id % 8;
+  uint64_t entries_limit = daemon->options.snapshot_entries * limit_eighths
+                           * (helps ? CATCH_UP_ENTRIES_FACTOR : 1) / 8;
+  uint64_t bytes_limit = SNAPSHOT_LOG_BYTES / 8 * limit_eighths
+                         * (helps ? CATCH_UP_BYTES_FACTOR : 1);
   return entries > 0
-         && (entries >= daemon->options.snapshot_entries * limit_eighths / 8
-             || control_store_tail_bytes (daemon->store)
-                    >= SNAPSHOT_LOG_BYTES / 8 * limit_eighths);
+         && (entries >= entries_limit
+             || control_store_tail_bytes (daemon->store) >= bytes_limit);
 }
 
 void
@@ -50,12 +60,13 @@
 {
   struct consensus *consensus = daemon->consensus;
   uint32_t bytes = 0;
-  if (!is_snapshot_due (daemon))
+  uint64_t now_ms = base_clock_now_ms (base_clock_system ());
+  if (!is_snapshot_due (daemon, now_ms))
     return;
   /* A heartbeat restarts the followers' election timeouts before the leader
      stops responding to write the snapshot. */
   consensus_request_heartbeat (consensus);
-  consensus_flush (consensus, base_clock_now_ms (base_clock_system ()));
+  consensus_flush (consensus, now_ms);
   control_send_messages (daemon,
                          consensus_effects (consensus)->early_messages);
   char *state = control_state_save (daemon->state, &bytes);
