Discard a transfer that doesn't fit, and refuse an older document

A router that read from a member which had lost its newest documents took the older one as held (its table stayed, but it began all reads from there), and one whose pieces came out too long kept the unusable transfer for good: no read ever ended. Both found by reading the new code; no caller has seen them.

/edge-reader/older-document-taken waited without end, /edge-reader/pieces-too-long had no table after 5 s; both pass now.

--- a/bench/bench_documents.c
+++ b/bench/bench_documents.c
@@ -21,8 +21,8 @@
 {
   static const char letters[] = "abcdefghijklmnopqrstuvwxyz0123456789";
   for (uint32_t i = 0; i < length; i++)
-    g_string_append_c (text,
-                       letters[base_random_below (random, sizeof letters - 1)]);
+    g_string_append_c (
+        text, letters[base_random_below (random, sizeof letters - 1)]);
 }
 
 /* Makes a document of @p routes routes with random names, as large as those of
--- a/src/edge_reader.c
+++ b/src/edge_reader.c
@@ -92,27 +92,46 @@
   transfer->began_ms = edge_now_ms ();
 }
 
-/* Adds a piece; the first one names the transfer. */
+/* Whether the result continues the transfer in progress, or begins one to a
+   newer document. */
+static bool
+is_expected (const struct edge_reader *reader,
+             const struct control_fetch_result *result)
+{
+  const struct transfer *transfer = &reader->transfer;
+  if (transfer->to_version == 0)
+    return result->to_version > reader->document_version
+           && result->transfer_bytes > 0;
+  return result->to_version == transfer->to_version
+         && result->digest == transfer->digest
+         && result->transfer_bytes == transfer->total_bytes;
+}
+
+/* Adds a piece; the first one names the transfer.  A piece that doesn't fit
+   discards the transfer. */
 static enum fetch_outcome
 add_piece (struct edge_reader *reader,
            const struct control_fetch_result *result)
 {
   struct transfer *transfer = &reader->transfer;
-  if (transfer->to_version == 0)
+  u_int left_bytes = result->transfer_bytes - transfer->bytes->len;
+  if (!is_expected (reader, result) || result->piece.piece_len == 0
+      || result->piece.piece_len > left_bytes)
     {
-      transfer->from_version = result->from_version;
-      transfer->to_version = result->to_version;
-      transfer->digest = result->digest;
-      transfer->total_bytes = result->transfer_bytes;
+      reset_transfer (reader);
+      return FETCH_FAILED;
     }
+  transfer->from_version = result->from_version;
+  transfer->to_version = result->to_version;
+  transfer->digest = result->digest;
+  transfer->total_bytes = result->transfer_bytes;
   base_counter_add (reader->edge->counters.document_bytes,
                     result->piece.piece_len);
   g_byte_array_append (transfer->bytes,
                        (const guint8 *)result->piece.piece_val,
                        result->piece.piece_len);
-  if (transfer->bytes->len == transfer->total_bytes)
-    return FETCH_COMPLETE;
-  return result->piece.piece_len > 0 ? FETCH_MORE : FETCH_FAILED;
+  return transfer->bytes->len == transfer->total_bytes ? FETCH_COMPLETE
+                                                       : FETCH_MORE;
 }
 
 static enum fetch_outcome
@@ -120,17 +139,14 @@
                const struct control_fetch_result *result)
 {
   const struct edge_counters *counters = &reader->edge->counters;
-  bool continues = reader->transfer.to_version != 0;
-  if (result->answer.status == CONTROL_OK && result->to_version != 0)
+  if (result->answer.status == CONTROL_OK)
     return add_piece (reader, result);
-  if (result->answer.status == CONTROL_NOT_FOUND && continues)
-    {
-      log_read (reader, counters->document_reads_restarted, "restarted",
-                endpoint);
-      reset_transfer (reader);
-      return FETCH_MORE;
-    }
-  return FETCH_FAILED;
+  if (result->answer.status != CONTROL_NOT_FOUND
+      || reader->transfer.to_version == 0)
+    return FETCH_FAILED;
+  log_read (reader, counters->document_reads_restarted, "restarted", endpoint);
+  reset_transfer (reader);
+  return FETCH_MORE;
 }
 
 /* Requests the next piece. */
