Answer a claimed call once control has recorded its outcome

A caller that sent a call again right after its answer got 409 request_in_progress in place of that answer, and would have been told that the outcome is unknown if the router had died in between.

The router sent the answer when the bill was settled; the end of the claim was sent to control at the same time, and nothing waited for it. Now the answer also waits until control has recorded the outcome, at most the 2 s for which it waits for the settlement.

--- a/src/router_claims.c
+++ b/src/router_claims.c
@@ -137,6 +137,7 @@
   uint64_t drop_at_ms = atomic_load (&claims->drop_at_ms);
   if (send_outcome (claims, &task->args))
     {
+      router_request_post (task->request, ROUTER_EVENT_OUTCOME);
       free_task (task);
       atomic_fetch_sub (&claims->pending_outcomes, 1);
     }
--- a/src/router_claims.h
+++ b/src/router_claims.h
@@ -65,7 +65,7 @@
 void router_claims_submit (struct router_claims *claims,
                            struct router_request *request);
 /** Sends the outcome of a claimed call to control and repeats it until control
- *  has recorded it. */
+ *  has recorded it, then posts ROUTER_EVENT_OUTCOME. */
 void router_claims_finish (struct router_claims *claims,
                            struct router_request *request,
                            const struct router_claim_outcome *outcome);
--- a/src/router_finish.c
+++ b/src/router_finish.c
@@ -33,6 +33,7 @@
   if (!request->holds_claim)
     return;
   request->holds_claim = false;
+  request->outcome_open = true;
   outcome.not_run = not_run;
   outcome.known = known;
   outcome.billed_tokens = request->billed_tokens;
@@ -150,7 +151,14 @@
   request->settling_ms = base_clock_now_ms (base_clock_system ());
   router_ledger_settle (request, used_tokens);
   router_finish_claim (request, false, true);
-  if (!request->settle.open)
+  router_finish_deliver_recorded (request);
+}
+
+void
+router_finish_deliver_recorded (struct router_request *request)
+{
+  if (request->step == ROUTER_STEP_SETTLING && !request->settle.open
+      && !request->outcome_open)
     router_finish_deliver (request);
 }
 
--- a/src/router_finish.h
+++ b/src/router_finish.h
@@ -18,10 +18,12 @@
     __attribute__ ((format (printf, 4, 5)));
 /** Responds with the stored response of an earlier run of the same claim. */
 void router_finish_replay (struct router_request *request);
-/** Settles the bill of a complete response; router_finish_deliver follows when
- *  the ledger has answered. */
+/** Settles the bill of a complete response and records the outcome of a
+ * claimed call; router_finish_deliver follows when both are done. */
 void router_finish_settle (struct router_request *request,
                            uint64_t used_tokens);
+/** Sends the complete response if it waits for nothing any more. */
+void router_finish_deliver_recorded (struct router_request *request);
 /** Sends the complete response of the attempt to the caller. */
 void router_finish_deliver (struct router_request *request);
 /** Ends a request that needs no more response: takes it out of the queue,
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -48,7 +48,9 @@
   /** The caller's buffer has space again. */
   ROUTER_EVENT_WRITABLE = 64,
   /** The caller's connection ended before the whole response was sent. */
-  ROUTER_EVENT_CALLER_LEFT = 128
+  ROUTER_EVENT_CALLER_LEFT = 128,
+  /** Control recorded the outcome of the claimed call. */
+  ROUTER_EVENT_OUTCOME = 256
 };
 
 /** Steps of a request. */
@@ -59,7 +61,8 @@
   ROUTER_STEP_CLAIMING,
   ROUTER_STEP_QUEUED,
   ROUTER_STEP_SENDING,
-  /** Waits for the settlement before sending a complete response. */
+  /** Waits for the settlement, and until control has recorded the outcome of
+   *  a claimed call, before sending a complete response. */
   ROUTER_STEP_SETTLING,
   /** The caller has its final response, or has disconnected. */
   ROUTER_STEP_ANSWERED
@@ -179,6 +182,8 @@
   bool holds_tokens;
   struct router_claim claim;
   bool holds_claim;
+  /** Control has not recorded yet how the claimed call ended. */
+  bool outcome_open;
 
   struct admission_entry entry;
   uint64_t queued_us;
--- a/src/router_steps.c
+++ b/src/router_steps.c
@@ -9,7 +9,7 @@
 
 #define CALLER_CHECK_MS 250
 /* A complete response is sent after this time even if its settlement is not
-   answered. */
+   answered, or control has not recorded the outcome of its call. */
 #define SETTLE_WAIT_MS 2000
 
 static void
@@ -21,9 +21,8 @@
   if (router_ledger_take_answer (&request->extend)
       && request->step == ROUTER_STEP_SENDING)
     router_relay_handle_authorisation (request);
-  if (router_ledger_take_answer (&request->settle)
-      && request->step == ROUTER_STEP_SETTLING)
-    router_finish_deliver (request);
+  if (router_ledger_take_answer (&request->settle))
+    router_finish_deliver_recorded (request);
 }
 
 /* A request ends when its caller disconnects, but a claimed call that was sent
@@ -80,6 +79,11 @@
     handle_caller_left (request);
   if (events & ROUTER_EVENT_LEDGER)
     handle_ledger_answers (request);
+  if (events & ROUTER_EVENT_OUTCOME)
+    {
+      request->outcome_open = false;
+      router_finish_deliver_recorded (request);
+    }
   if ((events & ROUTER_EVENT_CLAIM) && request->step == ROUTER_STEP_CLAIMING)
     router_serve_handle_claim (request);
   handle_queue_events (request, events);
--- a/tests/test_router_faults.c
+++ b/tests/test_router_faults.c
@@ -3,6 +3,7 @@
  *  bills, and calls that must run at most once. */
 
 #include <signal.h>
+#include <stdatomic.h>
 #include <string.h>
 
 #include <curl/curl.h>
@@ -11,6 +12,10 @@
 #include "router_check.h"
 #include "target_answer.h"
 
+/* Time for which control is suspended, in milliseconds: longer than a call at
+   the target, and shorter than a router waits for control. */
+#define SUSPENSION_MS 1000
+
 static const char *const no_arguments[] = { NULL };
 
 /* A malformed response of a target is reported as failed, and nothing is
@@ -236,6 +241,53 @@
   return router_call (router_rig_port (rig), &call);
 }
 
+/* Suspends control for a while, once the target has begun to run a call. */
+struct suspension
+{
+  struct router_rig *rig;
+  struct fleet_process *target;
+  atomic_bool resumed;
+};
+
+static gpointer
+suspend_control (gpointer data)
+{
+  struct suspension *suspension = data;
+  struct fleet_process *control = router_rig_control (suspension->rig);
+  while (router_rig_oracle_sum (suspension->target, "runs") == 0)
+    g_usleep (10000);
+  fleet_process_signal (control, SIGSTOP);
+  g_usleep (1000 * SUSPENSION_MS);
+  atomic_store (&suspension->resumed, true);
+  fleet_process_signal (control, SIGCONT);
+  return NULL;
+}
+
+/* A response that is sent before control has recorded the end of the call lets
+   a retry find the call in progress, or its outcome unknown. */
+static void
+test_answer_before_record (void)
+{
+  static const char *const slow[] = { "--call-ms", "400", NULL };
+  struct suspension suspension = { 0 };
+  suspension.rig = router_rig_create (no_arguments);
+  suspension.target
+      = router_rig_start_target (suspension.rig, "p1", ROUTER_RIG_PLAIN, slow);
+  GThread *thread = g_thread_new ("suspend", suspend_control, &suspension);
+  for (int i = 0; i < 2; i++)
+    {
+      struct router_call_result result
+          = order (suspension.rig, "o-1", "two boxes");
+      bool resumed = atomic_load (&suspension.resumed);
+      g_assert_cmpuint (result.status, ==, 200);
+      g_assert_true (resumed);
+      router_call_clear (&result);
+    }
+  g_thread_join (thread);
+  g_assert_cmpuint (router_rig_oracle_sum (suspension.target, "runs"), ==, 1);
+  router_rig_destroy (suspension.rig);
+}
+
 /* A call that must run at most once: a retry gets the same response again. */
 static void
 test_order_once (void)
@@ -353,6 +405,8 @@
   g_test_add_func ("/router/faults/retries-of-key", test_retries_of_key);
   g_test_add_func ("/router/faults/router-dies", test_router_crashes);
   g_test_add_func ("/router/faults/order-once", test_order_once);
+  g_test_add_func ("/router/faults/answer-before-record",
+                   test_answer_before_record);
   g_test_add_func ("/router/faults/order-lost", test_order_lost);
   g_test_add_func ("/router/faults/control-lost", test_control_lost);
   g_test_add_func ("/router/faults/ledger-restarts", test_ledger_restarts);
