Count the digits of numbers in the bound on a prompt

A request with long numbers in its list of tools could get a reservation below what the engine reads: each number counted as 6 bytes, whatever its length. Now it counts as many bytes as are sent to the target. /router-body/long-numbers-bounded-too-low: 600 for 100 numbers of 20 digits before.

--- a/src/router_body.c
+++ b/src/router_body.c
@@ -13,8 +13,8 @@
    equal in these bytes are assumed to share a prefix. */
 #define PREFIX_BYTES 512
 
-/* Total length of all strings and member names in a value, in bytes; any other
-   value counts as sizeof "false". */
+/* Total length of all strings, member names, numbers and literals in a value,
+   in bytes, as the target receives them. */
 static uint64_t
 text_bytes (const json_t *value)
 {
@@ -35,7 +35,7 @@
       bytes += strlen (name) + text_bytes (item);
     }
   else
-    bytes = sizeof "false";
+    bytes = json_dumpb (value, NULL, 0, JSON_ENCODE_ANY);
   return bytes;
 }
 
