--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -286,6 +286,31 @@
   base_findings_destroy (findings);
 }
 
+/* "nan" is neither below nor above a limit, and is no number to work with. */
+static void
+test_settings_not_a_number (void)
+{
+  static const char *const values[]
+      = { "nan", "-nan", "NAN", "inf", "-1", "1e9", "0x", "" };
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      struct base_findings *findings = base_findings_create ();
+      char *text = g_strdup_printf (
+          "[process]\nhost=n1\naddress=10.0.0.1\navailability-zone=z1\n"
+          "region=r1\nfirst-port=7000\nlast-port=7010\n"
+          "members=10.0.0.1:80\n[limits]\ngrace-s=%s\nretry-ratio=%s\n",
+          values[i], values[i]);
+      struct platform_settings *settings = read_settings (text, findings);
+      /* An empty value stands for the default. */
+      g_assert_true ((settings != NULL) == (*values[i] == '\0'));
+      g_assert_cmpuint (base_findings_count (findings), ==,
+                        *values[i] ? 2 : 0);
+      platform_settings_destroy (settings);
+      base_findings_destroy (findings);
+      g_free (text);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -298,6 +323,8 @@
   g_test_add_func ("/platform/unreadable-headers", test_unreadable_headers);
   g_test_add_func ("/platform/answer-headers", test_answer_headers);
   g_test_add_func ("/platform/settings", test_settings);
+  g_test_add_func ("/platform/settings-not-a-number",
+                   test_settings_not_a_number);
   g_test_add_func ("/platform/unknown-settings", test_unknown_settings);
   return g_test_run ();
 }
