--- a/src/ledger_batch.c
+++ b/src/ledger_batch.c
@@ -83,7 +83,6 @@
   if (!wire_call_args (call, (xdrproc_t)xdr_ledger_batch_args, &args))
     {
       wire_call_fail (call);
-      xdr_free ((xdrproc_t)xdr_ledger_batch_args, (char *)&args);
       return;
     }
   if (!g_str_equal (args.cluster, context->cluster) || !args.router[0]
--- a/src/wire_server.c
+++ b/src/wire_server.c
@@ -394,6 +394,8 @@
   xdrmem_create (&stream, (char *)(uintptr_t)data, (u_int)bytes, XDR_DECODE);
   bool valid = codec (&stream, args);
   XDR_DESTROY (&stream);
+  if (!valid)
+    xdr_free (codec, args);
   return valid;
 }
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <stdatomic.h>
+#include <malloc.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -229,6 +230,8 @@
   xdr_free ((xdrproc_t)xdr_control_push_args, (char *)&args);
 }
 
+#define LEAK_CALLS 2000
+
 /* Calls larger than the 64 KB of the RPC library's buffers, up to the size of
    a bundle. */
 static void
@@ -267,6 +270,54 @@
   wire_server_destroy (server);
 }
 
+/* Encodes the start of push arguments and leaves out the rest. */
+static bool_t
+xdr_truncated_push (XDR *stream, struct control_push_args *args)
+{
+  return xdr_wire_name (stream, &args->cluster)
+         && xdr_u_quad_t (stream, &args->bundle_version)
+         && xdr_wire_name (stream, &args->signer);
+}
+
+/* What was decoded of arguments that end too early is freed. */
+static void
+test_undecodable_arguments_leak (void)
+{
+  struct wire_program program = { CONTROL_PROGRAM, CONTROL_VERSION };
+  struct wire_handler handler = { .call = take_document };
+  char name[100];
+  memset (name, 'x', sizeof name - 1);
+  name[sizeof name - 1] = '\0';
+  struct control_push_args args = { .cluster = name, .signer = name };
+  struct wire_server *server
+      = wire_server_create ("127.0.0.1", 0, &program, 1, &handler);
+  g_assert_nonnull (server);
+  atomic_store (&stopping, false);
+  GThread *thread = g_thread_new ("server", serve, server);
+  struct wire_client *client
+      = wire_client_create ("127.0.0.1", wire_server_port (server),
+                            CONTROL_PROGRAM, CONTROL_VERSION);
+  size_t heap_bytes = 0;
+  for (uint32_t i = 0; i < LEAK_CALLS; i++)
+    {
+      u_int bytes = 0;
+      if (i == LEAK_CALLS / 10)
+        heap_bytes = mallinfo2 ().uordblks;
+      g_assert_cmpint (wire_client_call (client, CONTROL_PUSH,
+                                         (xdrproc_t)xdr_truncated_push, &args,
+                                         (xdrproc_t)xdr_u_int, &bytes,
+                                         sizeof bytes, 60000),
+                       ==, WIRE_REFUSED);
+    }
+  g_assert_cmpuint (mallinfo2 ().uordblks, <,
+                    heap_bytes + LEAK_CALLS * sizeof name / 4);
+  wire_client_destroy (client);
+  atomic_store (&stopping, true);
+  wire_server_wake (server);
+  g_thread_join (thread);
+  wire_server_destroy (server);
+}
+
 #define POSTS 500
 
 /* Counts budget calls and checks that their ids arrive in order. */
@@ -426,6 +477,8 @@
   g_test_add_func ("/wire/calls", test_calls);
   g_test_add_func ("/wire/frozen-peer", test_frozen_peer);
   g_test_add_func ("/wire/large", test_large);
+  g_test_add_func ("/wire/undecodable-arguments-leak",
+                   test_undecodable_arguments_leak);
   g_test_add_func ("/wire/posts", test_posts);
   g_test_add_func ("/wire/unsent", test_unsent);
   g_test_add_func ("/wire/silent-host", test_silent_host);
