Fail a statement whose bills can't be read

An operator's statement ended as if complete where a file of sealed bills was cut short or missing: 2,444 of 5,000 bills, with no error, and the log showed an unrelated errno. A page now ends before bills that can't be read, and the next one fails, so cactusctl says that bills are missing. /ledger_server/short-file-ends-statement

--- a/src/ledger_bills.c
+++ b/src/ledger_bills.c
@@ -244,13 +244,16 @@
   if (fd >= 0)
     bytes_read = pread (fd, lines, most * sizeof *lines,
                         (off_t)(skip * sizeof *lines));
-  if (bytes_read <= 0)
-    base_log (BASE_LOG_ERROR, "bills-not-read file=%s error=%s", path,
-              g_strerror (errno));
+  size_t count = bytes_read > 0 ? (size_t)bytes_read / sizeof *lines : 0;
+  if (count == 0)
+    base_log (BASE_LOG_ERROR,
+              "bills-not-read file=%s number=%" PRIu64 " error=%s", path,
+              number,
+              bytes_read < 0 ? g_strerror (errno) : "the file is too short");
   if (fd >= 0)
     close (fd);
   g_free (path);
-  return bytes_read > 0 ? (size_t)bytes_read / sizeof *lines : 0;
+  return count;
 }
 
 /* Copies up to @p most bills of @p from, whose first has number
@@ -325,7 +328,7 @@
     result->bills.bills_len++;
 }
 
-void
+bool
 ledger_bills_read_page (struct ledger_bills *bills,
                         const struct escrow_ledger *ledger,
                         const struct ledger_bills_args *args,
@@ -350,7 +353,11 @@
     }
   while (count > 0 && scanned < SCAN_LINES_MAX
          && result->bills.bills_len < LEDGER_BATCH_MAX);
-  if (number < ledger_bills_next_number (bills) && count > 0)
-    result->next_index = number - 1;
   g_free (lines);
+  if (number >= ledger_bills_next_number (bills))
+    return true;
+  /* The bills from here on are for the next page, which fails if they can't be
+     read. */
+  result->next_index = scanned > 0 ? number - 1 : 0;
+  return scanned > 0;
 }
--- a/src/ledger_bills.h
+++ b/src/ledger_bills.h
@@ -6,6 +6,8 @@
  *  are kept in memory until a snapshot seals them into a read-only file; after
  *  a restart those in memory are restored by replaying the log. */
 
+#include <stdbool.h>
+
 #include "base_findings.h"
 #include "escrow_ledger.h"
 
@@ -38,8 +40,9 @@
  *  bytes. */
 void ledger_bills_trim (struct ledger_bills *bills, uint64_t bytes_max);
 /** Fills in one page of the statement; its arrays are allocated with malloc.
- */
-void ledger_bills_read_page (struct ledger_bills *bills,
+ *  The page ends before bills that can't be read; false when it would be empty
+ *  for that reason. */
+bool ledger_bills_read_page (struct ledger_bills *bills,
                              const struct escrow_ledger *ledger,
                              const struct ledger_bills_args *args,
                              struct ledger_bills_result *result);
--- a/src/ledger_server.c
+++ b/src/ledger_server.c
@@ -100,9 +100,11 @@
       wire_call_fail (call);
       return;
     }
-  ledger_bills_read_page (ledger_store_bills (server->store), server->ledger,
-                          &args, &result);
-  wire_call_reply (call, (xdrproc_t)xdr_ledger_bills_result, &result);
+  if (ledger_bills_read_page (ledger_store_bills (server->store),
+                              server->ledger, &args, &result))
+    wire_call_reply (call, (xdrproc_t)xdr_ledger_bills_result, &result);
+  else
+    wire_call_fail (call);
   xdr_free ((xdrproc_t)xdr_ledger_bills_result, (char *)&result);
 }
 
--- a/src/wire_server.h
+++ b/src/wire_server.h
@@ -61,7 +61,8 @@
 uint32_t wire_call_procedure (const struct wire_call *call);
 /** Decodes the arguments into zeroed @p args, freed by the caller with
  *  xdr_free.  Returns false when they are malformed: what was decoded is then
- *  freed, and the caller answers with wire_call_fail.  Call it only inside the handler's call function. */
+ *  freed, and the caller answers with wire_call_fail.  Call it only inside the
+ * handler's call function. */
 bool wire_call_args (struct wire_call *call, xdrproc_t codec, void *args);
 /** Answers the call; encodes @p result at once, so that it may be freed. */
 void wire_call_reply (struct wire_call *call, xdrproc_t codec, void *result);
--- a/tests/test_ledger_server.c
+++ b/tests/test_ledger_server.c
@@ -170,26 +170,38 @@
 }
 
 /* Reads the statement of an account (0 means all accounts), counts its lines
-   and returns the sum of settled_at_ms. */
-static uint64_t
-read_statement (struct ledger_store *store, uint64_t account_id,
-                uint64_t *lines)
+   and adds up settled_at_ms.  Returns false when a page can't be read. */
+static bool
+read_pages (struct ledger_store *store, uint64_t account_id, uint64_t *lines,
+            uint64_t *sum)
 {
-  uint64_t sum = 0;
+  bool readable = true;
   struct ledger_bills_args args = { .account_id = account_id };
   *lines = 0;
+  *sum = 0;
   do
     {
       struct ledger_bills_result result;
-      ledger_bills_read_page (ledger_store_bills (store),
-                              ledger_store_ledger (store), &args, &result);
+      readable = ledger_bills_read_page (ledger_store_bills (store),
+                                         ledger_store_ledger (store), &args,
+                                         &result);
       *lines += result.bills.bills_len;
       for (u_int i = 0; i < result.bills.bills_len; i++)
-        sum += result.bills.bills_val[i].settled_at_ms;
+        *sum += result.bills.bills_val[i].settled_at_ms;
       args.after_index = result.next_index;
       xdr_free ((xdrproc_t)xdr_ledger_bills_result, (char *)&result);
     }
-  while (args.after_index != 0);
+  while (readable && args.after_index != 0);
+  return readable;
+}
+
+/* Reads a whole statement; returns the sum of settled_at_ms. */
+static uint64_t
+read_statement (struct ledger_store *store, uint64_t account_id,
+                uint64_t *lines)
+{
+  uint64_t sum;
+  g_assert_true (read_pages (store, account_id, lines, &sum));
   return sum;
 }
 
@@ -228,11 +240,67 @@
   g_free (folder);
 }
 
+/* Returns the path of the file with the oldest sealed bills. */
+static char *
+oldest_bills_file (const char *folder)
+{
+  char *oldest = NULL;
+  const char *name;
+  GDir *files = g_dir_open (folder, 0, NULL);
+  while ((name = g_dir_read_name (files)))
+    if (g_str_has_prefix (name, "bills-")
+        && (!oldest || strcmp (name, oldest) < 0))
+      {
+        g_free (oldest);
+        oldest = g_strdup (name);
+      }
+  g_dir_close (files);
+  g_assert_nonnull (oldest);
+  char *path = g_build_filename (folder, oldest, NULL);
+  g_free (oldest);
+  return path;
+}
+
+/* A statement of which bills can't be read must not end as if it were
+   complete. */
+static void
+test_short_file_ends_statement (void)
+{
+  uint64_t lines;
+  uint64_t sum;
+  char *folder = make_folder ();
+  struct ledger_store *store = open_store (folder);
+  escrow_ledger_open_session (ledger_store_ledger (store), "router", 9, 1500);
+  for (uint64_t id = 1; id <= 5000; id++)
+    {
+      apply (store, id, LEDGER_RESERVE);
+      apply (store, id, LEDGER_SETTLE);
+    }
+  g_assert_cmpint (ledger_store_commit (store), ==, 0);
+  ledger_store_close (store, true);
+  store = open_store (folder);
+  char *path = oldest_bills_file (folder);
+  g_assert_cmpint (truncate (path, 2000 * 88 + 7), ==, 0);
+  bool readable = read_pages (store, 0, &lines, &sum);
+  g_test_message ("%u of 5000 lines, readable=%d", (unsigned)lines,
+                  (int)readable);
+  g_assert_false (readable);
+  g_assert_cmpuint (lines, <, 5000);
+  g_assert_cmpint (unlink (path), ==, 0);
+  g_assert_false (read_pages (store, 0, &lines, &sum));
+  ledger_store_close (store, false);
+  tool_folder_remove (folder);
+  g_free (path);
+  g_free (folder);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/ledger_server/full-disk", test_full_disk);
   g_test_add_func ("/ledger_server/statement", test_statement);
+  g_test_add_func ("/ledger_server/short-file-ends-statement",
+                   test_short_file_ends_statement);
   return g_test_run ();
 }
--- a/tests/test_router_body.c
+++ b/tests/test_router_body.c
@@ -35,9 +35,12 @@
 static void
 test_long_numbers_bounded_too_low (void)
 {
-  static const char *const numbers[]
-      = { "-9223372036854775807", "0.12345678901234567", "1.5e-300", "7",
-          "true", "null" };
+  static const char *const numbers[] = { "-9223372036854775807",
+                                         "0.12345678901234567",
+                                         "1.5e-300",
+                                         "7",
+                                         "true",
+                                         "null" };
   uint64_t none = bound_with_numbers ("", 0);
   for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
     g_assert_cmpuint (bound_with_numbers (numbers[i], NUMBERS) - none, >=,
