Go on with a peer's bundle where the last round ended

The same fault as with configuration documents, in gossip: a bundle came in one call of a second at most, and was read from the first byte in each round. On a link that needs longer for it, as between regions, a router that can't reach control never got it, while its tries filled the link.

Bundles now come in pieces of 64 KB, for half a second a round; the pieces are kept for the next round, also at another peer. The protocol's version rises to 2.

/gossip/bundle-read-begun-anew, a bundle that takes three seconds: not there after 15 s before; now it is, and the link carries it less than twice.

--- a/src/gossip_rounds.c
+++ b/src/gossip_rounds.c
@@ -9,6 +9,8 @@
 /* Timeouts of calls inside a zone and to other zones. */
 #define ZONE_TIMEOUT_MS 300
 #define RELAY_TIMEOUT_MS CACTUS_CALL_TIMEOUT_MS
+/* Time after which no further piece of a bundle is fetched in a round. */
+#define BUNDLE_FETCH_MS 500
 /* Time for which incoming exchanges are refused after a stall, in
    milliseconds. */
 #define REFUSE_AFTER_STALL_MS 1000
@@ -60,28 +62,66 @@
   return status;
 }
 
-/* Fetches the peer's bundle when it is newer than this router's bundle. */
-static void
-fetch_bundle (struct gossip_caller *caller, const struct gossip_peer *peer,
-              uint64_t peer_version)
+/* Adds a piece of a bundle, and offers the bundle once it is complete.
+   Returns whether another piece follows. */
+static bool
+add_piece (struct gossip_caller *caller,
+           const struct gossip_bundle_result *result)
 {
-  struct gossip *gossip = caller->gossip;
-  struct gossip_bundle_callbacks *bundles = gossip->bundles;
-  uint64_t version = bundles ? bundles->version (bundles) : UINT64_MAX;
-  if (peer_version <= version)
-    return;
-  struct gossip_bundle_args args = { gossip->cluster, version };
+  struct gossip_bundle_callbacks *bundles = caller->gossip->bundles;
+  GByteArray *pieces = caller->pieces;
+  if (caller->pieces_version != result->bundle_version
+      || result->document_offset != pieces->len)
+    g_byte_array_set_size (pieces, 0);
+  caller->pieces_version = result->bundle_version;
+  if (result->document_offset != pieces->len
+      || result->document.document_len == 0)
+    return false;
+  g_byte_array_append (pieces, (const guint8 *)result->document.document_val,
+                       result->document.document_len);
+  if (pieces->len < result->document_bytes)
+    return true;
+  bundles->offer (bundles, (const char *)pieces->data, pieces->len);
+  g_byte_array_set_size (pieces, 0);
+  return false;
+}
+
+/* Fetches the next piece of a peer's bundle if that is newer than @p version.
+   Returns whether another piece follows. */
+static bool
+fetch_piece (struct gossip_caller *caller, const struct gossip_peer *peer,
+             uint64_t version)
+{
+  struct gossip_bundle_args args
+      = { caller->gossip->cluster, version, caller->pieces_version,
+          caller->pieces->len };
   struct gossip_bundle_result result;
   enum wire_status status
       = wire_client_call (client_of (caller, peer), GOSSIP_BUNDLE,
                           (xdrproc_t)xdr_gossip_bundle_args, &args,
                           (xdrproc_t)xdr_gossip_bundle_result, &result,
                           sizeof result, CACTUS_CALL_TIMEOUT_MS);
-  if (status == WIRE_OK && result.bundle_version > version
-      && result.document.document_len > 0)
-    bundles->offer (bundles, result.document.document_val,
-                    result.document.document_len);
+  bool continues = status == WIRE_OK && result.bundle_version > version
+                   && add_piece (caller, &result);
   xdr_free ((xdrproc_t)xdr_gossip_bundle_result, (char *)&result);
+  return continues;
+}
+
+/* Fetches the peer's bundle when it is newer than this router's bundle.  What
+   doesn't come within BUNDLE_FETCH_MS follows after the next exchange, which
+   is not delayed longer. */
+static void
+fetch_bundle (struct gossip_caller *caller, const struct gossip_peer *peer,
+              uint64_t peer_version)
+{
+  struct gossip *gossip = caller->gossip;
+  struct gossip_bundle_callbacks *bundles = gossip->bundles;
+  uint64_t version = bundles ? bundles->version (bundles) : UINT64_MAX;
+  uint64_t began_ms = base_clock_now_ms (gossip->clock);
+  bool continues = peer_version > version;
+  while (continues
+         && base_clock_now_ms (gossip->clock) < began_ms + BUNDLE_FETCH_MS)
+    continues = fetch_piece (caller, peer, version);
 }
 
 /* Sends one request and handles the response.  Returns true when @p repair is
@@ -246,6 +286,7 @@
   caller->timeout_ms = timeout_ms;
   caller->clients
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, client_free);
+  caller->pieces = g_byte_array_new ();
   caller->thread = g_thread_new (name, run, caller);
 }
 
@@ -254,6 +295,7 @@
 {
   g_thread_join (caller->thread);
   g_hash_table_destroy (caller->clients);
+  g_byte_array_unref (caller->pieces);
 }
 
 void
--- a/src/gossip_serve.c
+++ b/src/gossip_serve.c
@@ -1,5 +1,6 @@
 #include "gossip.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "gossip_state.h"
@@ -35,7 +36,24 @@
   xdr_free ((xdrproc_t)xdr_gossip_exchange_result, (char *)&result);
 }
 
-/* Fills the result with the active bundle if it is newer than the peer's. */
+/* Fills the result with a piece of the document. */
+static void
+fill_piece (const struct gossip_bundle_args *args, const char *document,
+            size_t bytes, struct gossip_bundle_result *result)
+{
+  bool continues = args->piece_version == result->bundle_version
+                   && args->piece_offset < bytes;
+  size_t offset = continues ? args->piece_offset : 0;
+  size_t piece = MIN (bytes - offset, GOSSIP_PIECE_BYTES);
+  result->document_bytes = (u_int)bytes;
+  result->document_offset = (u_int)offset;
+  result->document.document_len = (u_int)piece;
+  result->document.document_val = malloc (piece + 1);
+  memcpy (result->document.document_val, document + offset, piece);
+}
+
+/* Fills the result with a piece of the active bundle if it is newer than the
+   peer's. */
 static void
 fill_bundle (struct gossip *gossip, const struct gossip_bundle_args *args,
              struct gossip_bundle_result *result)
@@ -46,9 +64,10 @@
   result->bundle_version = gossip->bundles->version (gossip->bundles);
   if (result->bundle_version <= args->have_version)
     return;
-  result->document.document_val
-      = gossip->bundles->document (gossip->bundles, &bytes);
-  result->document.document_len = (u_int)bytes;
+  char *document = gossip->bundles->document (gossip->bundles, &bytes);
+  if (document)
+    fill_piece (args, document, bytes, result);
+  g_free (document);
 }
 
 static void
--- a/src/gossip_state.h
+++ b/src/gossip_state.h
@@ -28,6 +28,10 @@
   /** Clients (struct wire_client) by "address:port"; only used by this
    *  thread. */
   GHashTable *clients;
+  /** Pieces received so far of the bundle of pieces_version; only used by this
+   *  thread. */
+  GByteArray *pieces;
+  uint64_t pieces_version;
 };
 
 /** Gossip of one router. */
--- a/src/wire_gossip.h
+++ b/src/wire_gossip.h
@@ -17,7 +17,6 @@
 #include "wire_common.h"
 #define GOSSIP_RECORDS_MAX 1024
 #define GOSSIP_LOADS_MAX 4096
-#define GOSSIP_DOCUMENT_BYTES 8388608
 
 struct gossip_target {
 	wire_name target;
@@ -82,15 +81,20 @@
 	} wanted;
 };
 typedef struct gossip_exchange_result gossip_exchange_result;
+#define GOSSIP_PIECE_BYTES 65536
 
 struct gossip_bundle_args {
 	wire_name cluster;
 	u_quad_t have_version;
+	u_quad_t piece_version;
+	u_int piece_offset;
 };
 typedef struct gossip_bundle_args gossip_bundle_args;
 
 struct gossip_bundle_result {
 	u_quad_t bundle_version;
+	u_int document_bytes;
+	u_int document_offset;
 	struct {
 		u_int document_len;
 		char *document_val;
@@ -99,25 +103,25 @@
 typedef struct gossip_bundle_result gossip_bundle_result;
 
 #define GOSSIP_PROGRAM 0x20CAC704
-#define GOSSIP_VERSION 1
+#define GOSSIP_VERSION 2
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define GOSSIP_EXCHANGE 1
-extern  enum clnt_stat gossip_exchange_1(gossip_exchange_args , gossip_exchange_result *, CLIENT *);
-extern  bool_t gossip_exchange_1_svc(gossip_exchange_args , gossip_exchange_result *, struct svc_req *);
+extern  enum clnt_stat gossip_exchange_2(gossip_exchange_args , gossip_exchange_result *, CLIENT *);
+extern  bool_t gossip_exchange_2_svc(gossip_exchange_args , gossip_exchange_result *, struct svc_req *);
 #define GOSSIP_BUNDLE 2
-extern  enum clnt_stat gossip_bundle_1(gossip_bundle_args , gossip_bundle_result *, CLIENT *);
-extern  bool_t gossip_bundle_1_svc(gossip_bundle_args , gossip_bundle_result *, struct svc_req *);
-extern int gossip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  enum clnt_stat gossip_bundle_2(gossip_bundle_args , gossip_bundle_result *, CLIENT *);
+extern  bool_t gossip_bundle_2_svc(gossip_bundle_args , gossip_bundle_result *, struct svc_req *);
+extern int gossip_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define GOSSIP_EXCHANGE 1
-extern  enum clnt_stat gossip_exchange_1();
-extern  bool_t gossip_exchange_1_svc();
+extern  enum clnt_stat gossip_exchange_2();
+extern  bool_t gossip_exchange_2_svc();
 #define GOSSIP_BUNDLE 2
-extern  enum clnt_stat gossip_bundle_1();
-extern  bool_t gossip_bundle_1_svc();
-extern int gossip_program_1_freeresult ();
+extern  enum clnt_stat gossip_bundle_2();
+extern  bool_t gossip_bundle_2_svc();
+extern int gossip_program_2_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
--- a/src/wire_gossip.x
+++ b/src/wire_gossip.x
@@ -4,7 +4,6 @@
 
 const GOSSIP_RECORDS_MAX = 1024;
 const GOSSIP_LOADS_MAX = 4096;
-const GOSSIP_DOCUMENT_BYTES = 8388608;
 
 /* Last known record of a target.  Records of one target are ordered by
    (incarnation, sequence); one with leaving set supersedes all others of its
@@ -63,16 +62,25 @@
   unsigned hyper wanted<GOSSIP_LOADS_MAX>;
 };
 
+/* Fetches a peer's bundle in pieces: document is the piece at document_offset
+   of document_bytes.  The next call requests the piece at piece_offset of
+   piece_version; the first one is sent when the peer's bundle is another. */
+const GOSSIP_PIECE_BYTES = 65536;
+
 struct gossip_bundle_args
 {
   wire_name cluster;
   unsigned hyper have_version;
+  unsigned hyper piece_version;
+  unsigned int piece_offset;
 };
 
 struct gossip_bundle_result
 {
   unsigned hyper bundle_version;
-  opaque document<GOSSIP_DOCUMENT_BYTES>;
+  unsigned int document_bytes;
+  unsigned int document_offset;
+  opaque document<GOSSIP_PIECE_BYTES>;
 };
 
 program GOSSIP_PROGRAM
@@ -81,5 +89,5 @@
   {
     gossip_exchange_result GOSSIP_EXCHANGE (gossip_exchange_args) = 1;
     gossip_bundle_result GOSSIP_BUNDLE (gossip_bundle_args) = 2;
-  } = 1;
+  } = 2;
 } = 0x20CAC704;
--- a/src/wire_gossip_xdr.c
+++ b/src/wire_gossip_xdr.c
@@ -196,6 +196,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->have_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->piece_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->piece_offset))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -206,7 +210,11 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->bundle_version))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, GOSSIP_DOCUMENT_BYTES))
+	 if (!xdr_u_int (xdrs, &objp->document_bytes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->document_offset))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->document.document_val, (u_int *) &objp->document.document_len, GOSSIP_PIECE_BYTES))
 		 return FALSE;
 	return TRUE;
 }
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -11,6 +11,7 @@
 #include "gossip_core.h"
 #include "gossip_peers.h"
 #include "gossip.h"
+#include "link_relay.h"
 #include "wire_client.h"
 
 /* One router without threads. */
@@ -413,13 +414,16 @@
   gossip_peers_destroy (peers);
 }
 
+/* Takes three seconds on the link of its test. */
+#define LARGE_BUNDLE_BYTES 1500000
+
 /* Stub of the router's bundle; keeps one version and its text. */
 struct fake_bundles
 {
   struct gossip_bundle_callbacks base;
   GMutex mutex;
   uint64_t version;
-  char text[32];
+  char *text;
 };
 
 static uint64_t
@@ -436,8 +440,11 @@
 fake_document (struct gossip_bundle_callbacks *bundles, size_t *bytes)
 {
   struct fake_bundles *fake = (struct fake_bundles *)bundles;
-  *bytes = strlen (fake->text);
-  return g_strdup (fake->text);
+  g_mutex_lock (&fake->mutex);
+  char *text = g_strdup (fake->text);
+  g_mutex_unlock (&fake->mutex);
+  *bytes = strlen (text);
+  return text;
 }
 
 static void
@@ -446,9 +453,8 @@
 {
   struct fake_bundles *fake = (struct fake_bundles *)bundles;
   g_mutex_lock (&fake->mutex);
-  g_assert_cmpuint (bytes, <, sizeof fake->text);
-  memcpy (fake->text, document, bytes);
-  fake->text[bytes] = '\0';
+  g_free (fake->text);
+  fake->text = g_strndup (document, bytes);
   fake->version = 9;
   g_mutex_unlock (&fake->mutex);
 }
@@ -528,16 +534,17 @@
 {
   struct fake_bundles bundles
       = { .base = { fake_version, fake_document, fake_offer },
-          .version = version };
-  g_strlcpy (bundles.text, text, sizeof bundles.text);
+          .version = version,
+          .text = g_strdup (text) };
   return bundles;
 }
 
 static char serving_host[] = "server";
 static char calling_host[] = "caller";
 
+/* Starts a server whose bundle of version 9 is @p text. */
 static void
-server_start (struct server *server)
+server_start (struct server *server, const char *text)
 {
   struct wire_program program = { GOSSIP_PROGRAM, GOSSIP_VERSION };
   memset (server, 0, sizeof *server);
@@ -545,7 +552,7 @@
   server->handler.round = end_round;
   server->clock.base.now_us = fake_now;
   server->clock.base.wall_ms = fake_wall;
-  server->bundles = bundles_of (9, "nine");
+  server->bundles = bundles_of (9, text);
   server->registry = registry_create (CACTUS_TARGET_LAPSE_MS);
   struct wire_process self = process_at (serving_host, 1);
   server->gossip
@@ -566,6 +573,7 @@
   wire_server_destroy (server->wire);
   gossip_destroy (server->gossip);
   registry_destroy (server->registry);
+  g_free (server->bundles.text);
 }
 
 /* Waits until the condition holds, at most until the timeout of the test
@@ -582,7 +590,7 @@
   struct server server;
   struct registry_record found;
   uint64_t now_ms = base_clock_now_ms (base_clock_system ());
-  server_start (&server);
+  server_start (&server, "nine");
   struct fake_bundles bundles = bundles_of (3, "three");
   struct registry *registry = registry_create (600000);
   struct wire_process self = process_at (calling_host, 2);
@@ -605,7 +613,41 @@
   g_assert_true (found.leaving);
   gossip_destroy (gossip);
   registry_destroy (registry);
+  g_free (bundles.text);
+  server_stop (&server);
+}
+
+/* A bundle that takes longer than one call on a narrow link must not be read
+   from its first byte again and again. */
+static void
+test_bundle_read_begun_anew (void)
+{
+  struct server server;
+  char *text = g_strnfill (LARGE_BUNDLE_BYTES, 'x');
+  server_start (&server, text);
+  struct link_relay *link = link_relay_create ();
+  uint16_t port = link_relay_add_listener (link, "127.0.0.1", 0, "127.0.0.1",
+                                           wire_server_port (server.wire));
+  link_relay_set_bandwidth (link, LARGE_BUNDLE_BYTES / 3);
+  struct fake_bundles bundles = bundles_of (3, "three");
+  struct registry *registry = registry_create (600000);
+  struct wire_process self = process_at (calling_host, 2);
+  struct gossip *gossip = gossip_create (
+      registry, "test", &self, base_clock_system (), &bundles.base, NULL);
+  struct wire_process peer = process_at (serving_host, port);
+  gossip_set_peers (gossip, &peer, 1);
+  for (uint32_t i = 0; i < 150 && fake_version (&bundles.base) != 9; i++)
+    g_usleep (100000);
+  g_assert_cmpuint (fake_version (&bundles.base), ==, 9);
+  g_assert_cmpstr (bundles.text, ==, text);
+  g_assert_cmpuint (link_relay_forwarded_bytes (link), <,
+                    2 * LARGE_BUNDLE_BYTES);
+  gossip_destroy (gossip);
+  registry_destroy (registry);
   server_stop (&server);
+  link_relay_destroy (link);
+  g_free (bundles.text);
+  g_free (text);
 }
 
 static bool
@@ -632,7 +674,7 @@
   struct server server;
   struct gossip_exchange_args args;
   struct node a = node_at ("a", "z1", "r1");
-  server_start (&server);
+  server_start (&server, "nine");
   struct wire_client *client
       = wire_client_create ("127.0.0.1", wire_server_port (server.wire),
                             GOSSIP_PROGRAM, GOSSIP_VERSION);
@@ -668,6 +710,8 @@
   g_test_add_func ("/gossip/relays", test_relays);
   g_test_add_func ("/gossip/peers", test_peers);
   g_test_add_func ("/gossip/loopback", test_loopback);
+  g_test_add_func ("/gossip/bundle-read-begun-anew",
+                   test_bundle_read_begun_anew);
   g_test_add_func ("/gossip/frozen", test_frozen);
   return g_test_run ();
 }
