--- a/src/consensus.h
+++ b/src/consensus.h
@@ -175,7 +175,8 @@
 /** Returns whether a responding member is catching up with this leader: it
  *  receives a snapshot, or lacks many entries.  Compacting the log would make
  *  it begin again. */
-bool consensus_is_helping (const struct consensus *consensus, uint64_t now_ms);
+bool consensus_has_member_catching_up (const struct consensus *consensus,
+                                       uint64_t now_ms);
 /** Time since a member's last response, or since this member became leader if
  *  that is later, in milliseconds; UINT64_MAX for an unknown member.  Only
  *  valid on the leader. */
--- a/src/consensus_view.c
+++ b/src/consensus_view.c
@@ -126,7 +126,8 @@
 }
 
 bool
-consensus_is_helping (const struct consensus *consensus, uint64_t now_ms)
+consensus_has_member_catching_up (const struct consensus *consensus,
+                                  uint64_t now_ms)
 {
   uint64_t last = consensus_log_last (consensus->log);
   for (uint32_t i = 0; i < consensus->peer_count; i++)
--- a/src/control_snapshot.c
+++ b/src/control_snapshot.c
@@ -42,14 +42,14 @@
 is_snapshot_due (const struct control_daemon *daemon, uint64_t now_ms)
 {
   const struct consensus *consensus = daemon->consensus;
-  bool helps = consensus_is_helping (consensus, now_ms);
+  bool catches_up = consensus_has_member_catching_up (consensus, now_ms);
   uint64_t entries = consensus_applied_index (consensus)
                      - consensus_snapshot_index (consensus);
   uint64_t limit_eighths = 8 + daemon->options.member_id % 8;
   uint64_t entries_limit = daemon->options.snapshot_entries * limit_eighths
-                           * (helps ? CATCH_UP_ENTRIES_FACTOR : 1) / 8;
+                           * (catches_up ? CATCH_UP_ENTRIES_FACTOR : 1) / 8;
   uint64_t bytes_limit = SNAPSHOT_LOG_BYTES / 8 * limit_eighths
-                         * (helps ? CATCH_UP_BYTES_FACTOR : 1);
+                         * (catches_up ? CATCH_UP_BYTES_FACTOR : 1);
   return entries > 0
          && (entries >= entries_limit
              || control_store_tail_bytes (daemon->store) >= bytes_limit);
--- a/tests/test_edge_reader.c
+++ b/tests/test_edge_reader.c
@@ -202,32 +202,48 @@
   g_assert_cmpuint (found, ==, version);
 }
 
+/* Starts two members and a reader that has read two pieces of version 1 from
+   the first one, which then refuses further calls. */
+static void
+begin_read (struct fixture *fixture, struct member *first,
+            struct member *second)
+{
+  start_member (first, 2);
+  start_member (second, UINT32_MAX);
+  put (first, 1);
+  set_up (fixture);
+  report (fixture, 0, first, 1);
+  while (base_counter_value (fixture->edge.counters.document_reads_failed)
+         == 0)
+    g_usleep (1000);
+}
+
+static void
+end_read (struct fixture *fixture, struct member *first, struct member *second)
+{
+  tear_down (fixture);
+  stop_member (first);
+  stop_member (second);
+}
+
 static void
 test_read_begun_anew_at_another_member (void)
 {
   struct fixture fixture;
   struct member first;
   struct member second;
-  start_member (&first, 2);
-  start_member (&second, UINT32_MAX);
-  put (&first, 1);
+  begin_read (&fixture, &first, &second);
   put (&second, 1);
-  set_up (&fixture);
-  report (&fixture, 0, &first, 1);
-  while (base_counter_value (fixture.edge.counters.document_reads_failed) == 0)
-    g_usleep (1000);
   /* A newer document must not discard what was read either. */
   put (&second, 2);
+  struct base_counter *restarted
+      = fixture.edge.counters.document_reads_restarted;
   report (&fixture, 1, &second, 2);
   check_table (&fixture, 2);
   g_assert_cmpuint (first.first_offset, ==, 0);
   g_assert_cmpuint (second.first_offset, ==, 2 * PIECE_BYTES);
-  g_assert_cmpuint (
-      base_counter_value (fixture.edge.counters.document_reads_restarted), ==,
-      0);
-  tear_down (&fixture);
-  stop_member (&first);
-  stop_member (&second);
+  g_assert_cmpuint (base_counter_value (restarted), ==, 0);
+  end_read (&fixture, &first, &second);
 }
 
 /* A member without the documents of the read makes the router begin again. */
@@ -237,22 +253,14 @@
   struct fixture fixture;
   struct member first;
   struct member second;
-  start_member (&first, 2);
-  start_member (&second, UINT32_MAX);
-  put (&first, 1);
+  begin_read (&fixture, &first, &second);
   put (&second, 2);
-  set_up (&fixture);
-  report (&fixture, 0, &first, 1);
-  while (base_counter_value (fixture.edge.counters.document_reads_failed) == 0)
-    g_usleep (1000);
+  struct base_counter *restarted
+      = fixture.edge.counters.document_reads_restarted;
   report (&fixture, 1, &second, 2);
   check_table (&fixture, 2);
-  g_assert_cmpuint (
-      base_counter_value (fixture.edge.counters.document_reads_restarted), ==,
-      1);
-  tear_down (&fixture);
-  stop_member (&first);
-  stop_member (&second);
+  g_assert_cmpuint (base_counter_value (restarted), ==, 1);
+  end_read (&fixture, &first, &second);
 }
 
 /* A member that has lost its newest documents must not take the router back.
--- a/tools/platform_regions.c
+++ b/tools/platform_regions.c
@@ -13,6 +13,7 @@
 /* Text of a router's response before it has a configuration. */
 #define NO_TABLE_TEXT "no configuration is in force yet"
 #define CALL_TIMEOUT_MS 5000
+#define TABLE_VERSION_GAUGE "edge_table_version{}"
 #define START_TIMEOUT_MS 20000
 #define POLL_INTERVAL_US 20000
 /* Election timeout that keeps the routers' member from leading. */
@@ -107,6 +108,7 @@
   char *path = g_strdup_printf ("%s/%s.settings", regions->folder, name);
   char *members = format_members (regions, false);
   regions->callers_ports[router] = fleet_free_port (address);
+  regions->metrics_ports[router] = fleet_free_port (address);
   char *text = g_strdup_printf (
       "[process]\nhost=%s\naddress=%s\navailability-zone=near-b\n"
       "region=near\nfirst-port=%u\nlast-port=%u\nmembers=%s\n"
@@ -116,7 +118,7 @@
       (unsigned)regions->advertised_port, members, address,
       (unsigned)regions->callers_ports[router], address,
       (unsigned)fleet_free_port (address),
-      (unsigned)fleet_free_port (address));
+      (unsigned)regions->metrics_ports[router]);
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
   const char *const arguments[] = { path, NULL };
   regions->routers[router] = fleet_process_create (name, "cactus-entry",
@@ -184,6 +186,7 @@
   regions->router_count = router_count;
   regions->routers = g_new0 (struct fleet_process *, router_count);
   regions->callers_ports = g_new0 (uint16_t, router_count);
+  regions->metrics_ports = g_new0 (uint16_t, router_count);
   for (uint32_t i = 0; i < router_count; i++)
     start_router (regions, i);
   return regions;
@@ -202,6 +205,7 @@
   tool_folder_remove (regions->folder);
   g_free (regions->routers);
   g_free (regions->callers_ports);
+  g_free (regions->metrics_ports);
   g_free (regions->folder);
   g_free (regions);
 }
@@ -248,6 +252,24 @@
   return routed;
 }
 
+uint64_t
+platform_regions_table_version (struct platform_regions *regions,
+                                uint32_t router)
+{
+  char address[16];
+  router_address (router, address);
+  char *url = g_strdup_printf ("http://%s:%u/metrics", address,
+                               (unsigned)regions->metrics_ports[router]);
+  struct platform_reply reply = platform_rig_call ("GET", url, NULL, NULL);
+  const char *line = strstr (reply.body->str, TABLE_VERSION_GAUGE " ");
+  uint64_t version
+      = line ? g_ascii_strtoull (line + strlen (TABLE_VERSION_GAUGE), NULL, 10)
+             : 0;
+  platform_reply_clear (&reply);
+  g_free (url);
+  return version;
+}
+
 uint64_t
 platform_regions_wait_routed (struct platform_regions *regions,
                               const char *path, uint64_t since_ms,
--- a/tools/platform_regions.h
+++ b/tools/platform_regions.h
@@ -35,6 +35,7 @@
   uint32_t router_count;
   struct fleet_process **routers;
   uint16_t *callers_ports;
+  uint16_t *metrics_ports;
   struct control_client *client;
 };
 
@@ -53,6 +54,10 @@
  *  it refuses the request with 503 then. */
 bool platform_regions_is_routed (struct platform_regions *regions,
                                  uint32_t router, const char *path);
+/** Returns the version of the configuration that a router runs, or 0 when it
+ *  has none or doesn't answer. */
+uint64_t platform_regions_table_version (struct platform_regions *regions,
+                                         uint32_t router);
 /** Waits until all routers route @p path; returns how long that took from @p
  *  since_ms on, in milliseconds, or @p limit_ms when it took longer. */
 uint64_t platform_regions_wait_routed (struct platform_regions *regions,
