--- a/src/edge_reader.c
+++ b/src/edge_reader.c
@@ -8,6 +8,7 @@
 #include "control_difference.h"
 #include "edge_dialect.h"
 #include "edge_sources.h"
+#include "edge_transfer.h"
 #include "wire_client.h"
 #include "wire_control.h"
 
@@ -25,18 +26,6 @@
   uint16_t port;
 };
 
-/* A transfer in progress; to_version is 0 when there is none. */
-struct transfer
-{
-  uint64_t from_version;
-  uint64_t to_version;
-  uint64_t digest;
-  uint32_t total_bytes;
-  GByteArray *bytes;
-  uint64_t began_ms;
-  uint32_t calls;
-};
-
 /* How a call for a piece ended. */
 enum fetch_outcome
 {
@@ -62,7 +51,7 @@
   uint64_t document_version;
   /* The last transfer could not be applied: read the whole document. */
   bool wants_whole;
-  struct transfer transfer;
+  struct edge_transfer *transfer;
   uint64_t next_read_ms;
   GThread *thread;
 };
@@ -72,66 +61,16 @@
 log_read (const struct edge_reader *reader, struct base_counter *counter,
           const char *outcome, const struct endpoint *endpoint)
 {
-  const struct transfer *transfer = &reader->transfer;
+  const struct edge_transfer *transfer = reader->transfer;
   base_counter_add (counter, 1);
   base_event ("document-read outcome=%s version=%" PRIu64 " held=%" PRIu64
               " difference_to=%" PRIu64
               " from=%s bytes=%u calls=%u took_ms=%" PRIu64,
-              outcome, transfer->to_version, reader->document_version,
-              transfer->from_version, endpoint->address, transfer->bytes->len,
-              (unsigned)transfer->calls, edge_now_ms () - transfer->began_ms);
-}
-
-static void
-reset_transfer (struct edge_reader *reader)
-{
-  struct transfer *transfer = &reader->transfer;
-  g_byte_array_set_size (transfer->bytes, 0);
-  transfer->to_version = 0;
-  transfer->calls = 0;
-  transfer->began_ms = edge_now_ms ();
-}
-
-/* Whether the result continues the transfer in progress, or begins one to a
-   newer document. */
-static bool
-is_expected (const struct edge_reader *reader,
-             const struct control_fetch_result *result)
-{
-  const struct transfer *transfer = &reader->transfer;
-  if (transfer->to_version == 0)
-    return result->to_version > reader->document_version
-           && result->transfer_bytes > 0;
-  return result->to_version == transfer->to_version
-         && result->digest == transfer->digest
-         && result->transfer_bytes == transfer->total_bytes;
-}
-
-/* Adds a piece; the first one names the transfer.  A piece that doesn't fit
-   discards the transfer. */
-static enum fetch_outcome
-add_piece (struct edge_reader *reader,
-           const struct control_fetch_result *result)
-{
-  struct transfer *transfer = &reader->transfer;
-  u_int left_bytes = result->transfer_bytes - transfer->bytes->len;
-  if (!is_expected (reader, result) || result->piece.piece_len == 0
-      || result->piece.piece_len > left_bytes)
-    {
-      reset_transfer (reader);
-      return FETCH_FAILED;
-    }
-  transfer->from_version = result->from_version;
-  transfer->to_version = result->to_version;
-  transfer->digest = result->digest;
-  transfer->total_bytes = result->transfer_bytes;
-  base_counter_add (reader->edge->counters.document_bytes,
-                    result->piece.piece_len);
-  g_byte_array_append (transfer->bytes,
-                       (const guint8 *)result->piece.piece_val,
-                       result->piece.piece_len);
-  return transfer->bytes->len == transfer->total_bytes ? FETCH_COMPLETE
-                                                       : FETCH_MORE;
+              outcome, edge_transfer_to_version (transfer),
+              reader->document_version, edge_transfer_from_version (transfer),
+              endpoint->address, edge_transfer_bytes (transfer)->len,
+              (unsigned)edge_transfer_calls (transfer),
+              edge_now_ms () - edge_transfer_began_ms (transfer));
 }
 
 static enum fetch_outcome
@@ -140,12 +79,24 @@
 {
   const struct edge_counters *counters = &reader->edge->counters;
   if (result->answer.status == CONTROL_OK)
-    return add_piece (reader, result);
+    {
+      base_counter_add (counters->document_bytes, result->piece.piece_len);
+      switch (edge_transfer_add (reader->transfer, reader->document_version,
+                                 result))
+        {
+        case EDGE_TRANSFER_MORE:
+          return FETCH_MORE;
+        case EDGE_TRANSFER_COMPLETE:
+          return FETCH_COMPLETE;
+        case EDGE_TRANSFER_MISFIT:
+          return FETCH_FAILED;
+        }
+    }
   if (result->answer.status != CONTROL_NOT_FOUND
-      || reader->transfer.to_version == 0)
+      || !edge_transfer_is_begun (reader->transfer))
     return FETCH_FAILED;
   log_read (reader, counters->document_reads_restarted, "restarted", endpoint);
-  reset_transfer (reader);
+  edge_transfer_reset (reader->transfer);
   return FETCH_MORE;
 }
 
@@ -154,17 +105,12 @@
 fetch_piece (struct edge_reader *reader, struct wire_client *client,
              const struct endpoint *endpoint)
 {
-  struct transfer *transfer = &reader->transfer;
   struct control_fetch_args args = { 0 };
   struct control_fetch_result result = { 0 };
   args.cluster = (char *)(uintptr_t)reader->edge->options.cluster;
-  args.from_version = transfer->to_version != 0 ? transfer->from_version
-                      : reader->wants_whole     ? 0
-                                                : reader->document_version;
-  args.to_version = transfer->to_version;
-  args.digest = transfer->digest;
-  args.offset = transfer->bytes->len;
-  transfer->calls++;
+  edge_transfer_fill_call (reader->transfer,
+                           reader->wants_whole ? 0 : reader->document_version,
+                           edge_now_ms (), &args);
   enum wire_status status = wire_client_call (
       client, CONTROL_FETCH, (xdrproc_t)xdr_control_fetch_args, &args,
       (xdrproc_t)xdr_control_fetch_result, &result, sizeof result,
@@ -196,8 +142,8 @@
   enum fetch_outcome outcome = FETCH_MORE;
   struct wire_client *client = wire_client_create (
       endpoint->address, endpoint->port, CONTROL_PROGRAM, CONTROL_VERSION);
-  if (reader->transfer.to_version == 0)
-    reset_transfer (reader);
+  if (!edge_transfer_is_begun (reader->transfer))
+    edge_transfer_reset (reader->transfer);
   while (outcome == FETCH_MORE && !is_stopping (reader))
     outcome = fetch_piece (reader, client, endpoint);
   wire_client_destroy (client);
@@ -236,18 +182,20 @@
 apply_transfer (struct edge_reader *reader, const struct endpoint *endpoint)
 {
   const struct edge_counters *counters = &reader->edge->counters;
-  struct transfer *transfer = &reader->transfer;
-  uint64_t version = transfer->to_version;
-  GBytes *packed = g_bytes_new (transfer->bytes->data, transfer->bytes->len);
-  GBytes *document = control_difference_apply (
-      transfer->from_version == 0 ? NULL : reader->document, packed);
+  struct edge_transfer *transfer = reader->transfer;
+  uint64_t version = edge_transfer_to_version (transfer);
+  bool is_whole = edge_transfer_from_version (transfer) == 0;
+  const GByteArray *bytes = edge_transfer_bytes (transfer);
+  GBytes *packed = g_bytes_new (bytes->data, bytes->len);
+  GBytes *document
+      = control_difference_apply (is_whole ? NULL : reader->document, packed);
   g_bytes_unref (packed);
   log_read (reader,
             document ? counters->documents_read
                      : counters->document_reads_failed,
             document ? "complete" : "not-applicable", endpoint);
   reader->wants_whole = !document;
-  reset_transfer (reader);
+  edge_transfer_reset (transfer);
   if (document)
     install_document (reader, document, version);
   return document != NULL;
@@ -320,7 +268,7 @@
   reader->wake = wake;
   reader->wake_context = context;
   reader->sources = edge_sources_create (base_random_system_seed ());
-  reader->transfer.bytes = g_byte_array_new ();
+  reader->transfer = edge_transfer_create ();
   g_mutex_init (&reader->mutex);
   g_cond_init (&reader->changed);
   reader->thread = g_thread_new ("reader", run, reader);
@@ -339,7 +287,7 @@
   edge_table_unref (reader->table);
   if (reader->document)
     g_bytes_unref (reader->document);
-  g_byte_array_unref (reader->transfer.bytes);
+  edge_transfer_destroy (reader->transfer);
   g_mutex_clear (&reader->mutex);
   g_cond_clear (&reader->changed);
   g_free (reader);
