Log which targets a router can't reach, and what keeps requests from being sent again

A request of a router that was cut off from its targets ended as 503 "the target can't be reached" after one to three sends. The logs told neither which targets the router had lost at that time nor why a request wasn't sent to another one. target-unreachable and target-reached lines give the first, not_sent_again in request-over the second; edge_unsent_total counts the attempts that reached no target.

--- a/src/edge.c
+++ b/src/edge.c
@@ -61,6 +61,7 @@
     .resent = base_metrics_counter (metrics, "edge_resent_total", NULL),
     .resumed = base_metrics_counter (metrics, "edge_resumed_total", NULL),
     .exhausted = base_metrics_counter (metrics, "edge_exhausted_total", NULL),
+    .unsent = base_metrics_counter (metrics, "edge_unsent_total", NULL),
     .quarantined
     = base_metrics_counter (metrics, "edge_quarantined_total", NULL),
     .limited_targets
--- a/src/edge.h
+++ b/src/edge.h
@@ -66,6 +66,8 @@
   struct base_counter *resent;
   struct base_counter *resumed;
   struct base_counter *exhausted;
+  /** Attempts that reached no target. */
+  struct base_counter *unsent;
   /** Requests rejected because of a blocked prompt part. */
   struct base_counter *quarantined;
   /** Targets known to take a limited number of requests, and requests sent to
--- a/src/edge_answer.c
+++ b/src/edge_answer.c
@@ -47,7 +47,8 @@
               " reason=\"%s\" route=%s account=%s target=%s sends=%" PRIu32
               " runs=%" PRIu32 " events=%" PRIu32 " age_ms=%" PRIu64
               " tokens=%" PRIu64 " reserved_tokens=%" PRIu64 " table=%" PRIu64
-              " head=%d body_end=%s partial=%d caller_http=%s",
+              " head=%d body_end=%s partial=%d caller_http=%s"
+              " not_sent_again=%s",
               request->head.request_id, outcome, status, reason,
               request->route ? request->route->name : "-",
               request->account ? request->account->name : "-",
@@ -60,7 +61,8 @@
               attempt ? http_body_end_name (edge_attempt_body_end (attempt))
                       : "-",
               request->events && edge_events_has_partial (request->events),
-              request->stream.ends_with_connection ? "1.0" : "1.1");
+              request->stream.ends_with_connection ? "1.0" : "1.1",
+              request->obstacle ? request->obstacle : "-");
 }
 
 static enum edge_account_outcome
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -81,6 +81,8 @@
   /** An attempt may have run, so the error status must not promise that the
    *  request did not run. */
   bool maybe_ran;
+  /** What kept the request from being sent again, or NULL. */
+  const char *obstacle;
   /** Names of targets that failed this request. */
   const char *avoid[EDGE_AVOID_MAX];
   uint32_t avoid_count;
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -290,6 +290,22 @@
         = g_intern_string (request->target->record.name);
 }
 
+/* Returns what keeps the request from being sent again, or NULL. */
+static const char *
+find_obstacle (struct edge_request *request, uint64_t now_ms)
+{
+  if (remaining_ms (request, now_ms) < RETRY_TIME_MIN_MS)
+    return "time";
+  if (request->attempts_sent
+      >= request->route->max_attempts + REFUSED_SENDS_MAX)
+    return "attempts";
+  if (!has_candidate (request))
+    return "candidates";
+  if (!edge_retry_take (request->edge->retry, request->service->name, now_ms))
+    return "budget";
+  return NULL;
+}
+
 /* Retries the request at another target.  Returns false when the time left,
    the number of attempts or the retry budget does not allow it. */
 static bool
@@ -297,11 +313,8 @@
 {
   struct edge *edge = request->edge;
   uint64_t now_ms = edge_now_ms ();
-  if (remaining_ms (request, now_ms) < RETRY_TIME_MIN_MS
-      || request->attempts_sent
-             >= request->route->max_attempts + REFUSED_SENDS_MAX
-      || !has_candidate (request)
-      || !edge_retry_take (edge->retry, request->service->name, now_ms))
+  request->obstacle = find_obstacle (request, now_ms);
+  if (request->obstacle)
     return false;
   base_event ("send-again id=%s reason=\"%s\" after=%s sends=%" PRIu32
               " runs=%" PRIu32 " left_ms=%" PRIu32,
@@ -324,6 +337,28 @@
          && request->attempts_maybe_run < request->route->max_attempts;
 }
 
+/* Logs the first connection to a target that fails. */
+static void
+note_unreachable (const struct edge_request *request, const char *error)
+{
+  struct edge *edge = request->edge;
+  struct edge_target *target = request->target;
+  base_counter_add (edge->counters.unsent, 1);
+  if (target->load.refused_connections == 0)
+    base_event ("target-unreachable target=%s zone=%s error=\"%s\" heard=%d",
+                target->record.name, target->record.availability_zone, error,
+                !edge_target_is_silent (target, edge_now_ms ()));
+}
+
+/* Logs that a target can be reached again. */
+static void
+note_reached (const struct edge_target *target)
+{
+  if (target->load.refused_connections > 0)
+    base_event ("target-reached target=%s failures=%" PRIu32,
+                target->record.name, target->load.refused_connections);
+}
+
 /* Handles an attempt that did not run. */
 static void
 handle_not_run (struct edge_request *request, const char *reason)
@@ -394,6 +429,7 @@
   const struct edge_target_response *response
       = edge_attempt_response (request->attempt);
   uint64_t now_ms = edge_now_ms ();
+  note_reached (request->target);
   if (!response->not_run
       && edge_attempt_body_end (request->attempt) == HTTP_BODY_END_CONNECTION)
     edge_suspicion_note_lost (request);
@@ -457,6 +493,7 @@
   g_free (parts);
   if (outcome == EDGE_ATTEMPT_UNSENT)
     {
+      note_unreachable (request, reason);
       place_note_refused_connection (&request->target->load, edge_now_ms ());
       edge_target_doubt (request->target, edge_now_ms ());
       handle_not_run (request, "the target can't be reached");
