--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <curl/curl.h>
+#include <glib/gstdio.h>
 
 #include "tool_folder.h"
 
@@ -58,7 +59,7 @@
                                   (unsigned)rig->callers_port, address,
                                   (unsigned)rig->ready_port);
   struct fleet_process *process = start_process (
-      rig, name, "cactus-entry",
+      rig, name, rig->entry_program,
       write_settings (rig, name, address, rig->rpc_port, listen));
   g_free (listen);
   return process;
@@ -77,10 +78,31 @@
 
 struct platform_rig *
 platform_rig_create (void)
+{
+  return platform_rig_create_with ("cactus-entry");
+}
+
+void
+platform_rig_cut (struct platform_rig *rig, uint32_t entry, const char *cut)
+{
+  char name[16] = "entry";
+  if (entry > 0)
+    g_snprintf (name, sizeof name, "entry-%u", entry + 1);
+  char *path = g_strdup_printf ("%s/%s.settings.cut", rig->folder, name);
+  if (cut)
+    g_assert_true (g_file_set_contents (path, cut, -1, NULL));
+  else
+    g_unlink (path);
+  g_free (path);
+}
+
+struct platform_rig *
+platform_rig_create_with (const char *entry_program)
 {
   char address[16];
   char name[16];
   struct platform_rig *rig = g_new0 (struct platform_rig, 1);
+  rig->entry_program = entry_program;
   rig->folder = g_dir_make_tmp ("platform-XXXXXX", NULL);
   rig->rpc_port = fleet_free_port ("127.0.0.2");
   rig->control_port = fleet_free_port ("127.0.0.2");
--- a/tools/platform_rig.h
+++ b/tools/platform_rig.h
@@ -22,6 +22,7 @@
 struct platform_rig
 {
   char *folder;
+  const char *entry_program;
   struct fleet_process *cores[PLATFORM_RIG_CORES];
   struct fleet_process *entry;
   /** Routers that platform_rig_add_entry started. */
@@ -45,6 +46,12 @@
 
 /** Starts all processes, without waiting until they are ready. */
 struct platform_rig *platform_rig_create (void);
+/** Like platform_rig_create(), with another program as the routers. */
+struct platform_rig *platform_rig_create_with (const char *entry_program);
+/** Cuts router @p entry (0 is the first), which must run cactus-entry-cut, off
+ *  from ports as tests/cut_sockets.c describes; NULL ends the cut. */
+void platform_rig_cut (struct platform_rig *rig, uint32_t entry,
+                       const char *cut);
 /** Starts another router, whose ports are those of the first.  Returns its
  *  address in @p address. */
 void platform_rig_add_entry (struct platform_rig *rig, char address[16]);
--- a/tools/platform_target.c
+++ b/tools/platform_target.c
@@ -22,6 +22,8 @@
   GMutex mutex;
   /* Headers of the last request, by their names in lower case. */
   GHashTable *headers;
+  /* Number of runs by request id. */
+  GHashTable *runs_by_id;
 };
 
 /* A stream that is being sent. */
@@ -104,6 +106,20 @@
   return send_response (target, connection, MHD_HTTP_OK, response);
 }
 
+static void
+count_run (struct platform_target *target, struct MHD_Connection *connection)
+{
+  const char *id = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                "X-Request-Id");
+  if (!id)
+    return;
+  g_mutex_lock (&target->mutex);
+  guint runs = GPOINTER_TO_UINT (g_hash_table_lookup (target->runs_by_id, id));
+  g_hash_table_replace (target->runs_by_id, g_strdup (id),
+                        GUINT_TO_POINTER (runs + 1));
+  g_mutex_unlock (&target->mutex);
+}
+
 static enum MHD_Result
 respond (struct platform_target *target, struct MHD_Connection *connection,
          bool is_stream)
@@ -113,6 +129,7 @@
     return respond_with_text (target, connection, MHD_HTTP_SERVICE_UNAVAILABLE,
                               "");
   atomic_fetch_add (&target->runs, 1);
+  count_run (target, connection);
   if (mode == PLATFORM_TARGET_CLOSE)
     return MHD_NO;
   if (mode == PLATFORM_TARGET_FAIL)
@@ -161,6 +178,8 @@
   g_mutex_init (&target->mutex);
   target->headers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  target->runs_by_id
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   target->daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
       NULL, handle_request, target, MHD_OPTION_SOCK_ADDR, &address,
@@ -174,6 +193,7 @@
 {
   MHD_stop_daemon (target->daemon);
   g_hash_table_unref (target->headers);
+  g_hash_table_unref (target->runs_by_id);
   g_mutex_clear (&target->mutex);
   g_free (target->id);
   g_free (target);
@@ -205,6 +225,17 @@
   return atomic_load (&target->runs);
 }
 
+uint32_t
+platform_target_runs_of (struct platform_target *target,
+                         const char *request_id)
+{
+  g_mutex_lock (&target->mutex);
+  guint runs = GPOINTER_TO_UINT (
+      g_hash_table_lookup (target->runs_by_id, request_id));
+  g_mutex_unlock (&target->mutex);
+  return runs;
+}
+
 char *
 platform_target_header (struct platform_target *target, const char *name)
 {
--- a/tools/platform_target.h
+++ b/tools/platform_target.h
@@ -41,6 +41,9 @@
                                          uint32_t interval_ms);
 /** Number of requests that the target has run. */
 uint32_t platform_target_runs (struct platform_target *target);
+/** Number of runs of the request with this id. */
+uint32_t platform_target_runs_of (struct platform_target *target,
+                                  const char *request_id);
 /** Value of a header of the last request, freed with g_free; NULL when it was
  *  absent. */
 char *platform_target_header (struct platform_target *target,
