--- a/bench/bench_documents.c
+++ b/bench/bench_documents.c
@@ -110,7 +110,11 @@
   char text[] = "front-cnx-a-10";
   char address[] = "10.1.0.123";
   struct control_member members[MEMBERS] = { 0 };
-  struct control_watch_args args = { .cluster = text, .router = text };
+  struct control_watch_args args
+      = { .cluster = text,
+          .router = text,
+          .self
+          = { .name = text, .address = text, .availability_zone = text } };
   struct control_watch_result result = { .availability_zone = text };
   result.answer.leader_address = address;
   result.answer.text = text;
--- a/src/control_watch.c
+++ b/src/control_watch.c
@@ -5,6 +5,7 @@
 
 #include "base_random.h"
 #include "control_internal.h"
+#include "control_routers.h"
 
 /* Time for which a router is counted after its last call, in milliseconds. */
 #define ROUTER_TIMEOUT_MS 3000
@@ -26,6 +27,9 @@
   uint64_t suspects_version;
   /* Version of the router's list of limited targets. */
   uint64_t limits_version;
+  /* Change number up to which the router, named so, knows the others. */
+  uint64_t routers_change;
+  char *router;
   /* Time at which the reply is sent even if there is nothing newer. */
   uint64_t due_ms;
 };
@@ -39,21 +43,27 @@
   uint64_t epoch;
   /* Waiting calls (struct watcher). */
   GPtrArray *waiting;
-  /* Time of each router's last call (uint64_t, in milliseconds), by name. */
-  GHashTable *routers;
+  struct control_routers *routers;
   /* Time of the next check for targets that timed out, in milliseconds. */
   uint64_t expire_due_ms;
 };
 
+static void
+free_watcher (gpointer data)
+{
+  struct watcher *watcher = data;
+  g_free (watcher->router);
+  g_free (watcher);
+}
+
 struct control_watch *
 control_watch_create (struct control_daemon *daemon)
 {
   struct control_watch *watch = g_new0 (struct control_watch, 1);
   watch->daemon = daemon;
   watch->epoch = base_random_system_seed ();
-  watch->waiting = g_ptr_array_new_with_free_func (g_free);
-  watch->routers
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  watch->waiting = g_ptr_array_new_with_free_func (free_watcher);
+  watch->routers = control_routers_create (ROUTER_TIMEOUT_MS);
   return watch;
 }
 
@@ -63,37 +73,10 @@
   if (!watch)
     return;
   g_ptr_array_unref (watch->waiting);
-  g_hash_table_unref (watch->routers);
+  control_routers_destroy (watch->routers);
   g_free (watch);
 }
 
-static void
-record_router (struct control_watch *watch, const char *router,
-               uint64_t now_ms)
-{
-  uint64_t *called_ms = g_hash_table_lookup (watch->routers, router);
-  if (!called_ms)
-    {
-      called_ms = g_new (uint64_t, 1);
-      g_hash_table_insert (watch->routers, g_strdup (router), called_ms);
-    }
-  *called_ms = now_ms;
-}
-
-static gboolean
-is_timed_out (gpointer name, gpointer value, gpointer context)
-{
-  (void)name;
-  return *(uint64_t *)value + ROUTER_TIMEOUT_MS < *(uint64_t *)context;
-}
-
-static uint32_t
-count_routers (struct control_watch *watch, uint64_t now_ms)
-{
-  g_hash_table_foreach_remove (watch->routers, is_timed_out, &now_ms);
-  return g_hash_table_size (watch->routers);
-}
-
 static void
 reply (struct control_watch *watch, const struct watcher *watcher,
        uint64_t now_ms)
@@ -121,7 +104,11 @@
   struct control_limits *limits = control_state_limits (daemon->state);
   if (control_limits_version (limits) > watcher->limits_version)
     control_limits_list (limits, &result.limits);
-  result.routers = count_routers (watch, now_ms);
+  result.routers = control_routers_expire (watch->routers, now_ms);
+  result.routers_change = control_routers_newest_change (watch->routers);
+  result.changed_routers.changed_routers_len = control_routers_changed_since (
+      watch->routers, watcher->routers_change, watcher->router,
+      &result.changed_routers.changed_routers_val);
   result.members.members_len
       = control_members_list (daemon, &result.members.members_val);
   wire_call_reply (watcher->call, (xdrproc_t)xdr_control_watch_result,
@@ -151,12 +138,15 @@
                       const struct control_watch_args *args, uint64_t now_ms)
 {
   struct watcher *watcher = g_new0 (struct watcher, 1);
-  record_router (watch, args->router, now_ms);
+  control_routers_note_call (watch->routers, &args->self, now_ms);
   watcher->call = call;
   watcher->change = args->epoch == watch->epoch ? args->change : 0;
   watcher->document_version = args->document_version;
   watcher->suspects_version = args->suspects_version;
   watcher->limits_version = args->limits_version;
+  watcher->routers_change
+      = args->epoch == watch->epoch ? args->routers_change : 0;
+  watcher->router = g_strdup (args->self.name);
   watcher->due_ms = now_ms + MIN (args->wait_ms, WAIT_MAX_MS);
   if (args->epoch != watch->epoch)
     watcher->due_ms = now_ms;
--- a/src/edge.c
+++ b/src/edge.c
@@ -11,6 +11,8 @@
 #include "edge_front.h"
 #include "edge_links.h"
 #include "edge_probe.h"
+#include "edge_reach.h"
+#include "edge_relay.h"
 #include "edge_request.h"
 #include "edge_timeouts.h"
 #include "escrow_allowance.h"
@@ -62,6 +64,13 @@
     .resumed = base_metrics_counter (metrics, "edge_resumed_total", NULL),
     .exhausted = base_metrics_counter (metrics, "edge_exhausted_total", NULL),
     .unsent = base_metrics_counter (metrics, "edge_unsent_total", NULL),
+    .lost_targets
+    = base_metrics_gauge (metrics, "edge_unreachable_targets", NULL),
+    .sent_via_others
+    = base_metrics_counter (metrics, "edge_sent_via_others_total", NULL),
+    .relayed = base_metrics_counter (metrics, "edge_relayed_total", NULL),
+    .relay_refused
+    = base_metrics_counter (metrics, "edge_relay_refused_total", NULL),
     .quarantined
     = base_metrics_counter (metrics, "edge_quarantined_total", NULL),
     .limited_targets
@@ -118,6 +127,7 @@
   edge->accounts = edge_accounts_create (edge->metrics);
   base_random_seed (&edge->random, base_random_system_seed ());
   edge->targets = edge_targets_create ();
+  edge->peers = edge_peers_create ();
   edge->prepaid = edge_prepaid_create ();
   edge->quarantine = edge_quarantine_create ();
   edge->limits = edge_limits_create ();
@@ -132,6 +142,15 @@
   edge->front = edge_front_create (edge);
   if (!edge->front)
     goto failed;
+  if (options->relay_port > 0)
+    edge->relay
+        = edge_relay_create (edge, options->address, options->relay_port);
+  if (options->relay_port > 0 && !edge->relay)
+    {
+      base_log (BASE_LOG_ERROR, "can't listen relay=%s:%u", options->address,
+                (unsigned)options->relay_port);
+      goto failed;
+    }
   if (options->metrics_port > 0)
     edge->status
         = http_status_create (options->metrics_address, options->metrics_port,
@@ -154,10 +173,12 @@
   edge_links_destroy (edge->links);
   http_status_destroy (edge->status);
   edge_front_destroy (edge->front);
+  edge_relay_destroy (edge->relay);
   edge_probe_cancel_all (edge);
   router_poll_destroy (edge->loop);
   edge_table_unref (edge->table);
   edge_targets_destroy (edge->targets);
+  edge_peers_destroy (edge->peers);
   edge_prepaid_destroy (edge->prepaid);
   edge_quarantine_destroy (edge->quarantine);
   edge_limits_destroy (edge->limits);
@@ -248,6 +269,7 @@
 {
   GList *link = edge->requests.head;
   edge->last_timeout_check_ms = now_ms;
+  edge_reach_run (edge, now_ms);
   edge_probe_run (edge, now_ms);
   while (link)
     {
@@ -281,6 +303,7 @@
 wait_ms (struct edge *edge)
 {
   uint32_t limit = edge->requests.length > 0 || edge->probes.length > 0
+                           || edge_relay_open (edge->relay) > 0
                        ? TIMEOUT_CHECK_INTERVAL_MS
                        : IDLE_WAIT_MS;
   return MIN (limit, edge_front_wait_ms (edge->front));
@@ -304,7 +327,8 @@
   if (elapsed_ms >= limit_ms)
     return true;
   return elapsed_ms >= STOP_MIN_MS
-         && edge_front_open_requests (edge->front) == 0;
+         && edge_front_open_requests (edge->front) == 0
+         && edge_relay_open (edge->relay) == 0;
 }
 
 /* Ends the responses that a forced stop cuts off. */
@@ -331,6 +355,7 @@
       router_poll_run (edge->loop, wait_ms (edge));
       now_ms = edge_now_ms ();
       edge_links_run (edge->links, now_ms);
+      edge_relay_run (edge->relay, now_ms);
       run_timers (edge, now_ms);
       edge_front_run (edge->front);
     }
--- a/src/edge.h
+++ b/src/edge.h
@@ -17,6 +17,7 @@
 #include "edge_dialect.h"
 #include "edge_limits.h"
 #include "edge_streams.h"
+#include "edge_peers.h"
 #include "edge_prepaid.h"
 #include "edge_quarantine.h"
 #include "edge_retry.h"
@@ -26,6 +27,7 @@
 
 struct edge_links;
 struct edge_front;
+struct edge_relay;
 struct http_status;
 
 /** Settings; the strings must outlive the router. */
@@ -38,6 +40,10 @@
   /** Returns the region of an availability zone, or NULL if it is unknown. */
   const char *(*region_of) (const void *context, const char *zone);
   const void *region_context;
+  /** IPv4 address of the host, from which other routers are called. */
+  const char *address;
+  /** Port at which other routers ask to pass connections on; 0 for none. */
+  uint16_t relay_port;
   /** Listening address for callers. */
   const char *callers_address;
   uint16_t callers_port;
@@ -66,8 +72,14 @@
   struct base_counter *resent;
   struct base_counter *resumed;
   struct base_counter *exhausted;
-  /** Attempts that reached no target. */
+  /** Attempts that reached no target, targets that this router can't reach,
+   *  and attempts that other routers passed on. */
   struct base_counter *unsent;
+  struct base_counter *lost_targets;
+  struct base_counter *sent_via_others;
+  /** Connections passed on for other routers, and those that were not. */
+  struct base_counter *relayed;
+  struct base_counter *relay_refused;
   /** Requests rejected because of a blocked prompt part. */
   struct base_counter *quarantined;
   /** Targets known to take a limited number of requests, and requests sent to
@@ -112,6 +124,13 @@
   /** Active routing table, or NULL before the first one was received. */
   struct edge_table *table;
   struct edge_targets *targets;
+  /** The other routers, and the server that passes their connections on, or
+   *  NULL. */
+  struct edge_peers *peers;
+  struct edge_relay *relay;
+  /** A target may have to be probed; most targets can't be reached. */
+  bool has_lost_paths;
+  bool is_cut_off;
   struct edge_prepaid *prepaid;
   struct edge_quarantine *quarantine;
   struct edge_limits *limits;
--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -1,5 +1,6 @@
 #include "edge_attempt.h"
 #include "base_clock.h"
+#include "edge_tunnel.h"
 #include "http_transfer.h"
 
 #include <errno.h>
@@ -12,14 +13,14 @@
 #define BODY_MAX_BYTES (8u * 1024 * 1024)
 #define STATUS_OK 200
 #define STATUS_SUCCESS_MAX 299
-/* Maximum time that sent data may stay unacknowledged before TCP drops the
-   connection; long enough for the retransmissions of a lost packet on the
-   slowest link. */
+/* Maximum time that sent data or a keep-alive probe may stay unacknowledged
+   before TCP drops the connection; long enough for the retransmissions of a
+   lost packet on the slowest link.  TCP_USER_TIMEOUT applies to both, whatever
+   the number of probes. */
 #define UNACKED_TIMEOUT_MS 2000
 /* Idle time before the first keep-alive probe and interval between probes, in
-   seconds, and unanswered probes after which a connection counts as lost. */
+   seconds. */
 #define KEEPALIVE_S 1
-#define KEEPALIVE_PROBES 3
 /* Idle time after which a kept-alive connection is not reused, in seconds;
    must be below the shortest keep-alive timeout that targets announce. */
 #define IDLE_MAX_S 3L
@@ -37,6 +38,9 @@
   CURL *easy;
   CURLcode code;
   struct curl_slist *headers;
+  struct curl_slist *tunnel_headers;
+  /* Another router passes the connection on. */
+  bool is_tunnelled;
   struct edge_target_response response;
   GString *body;
   /* The transfer is registered with the loop. */
@@ -145,24 +149,48 @@
   return bytes;
 }
 
-static int
-set_socket_options (void *context, curl_socket_t socket, curlsocktype purpose)
+void
+edge_attempt_set_timeouts (int fd)
 {
   unsigned int unacked_ms = UNACKED_TIMEOUT_MS;
   int enable = 1;
   int seconds = KEEPALIVE_S;
-  int probes = KEEPALIVE_PROBES;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+              sizeof unacked_ms);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &enable, sizeof enable);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+}
+
+static int
+set_socket_options (void *context, curl_socket_t socket, curlsocktype purpose)
+{
   (void)context;
   (void)purpose;
-  setsockopt (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-              sizeof unacked_ms);
-  setsockopt (socket, SOL_SOCKET, SO_KEEPALIVE, &enable, sizeof enable);
-  setsockopt (socket, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
-  setsockopt (socket, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
-  setsockopt (socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  edge_attempt_set_timeouts (socket);
   return CURL_SOCKOPT_OK;
 }
 
+/* Has another router pass the connection on; it carries one request. */
+static void
+set_tunnel (struct edge_attempt *attempt,
+            const struct edge_attempt_options *options)
+{
+  CURL *easy = attempt->easy;
+  char *via = g_strdup_printf ("http://%s:%u", options->via_address,
+                               (unsigned)options->via_port);
+  attempt->is_tunnelled = true;
+  attempt->tunnel_headers = curl_slist_append (NULL, options->via_header);
+  curl_easy_setopt (easy, CURLOPT_PROXY, via);
+  curl_easy_setopt (easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
+  curl_easy_setopt (easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+  curl_easy_setopt (easy, CURLOPT_HEADEROPT, (long)CURLHEADER_SEPARATE);
+  curl_easy_setopt (easy, CURLOPT_PROXYHEADER, attempt->tunnel_headers);
+  /* The other router knows this one by its address. */
+  curl_easy_setopt (easy, CURLOPT_INTERFACE, options->own_address);
+  g_free (via);
+}
+
 static void
 set_body (struct edge_attempt *attempt,
           const struct edge_attempt_options *options)
@@ -213,6 +241,8 @@
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, options->reuse ? 0L : 1L);
+  if (options->via_address)
+    set_tunnel (attempt, options);
 }
 
 struct edge_attempt *
@@ -252,6 +282,7 @@
     router_poll_remove (attempt->loop, attempt->easy);
   curl_easy_cleanup (attempt->easy);
   curl_slist_free_all (attempt->headers);
+  curl_slist_free_all (attempt->tunnel_headers);
   g_ptr_array_unref (attempt->response.lines);
   g_string_free (attempt->body, TRUE);
   g_free (attempt);
@@ -282,6 +313,12 @@
   long sent_bytes = 0;
   if (!attempt->fault)
     return EDGE_ATTEMPT_COMPLETE;
+  /* Bytes are counted with those of the request for the tunnel, so an open one
+     may have carried the request. */
+  if (attempt->is_tunnelled)
+    return edge_attempt_tunnel_status (attempt) == EDGE_TUNNEL_OPEN
+               ? EDGE_ATTEMPT_LOST
+               : EDGE_ATTEMPT_UNSENT;
   curl_easy_getinfo (attempt->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
   return attempt->code != CURLE_OK && sent_bytes == 0 ? EDGE_ATTEMPT_UNSENT
                                                       : EDGE_ATTEMPT_LOST;
@@ -345,6 +382,22 @@
   return attempt->fault ? attempt->fault : "none";
 }
 
+long
+edge_attempt_tunnel_status (const struct edge_attempt *attempt)
+{
+  long status = EDGE_TUNNEL_NONE;
+  curl_easy_getinfo (attempt->easy, CURLINFO_HTTP_CONNECTCODE, &status);
+  return status;
+}
+
+int
+edge_attempt_system_error (const struct edge_attempt *attempt)
+{
+  long error = 0;
+  curl_easy_getinfo (attempt->easy, CURLINFO_OS_ERRNO, &error);
+  return error != 0 ? (int)error : ETIMEDOUT;
+}
+
 bool
 edge_attempt_is_silent_loss (const struct edge_attempt *attempt)
 {
--- a/src/edge_attempt.h
+++ b/src/edge_attempt.h
@@ -61,6 +61,13 @@
   bool reuse;
   uint32_t connect_timeout_ms;
   uint32_t timeout_ms;
+  /** Router that passes the connection on (edge_tunnel.h), or NULL. */
+  const char *via_address;
+  uint16_t via_port;
+  /** With it: the header line that names the target, and this router's
+   *  address. */
+  const char *via_header;
+  const char *own_address;
 };
 
 /** Starts an attempt.  Returns NULL when it can't be started. */
@@ -89,9 +96,17 @@
 const GString *edge_attempt_body (const struct edge_attempt *attempt);
 /** Returns a description of the attempt's error, or "none". */
 const char *edge_attempt_error (const struct edge_attempt *attempt);
+/** Returns the system's error of a connection that could not be made. */
+int edge_attempt_system_error (const struct edge_attempt *attempt);
 /** Returns whether the attempt was lost because nothing came for a while,
  *  rather than because the target or its host closed the connection. */
 bool edge_attempt_is_silent_loss (const struct edge_attempt *attempt);
+/** Returns the status with which another router answered the request to pass
+ *  the connection on (enum edge_tunnel_status); 0 when it didn't. */
+long edge_attempt_tunnel_status (const struct edge_attempt *attempt);
+/** Sets the times after which TCP gives up a silent connection to a target or
+ *  to another router. */
+void edge_attempt_set_timeouts (int fd);
 /** Returns whether a kept-alive connection was used. */
 bool edge_attempt_reused (const struct edge_attempt *attempt);
 
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -136,6 +136,10 @@
   links->edge = edge;
   links->shared.cluster = g_strdup (edge->options.cluster);
   links->shared.router = g_strdup (edge->options.host);
+  links->shared.address
+      = g_strdup (edge->options.address ? edge->options.address : "");
+  links->shared.availability_zone = g_strdup (edge->options.availability_zone);
+  atomic_store (&links->shared.relay_port, edge->options.relay_port);
   edge_incarnation_begin (&links->incarnation, base_clock_steady_wall_ms (),
                           base_random_system_seed ());
   links->shared.updates = g_async_queue_new ();
@@ -183,6 +187,22 @@
     }
 }
 
+static void
+apply_routers (struct edge_links *links, const struct edge_update *update,
+               uint64_t now_ms)
+{
+  struct edge *edge = links->edge;
+  const struct control_watch_result *result = &update->result;
+  for (u_int i = 0; i < result->changed_routers.changed_routers_len; i++)
+    {
+      const struct control_router_record *record
+          = &result->changed_routers.changed_routers_val[i];
+      edge_peers_merge (edge->peers, update->source, record,
+                        edge_distance_to (edge, record->availability_zone),
+                        now_ms);
+    }
+}
+
 static void
 apply_members (struct edge_links *links,
                const struct control_watch_result *result, uint64_t now_ms)
@@ -204,7 +224,11 @@
                 link->address, (unsigned)link->port,
                 now_ms - link->last_answer_ms);
   if (link->epoch != 0 && link->epoch != result->epoch)
-    edge_targets_forget_source (links->edge->targets, update->source, now_ms);
+    {
+      edge_targets_forget_source (links->edge->targets, update->source,
+                                  now_ms);
+      edge_peers_forget_source (links->edge->peers, update->source, now_ms);
+    }
   link->epoch = result->epoch;
   link->is_unreachable = false;
   link->is_forgotten = false;
@@ -214,6 +238,7 @@
   edge_prepaid_set_routers (links->edge->prepaid, result->routers);
   report_document (links, link, update);
   apply_targets (links, update, now_ms);
+  apply_routers (links, update, now_ms);
   edge_quarantine_apply (links->edge->quarantine, &result->suspects, now_ms);
   edge_limits_apply_list (links->edge->limits, &result->limits,
                           base_clock_steady_wall_ms ());
@@ -271,6 +296,7 @@
   base_event ("member-left address=%s:%u", link->address,
               (unsigned)link->port);
   edge_targets_forget_source (links->edge->targets, source, now_ms);
+  edge_peers_forget_source (links->edge->peers, source, now_ms);
   edge_reader_forget (links->reader, source);
   edge_streams_set_member (links->edge->streams, source, false);
   g_thread_unref (g_thread_new ("unwatch", destroy_watcher, link->watcher));
@@ -296,6 +322,7 @@
         {
           link->is_forgotten = true;
           edge_targets_forget_source (links->edge->targets, i, now_ms);
+          edge_peers_forget_source (links->edge->peers, i, now_ms);
         }
       if (!link->is_configured
           && now_ms >= link->last_listed_ms + MEMBER_EXPIRY_MS)
@@ -420,6 +447,9 @@
       handle_update (links, update, now_ms);
       edge_update_free (update);
     }
+  atomic_store (&links->shared.is_cut_off, links->edge->is_cut_off);
+  if (links->edge->stopping)
+    atomic_store (&links->shared.relay_port, 0);
   struct edge_table *table = edge_reader_take_table (links->reader);
   if (table)
     edge_set_table (links->edge, table);
@@ -482,5 +512,7 @@
   g_async_queue_unref (links->shared.updates);
   g_free (links->shared.cluster);
   g_free (links->shared.router);
+  g_free (links->shared.address);
+  g_free (links->shared.availability_zone);
   g_free (links);
 }
--- /dev/null
+++ b/src/edge_peers.h
@@ -0,0 +1,82 @@
+#ifndef EDGE_PEERS_H
+#define EDGE_PEERS_H
+
+/** @file
+ *  The other routers, as the control members report them, and the choice of
+ *  one that passes a connection to a target on.  Does no I/O. */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "edge_path.h"
+#include "place.h"
+#include "wire_control.h"
+
+struct edge_peers;
+
+/** Another router; valid until the next call of a function that changes the
+ *  set. */
+struct edge_peer
+{
+  /** Interned. */
+  const char *name;
+  char address[16];
+  uint16_t port;
+  char *availability_zone;
+  enum place_distance distance;
+  /** It said that it can't reach most targets itself. */
+  bool is_cut_off;
+  /** The members that report it, one bit each, and the time at which the last
+   *  one stopped. */
+  uint32_t sources;
+  uint64_t unreported_ms;
+  /** Connections that it passes on for this router. */
+  uint32_t open;
+  /** Consecutive failures to connect to it, and the time before which it isn't
+   *  chosen. */
+  uint32_t failures;
+  uint64_t hold_until_ms;
+};
+
+/** Where the target of a connection is. */
+struct edge_peers_wish
+{
+  const char *availability_zone;
+  /** Its distance from this router. */
+  enum place_distance distance;
+  /** Routers that failed to reach it. */
+  const struct edge_path *path;
+};
+
+/** Creates an empty set. */
+struct edge_peers *edge_peers_create (void);
+/** Destroys the set; NULL is allowed. */
+void edge_peers_destroy (struct edge_peers *peers);
+/** Merges what member @p source (below 32) says of a router. */
+void edge_peers_merge (struct edge_peers *peers, uint32_t source,
+                       const struct control_router_record *record,
+                       enum place_distance distance, uint64_t now_ms);
+/** Discards what the member said; called when it was restarted or is
+ *  unreachable.  Routers that nobody reports any more are kept for a while. */
+void edge_peers_forget_source (struct edge_peers *peers, uint32_t source,
+                               uint64_t now_ms);
+/** Returns the router of this name, or NULL. */
+struct edge_peer *edge_peers_find (struct edge_peers *peers, const char *name);
+/** Returns whether a router has this address. */
+bool edge_peers_has_address (const struct edge_peers *peers,
+                             const char *address);
+/** Number of routers. */
+uint32_t edge_peers_count (const struct edge_peers *peers);
+/** Chooses the router with the shortest way from this one to the target, and
+ *  of these at random one of the least used; NULL when none can be used. */
+const struct edge_peer *edge_peers_choose (struct edge_peers *peers,
+                                           const struct edge_peers_wish *wish,
+                                           uint64_t now_ms, uint64_t random);
+/** Notes that a connection to the router was made, or could not be. */
+void edge_peers_note_contact (struct edge_peers *peers, const char *name,
+                              bool is_reached, uint64_t now_ms);
+/** Counts a connection that the router passes on, or its end. */
+void edge_peers_note_open (struct edge_peers *peers, const char *name,
+                           bool is_open);
+
+#endif
--- /dev/null
+++ b/src/edge_reach.c
@@ -0,0 +1,122 @@
+#include "edge_reach.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base_event.h"
+#include "edge_probe.h"
+
+static void
+check_path (void *context, struct edge_target *target)
+{
+  edge_path_check (&target->path, *(const uint64_t *)context);
+}
+
+void
+edge_reach_note_connection (struct edge *edge, struct edge_target *target,
+                            int error)
+{
+  uint64_t now_ms = edge_now_ms ();
+  uint64_t lost_ms = target->path.lost_ms;
+  if (error == 0)
+    {
+      if (edge_path_note_reached (&target->path, now_ms))
+        base_event ("target-reached target=%s after_ms=%" PRIu64,
+                    target->record.name, now_ms - lost_ms);
+      return;
+    }
+  edge->has_lost_paths = true;
+  if (!edge_path_note_lost (&target->path, now_ms))
+    return;
+  base_event ("target-unreachable target=%s zone=%s error=\"%s\" heard=%d",
+              target->record.name, target->record.availability_zone,
+              strerror (error), !edge_target_is_silent (target, now_ms));
+  /* What cut this target off may have cut off others. */
+  edge_targets_visit_all (edge->targets, check_path, &now_ms);
+}
+
+void
+edge_reach_note_relayed (struct edge *edge, struct edge_target *target,
+                         const char *peer, enum edge_path_result result)
+{
+  static const char *const names[]
+      = { "reached", "refused", "unreachable", "no-peer" };
+  uint64_t now_ms = edge_now_ms ();
+  edge_peers_note_contact (edge->peers, peer, result != EDGE_PATH_NO_PEER,
+                           now_ms);
+  if (edge_path_note_relayed (&target->path, peer, result, now_ms))
+    base_event ("target-relay target=%s via=%s result=%s relay=%d",
+                target->record.name, peer, names[result],
+                (int)target->path.relay);
+}
+
+void
+edge_reach_suspect (struct edge *edge, struct edge_target *target)
+{
+  edge_path_suspect (&target->path, edge_now_ms ());
+  edge->has_lost_paths |= target->path.probe_ms != 0;
+}
+
+bool
+edge_reach_needs_relay (const struct edge *edge,
+                        const struct edge_target *target)
+{
+  return target->path.is_lost && edge_peers_count (edge->peers) > 0;
+}
+
+const struct edge_peer *
+edge_reach_choose_peer (struct edge *edge, const struct edge_target *target,
+                        uint64_t now_ms)
+{
+  const struct edge_peers_wish wish
+      = { target->record.availability_zone,
+          edge_distance_to (edge, target->record.availability_zone),
+          &target->path };
+  return edge_peers_choose (edge->peers, &wish, now_ms,
+                            base_random_next (&edge->random));
+}
+
+/* A look at all paths. */
+struct survey
+{
+  struct edge *edge;
+  uint64_t now_ms;
+  uint32_t targets;
+  uint32_t lost;
+  bool has_work;
+};
+
+static void
+survey_path (void *context, struct edge_target *target)
+{
+  struct survey *survey = context;
+  struct edge *edge = survey->edge;
+  struct edge_path *path = &target->path;
+  survey->targets++;
+  survey->lost += path->is_lost;
+  survey->has_work |= path->is_lost || path->probe_ms != 0;
+  if (edge_path_needs_probe (path, survey->now_ms)
+      && edge_probe_start (edge, target, NULL, EDGE_PROBE_PATH,
+                           survey->now_ms))
+    edge_path_begin_probe (path);
+  if (!edge_path_needs_relay_probe (path, survey->now_ms))
+    return;
+  const struct edge_peer *peer
+      = edge_reach_choose_peer (edge, target, survey->now_ms);
+  if (!peer
+      || edge_probe_start (edge, target, peer, EDGE_PROBE_PATH,
+                           survey->now_ms))
+    edge_path_begin_relay_probe (path, peer != NULL, survey->now_ms);
+}
+
+void
+edge_reach_run (struct edge *edge, uint64_t now_ms)
+{
+  struct survey survey = { edge, now_ms, 0, 0, false };
+  if (!edge->has_lost_paths)
+    return;
+  edge_targets_visit_all (edge->targets, survey_path, &survey);
+  edge->has_lost_paths = survey.has_work;
+  edge->is_cut_off = survey.lost > 0 && 2 * survey.lost >= survey.targets;
+  base_counter_set (edge->counters.lost_targets, survey.lost);
+}
--- /dev/null
+++ b/src/edge_reach.h
@@ -0,0 +1,33 @@
+#ifndef EDGE_REACH_H
+#define EDGE_REACH_H
+
+/** @file
+ *  Keeps what a router knows of its ways to targets (struct edge_path) up to
+ *  date, and chooses the routers that pass connections on. */
+
+#include "edge.h"
+#include "edge_peers.h"
+
+/** Notes the end of an attempt to connect to the target; @p error is 0 when a
+ *  connection was made. */
+void edge_reach_note_connection (struct edge *edge, struct edge_target *target,
+                                 int error);
+/** Notes the same of a connection that @p peer (interned) was to pass on. */
+void edge_reach_note_relayed (struct edge *edge, struct edge_target *target,
+                              const char *peer, enum edge_path_result result);
+/** Notes that the response of a request that was sent to the target directly
+ *  is overdue. */
+void edge_reach_suspect (struct edge *edge, struct edge_target *target);
+/** Returns whether requests to the target have to be passed on by another
+ *  router. */
+bool edge_reach_needs_relay (const struct edge *edge,
+                             const struct edge_target *target);
+/** Chooses the router that passes a connection to the target on; NULL when
+ *  there is none. */
+const struct edge_peer *edge_reach_choose_peer (struct edge *edge,
+                                                const struct edge_target *t,
+                                                uint64_t now_ms);
+/** Starts the probes that are due. */
+void edge_reach_run (struct edge *edge, uint64_t now_ms);
+
+#endif
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -327,7 +327,10 @@
 static void
 handle_head (struct edge_attempt_callbacks *callbacks)
 {
-  edge_permits_note_head ((struct edge_request *)callbacks);
+  struct edge_request *request = (struct edge_request *)callbacks;
+  if (!request->via)
+    request->target->path.heard_ms = edge_now_ms ();
+  edge_permits_note_head (request);
 }
 
 /* Forwards the complete events of a stream.  Responses that are not streams
@@ -344,6 +347,8 @@
     request->events = edge_events_create (EVENT_MAX_BYTES, EDGE_NO_EVENT);
   int count = edge_events_feed (request->events, data, bytes, out);
   request->last_data_ms = edge_now_ms ();
+  if (!request->via)
+    request->target->path.heard_ms = request->last_data_ms;
   if (request->first_data_ms == 0)
     request->first_data_ms = request->last_data_ms;
   if (count > 0)
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -81,6 +81,11 @@
   /** An attempt may have run, so the error status must not promise that the
    *  request did not run. */
   bool maybe_ran;
+  /** Attempts that reached no target. */
+  uint32_t unsent_count;
+  /** Interned name of the router that passes the present attempt on, or
+   *  NULL. */
+  const char *via;
   /** What kept the request from being sent again, or NULL. */
   const char *obstacle;
   /** Names of targets that failed this request. */
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -1,5 +1,6 @@
 #include "edge_send.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <string.h>
 
@@ -7,14 +8,22 @@
 #include "base_event.h"
 #include "edge_answer.h"
 #include "edge_permits.h"
+#include "edge_reach.h"
 #include "edge_settle.h"
 #include "edge_suspicion.h"
+#include "edge_tunnel.h"
 #include "edge_version.h"
 
 #define CANDIDATES_MAX 1024
 /* Attempts allowed beyond the route's limit, for targets that refused the
    request without running it. */
 #define REFUSED_SENDS_MAX 2
+/* Attempts of a request that may fail to reach a target. */
+#define UNSENT_MAX 8
+/* Time of the choice among candidates that can't be used at present: as if all
+   holds had passed. */
+#define ANY_TIME_MS (UINT64_MAX / 2)
+#define HELD_MS (UINT64_MAX / 4)
 /* Timeout of connecting to a target; long enough for several round trips
    between regions. */
 #define CONNECT_TIMEOUT_MS 400
@@ -70,6 +79,7 @@
   if (choice->count == CANDIDATES_MAX
       || !edge_version_may_serve (request, target))
     return;
+  bool is_relayed = edge_reach_needs_relay (request->edge, target);
   bool is_limited = edge_limits_find (limits, &key, choice->steady_ms, NULL);
   if (is_limited
       && !edge_limits_has_permit (
@@ -87,6 +97,8 @@
     .slots = target->record.slots,
     .kv_tokens = request->service->kv_tokens,
     .is_unannounced = edge_target_is_silent (target, edge_now_ms ()),
+    .is_relayed = is_relayed,
+    .held_until_ms = target->path.relay == EDGE_PATH_RELAY_WORKS ? 0 : HELD_MS,
     .is_avoided = is_avoided (request, target->record.name),
     .has_permit = is_limited,
     .routers = edge_retry_routers (request->edge->retry),
@@ -104,7 +116,7 @@
                             now_ms, random);
   return index >= 0 ? index
                     : place_choose (choice->candidates, choice->count,
-                                    placement, UINT64_MAX / 2, random);
+                                    placement, ANY_TIME_MS, random);
 }
 
 static uint32_t
@@ -145,14 +157,33 @@
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = request->send.deadline_ms + TRANSFER_SLACK_MS,
   };
-  return edge_attempt_create (request->edge->loop, &options,
-                              &request->callbacks);
+  struct edge *edge = request->edge;
+  const struct edge_peer *peer = edge_peers_find (edge->peers, request->via);
+  char *via_header = NULL;
+  if (peer)
+    {
+      via_header = edge_tunnel_header (request->target);
+      options.via_address = peer->address;
+      options.via_port = peer->port;
+      options.via_header = via_header;
+      options.own_address = edge->options.address;
+      options.reuse = false;
+      options.connect_timeout_ms = EDGE_TUNNEL_WAIT_MS;
+    }
+  struct edge_attempt *attempt
+      = edge_attempt_create (edge->loop, &options, &request->callbacks);
+  g_free (via_header);
+  return attempt;
 }
 
+/* Sends the request to the target, passed on by @p peer unless that is
+   NULL. */
 static void
 send_to (struct edge_request *request, struct edge_target *target,
-         const struct place_candidate *candidate, uint64_t now_ms)
+         const struct place_candidate *candidate, const struct edge_peer *peer,
+         uint64_t now_ms)
 {
+  struct edge *edge = request->edge;
   request->target = edge_target_ref (target);
   request->unread_tokens
       = place_note_sent (candidate, &request->placement, now_ms);
@@ -164,20 +195,27 @@
   request->events_before = request->event_count;
   request->last_data_ms = 0;
   request->step = EDGE_STEP_SENT;
+  request->via = peer ? peer->name : NULL;
+  if (peer)
+    {
+      edge_peers_note_open (edge->peers, request->via, true);
+      base_counter_add (edge->counters.sent_via_others, 1);
+    }
   fill_send (request, now_ms);
   int64_t limit_mrps = edge_permits_use (request, target);
   base_event (
       "send id=%s target=%s address=%s:%u heard=%d running=%" PRIu32
       " unread_tokens=%" PRIu32 " faults=%.2f send=%" PRIu32
       " left_ms=%" PRIu32 " after_event=%" PRId64 " limit_mrps=%" PRId64
-      " software=%s taken_up=%s",
+      " software=%s taken_up=%s via=%s",
       request->head.request_id, target->record.name, target->record.address,
       target->record.port, !edge_target_is_silent (target, now_ms),
       target->load.running, request->unread_tokens,
       place_recent_failures (&target->load, now_ms), request->attempts_sent,
       request->send.deadline_ms, request->send.last_event_id, limit_mrps,
       *target->record.software_version ? target->record.software_version : "-",
-      *request->head.resumed_id ? request->head.resumed_id : "-");
+      *request->head.resumed_id ? request->head.resumed_id : "-",
+      request->via ? request->via : "-");
   request->attempt = start_attempt (request);
   if (!request->attempt)
     edge_send_handle_attempt_end (request, EDGE_ATTEMPT_UNSENT);
@@ -239,10 +277,42 @@
   return choice;
 }
 
+/* Sends the request to the chosen target, if there is a way to it.  What
+   nobody reached lately gets a request now and then. */
+static bool
+send_if_reachable (struct edge_request *request, const struct choice *choice,
+                   int index, uint64_t now_ms)
+{
+  struct edge *edge = request->edge;
+  struct edge_target *target = choice->targets[index];
+  const struct edge_peer *peer = NULL;
+  if (edge_reach_needs_relay (edge, target))
+    {
+      peer = edge_reach_choose_peer (edge, target, now_ms);
+      bool is_hopeless = !peer || target->path.relay == EDGE_PATH_RELAY_FAILS;
+      if (is_hopeless && !edge_path_take_try (&target->path, now_ms))
+        return false;
+      if (is_hopeless)
+        peer = NULL;
+    }
+  send_to (request, target, &choice->candidates[index], peer, now_ms);
+  return true;
+}
+
+/* Removes a candidate. */
+static void
+drop_candidate (struct choice *choice, int index)
+{
+  choice->count--;
+  choice->candidates[index] = choice->candidates[choice->count];
+  choice->targets[index] = choice->targets[choice->count];
+}
+
 void
 edge_send_request (struct edge_request *request)
 {
   struct edge *edge = request->edge;
+  bool is_unreachable = false;
   if (edge_send_is_blocked (request))
     return;
   if (!edge_suspicion_may_send (request))
@@ -254,9 +324,17 @@
   uint64_t now_ms = edge_now_ms ();
   struct choice *choice = find_candidates (request);
   int index = choose (choice, now_ms, base_random_next (&edge->random));
+  while (index >= 0 && !send_if_reachable (request, choice, index, now_ms))
+    {
+      is_unreachable = true;
+      drop_candidate (choice, index);
+      index = choose (choice, now_ms, base_random_next (&edge->random));
+    }
   if (index >= 0)
-    send_to (request, choice->targets[index], &choice->candidates[index],
-             now_ms);
+    ;
+  else if (is_unreachable)
+    give_up (request, NO_TARGET_RETRY_AFTER_MS,
+             "no router reaches a target of the service");
   else if (choice->unpermitted_count == 0)
     give_up (request, NO_TARGET_RETRY_AFTER_MS,
              request->build == 0
@@ -292,28 +370,32 @@
 
 /* Returns what keeps the request from being sent again, or NULL. */
 static const char *
-find_obstacle (struct edge_request *request, uint64_t now_ms)
+find_obstacle (struct edge_request *request, bool is_unsent, uint64_t now_ms)
 {
   if (remaining_ms (request, now_ms) < RETRY_TIME_MIN_MS)
     return "time";
-  if (request->attempts_sent
+  if (request->attempts_sent - request->unsent_count
       >= request->route->max_attempts + REFUSED_SENDS_MAX)
     return "attempts";
   if (!has_candidate (request))
     return "candidates";
+  /* What reached no target puts no load on any. */
+  if (is_unsent)
+    return request->unsent_count < UNSENT_MAX ? NULL : "attempts";
   if (!edge_retry_take (request->edge->retry, request->service->name, now_ms))
     return "budget";
   return NULL;
 }
 
-/* Retries the request at another target.  Returns false when the time left,
-   the number of attempts or the retry budget does not allow it. */
+/* Retries the request at another target, or on another way if the attempt
+   reached none (@p is_unsent).  Returns false when the time left, the number
+   of attempts or the retry budget does not allow it. */
 static bool
-send_again (struct edge_request *request, const char *reason)
+send_again (struct edge_request *request, bool is_unsent, const char *reason)
 {
   struct edge *edge = request->edge;
   uint64_t now_ms = edge_now_ms ();
-  request->obstacle = find_obstacle (request, now_ms);
+  request->obstacle = find_obstacle (request, is_unsent, now_ms);
   if (request->obstacle)
     return false;
   base_event ("send-again id=%s reason=\"%s\" after=%s sends=%" PRIu32
@@ -322,7 +404,8 @@
               request->attempts_sent, request->attempts_maybe_run,
               remaining_ms (request, now_ms));
   base_counter_add (edge->counters.resent, 1);
-  avoid_target (request);
+  if (!is_unsent)
+    avoid_target (request);
   edge_release_target (request);
   if (request->events)
     edge_events_discard_partial (request->events);
@@ -337,26 +420,34 @@
          && request->attempts_maybe_run < request->route->max_attempts;
 }
 
-/* Logs the first connection to a target that fails. */
+/* Handles an attempt that reached no target. */
 static void
-note_unreachable (const struct edge_request *request, const char *error)
+handle_unsent (struct edge_request *request)
 {
   struct edge *edge = request->edge;
   struct edge_target *target = request->target;
+  uint64_t now_ms = edge_now_ms ();
   base_counter_add (edge->counters.unsent, 1);
-  if (target->load.refused_connections == 0)
-    base_event ("target-unreachable target=%s zone=%s error=\"%s\" heard=%d",
-                target->record.name, target->record.availability_zone, error,
-                !edge_target_is_silent (target, edge_now_ms ()));
-}
-
-/* Logs that a target can be reached again. */
-static void
-note_reached (const struct edge_target *target)
-{
-  if (target->load.refused_connections > 0)
-    base_event ("target-reached target=%s failures=%" PRIu32,
-                target->record.name, target->load.refused_connections);
+  request->unsent_count++;
+  request->attempts_maybe_run--;
+  if (request->via)
+    edge_reach_note_relayed (
+        edge, target, request->via,
+        edge_tunnel_result (request->attempt
+                                ? edge_attempt_tunnel_status (request->attempt)
+                                : EDGE_TUNNEL_NONE));
+  else
+    {
+      edge_reach_note_connection (
+          edge, target,
+          request->attempt ? edge_attempt_system_error (request->attempt)
+                           : EIO);
+      edge_target_doubt (target, now_ms);
+      if (!edge_reach_needs_relay (edge, target))
+        place_note_refused_connection (&target->load, now_ms);
+    }
+  if (!send_again (request, true, "the target can't be reached"))
+    give_up (request, NO_TARGET_RETRY_AFTER_MS, "the target can't be reached");
 }
 
 /* Handles an attempt that did not run. */
@@ -364,7 +455,7 @@
 handle_not_run (struct edge_request *request, const char *reason)
 {
   request->attempts_maybe_run--;
-  if (!send_again (request, reason))
+  if (!send_again (request, false, reason))
     give_up (request, FULL_RETRY_AFTER_MS, reason);
 }
 
@@ -375,7 +466,7 @@
   request->maybe_ran = true;
   place_note_failure (&request->target->load, edge_now_ms ());
   if (edge_send_may_repeat (request) && !request->is_suspected
-      && send_again (request, reason))
+      && send_again (request, false, reason))
     {
       if (request->is_started)
         base_counter_add (request->edge->counters.resumed, 1);
@@ -429,7 +520,6 @@
   const struct edge_target_response *response
       = edge_attempt_response (request->attempt);
   uint64_t now_ms = edge_now_ms ();
-  note_reached (request->target);
   if (!response->not_run
       && edge_attempt_body_end (request->attempt) == HTTP_BODY_END_CONNECTION)
     edge_suspicion_note_lost (request);
@@ -454,7 +544,8 @@
     }
   place_note_failure (&request->target->load, now_ms);
   if (!edge_send_may_repeat (request)
-      || !send_again (request, "the target answered with a server error"))
+      || !send_again (request, false,
+                      "the target answered with a server error"))
     edge_answer_complete (request);
 }
 
@@ -483,21 +574,17 @@
   char *parts = format_parts (&request->placement);
   base_event ("send-failed id=%s target=%s outcome=%s error=\"%s\" reused=%d "
               "events=%" PRIu32 " after_ms=%" PRIu64
-              " head=%d request=%" PRIx64 " parts=%s",
+              " head=%d request=%" PRIx64 " parts=%s via=%s",
               request->head.request_id, request->target->record.name,
               outcome == EDGE_ATTEMPT_UNSENT ? "unsent" : "lost", reason,
               request->attempt && edge_attempt_reused (request->attempt),
               request->event_count, edge_now_ms () - request->sent_ms,
               request->attempt && edge_attempt_head_ms (request->attempt) > 0,
-              edge_request_digest (request), parts);
+              edge_request_digest (request), parts,
+              request->via ? request->via : "-");
   g_free (parts);
   if (outcome == EDGE_ATTEMPT_UNSENT)
-    {
-      note_unreachable (request, reason);
-      place_note_refused_connection (&request->target->load, edge_now_ms ());
-      edge_target_doubt (request->target, edge_now_ms ());
-      handle_not_run (request, "the target can't be reached");
-    }
+    handle_unsent (request);
   else
     {
       edge_suspicion_note_lost (request);
@@ -512,7 +599,7 @@
   uint64_t now_ms = edge_now_ms ();
   uint64_t sent_ms = request->sent_ms;
   request->maybe_ran = true;
-  if (send_again (request, reason))
+  if (send_again (request, false, reason))
     {
       place_note_failure (&target->load, now_ms);
       base_event (
--- a/src/edge_settle.c
+++ b/src/edge_settle.c
@@ -14,6 +14,9 @@
 {
   edge_attempt_destroy (request->attempt);
   request->attempt = NULL;
+  if (request->via)
+    edge_peers_note_open (request->edge->peers, request->via, false);
+  request->via = NULL;
   if (!request->target)
     return;
   edge_settle_first_response (request);
--- a/src/edge_suspicion.c
+++ b/src/edge_suspicion.c
@@ -104,7 +104,7 @@
       && request->placement.part_count > 0)
     edge_quarantine_note_lost (edge->quarantine, loss.target, loss.account,
                                &request->placement, now_ms);
-  edge_probe_start (edge, request->target, now_ms);
+  edge_probe_start (edge, request->target, NULL, EDGE_PROBE_CRASH, now_ms);
 }
 
 void
--- a/src/edge_targets.c
+++ b/src/edge_targets.c
@@ -98,9 +98,8 @@
   target->live_sources = live_sources;
 }
 
-/* Returns whether new work may be sent to the target. */
-static bool
-accepts_work (const struct edge_target *target)
+bool
+edge_target_accepts_work (const struct edge_target *target)
 {
   return target->record.state == CONTROL_TARGET_READY && !target->is_replaced;
 }
@@ -201,7 +200,7 @@
     target = add_target (targets, record, now_ms);
   else if (target->record.born_ms > record->born_ms)
     return false;
-  bool did_accept_work = accepts_work (target);
+  bool did_accept_work = edge_target_accepts_work (target);
   bool was_live = target->live_sources != 0;
   if (!is_new && is_newer (&target->record, record))
     {
@@ -214,7 +213,7 @@
                                    : target->live_sources | bit,
                     now_ms);
   resolve_address (targets, target);
-  return is_new || did_accept_work != accepts_work (target)
+  return is_new || did_accept_work != edge_target_accepts_work (target)
          || was_live != (target->live_sources != 0);
 }
 
@@ -250,12 +249,26 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       struct edge_target *target = value;
-      if (accepts_work (target)
+      if (edge_target_accepts_work (target)
           && strcmp (target->record.service, service) == 0)
         visit (context, target);
     }
 }
 
+void
+edge_targets_visit_all (struct edge_targets *targets,
+                        void (*visit) (void *context,
+                                       struct edge_target *target),
+                        void *context)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init (&iterator, targets->by_name);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (edge_target_accepts_work (value))
+      visit (context, value);
+}
+
 bool
 edge_targets_has_build (struct edge_targets *targets, const char *service,
                         uint64_t build)
@@ -266,7 +279,7 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       const struct edge_target *target = value;
-      if (accepts_work (target) && target->build == build
+      if (edge_target_accepts_work (target) && target->build == build
           && strcmp (target->record.service, service) == 0)
         return true;
     }
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "edge_path.h"
 #include "place.h"
 #include "wire_control.h"
 
@@ -34,6 +35,7 @@
    *  knowing it yet, in milliseconds. */
   uint64_t doubted_until_ms;
   struct place_load load;
+  struct edge_path path;
 };
 
 struct edge_targets;
@@ -62,6 +64,13 @@
                          void (*visit) (void *context,
                                         struct edge_target *target),
                          void *context);
+/** Calls @p visit for each target that accepts new work. */
+void edge_targets_visit_all (struct edge_targets *targets,
+                             void (*visit) (void *context,
+                                            struct edge_target *target),
+                             void *context);
+/** Returns whether new work may be sent to the target. */
+bool edge_target_accepts_work (const struct edge_target *target);
 /** Returns the number of targets of the service that accept new work. */
 uint32_t edge_targets_count (struct edge_targets *targets,
                              const char *service);
--- a/src/edge_timeouts.c
+++ b/src/edge_timeouts.c
@@ -2,6 +2,7 @@
 
 #include "edge_answer.h"
 #include "edge_permits.h"
+#include "edge_reach.h"
 #include "edge_send.h"
 
 /* Time after the deadline during which a sent request still waits for its
@@ -91,9 +92,11 @@
       edge_request_retry_lease (request);
       return;
     }
-  if (request->step != EDGE_STEP_SENT || !edge_send_may_repeat (request))
+  if (request->step != EDGE_STEP_SENT)
     return;
   const char *reason = find_stall (request, now_ms);
-  if (reason)
+  if (reason && !request->via)
+    edge_reach_suspect (request->edge, request->target);
+  if (reason && edge_send_may_repeat (request))
     edge_send_handle_stall (request, reason);
 }
--- a/src/edge_watcher.c
+++ b/src/edge_watcher.c
@@ -24,6 +24,8 @@
   uint64_t suspects_version;
   /* Version of the newest list of limits that the member sent. */
   uint64_t limits_version;
+  /* Last change of other routers that was received, within the epoch. */
+  uint64_t routers_change;
   atomic_bool stopping;
   GThread *thread;
 };
@@ -48,6 +50,7 @@
     }
   watcher->epoch = update->result.epoch;
   watcher->change = update->result.change;
+  watcher->routers_change = update->result.routers_change;
   watcher->member_version = update->result.document_version;
   watcher->suspects_version
       = MAX (watcher->suspects_version, update->result.suspects.list_version);
@@ -70,6 +73,12 @@
   args.wait_ms = LONG_POLL_MS;
   args.suspects_version = watcher->suspects_version;
   args.limits_version = watcher->limits_version;
+  args.routers_change = watcher->routers_change;
+  args.self.name = shared->router;
+  args.self.address = shared->address;
+  args.self.availability_zone = shared->availability_zone;
+  args.self.relay_port = atomic_load (&shared->relay_port);
+  args.self.is_cut_off = atomic_load (&shared->is_cut_off);
   update->source = watcher->source;
   update->status = wire_client_call (
       watcher->client, CONTROL_WATCH, (xdrproc_t)xdr_control_watch_args, &args,
--- a/src/edge_watcher.h
+++ b/src/edge_watcher.h
@@ -19,6 +19,11 @@
 {
   char *cluster;
   char *router;
+  /** What the router says of itself; the strings don't change. */
+  char *address;
+  char *availability_zone;
+  atomic_uint relay_port;
+  atomic_bool is_cut_off;
   /** Queue of struct edge_update, read by the loop's thread. */
   GAsyncQueue *updates;
   /** Called by a watcher after it queued an update. */
--- a/src/place.c
+++ b/src/place.c
@@ -18,6 +18,9 @@
    in milliseconds: round trips, and paid traffic expressed as time. */
 #define SAME_REGION_COST_MS 3.0
 #define OTHER_REGION_COST_MS 60.0
+/* Cost of a target that another router passes requests on to: a new connection
+   and the work of that router. */
+#define RELAY_COST_MS 10.0
 /* Cost of a recent failure: about the time that a retried request loses. */
 #define FAILURE_COST_MS 400.0
 #define FAILURE_HALF_LIFE_MS 3000.0
@@ -177,6 +180,8 @@
     cost += SAME_REGION_COST_MS;
   else if (candidate->distance == PLACE_OTHER_REGION)
     cost += OTHER_REGION_COST_MS;
+  if (candidate->is_relayed)
+    cost += RELAY_COST_MS;
   if (candidate->is_unannounced)
     cost += UNANNOUNCED_COST_MS;
   if (candidate->is_avoided)
@@ -248,7 +253,10 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const struct place_candidate *candidate = &candidates[i];
-      if (now_ms < candidate->load->reconnect_at_ms)
+      uint64_t usable_ms = candidate->is_relayed
+                               ? candidate->held_until_ms
+                               : candidate->load->reconnect_at_ms;
+      if (now_ms < usable_ms)
         continue;
       double home_probability = (int)i == homes[0]   ? FIRST_HOME_PROBABILITY
                                 : (int)i == homes[1] ? SECOND_HOME_PROBABILITY
--- a/src/place.h
+++ b/src/place.h
@@ -75,6 +75,10 @@
   uint64_t kv_tokens;
   /** The target has stopped sending announcements. */
   bool is_unannounced;
+  /** Requests to the target are passed on by another router, and not before
+   *  held_until_ms; connections of this router don't count. */
+  bool is_relayed;
+  uint64_t held_until_ms;
   /** The target already failed this request. */
   bool is_avoided;
   /** The target takes a limited number of requests, and this router holds a
--- a/src/router_poll.c
+++ b/src/router_poll.c
@@ -178,6 +178,16 @@
   return epoll_ctl (loop->epoll, EPOLL_CTL_ADD, fd, &event);
 }
 
+void
+router_poll_rewatch (struct router_poll *loop, int fd, uint32_t events,
+                     struct router_watch *watch)
+{
+  struct epoll_event event = { 0 };
+  event.events = events;
+  event.data.u64 = (uint64_t)(uintptr_t)watch | WATCH_MARK;
+  epoll_ctl (loop->epoll, EPOLL_CTL_MOD, fd, &event);
+}
+
 void
 router_poll_unwatch (struct router_poll *loop, int fd)
 {
--- a/src/router_poll.h
+++ b/src/router_poll.h
@@ -39,6 +39,9 @@
  *  set. */
 int router_poll_watch (struct router_poll *loop, int fd, uint32_t events,
                        struct router_watch *watch);
+/** Changes the events of a file descriptor that is in the loop. */
+void router_poll_rewatch (struct router_poll *loop, int fd, uint32_t events,
+                          struct router_watch *watch);
 /** Removes a file descriptor; call it before closing. */
 void router_poll_unwatch (struct router_poll *loop, int fd);
 /** Waits for at most @p wait_ms and handles the events that are ready. */
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -605,6 +605,17 @@
 	} parts;
 };
 typedef struct control_suspects control_suspects;
+#define CONTROL_ROUTERS_MAX 4096
+
+struct control_router_record {
+	wire_name name;
+	wire_name address;
+	u_int relay_port;
+	wire_name availability_zone;
+	bool_t is_cut_off;
+	bool_t gone;
+};
+typedef struct control_router_record control_router_record;
 
 struct control_watch_args {
 	wire_name cluster;
@@ -615,6 +626,8 @@
 	u_int wait_ms;
 	u_quad_t suspects_version;
 	u_quad_t limits_version;
+	control_router_record self;
+	u_quad_t routers_change;
 };
 typedef struct control_watch_args control_watch_args;
 
@@ -635,6 +648,11 @@
 	} members;
 	control_suspects suspects;
 	control_limit_list limits;
+	u_quad_t routers_change;
+	struct {
+		u_int changed_routers_len;
+		control_router_record *changed_routers_val;
+	} changed_routers;
 };
 typedef struct control_watch_result control_watch_result;
 #define CONTROL_FETCH_PIECE_BYTES 32768
@@ -1021,115 +1039,115 @@
 typedef struct control_streams_result control_streams_result;
 
 #define CONTROL_PROGRAM 0x20CAC702
-#define CONTROL_VERSION 5
+#define CONTROL_VERSION 6
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define CONTROL_SYNC 1
-extern  enum clnt_stat control_sync_5(control_sync_args , control_sync_result *, CLIENT *);
-extern  bool_t control_sync_5_svc(control_sync_args , control_sync_result *, struct svc_req *);
+extern  enum clnt_stat control_sync_6(control_sync_args , control_sync_result *, CLIENT *);
+extern  bool_t control_sync_6_svc(control_sync_args , control_sync_result *, struct svc_req *);
 #define CONTROL_PUSH 2
-extern  enum clnt_stat control_push_5(control_push_args , control_push_result *, CLIENT *);
-extern  bool_t control_push_5_svc(control_push_args , control_push_result *, struct svc_req *);
+extern  enum clnt_stat control_push_6(control_push_args , control_push_result *, CLIENT *);
+extern  bool_t control_push_6_svc(control_push_args , control_push_result *, struct svc_req *);
 #define CONTROL_BUNDLE 3
-extern  enum clnt_stat control_bundle_5(control_bundle_args , control_bundle_result *, CLIENT *);
-extern  bool_t control_bundle_5_svc(control_bundle_args , control_bundle_result *, struct svc_req *);
+extern  enum clnt_stat control_bundle_6(control_bundle_args , control_bundle_result *, CLIENT *);
+extern  bool_t control_bundle_6_svc(control_bundle_args , control_bundle_result *, struct svc_req *);
 #define CONTROL_TOP_UP 4
-extern  enum clnt_stat control_top_up_5(control_top_up_args , control_top_up_result *, CLIENT *);
-extern  bool_t control_top_up_5_svc(control_top_up_args , control_top_up_result *, struct svc_req *);
+extern  enum clnt_stat control_top_up_6(control_top_up_args , control_top_up_result *, CLIENT *);
+extern  bool_t control_top_up_6_svc(control_top_up_args , control_top_up_result *, struct svc_req *);
 #define CONTROL_LEDGER 5
-extern  enum clnt_stat control_ledger_5(control_ledger_args , control_ledger_result *, CLIENT *);
-extern  bool_t control_ledger_5_svc(control_ledger_args , control_ledger_result *, struct svc_req *);
+extern  enum clnt_stat control_ledger_6(control_ledger_args , control_ledger_result *, CLIENT *);
+extern  bool_t control_ledger_6_svc(control_ledger_args , control_ledger_result *, struct svc_req *);
 #define CONTROL_CLAIM 6
-extern  enum clnt_stat control_claim_5(control_claim_args , control_claim_result *, CLIENT *);
-extern  bool_t control_claim_5_svc(control_claim_args , control_claim_result *, struct svc_req *);
+extern  enum clnt_stat control_claim_6(control_claim_args , control_claim_result *, CLIENT *);
+extern  bool_t control_claim_6_svc(control_claim_args , control_claim_result *, struct svc_req *);
 #define CONTROL_FINISH 7
-extern  enum clnt_stat control_finish_5(control_finish_args , control_answer *, CLIENT *);
-extern  bool_t control_finish_5_svc(control_finish_args , control_answer *, struct svc_req *);
+extern  enum clnt_stat control_finish_6(control_finish_args , control_answer *, CLIENT *);
+extern  bool_t control_finish_6_svc(control_finish_args , control_answer *, struct svc_req *);
 #define CONTROL_BUDGET 8
-extern  enum clnt_stat control_budget_5(control_budget_args , control_budget_result *, CLIENT *);
-extern  bool_t control_budget_5_svc(control_budget_args , control_budget_result *, struct svc_req *);
+extern  enum clnt_stat control_budget_6(control_budget_args , control_budget_result *, CLIENT *);
+extern  bool_t control_budget_6_svc(control_budget_args , control_budget_result *, struct svc_req *);
 #define CONTROL_DRAIN 9
-extern  enum clnt_stat control_drain_5(control_drain_args , control_answer *, CLIENT *);
-extern  bool_t control_drain_5_svc(control_drain_args , control_answer *, struct svc_req *);
+extern  enum clnt_stat control_drain_6(control_drain_args , control_answer *, CLIENT *);
+extern  bool_t control_drain_6_svc(control_drain_args , control_answer *, struct svc_req *);
 #define CONTROL_STATUS 10
-extern  enum clnt_stat control_status_5(control_status_args , control_status_result *, CLIENT *);
-extern  bool_t control_status_5_svc(control_status_args , control_status_result *, struct svc_req *);
+extern  enum clnt_stat control_status_6(control_status_args , control_status_result *, CLIENT *);
+extern  bool_t control_status_6_svc(control_status_args , control_status_result *, struct svc_req *);
 #define CONTROL_MEMBER_CHANGE 11
-extern  enum clnt_stat control_member_change_5(control_member_args , control_answer *, CLIENT *);
-extern  bool_t control_member_change_5_svc(control_member_args , control_answer *, struct svc_req *);
+extern  enum clnt_stat control_member_change_6(control_member_args , control_answer *, CLIENT *);
+extern  bool_t control_member_change_6_svc(control_member_args , control_answer *, struct svc_req *);
 #define CONTROL_DOCUMENT 12
-extern  enum clnt_stat control_document_5(control_document_args , control_document_result *, CLIENT *);
-extern  bool_t control_document_5_svc(control_document_args , control_document_result *, struct svc_req *);
+extern  enum clnt_stat control_document_6(control_document_args , control_document_result *, CLIENT *);
+extern  bool_t control_document_6_svc(control_document_args , control_document_result *, struct svc_req *);
 #define CONTROL_READ 13
-extern  enum clnt_stat control_read_5(control_read_args , control_read_result *, CLIENT *);
-extern  bool_t control_read_5_svc(control_read_args , control_read_result *, struct svc_req *);
+extern  enum clnt_stat control_read_6(control_read_args , control_read_result *, CLIENT *);
+extern  bool_t control_read_6_svc(control_read_args , control_read_result *, struct svc_req *);
 #define CONTROL_LEASE 14
-extern  enum clnt_stat control_lease_5(control_router_args , control_router_result *, CLIENT *);
-extern  bool_t control_lease_5_svc(control_router_args , control_router_result *, struct svc_req *);
+extern  enum clnt_stat control_lease_6(control_router_args , control_router_result *, CLIENT *);
+extern  bool_t control_lease_6_svc(control_router_args , control_router_result *, struct svc_req *);
 #define CONTROL_WATCH 15
-extern  enum clnt_stat control_watch_5(control_watch_args , control_watch_result *, CLIENT *);
-extern  bool_t control_watch_5_svc(control_watch_args , control_watch_result *, struct svc_req *);
+extern  enum clnt_stat control_watch_6(control_watch_args , control_watch_result *, CLIENT *);
+extern  bool_t control_watch_6_svc(control_watch_args , control_watch_result *, struct svc_req *);
 #define CONTROL_FETCH 16
-extern  enum clnt_stat control_fetch_5(control_fetch_args , control_fetch_result *, CLIENT *);
-extern  bool_t control_fetch_5_svc(control_fetch_args , control_fetch_result *, struct svc_req *);
+extern  enum clnt_stat control_fetch_6(control_fetch_args , control_fetch_result *, CLIENT *);
+extern  bool_t control_fetch_6_svc(control_fetch_args , control_fetch_result *, struct svc_req *);
 #define CONTROL_STREAMS 17
-extern  enum clnt_stat control_streams_5(control_streams_args , control_streams_result *, CLIENT *);
-extern  bool_t control_streams_5_svc(control_streams_args , control_streams_result *, struct svc_req *);
-extern int control_program_5_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  enum clnt_stat control_streams_6(control_streams_args , control_streams_result *, CLIENT *);
+extern  bool_t control_streams_6_svc(control_streams_args , control_streams_result *, struct svc_req *);
+extern int control_program_6_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define CONTROL_SYNC 1
-extern  enum clnt_stat control_sync_5();
-extern  bool_t control_sync_5_svc();
+extern  enum clnt_stat control_sync_6();
+extern  bool_t control_sync_6_svc();
 #define CONTROL_PUSH 2
-extern  enum clnt_stat control_push_5();
-extern  bool_t control_push_5_svc();
+extern  enum clnt_stat control_push_6();
+extern  bool_t control_push_6_svc();
 #define CONTROL_BUNDLE 3
-extern  enum clnt_stat control_bundle_5();
-extern  bool_t control_bundle_5_svc();
+extern  enum clnt_stat control_bundle_6();
+extern  bool_t control_bundle_6_svc();
 #define CONTROL_TOP_UP 4
-extern  enum clnt_stat control_top_up_5();
-extern  bool_t control_top_up_5_svc();
+extern  enum clnt_stat control_top_up_6();
+extern  bool_t control_top_up_6_svc();
 #define CONTROL_LEDGER 5
-extern  enum clnt_stat control_ledger_5();
-extern  bool_t control_ledger_5_svc();
+extern  enum clnt_stat control_ledger_6();
+extern  bool_t control_ledger_6_svc();
 #define CONTROL_CLAIM 6
-extern  enum clnt_stat control_claim_5();
-extern  bool_t control_claim_5_svc();
+extern  enum clnt_stat control_claim_6();
+extern  bool_t control_claim_6_svc();
 #define CONTROL_FINISH 7
-extern  enum clnt_stat control_finish_5();
-extern  bool_t control_finish_5_svc();
+extern  enum clnt_stat control_finish_6();
+extern  bool_t control_finish_6_svc();
 #define CONTROL_BUDGET 8
-extern  enum clnt_stat control_budget_5();
-extern  bool_t control_budget_5_svc();
+extern  enum clnt_stat control_budget_6();
+extern  bool_t control_budget_6_svc();
 #define CONTROL_DRAIN 9
-extern  enum clnt_stat control_drain_5();
-extern  bool_t control_drain_5_svc();
+extern  enum clnt_stat control_drain_6();
+extern  bool_t control_drain_6_svc();
 #define CONTROL_STATUS 10
-extern  enum clnt_stat control_status_5();
-extern  bool_t control_status_5_svc();
+extern  enum clnt_stat control_status_6();
+extern  bool_t control_status_6_svc();
 #define CONTROL_MEMBER_CHANGE 11
-extern  enum clnt_stat control_member_change_5();
-extern  bool_t control_member_change_5_svc();
+extern  enum clnt_stat control_member_change_6();
+extern  bool_t control_member_change_6_svc();
 #define CONTROL_DOCUMENT 12
-extern  enum clnt_stat control_document_5();
-extern  bool_t control_document_5_svc();
+extern  enum clnt_stat control_document_6();
+extern  bool_t control_document_6_svc();
 #define CONTROL_READ 13
-extern  enum clnt_stat control_read_5();
-extern  bool_t control_read_5_svc();
+extern  enum clnt_stat control_read_6();
+extern  bool_t control_read_6_svc();
 #define CONTROL_LEASE 14
-extern  enum clnt_stat control_lease_5();
-extern  bool_t control_lease_5_svc();
+extern  enum clnt_stat control_lease_6();
+extern  bool_t control_lease_6_svc();
 #define CONTROL_WATCH 15
-extern  enum clnt_stat control_watch_5();
-extern  bool_t control_watch_5_svc();
+extern  enum clnt_stat control_watch_6();
+extern  bool_t control_watch_6_svc();
 #define CONTROL_FETCH 16
-extern  enum clnt_stat control_fetch_5();
-extern  bool_t control_fetch_5_svc();
+extern  enum clnt_stat control_fetch_6();
+extern  bool_t control_fetch_6_svc();
 #define CONTROL_STREAMS 17
-extern  enum clnt_stat control_streams_5();
-extern  bool_t control_streams_5_svc();
-extern int control_program_5_freeresult ();
+extern  enum clnt_stat control_streams_6();
+extern  bool_t control_streams_6_svc();
+extern int control_program_6_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
@@ -1190,6 +1208,7 @@
 extern  bool_t xdr_control_target (XDR *, control_target*);
 extern  bool_t xdr_control_suspect (XDR *, control_suspect*);
 extern  bool_t xdr_control_suspects (XDR *, control_suspects*);
+extern  bool_t xdr_control_router_record (XDR *, control_router_record*);
 extern  bool_t xdr_control_watch_args (XDR *, control_watch_args*);
 extern  bool_t xdr_control_watch_result (XDR *, control_watch_result*);
 extern  bool_t xdr_control_fetch_args (XDR *, control_fetch_args*);
@@ -1280,6 +1299,7 @@
 extern bool_t xdr_control_target ();
 extern bool_t xdr_control_suspect ();
 extern bool_t xdr_control_suspects ();
+extern bool_t xdr_control_router_record ();
 extern bool_t xdr_control_watch_args ();
 extern bool_t xdr_control_watch_result ();
 extern bool_t xdr_control_fetch_args ();
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -575,6 +575,20 @@
   control_suspect parts<CONTROL_BATCH_MAX>;
 };
 
+/* A router, to which other routers may pass connections to targets that they
+   can't reach themselves. */
+const CONTROL_ROUTERS_MAX = 4096;
+
+struct control_router_record
+{
+  wire_name name;
+  wire_name address;
+  unsigned int relay_port;        /* 0: it takes no connections of others */
+  wire_name availability_zone;
+  bool is_cut_off;                /* it can't reach most targets itself */
+  bool gone;                      /* it has stopped calling */
+};
+
 /* Long poll: any member answers as soon as it has newer data than the router,
    at the latest after wait_ms.  epoch is drawn at each start of the member;
    change counts the changes of its targets since then.  document_version is
@@ -589,6 +603,9 @@
   unsigned int wait_ms;
   unsigned hyper suspects_version; /* of the router's list of suspects */
   unsigned hyper limits_version;  /* of the router's list of limits */
+  control_router_record self;
+  unsigned hyper routers_change;  /* up to which the router knows the others;
+                                     counts within the epoch */
 };
 
 struct control_watch_result
@@ -604,6 +621,8 @@
   control_member members<CONTROL_MEMBERS_MAX>;
   control_suspects suspects;
   control_limit_list limits;
+  unsigned hyper routers_change;
+  control_router_record changed_routers<CONTROL_ROUTERS_MAX>;
 };
 
 /* Fetches a transfer: the control_difference from one document (version 0: the
@@ -952,5 +971,5 @@
     control_watch_result CONTROL_WATCH (control_watch_args) = 15;
     control_fetch_result CONTROL_FETCH (control_fetch_args) = 16;
     control_streams_result CONTROL_STREAMS (control_streams_args) = 17;
-  } = 5;
+  } = 6;
 } = 0x20CAC702;
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -1107,6 +1107,26 @@
 	return TRUE;
 }
 
+bool_t
+xdr_control_router_record (XDR *xdrs, control_router_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->relay_port))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->availability_zone))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_cut_off))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_watch_args (XDR *xdrs, control_watch_args *objp)
 {
@@ -1128,6 +1148,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->limits_version))
 		 return FALSE;
+	 if (!xdr_control_router_record (xdrs, &objp->self))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->routers_change))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1158,6 +1182,11 @@
 		 return FALSE;
 	 if (!xdr_control_limit_list (xdrs, &objp->limits))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->routers_change))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->changed_routers.changed_routers_val, (u_int *) &objp->changed_routers.changed_routers_len, CONTROL_ROUTERS_MAX,
+		sizeof (control_router_record), (xdrproc_t) xdr_control_router_record))
+		 return FALSE;
 	return TRUE;
 }
 
