Log what targets say of themselves

A refusal by a target that asked for rest looked like any other in the logs, and nothing showed that a target leaves or is brittle. The adapter reads Server-Leaving, Server-Brittle and the Retry-After of a 503; target-states lines have each change with the request that brought it, and target-statement-malformed a value that can't be read. Nothing is decided by them yet.

--- a/src/edge.c
+++ b/src/edge.c
@@ -68,6 +68,8 @@
     = base_metrics_gauge (metrics, "edge_unreachable_targets", NULL),
     .sent_via_others
     = base_metrics_counter (metrics, "edge_sent_via_others_total", NULL),
+    .target_statements
+    = base_metrics_counter (metrics, "edge_target_statements_total", NULL),
     .relayed = base_metrics_counter (metrics, "edge_relayed_total", NULL),
     .relay_refused
     = base_metrics_counter (metrics, "edge_relay_refused_total", NULL),
--- a/src/edge.h
+++ b/src/edge.h
@@ -77,6 +77,8 @@
   struct base_counter *unsent;
   struct base_counter *lost_targets;
   struct base_counter *sent_via_others;
+  /** Responses by which a target said that it leaves, rests or is brittle. */
+  struct base_counter *target_statements;
   /** Connections passed on for other routers, and those that were not. */
   struct base_counter *relayed;
   struct base_counter *relay_refused;
--- a/src/edge_dialect.h
+++ b/src/edge_dialect.h
@@ -74,6 +74,10 @@
   EDGE_LIMIT_MALFORMED
 };
 
+/** Longest rest that a target can ask for, in milliseconds; longer ones count
+ *  as this. */
+#define EDGE_REST_MAX_MS 60000u
+
 /** Largest limit, in requests per 1,000 s; higher ones count as this. */
 #define EDGE_LIMIT_MAX_MRPS UINT64_C (1000000000)
 
@@ -84,6 +88,17 @@
   enum edge_limit_statement limit;
   /** With EDGE_LIMIT_NAMED: requests per 1,000 s. */
   uint64_t limit_mrps;
+  /** The target leaves: it wants no new requests. */
+  bool is_leaving;
+  /** The target falls over when it has to turn away more than
+   *  rejections_per_s requests for want of room. */
+  bool is_brittle;
+  uint32_t rejections_per_s;
+  /** Time for which the target wants no request from this router, in
+   *  milliseconds; 0 for none. */
+  uint32_t rest_ms;
+  /** Name of the last header of these whose value can't be read, or NULL. */
+  const char *malformed_statement;
   /** The target reports that it did not run the request. */
   bool not_run;
   /** The response carries the id of another request. */
--- a/src/edge_reach.c
+++ b/src/edge_reach.c
@@ -50,6 +50,28 @@
                 (int)target->path.relay);
 }
 
+void
+edge_reach_note_head (struct edge *edge, struct edge_target *target,
+                      const struct edge_target_response *response,
+                      const char *request_id)
+{
+  uint32_t changes
+      = edge_pacing_note_head (&target->pacing, response, edge_now_ms ());
+  if (response->malformed_statement)
+    base_event ("target-statement-malformed target=%s id=%s header=%s",
+                target->record.name, request_id,
+                response->malformed_statement);
+  if (changes == 0)
+    return;
+  base_counter_add (edge->counters.target_statements, 1);
+  base_event ("target-states target=%s id=%s status=%" PRIu32
+              " leaving=%d brittle=%d rejections_per_s=%" PRIu32
+              " rest_ms=%" PRIu32,
+              target->record.name, request_id, response->status,
+              target->pacing.is_leaving, target->pacing.is_brittle,
+              target->pacing.rejections_per_s, response->rest_ms);
+}
+
 void
 edge_reach_suspect (struct edge *edge, struct edge_target *target)
 {
--- a/src/edge_reach.h
+++ b/src/edge_reach.h
@@ -15,6 +15,11 @@
 /** Notes the same of a connection that @p peer (interned) was to pass on. */
 void edge_reach_note_relayed (struct edge *edge, struct edge_target *target,
                               const char *peer, enum edge_path_result result);
+/** Notes what the head of a response of the target says of it; @p request_id
+ * is for the log. */
+void edge_reach_note_head (struct edge *edge, struct edge_target *target,
+                           const struct edge_target_response *response,
+                           const char *request_id);
 /** Notes that the response of a request that was sent to the target directly
  *  is overdue. */
 void edge_reach_suspect (struct edge *edge, struct edge_target *target);
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -12,6 +12,7 @@
 #include "edge_front.h"
 #include "edge_links.h"
 #include "edge_permits.h"
+#include "edge_reach.h"
 #include "edge_send.h"
 #include "edge_settle.h"
 #include "edge_version.h"
@@ -330,6 +331,11 @@
   struct edge_request *request = (struct edge_request *)callbacks;
   if (!request->via)
     request->target->path.heard_ms = edge_now_ms ();
+  const struct edge_target_response *response
+      = edge_attempt_response (request->attempt);
+  if (response->request_id_matches && !response->request_id_differs)
+    edge_reach_note_head (request->edge, request->target, response,
+                          request->head.request_id);
   edge_permits_note_head (request);
 }
 
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "edge_pacing.h"
 #include "edge_path.h"
 #include "place.h"
 #include "wire_control.h"
@@ -36,6 +37,7 @@
   uint64_t doubted_until_ms;
   struct place_load load;
   struct edge_path path;
+  struct edge_pacing pacing;
 };
 
 struct edge_targets;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -284,6 +284,66 @@
     }
 }
 
+/* What targets say of themselves; what can't be read says nothing. */
+static void
+test_target_statements (void)
+{
+  static const struct
+  {
+    uint32_t status;
+    const char *name;
+    const char *value;
+    bool leaves;
+    bool is_brittle;
+    uint32_t rejections_per_s;
+    uint32_t rest_ms;
+    bool is_malformed;
+  } cases[] = {
+    { 200, "Server-Leaving", "1", true, false, 0, 0, false },
+    { 503, "server-leaving", " 1 ", true, false, 0, 0, false },
+    { 200, "Server-Leaving", "0", false, false, 0, 0, false },
+    { 200, "Server-Leaving", "yes", false, false, 0, 0, true },
+    { 200, "Server-Leaving", "", false, false, 0, 0, true },
+    { 200, "Server-Brittle", "6", false, true, 6, 0, false },
+    { 503, "Server-Brittle", "0", false, true, 0, 0, false },
+    { 200, "Server-Brittle", "-1", false, false, 0, 0, true },
+    { 200, "Server-Brittle", "1.5", false, false, 0, 0, true },
+    { 200, "Server-Brittle", "99999999999", false, false, 0, 0, true },
+    { 503, "Retry-After", "3", false, false, 0, 3000, false },
+    { 503, "Retry-After", "0.0005", false, false, 0, 1, false },
+    { 503, "Retry-After", "0", false, false, 0, 0, false },
+    { 503, "Retry-After", "1e9", false, false, 0, 0, true },
+    { 503, "Retry-After", "999999999999", false, false, 0, EDGE_REST_MAX_MS,
+      false },
+    { 503, "Retry-After", "-3", false, false, 0, 0, true },
+    { 503, "Retry-After", "1.2.3", false, false, 0, 0, true },
+    { 503, "Retry-After", "nan", false, false, 0, 0, true },
+    { 503, "Retry-After", "", false, false, 0, 0, true },
+    { 503, "Retry-After", "Fri, 04 Dec 2026 16:00:00 GMT", false, false, 0, 0,
+      true },
+    { 429, "Retry-After", "3", false, false, 0, 0, false },
+    { 200, "Retry-After", "soon", false, false, 0, 0, false },
+  };
+  const struct edge_dialect *dialect = platform_dialect ();
+  for (uint32_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct edge_target_response answer = { .status = cases[i].status };
+      answer.lines = g_ptr_array_new_with_free_func (g_free);
+      dialect->read_response_header (dialect, &answer, "abc", cases[i].name,
+                                     cases[i].value);
+      g_assert_cmpint (answer.is_leaving, ==, cases[i].leaves);
+      g_assert_cmpint (answer.is_brittle, ==, cases[i].is_brittle);
+      g_assert_cmpuint (answer.rejections_per_s, ==,
+                        cases[i].rejections_per_s);
+      g_assert_cmpuint (answer.rest_ms, ==, cases[i].rest_ms);
+      g_assert_cmpint (answer.malformed_statement != NULL, ==,
+                       cases[i].is_malformed);
+      /* Callers get the headers as the target sent them. */
+      g_assert_cmpuint (answer.lines->len, ==, 1);
+      g_ptr_array_unref (answer.lines);
+    }
+}
+
 static struct platform_settings *
 read_settings (const char *text, struct base_findings *findings)
 {
@@ -368,6 +428,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/target-statements", test_target_statements);
   g_test_add_func ("/platform/config", test_config);
   g_test_add_func ("/platform/invalid-configs", test_invalid_configs);
   g_test_add_func ("/platform/cut-configs", test_cut_configs);
