Test targets that say that they leave, want rest, or are brittle

The stand-in takes the id of a response from its connection; with several requests at a time it was that of the last request.

--- a/tools/platform_target.c
+++ b/tools/platform_target.c
@@ -24,6 +24,20 @@
   GHashTable *headers;
   /* Number of runs by request id. */
   GHashTable *runs_by_id;
+  /* Header line of the responses, or NULL. */
+  char *statement;
+  atomic_uint rest_ms;
+  platform_target_arrival *arrival;
+  void *arrival_context;
+  /* What it can take; slots 0: anything. */
+  struct platform_target_room room;
+  uint32_t running;
+  uint32_t waiting;
+  GCond slot_is_free;
+  /* Times of rejections within the last second (gint64, in microseconds). */
+  GArray *rejections;
+  gint64 fallen_until_us;
+  uint32_t falls;
 };
 
 /* A stream that is being sent. */
@@ -63,17 +77,38 @@
   return bytes;
 }
 
+/* Adds what the target says of itself. */
+static void
+add_statements (struct platform_target *target, unsigned int status,
+                struct MHD_Response *response)
+{
+  uint32_t rest_ms = atomic_load (&target->rest_ms);
+  g_mutex_lock (&target->mutex);
+  char **words
+      = target->statement ? g_strsplit (target->statement, ": ", 2) : NULL;
+  g_mutex_unlock (&target->mutex);
+  if (words)
+    MHD_add_response_header (response, words[0], words[1]);
+  g_strfreev (words);
+  if (rest_ms == 0 || status != MHD_HTTP_SERVICE_UNAVAILABLE)
+    return;
+  char *rest = g_strdup_printf ("%.3f", rest_ms / 1000.0);
+  MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, rest);
+  g_free (rest);
+}
+
 static enum MHD_Result
 send_response (struct platform_target *target,
                struct MHD_Connection *connection, unsigned int status,
                struct MHD_Response *response)
 {
-  char *id = platform_target_header (target, "X-Request-Id");
+  const char *id = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                "X-Request-Id");
   MHD_add_response_header (response, "X-Request-Id", id ? id : "");
   MHD_add_response_header (response, "X-Replica-Signature", target->id);
+  add_statements (target, status, response);
   enum MHD_Result result = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
-  g_free (id);
   return result;
 }
 
@@ -94,12 +129,12 @@
                      struct MHD_Connection *connection, bool truncated)
 {
   struct stream *stream = g_new0 (struct stream, 1);
-  char *last_id = platform_target_header (target, "Last-Event-Id");
+  const char *last_id = MHD_lookup_connection_value (
+      connection, MHD_HEADER_KIND, "Last-Event-Id");
   stream->target = target;
   stream->next_id
       = last_id ? (uint32_t)g_ascii_strtoull (last_id, NULL, 10) + 1 : 1;
   stream->truncated = truncated;
-  g_free (last_id);
   struct MHD_Response *response = MHD_create_response_from_callback (
       MHD_SIZE_UNKNOWN, BLOCK_BYTES, send_events, stream, g_free);
   MHD_add_response_header (response, "Content-Type", "text/event-stream");
@@ -120,11 +155,106 @@
   g_mutex_unlock (&target->mutex);
 }
 
+/* Counts a rejection; the target falls over if there were too many.  Called
+   with the mutex. */
+static void
+count_rejection (struct platform_target *target)
+{
+  gint64 now_us = g_get_monotonic_time ();
+  const struct platform_target_room *room = &target->room;
+  while (target->rejections->len > 0
+         && g_array_index (target->rejections, gint64, 0)
+                < now_us - G_USEC_PER_SEC)
+    g_array_remove_index (target->rejections, 0);
+  g_array_append_val (target->rejections, now_us);
+  if (room->rejections_per_s == 0
+      || target->rejections->len <= room->rejections_per_s)
+    return;
+  target->falls++;
+  target->fallen_until_us = now_us + 1000 * (gint64)room->fall_ms;
+  g_array_set_size (target->rejections, 0);
+}
+
+/* Takes a slot, after a wait if need be.  Returns false when there is no room
+   to wait. */
+static bool
+enter (struct platform_target *target)
+{
+  const struct platform_target_room *room = &target->room;
+  bool entered = true;
+  g_mutex_lock (&target->mutex);
+  if (room->slots > 0 && target->running >= room->slots
+      && target->waiting >= room->waiting)
+    {
+      count_rejection (target);
+      entered = false;
+    }
+  else if (room->slots > 0)
+    {
+      target->waiting++;
+      while (target->running >= room->slots)
+        g_cond_wait (&target->slot_is_free, &target->mutex);
+      target->waiting--;
+      target->running++;
+    }
+  g_mutex_unlock (&target->mutex);
+  return entered;
+}
+
+/* Works, and gives the slot back. */
+static void
+leave (struct platform_target *target)
+{
+  if (target->room.slots == 0)
+    return;
+  g_usleep (1000 * (gulong)target->room.work_ms);
+  g_mutex_lock (&target->mutex);
+  target->running--;
+  g_cond_signal (&target->slot_is_free);
+  g_mutex_unlock (&target->mutex);
+}
+
+static bool
+has_fallen (struct platform_target *target)
+{
+  g_mutex_lock (&target->mutex);
+  bool is_down = g_get_monotonic_time () < target->fallen_until_us;
+  g_mutex_unlock (&target->mutex);
+  return is_down;
+}
+
+/* Connections are closed at once while the target has fallen over. */
+static enum MHD_Result
+accept_connection (void *context, const struct sockaddr *address,
+                   socklen_t bytes)
+{
+  (void)address;
+  (void)bytes;
+  return has_fallen (context) ? MHD_NO : MHD_YES;
+}
+
+static void
+note_arrival (struct platform_target *target,
+              struct MHD_Connection *connection)
+{
+  const char *id = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                "X-Request-Id");
+  if (target->arrival && id)
+    target->arrival (target->arrival_context, id);
+}
+
 static enum MHD_Result
 respond (struct platform_target *target, struct MHD_Connection *connection,
          bool is_stream)
 {
   int mode = atomic_load (&target->mode);
+  if (has_fallen (target))
+    return MHD_NO;
+  note_arrival (target, connection);
+  if (atomic_load (&target->rest_ms) > 0 || !enter (target))
+    mode = PLATFORM_TARGET_FULL;
+  else
+    leave (target);
   if (mode == PLATFORM_TARGET_FULL)
     return respond_with_text (target, connection, MHD_HTTP_SERVICE_UNAVAILABLE,
                               "");
@@ -178,12 +308,14 @@
   g_mutex_init (&target->mutex);
   target->headers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_cond_init (&target->slot_is_free);
+  target->rejections = g_array_new (FALSE, FALSE, sizeof (gint64));
   target->runs_by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   target->daemon = MHD_start_daemon (
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
-      NULL, handle_request, target, MHD_OPTION_SOCK_ADDR, &address,
-      MHD_OPTION_END);
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0,
+      accept_connection, target, handle_request, target, MHD_OPTION_SOCK_ADDR,
+      &address, MHD_OPTION_END);
   g_assert_nonnull (target->daemon);
   return target;
 }
@@ -194,6 +326,9 @@
   MHD_stop_daemon (target->daemon);
   g_hash_table_unref (target->headers);
   g_hash_table_unref (target->runs_by_id);
+  g_array_unref (target->rejections);
+  g_free (target->statement);
+  g_cond_clear (&target->slot_is_free);
   g_mutex_clear (&target->mutex);
   g_free (target->id);
   g_free (target);
@@ -219,6 +354,48 @@
   atomic_store (&target->interval_ms, interval_ms);
 }
 
+void
+platform_target_set_statement (struct platform_target *target,
+                               const char *line)
+{
+  g_mutex_lock (&target->mutex);
+  g_free (target->statement);
+  target->statement = g_strdup (line);
+  g_mutex_unlock (&target->mutex);
+}
+
+void
+platform_target_set_rest (struct platform_target *target, uint32_t rest_ms)
+{
+  atomic_store (&target->rest_ms, rest_ms);
+}
+
+void
+platform_target_set_room (struct platform_target *target,
+                          const struct platform_target_room *room)
+{
+  g_mutex_lock (&target->mutex);
+  target->room = *room;
+  g_mutex_unlock (&target->mutex);
+}
+
+uint32_t
+platform_target_falls (struct platform_target *target)
+{
+  g_mutex_lock (&target->mutex);
+  uint32_t falls = target->falls;
+  g_mutex_unlock (&target->mutex);
+  return falls;
+}
+
+void
+platform_target_set_arrival (struct platform_target *target,
+                             platform_target_arrival *arrival, void *context)
+{
+  target->arrival_context = context;
+  target->arrival = arrival;
+}
+
 uint32_t
 platform_target_runs (struct platform_target *target)
 {
--- a/tools/platform_target.h
+++ b/tools/platform_target.h
@@ -39,6 +39,36 @@
 /** Sets the time between the events of a stream. */
 void platform_target_set_event_interval (struct platform_target *target,
                                          uint32_t interval_ms);
+/** Sets a header line ("Name: value") of later responses; NULL for none. */
+void platform_target_set_statement (struct platform_target *target,
+                                    const char *line);
+/** Has the target turn all requests away and ask for rest, until it is called
+ *  with 0. */
+void platform_target_set_rest (struct platform_target *target,
+                               uint32_t rest_ms);
+/** What a target can take. */
+struct platform_target_room
+{
+  /** Requests that run at a time, for work_ms each, and that may wait. */
+  uint32_t slots;
+  uint32_t waiting;
+  uint32_t work_ms;
+  /** It falls over for fall_ms when it has to turn away more than this in a
+   *  second; 0: it doesn't. */
+  uint32_t rejections_per_s;
+  uint32_t fall_ms;
+};
+/** Sets what the target can take; by default anything. */
+void platform_target_set_room (struct platform_target *target,
+                               const struct platform_target_room *room);
+/** Number of times that the target fell over. */
+uint32_t platform_target_falls (struct platform_target *target);
+/** Called for each request that arrives, on the connection's thread. */
+typedef void platform_target_arrival (void *context, const char *request_id);
+/** Sets the callback for arrivals. */
+void platform_target_set_arrival (struct platform_target *target,
+                                  platform_target_arrival *arrival,
+                                  void *context);
 /** Number of requests that the target has run. */
 uint32_t platform_target_runs (struct platform_target *target);
 /** Number of runs of the request with this id. */
