Send no new work to a target whose answers say that it leaves

Cause: only announcements to control told that a target leaves; its answers went unread. Why this works: an answer that says so ends the incarnation's new work at this router at once, in the same place as an announcement: first tries, repeats, resumed streams and connections of other routers. Each router learns it from its own answers, and from those that it passes on for others; control isn't told, since a router that has sent nothing lately learns it with its first answer.

--- a/src/edge_targets.c
+++ b/src/edge_targets.c
@@ -110,7 +110,8 @@
 bool
 edge_target_accepts_work (const struct edge_target *target)
 {
-  return target->record.state == CONTROL_TARGET_READY && !target->is_replaced;
+  return target->record.state == CONTROL_TARGET_READY && !target->is_replaced
+         && !target->pacing.is_leaving;
 }
 
 /* Sets the target's build from its record. */
