Ask further routers for a way to a target; test ways over random histories

It asked four others, waited 1.5 s, and asked the same four again, since by then they counted as not asked. It now goes on until no other router is left, twelve at most; what a router didn't reach is remembered for longer than the pause. /edge-reach/histories-of-88-routers: requests were passed to routers that control had called gone; they were kept for 10 s like those that nobody reports any more. A rejection by a brittle target kept a router away for a little less than its share of the rejections that the target stands, and for less than that where there are more than 30 routers.

--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -188,8 +188,7 @@
 }
 
 static void
-apply_routers (struct edge_links *links, const struct edge_update *update,
-               uint64_t now_ms)
+apply_routers (struct edge_links *links, const struct edge_update *update)
 {
   struct edge *edge = links->edge;
   const struct control_watch_result *result = &update->result;
@@ -198,8 +197,7 @@
       const struct control_router_record *record
           = &result->changed_routers.changed_routers_val[i];
       edge_peers_merge (edge->peers, update->source, record,
-                        edge_distance_to (edge, record->availability_zone),
-                        now_ms);
+                        edge_distance_to (edge, record->availability_zone));
     }
 }
 
@@ -238,7 +236,7 @@
   edge_prepaid_set_routers (links->edge->prepaid, result->routers);
   report_document (links, link, update);
   apply_targets (links, update, now_ms);
-  apply_routers (links, update, now_ms);
+  apply_routers (links, update);
   edge_quarantine_apply (links->edge->quarantine, &result->suspects, now_ms);
   edge_limits_apply_list (links->edge->limits, &result->limits,
                           base_clock_steady_wall_ms ());
--- a/src/edge_pacing.c
+++ b/src/edge_pacing.c
@@ -12,7 +12,7 @@
 /* Time over which a brittle target counts its rejections, and the longest wait
    after one, in milliseconds. */
 #define REJECTION_MS UINT64_C (1000)
-#define REJECTION_REST_MAX_MS UINT64_C (5000)
+#define REJECTION_REST_MAX_MS UINT64_C (15000)
 
 uint32_t
 edge_pacing_note_head (struct edge_pacing *pacing,
@@ -71,8 +71,9 @@
                             uint64_t now_ms)
 {
   uint32_t allowed = MAX (pacing->rejections_per_s, 1);
-  uint64_t rest_ms = MIN (REJECTION_MS * MAX (routers, allowed) / allowed,
-                          REJECTION_REST_MAX_MS);
+  uint64_t fair_ms
+      = (MAX (routers, allowed) * REJECTION_MS + allowed - 1) / allowed;
+  uint64_t rest_ms = MIN (fair_ms, REJECTION_REST_MAX_MS);
   pacing->rest_until_ms = MAX (pacing->rest_until_ms, now_ms + rest_ms);
 }
 
--- a/src/edge_path.c
+++ b/src/edge_path.c
@@ -14,10 +14,10 @@
 #define HEARD_MS 300
 /* Time for which a router that didn't reach the target isn't asked again, in
    milliseconds. */
-#define FAILED_VIA_MS 1500
+#define FAILED_VIA_MS 2000
 /* Failures via other routers after which none is assumed to reach the target,
    and the interval at which they are then asked again, in milliseconds. */
-#define RELAY_TRIES 4
+#define RELAY_TRIES 12
 #define RELAY_INTERVAL_MS 1500
 
 bool
--- a/src/edge_peers.c
+++ b/src/edge_peers.c
@@ -79,14 +79,17 @@
 void
 edge_peers_merge (struct edge_peers *peers, uint32_t source,
                   const struct control_router_record *record,
-                  enum place_distance distance, uint64_t now_ms)
+                  enum place_distance distance)
 {
   uint32_t bit = UINT32_C (1) << source;
   struct edge_peer *peer = edge_peers_find (peers, record->name);
   if (record->gone)
     {
+      /* Control says so, rather than saying nothing. */
+      if (peer && (peer->sources & ~bit) == 0)
+        peer->unreported_ms = 0;
       if (peer)
-        drop_source (peer, bit, now_ms);
+        peer->sources &= ~bit;
       return;
     }
   if (!peer)
--- a/src/edge_peers.h
+++ b/src/edge_peers.h
@@ -52,10 +52,11 @@
 struct edge_peers *edge_peers_create (void);
 /** Destroys the set; NULL is allowed. */
 void edge_peers_destroy (struct edge_peers *peers);
-/** Merges what member @p source (below 32) says of a router. */
+/** Merges what member @p source (below 32) says of a router.  One that the
+ * last member calls gone is dropped. */
 void edge_peers_merge (struct edge_peers *peers, uint32_t source,
                        const struct control_router_record *record,
-                       enum place_distance distance, uint64_t now_ms);
+                       enum place_distance distance);
 /** Discards what the member said; called when it was restarted or is
  *  unreachable.  Routers that nobody reports any more are kept for a while. */
 void edge_peers_forget_source (struct edge_peers *peers, uint32_t source,
