Probe idle connections between our processes

A caller whose host vanished left its connection at a member or ledger for two hours: TCP_USER_TIMEOUT ends a connection only when something is unacknowledged, and keep-alive began after the system's default idle time. Probes now begin after 5 s; the user timeout of 10 s decides when they have failed, whatever their number.

--- a/src/wire_connection.c
+++ b/src/wire_connection.c
@@ -21,9 +21,14 @@
 /* Maximum number of bytes of replies that are queued for a slow peer; above
    that the peer is disconnected. */
 #define OUT_MAX_BYTES (2u * CACTUS_RPC_RECORD_BYTES)
-/* Time without a TCP acknowledgement of sent bytes after which the connection
-   fails, in ms. */
+/* Time without a TCP acknowledgement of sent bytes or of a keep-alive probe
+   after which the connection fails, in ms. */
 #define UNACKED_TIMEOUT_MS 10000
+/* Idle time before the first keep-alive probe, and interval between probes, in
+   seconds: a caller whose host has vanished sends nothing more, so only a
+   probe finds that its connection is over. */
+#define KEEPALIVE_IDLE_S 5
+#define KEEPALIVE_INTERVAL_S 2
 /* Space for the encoded header of a reply, in bytes. */
 #define REPLY_HEADER_BYTES 256
 
@@ -41,11 +46,15 @@
 wire_connection_create (int fd)
 {
   int yes = 1;
+  int idle_s = KEEPALIVE_IDLE_S;
+  int interval_s = KEEPALIVE_INTERVAL_S;
   unsigned int unacked_ms = UNACKED_TIMEOUT_MS;
   struct wire_connection *connection = g_new0 (struct wire_connection, 1);
   fcntl (fd, F_SETFL, fcntl (fd, F_GETFL) | O_NONBLOCK);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &yes, sizeof yes);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
               sizeof unacked_ms);
   connection->fd = fd;
