--- a/tests/test_platform_cut_from_targets.c
+++ b/tests/test_platform_cut_from_targets.c
@@ -253,6 +253,41 @@
     }
 }
 
+/* Attempts of the first router that other routers passed on. */
+static uint64_t
+count_passed_on (const struct fixture *fixture)
+{
+  static const char name[] = "edge_sent_via_others_total{} ";
+  char *url = g_strdup_printf ("http://%s:%u/metrics", fixture->routers[0],
+                               (unsigned)fixture->rig->rpc_port + 1);
+  struct platform_reply reply = platform_rig_call ("GET", url, NULL, NULL);
+  const char *line = strstr (reply.body->str, name);
+  g_assert_nonnull (line);
+  uint64_t count
+      = line ? g_ascii_strtoull (line + sizeof name - 1, NULL, 10) : 0;
+  platform_reply_clear (&reply);
+  g_free (url);
+  return count;
+}
+
+/* Once the cut is over, the router sends its requests itself again. */
+static void
+check_return (const struct fixture *fixture)
+{
+  uint64_t before = count_passed_on (fixture);
+  g_assert_cmpuint (before, >, 0);
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      char id[24];
+      g_snprintf (id, sizeof id, "r%u", i);
+      struct platform_reply reply
+          = post (fixture, 0, paths[i % G_N_ELEMENTS (paths)], id);
+      g_assert_cmpint (reply.status, ==, 200);
+      platform_reply_clear (&reply);
+    }
+  g_assert_cmpuint (count_passed_on (fixture), ==, before);
+}
+
 static void
 test_cut (uint32_t cut, uint32_t first, const char *how)
 {
@@ -262,6 +297,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
     check_path_served (&fixture, paths[i], cut, cut_us);
   check_runs (&fixture);
+  check_return (&fixture);
   tear_down (&fixture);
 }
 
