--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -90,6 +90,9 @@
   /** Interned name of the router that passes the present attempt on, or
    *  NULL. */
   const char *via;
+  /** Shortest rest of the targets when all that could take the request rested,
+   *  in milliseconds, or 0. */
+  uint32_t rest_left_ms;
   /** What kept the request from being sent again, or NULL. */
   const char *obstacle;
   /** Names of targets that failed this request. */
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -410,12 +410,13 @@
 /* Returns whether the request can be sent again without waiting for a
    permit: a stream that has begun, only to a target of its build. */
 static bool
-has_candidate (const struct edge_request *request)
+has_candidate (struct edge_request *request)
 {
   struct choice *choice = find_candidates (request);
   bool found = choice->count > 0 || choice->full_count > 0
                || (choice->unpermitted_count == 0 && choice->resting_count == 0
                    && request->build == 0);
+  request->rest_left_ms = !found ? (uint32_t)choice->rest_left_ms : 0;
   g_free (choice);
   return found;
 }
@@ -507,7 +508,8 @@
         place_note_refused_connection (&target->load, now_ms);
     }
   if (!send_again (request, true, "the target can't be reached"))
-    give_up (request, NO_TARGET_RETRY_AFTER_MS, "the target can't be reached");
+    give_up (request, MAX (NO_TARGET_RETRY_AFTER_MS, request->rest_left_ms),
+             "the target can't be reached");
 }
 
 /* Handles an attempt that did not run. */
@@ -516,7 +518,8 @@
 {
   request->attempts_maybe_run--;
   if (!send_again (request, false, reason))
-    give_up (request, FULL_RETRY_AFTER_MS, reason);
+    give_up (request, MAX (FULL_RETRY_AFTER_MS, request->rest_left_ms),
+             reason);
 }
 
 /* Handles an attempt that may have run and has no usable response. */
--- a/tests/test_platform_target_statements.c
+++ b/tests/test_platform_target_statements.c
@@ -73,6 +73,7 @@
   gint64 sent_us[REQUESTS_MAX];
   gint64 ended_us[REQUESTS_MAX];
   long status[REQUESTS_MAX];
+  double retry_after_s[REQUESTS_MAX];
 };
 
 /* Counts requests that come to a target in its rest, or after it has left. */
@@ -143,9 +144,17 @@
   g_free (fixture);
 }
 
+static double
+find_retry_after (const char *head)
+{
+  static const char name[] = "\r\nRetry-After: ";
+  const char *line = strstr (head, name);
+  return line ? g_ascii_strtod (line + sizeof name - 1, NULL) : 0.0;
+}
+
 static long
 post (const struct fixture *fixture, uint32_t router, const char *path,
-      const char *id)
+      const char *id, double *retry_after_s)
 {
   char *url = g_strdup_printf ("http://%s:%u%s", fixture->routers[router],
                                (unsigned)fixture->rig->callers_port, path);
@@ -154,6 +163,7 @@
                                 "X-Credential: k1", id_line, NULL };
   struct platform_reply reply = platform_rig_call ("POST", url, "abc", lines);
   long status = reply.whole ? reply.status : 0;
+  *retry_after_s = find_retry_after (reply.head->str);
   platform_reply_clear (&reply);
   g_free (id_line);
   g_free (url);
@@ -178,9 +188,9 @@
         g_usleep ((gulong)(due_us - now_us));
       g_snprintf (id, sizeof id, "q%u", number);
       fixture->sent_us[number] = g_get_monotonic_time ();
-      fixture->status[number]
-          = post (fixture, number % ROUTERS,
-                  number % 2 == 0 ? "/look/x" : "/order/x", id);
+      fixture->status[number] = post (fixture, number % ROUTERS,
+                                      number % 2 == 0 ? "/look/x" : "/order/x",
+                                      id, &fixture->retry_after_s[number]);
       fixture->ended_us[number] = g_get_monotonic_time ();
     }
 }
@@ -191,7 +201,9 @@
   for (uint32_t i = 0; i < ROUTERS; i++)
     {
       uint32_t tries = 0;
-      while (post (fixture, i, "/look/x", "w") != 200 && tries++ < 200)
+      double retry_after_s;
+      while (post (fixture, i, "/look/x", "w", &retry_after_s) != 200
+             && tries++ < 200)
         g_usleep (50000);
       g_assert_cmpuint (tries, <, 200);
     }
@@ -285,14 +297,19 @@
                                    over_us + 1000 * REST_MS + G_USEC_PER_SEC,
                                    fixture->end_us),
                      >=, 0.95);
-  /* What can't be served is rejected at once. */
+  /* What can't be served is rejected at once, with the time left. */
   if (resting == fixture->target_count)
     for (uint32_t i = 0; i < REQUESTS_MAX; i++)
       if (fixture->sent_us[i] > begun_us + ON_THE_WAY_US
           && fixture->sent_us[i] < begun_us + 1000 * REST_MS
           && fixture->status[i] == 503)
-        g_assert_cmpint (fixture->ended_us[i] - fixture->sent_us[i], <,
-                         ON_THE_WAY_US);
+        {
+          g_assert_cmpint (fixture->ended_us[i] - fixture->sent_us[i], <,
+                           ON_THE_WAY_US);
+          g_assert_cmpfloat (fixture->ended_us[i]
+                                 + G_USEC_PER_SEC * fixture->retry_after_s[i],
+                             >=, begun_us + 1000.0 * REST_MS);
+        }
   tear_down (fixture);
 }
 
