Keep what a target said where a later statement can't be read; one order of waiting requests

A Server-Brittle that can't be read ended the former statement. Requests that wait for permits and for room were ordered by two copies of one function. Warnings of the linter.

--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -187,7 +187,9 @@
   curl_easy_setopt (easy, CURLOPT_HEADEROPT, (long)CURLHEADER_SEPARATE);
   curl_easy_setopt (easy, CURLOPT_PROXYHEADER, attempt->tunnel_headers);
   /* The other router knows this one by its address. */
-  curl_easy_setopt (easy, CURLOPT_INTERFACE, options->own_address);
+  char *own = g_strdup_printf ("host!%s", options->own_address);
+  curl_easy_setopt (easy, CURLOPT_INTERFACE, own);
+  g_free (own);
   g_free (via);
 }
 
--- a/src/edge_pacing.c
+++ b/src/edge_pacing.c
@@ -14,6 +14,27 @@
 #define REJECTION_MS UINT64_C (1000)
 #define REJECTION_REST_MAX_MS UINT64_C (15000)
 
+/* Takes note of a rest that a response asks for, or of a request that the
+   target took after one. */
+static uint32_t
+note_rest (struct edge_pacing *pacing,
+           const struct edge_target_response *response, uint64_t now_ms,
+           uint64_t random)
+{
+  if (response->rest_ms > 0)
+    {
+      uint64_t later_ms = random % (response->rest_ms / REST_SPREAD + 1);
+      pacing->rest_until_ms
+          = MAX (pacing->rest_until_ms, now_ms + response->rest_ms + later_ms);
+      pacing->window = EDGE_PACING_FIRST_WINDOW;
+      return EDGE_PACING_RESTS;
+    }
+  if (!response->not_run && pacing->window > 0
+      && now_ms >= pacing->rest_until_ms)
+    pacing->window = pacing->window < WINDOW_MAX ? 2 * pacing->window : 0;
+  return 0;
+}
+
 uint32_t
 edge_pacing_note_head (struct edge_pacing *pacing,
                        const struct edge_target_response *response,
@@ -25,6 +46,8 @@
       pacing->is_leaving = true;
       changes |= EDGE_PACING_LEAVES;
     }
+  if (response->malformed_statement && !response->is_brittle)
+    return changes | note_rest (pacing, response, now_ms, random);
   if (response->is_brittle != pacing->is_brittle
       || (response->is_brittle
           && response->rejections_per_s != pacing->rejections_per_s))
@@ -32,18 +55,7 @@
   pacing->is_brittle = response->is_brittle;
   pacing->rejections_per_s = response->rejections_per_s;
   pacing->stated_ms = now_ms;
-  if (response->rest_ms > 0)
-    {
-      uint64_t later_ms = random % (response->rest_ms / REST_SPREAD + 1);
-      pacing->rest_until_ms
-          = MAX (pacing->rest_until_ms, now_ms + response->rest_ms + later_ms);
-      pacing->window = EDGE_PACING_FIRST_WINDOW;
-      changes |= EDGE_PACING_RESTS;
-    }
-  else if (!response->not_run && pacing->window > 0
-           && now_ms >= pacing->rest_until_ms)
-    pacing->window = pacing->window < WINDOW_MAX ? 2 * pacing->window : 0;
-  return changes;
+  return changes | note_rest (pacing, response, now_ms, random);
 }
 
 uint32_t
--- a/src/edge_permits.c
+++ b/src/edge_permits.c
@@ -185,19 +185,6 @@
     }
 }
 
-static gint
-compare_requests (gconstpointer a, gconstpointer b)
-{
-  const struct edge_request *left = *(struct edge_request *const *)a;
-  const struct edge_request *right = *(struct edge_request *const *)b;
-  uint32_t left_priority = edge_request_priority (left);
-  uint32_t right_priority = edge_request_priority (right);
-  if (left_priority != right_priority)
-    return left_priority < right_priority ? -1 : 1;
-  return (left->arrived_ms > right->arrived_ms)
-         - (left->arrived_ms < right->arrived_ms);
-}
-
 void
 edge_permits_handle_result (struct edge *edge,
                             const struct control_router_result *result,
@@ -212,7 +199,7 @@
       if (request->step == EDGE_STEP_AWAITS_PERMIT)
         g_ptr_array_add (waiting, request);
     }
-  g_ptr_array_sort (waiting, compare_requests);
+  g_ptr_array_sort (waiting, edge_request_compare);
   for (guint i = 0; i < waiting->len; i++)
     edge_send_request (waiting->pdata[i]);
   g_ptr_array_unref (waiting);
@@ -227,7 +214,7 @@
     {
       const struct edge_request *other = link->data;
       count += other != request && waits_for (other, request->service->name)
-               && compare_requests (&other, &request) < 0;
+               && edge_request_compare (&other, &request) < 0;
     }
   return count;
 }
--- a/src/edge_probe.c
+++ b/src/edge_probe.c
@@ -236,7 +236,7 @@
   struct sockaddr_in own = { .sin_family = AF_INET };
   if (probe->peer
       && inet_pton (AF_INET, probe->edge->options.address, &own.sin_addr) == 1)
-    bind (probe->fd, (struct sockaddr *)&own, sizeof own);
+    (void)bind (probe->fd, (struct sockaddr *)&own, sizeof own);
 }
 
 static void
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -89,6 +89,19 @@
   return MIN (priority, EDGE_DEMAND_PRIORITIES - 1);
 }
 
+gint
+edge_request_compare (gconstpointer a, gconstpointer b)
+{
+  const struct edge_request *left = *(struct edge_request *const *)a;
+  const struct edge_request *right = *(struct edge_request *const *)b;
+  uint32_t left_priority = edge_request_priority (left);
+  uint32_t right_priority = edge_request_priority (right);
+  if (left_priority != right_priority)
+    return left_priority < right_priority ? -1 : 1;
+  return (left->arrived_ms > right->arrived_ms)
+         - (left->arrived_ms < right->arrived_ms);
+}
+
 uint64_t
 edge_request_digest (struct edge_request *request)
 {
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -130,6 +130,9 @@
 void edge_request_unref (struct edge_request *request);
 /** Returns the priority of the request, 0 being the most urgent. */
 uint32_t edge_request_priority (const struct edge_request *request);
+/** Compares two requests (struct edge_request **) that wait: by priority, then
+ *  by arrival.  For g_ptr_array_sort. */
+gint edge_request_compare (gconstpointer a, gconstpointer b);
 /** Returns a digest of account, path and body, by which a request is known
  *  again under another id. */
 uint64_t edge_request_digest (struct edge_request *request);
--- a/src/edge_room.c
+++ b/src/edge_room.c
@@ -93,19 +93,6 @@
                                 edge_now_ms ());
 }
 
-static gint
-compare_requests (gconstpointer a, gconstpointer b)
-{
-  const struct edge_request *left = *(struct edge_request *const *)a;
-  const struct edge_request *right = *(struct edge_request *const *)b;
-  uint32_t left_priority = edge_request_priority (left);
-  uint32_t right_priority = edge_request_priority (right);
-  if (left_priority != right_priority)
-    return left_priority < right_priority ? -1 : 1;
-  return (left->arrived_ms > right->arrived_ms)
-         - (left->arrived_ms < right->arrived_ms);
-}
-
 /* Number of waiting requests that come before this one. */
 static uint32_t
 count_ahead (const struct edge_request *request)
@@ -116,7 +103,7 @@
       const struct edge_request *other = link->data;
       count += other != request && other->step == EDGE_STEP_AWAITS_ROOM
                && other->service == request->service
-               && compare_requests (&other, &request) < 0;
+               && edge_request_compare (&other, &request) < 0;
     }
   return count;
 }
@@ -175,7 +162,7 @@
       if (request->step == EDGE_STEP_AWAITS_ROOM)
         g_ptr_array_add (waiting, request);
     }
-  g_ptr_array_sort (waiting, compare_requests);
+  g_ptr_array_sort (waiting, edge_request_compare);
   for (guint i = 0; i < waiting->len; i++)
     {
       struct edge_request *request = waiting->pdata[i];
--- a/tests/cut_sockets.c
+++ b/tests/cut_sockets.c
@@ -140,7 +140,7 @@
       int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       address.sin_family = AF_INET;
       address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-      bind (listener, (struct sockaddr *)&address, sizeof address);
+      (void)bind (listener, (struct sockaddr *)&address, sizeof address);
       listen (listener, 0);
       getsockname (listener, (struct sockaddr *)&address, &bytes);
       for (int i = 0; i < BLACKHOLE_CONNECTIONS; i++)
--- a/tests/test_edge_reach.c
+++ b/tests/test_edge_reach.c
@@ -646,6 +646,27 @@
   g_assert_cmpuint (edge_pacing_window (&pacing), ==, UINT32_MAX);
 }
 
+/* A statement that can't be read changes nothing; one that isn't made ends the
+   former one. */
+static void
+test_malformed_statement (void)
+{
+  struct edge_pacing pacing = { 0 };
+  const struct edge_target_response brittle
+      = { .status = 200, .is_brittle = true, .rejections_per_s = 6 };
+  const struct edge_target_response malformed
+      = { .status = 503, .malformed_statement = "any", .rest_ms = 1000 };
+  const struct edge_target_response none = { .status = 200 };
+  g_assert_cmpuint (edge_pacing_note_head (&pacing, &brittle, 1000, 0), ==,
+                    EDGE_PACING_BRITTLE);
+  g_assert_cmpuint (edge_pacing_note_head (&pacing, &malformed, 1100, 0), ==,
+                    EDGE_PACING_RESTS);
+  g_assert_true (pacing.is_brittle);
+  g_assert_cmpuint (edge_pacing_note_head (&pacing, &none, 1200, 0), ==,
+                    EDGE_PACING_BRITTLE);
+  g_assert_false (pacing.is_brittle);
+}
+
 /* The more routers there are, the longer each waits after a rejection. */
 static void
 test_rejections_of_a_brittle_target (void)
@@ -679,6 +700,8 @@
   g_test_add_func ("/edge-reach/order-of-routers", test_order_of_routers);
   g_test_add_func ("/edge-reach/return-after-a-rest",
                    test_return_after_a_rest);
+  g_test_add_func ("/edge-reach/malformed-statement",
+                   test_malformed_statement);
   g_test_add_func ("/edge-reach/rejections-of-a-brittle-target",
                    test_rejections_of_a_brittle_target);
   return g_test_run ();
--- a/tests/test_platform_relay.c
+++ b/tests/test_platform_relay.c
@@ -36,7 +36,7 @@
 #define EVENT_US 50000
 #define CONTACT_US (4 * G_USEC_PER_SEC)
 /* Requests of the account that its prepaid tokens cover, and their tokens. */
-#define TOKENS "10,40"
+#define TOKENS_LINE "X-Token-Count: 10,40"
 #define TOKENS_EACH 50
 #define PREPAID_TOKENS 1000
 
@@ -115,7 +115,7 @@
       = g_strdup_printf ("X-Request-Id: q%u", atomic_fetch_add (&number, 1));
   const char *const lines[] = { "Host: h.example",
                                 "X-Deadline-Ms: 9000",
-                                "X-Token-Count: " TOKENS,
+                                TOKENS_LINE,
                                 "X-Credential: k1",
                                 id,
                                 NULL };
@@ -306,7 +306,7 @@
           .sin_port = htons (fixture->rig->callers_port) };
   static const char request[]
       = "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: gone\r\n"
-        "X-Deadline-Ms: 9000\r\nX-Token-Count: " TOKENS
+        "X-Deadline-Ms: 9000\r\n" TOKENS_LINE
         "\r\nX-Credential: k1\r\nContent-Length: 3\r\n\r\nabc";
   inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
   int fd = socket (AF_INET, SOCK_STREAM, 0);
--- a/tests/test_platform_target_statements.c
+++ b/tests/test_platform_target_statements.c
@@ -98,7 +98,10 @@
       visits->rests++;
     }
   else if (is_resting && rest_us > ON_THE_WAY_US)
-    visits->most_strays = MAX (visits->most_strays, ++visits->strays);
+    {
+      visits->strays++;
+      visits->most_strays = MAX (visits->most_strays, visits->strays);
+    }
   if (visits->refused_us == 0
       && fixture->sent_us[number] > stated_us + DRAIN_US)
     target->late++;
