--- a/src/edge_room.c
+++ b/src/edge_room.c
@@ -27,17 +27,17 @@
 find_window (const struct edge *edge, struct edge_target *target,
              uint64_t now_ms)
 {
-  if (target->window_ms == 0
-      || now_ms >= target->window_ms + WINDOW_INTERVAL_MS)
+  if (target->brittle_window_ms == 0
+      || now_ms >= target->brittle_window_ms + WINDOW_INTERVAL_MS)
     {
       const struct edge_pacing_part part
           = { target->record.slots, count_routers (edge),
               edge_peers_rank (edge->peers, edge->options.host,
                                target->record.name) };
-      target->window = edge_pacing_brittle_window (&part);
-      target->window_ms = now_ms;
+      target->brittle_window = edge_pacing_brittle_window (&part);
+      target->brittle_window_ms = now_ms;
     }
-  return target->window;
+  return target->brittle_window;
 }
 
 /* Returns whether the target's memory has room for the request, if other
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -39,9 +39,9 @@
   struct edge_path path;
   struct edge_pacing pacing;
   /** Requests of this router that may run at the target while it is brittle,
-   *  as of window_ms. */
-  uint32_t window;
-  uint64_t window_ms;
+   *  as of brittle_window_ms. */
+  uint32_t brittle_window;
+  uint64_t brittle_window_ms;
 };
 
 struct edge_targets;
--- a/tests/test_platform_limit.c
+++ b/tests/test_platform_limit.c
@@ -127,14 +127,6 @@
   g_free (fixture->endings);
 }
 
-static double
-find_retry_after (const char *head)
-{
-  static const char name[] = "\r\nRetry-After: ";
-  const char *line = strstr (head, name);
-  return line ? g_ascii_strtod (line + sizeof name - 1, NULL) : 0.0;
-}
-
 static void
 request (struct fixture *fixture, uint32_t number)
 {
@@ -149,7 +141,7 @@
   struct platform_reply reply = platform_rig_call ("POST", url, "abc", lines);
   ending->ended_us = g_get_monotonic_time ();
   ending->status = reply.whole ? reply.status : 0;
-  ending->retry_after_s = find_retry_after (reply.head->str);
+  ending->retry_after_s = platform_reply_retry_after_s (&reply);
   platform_reply_clear (&reply);
   g_free (id);
   g_free (url);
--- a/tests/test_platform_target_statements.c
+++ b/tests/test_platform_target_statements.c
@@ -147,14 +147,6 @@
   g_free (fixture);
 }
 
-static double
-find_retry_after (const char *head)
-{
-  static const char name[] = "\r\nRetry-After: ";
-  const char *line = strstr (head, name);
-  return line ? g_ascii_strtod (line + sizeof name - 1, NULL) : 0.0;
-}
-
 static long
 post (const struct fixture *fixture, uint32_t router, const char *path,
       const char *id, double *retry_after_s)
@@ -166,7 +158,7 @@
                                 "X-Credential: k1", id_line, NULL };
   struct platform_reply reply = platform_rig_call ("POST", url, "abc", lines);
   long status = reply.whole ? reply.status : 0;
-  *retry_after_s = find_retry_after (reply.head->str);
+  *retry_after_s = platform_reply_retry_after_s (&reply);
   platform_reply_clear (&reply);
   g_free (id_line);
   g_free (url);
--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -172,6 +172,14 @@
   return reply;
 }
 
+double
+platform_reply_retry_after_s (const struct platform_reply *reply)
+{
+  static const char name[] = "\r\nRetry-After: ";
+  const char *line = strstr (reply->head->str, name);
+  return line ? g_ascii_strtod (line + sizeof name - 1, NULL) : 0.0;
+}
+
 void
 platform_reply_clear (struct platform_reply *reply)
 {
--- a/tools/platform_rig.h
+++ b/tools/platform_rig.h
@@ -62,6 +62,8 @@
 struct platform_reply platform_rig_call (const char *method, const char *url,
                                          const char *body,
                                          const char *const *lines);
+/** Returns the value of the reply's Retry-After in seconds, or 0. */
+double platform_reply_retry_after_s (const struct platform_reply *reply);
 /** Frees the contents of a reply. */
 void platform_reply_clear (struct platform_reply *reply);
 /** Makes one HTTP call to control member @p core; returns the response status,
