Divide brittle targets' slots among routers by their demand

What callers saw: where one of three routers has all callers, it served 211 of 400 requests a second of targets that could serve 600: it kept to a third of their slots, and the other routers didn't use theirs. Cause: equal parts. Why this works: while a target is brittle, a router tells with the list of routers the weight of its demand, the mean of its open requests and of those rejected for want of room, when that has changed by a quarter. All compute the parts from the same weights, so that they add up to the slots; one that grows is used a second later, when the others know that theirs have shrunk.

--- a/src/control_routers.c
+++ b/src/control_routers.c
@@ -69,7 +69,8 @@
          const struct control_router_record *b)
 {
   return a->relay_port == b->relay_port && a->is_cut_off == b->is_cut_off
-         && a->gone == b->gone && strcmp (a->address, b->address) == 0
+         && a->gone == b->gone && a->demand == b->demand
+         && strcmp (a->address, b->address) == 0
          && strcmp (a->availability_zone, b->availability_zone) == 0;
 }
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -365,7 +365,7 @@
       edge_relay_run (edge->relay, now_ms);
       run_timers (edge, now_ms);
       edge_front_run (edge->front);
-      edge_room_run (edge);
+      edge_room_run (edge, now_ms);
     }
   edge_links_return_leases (edge->links, LEASE_RETURN_WAIT_MS);
   base_event ("stopped open=%u after_ms=%" G_GUINT64_FORMAT,
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -446,6 +446,7 @@
       edge_update_free (update);
     }
   atomic_store (&links->shared.is_cut_off, links->edge->is_cut_off);
+  atomic_store (&links->shared.demand, links->edge->demand_weight);
   if (links->edge->stopping)
     atomic_store (&links->shared.relay_port, 0);
   struct edge_table *table = edge_reader_take_table (links->reader);
--- a/src/edge_pacing.c
+++ b/src/edge_pacing.c
@@ -70,12 +70,17 @@
   return pacing->stated_ms == 0 || now_ms >= pacing->stated_ms + STALE_MS;
 }
 
+uint32_t
+edge_pacing_round_part (uint32_t slots, uint64_t weight, uint64_t weights)
+{
+  return (uint32_t)(MAX (slots, 1) * weight / MAX (weights, 1));
+}
+
 uint32_t
 edge_pacing_brittle_window (const struct edge_pacing_part *part)
 {
-  uint32_t routers = MAX (part->routers, 1);
-  uint32_t room = MAX (part->slots, 1);
-  return room / routers + (part->rank < room % routers);
+  return edge_pacing_round_part (part->slots, part->weight, part->weights)
+         + (part->rank < part->left_over);
 }
 
 void
--- a/src/edge_pacing.h
+++ b/src/edge_pacing.h
@@ -44,9 +44,13 @@
 {
   /** Requests that run at the target at a time. */
   uint32_t slots;
-  /** Number of routers, and how many of them come before this one in an order
-   *  that all know and that differs by target. */
-  uint32_t routers;
+  /** Weight of this router's demand, and the sum of all routers' weights. */
+  uint64_t weight;
+  uint64_t weights;
+  /** Slots left when each router has its part rounded down, which go to the
+   *  first routers in an order that all know and that differs by target; and
+   *  how many routers come before this one in it. */
+  uint32_t left_over;
   uint32_t rank;
 };
 
@@ -61,6 +65,9 @@
 /** Returns whether the target said so little or so long ago that what other
  *  targets of its service say counts for it as well. */
 bool edge_pacing_is_stale (const struct edge_pacing *pacing, uint64_t now_ms);
+/** Returns the part of a router with this weight, rounded down. */
+uint32_t edge_pacing_round_part (uint32_t slots, uint64_t weight,
+                                 uint64_t weights);
 /** Returns how many requests of this router may run at a brittle target: all
  *  routers together fill its slots and let hardly any wait. */
 uint32_t edge_pacing_brittle_window (const struct edge_pacing_part *part);
--- a/src/edge_peers.c
+++ b/src/edge_peers.c
@@ -74,6 +74,7 @@
   peer->availability_zone = g_strdup (record->availability_zone);
   peer->distance = distance;
   peer->is_cut_off = record->is_cut_off;
+  peer->demand = record->demand;
 }
 
 void
@@ -135,18 +136,41 @@
                                XXH3_64bits (target, strlen (target)));
 }
 
-uint32_t
-edge_peers_rank (const struct edge_peers *peers, const char *own,
-                 const char *target)
+/* Weight of a router that said nothing of its demand. */
+static uint64_t
+weight_of (uint32_t demand)
+{
+  return MAX (demand, 1);
+}
+
+struct edge_pacing_part
+edge_peers_part (const struct edge_peers *peers, const char *own,
+                 uint32_t demand, const char *target, uint32_t slots)
 {
   GHashTableIter iterator;
-  gpointer name;
-  uint32_t rank = 0;
+  gpointer value;
   uint64_t own_hash = order_hash (own, target);
+  struct edge_pacing_part part = { .slots = MAX (slots, 1),
+                                   .weight = weight_of (demand),
+                                   .weights = weight_of (demand) };
   g_hash_table_iter_init (&iterator, peers->by_name);
-  while (g_hash_table_iter_next (&iterator, &name, NULL))
-    rank += order_hash (name, target) < own_hash;
-  return rank;
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct edge_peer *peer = value;
+      part.weights += weight_of (peer->demand);
+      part.rank += order_hash (peer->name, target) < own_hash;
+    }
+  uint32_t given
+      = edge_pacing_round_part (part.slots, part.weight, part.weights);
+  g_hash_table_iter_init (&iterator, peers->by_name);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct edge_peer *peer = value;
+      given += edge_pacing_round_part (part.slots, weight_of (peer->demand),
+                                       part.weights);
+    }
+  part.left_over = part.slots - given;
+  return part;
 }
 
 uint32_t
--- a/src/edge_peers.h
+++ b/src/edge_peers.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "edge_pacing.h"
 #include "edge_path.h"
 #include "place.h"
 #include "wire_control.h"
@@ -26,6 +27,8 @@
   enum place_distance distance;
   /** It said that it can't reach most targets itself. */
   bool is_cut_off;
+  /** Weight of its demand for brittle targets. */
+  uint32_t demand;
   /** The members that report it, one bit each, and the time at which the last
    *  one stopped. */
   uint32_t sources;
@@ -66,11 +69,11 @@
 /** Returns whether a router has this address. */
 bool edge_peers_has_address (const struct edge_peers *peers,
                              const char *address);
-/** Returns how many routers come before the one named @p own in the order of
- *  the target @p target: all routers see the same order, and another one for
- *  each target. */
-uint32_t edge_peers_rank (const struct edge_peers *peers, const char *own,
-                          const char *target);
+/** Returns the part of a brittle target with @p slots slots that belongs to
+ * the router named @p own, whose demand has the weight @p demand. */
+struct edge_pacing_part edge_peers_part (const struct edge_peers *peers,
+                                         const char *own, uint32_t demand,
+                                         const char *target, uint32_t slots);
 /** Number of routers. */
 uint32_t edge_peers_count (const struct edge_peers *peers);
 /** Chooses the router with the shortest way from this one to the target, and
--- a/src/edge_room.c
+++ b/src/edge_room.c
@@ -30,11 +30,16 @@
   if (target->brittle_window_ms == 0
       || now_ms >= target->brittle_window_ms + WINDOW_INTERVAL_MS)
     {
-      const struct edge_pacing_part part
-          = { target->record.slots, count_routers (edge),
-              edge_peers_rank (edge->peers, edge->options.host,
-                               target->record.name) };
-      target->brittle_window = edge_pacing_brittle_window (&part);
+      const struct edge_pacing_part part = edge_peers_part (
+          edge->peers, edge->options.host, edge->demand_weight,
+          target->record.name, target->record.slots);
+      uint32_t window = edge_pacing_brittle_window (&part);
+      /* A part that grows is used one interval later: by then the others know
+         that theirs have shrunk. */
+      target->brittle_window = target->brittle_window_ms == 0
+                                   ? window
+                                   : MIN (window, target->brittle_part);
+      target->brittle_part = window;
       target->brittle_window_ms = now_ms;
     }
   return target->brittle_window;
@@ -148,9 +153,47 @@
       edge_request_priority (request), 0, left_ms, now_ms);
 }
 
+/* Smallest weight of a router's demand, so that one with few requests keeps a
+   part. */
+#define WEIGHT_MIN 4u
+/* Part of the mean demand that each interval makes up, and percentage by which
+   the mean must differ from the weight that others know. */
+#define MEAN_PART 4
+#define WEIGHT_CHANGE_PERCENT 25
+
+/* Computes the weight of the router's demand for brittle targets: its requests
+   that are open, or were rejected for want of room in the last interval, in
+   the mean.  It changes seldom, since each change goes to all routers. */
+static void
+weigh_demand (struct edge *edge, uint64_t now_ms)
+{
+  uint32_t count = edge->requests.length + edge->room_rejections;
+  if (now_ms < edge->demand_weighed_ms + WINDOW_INTERVAL_MS)
+    return;
+  edge->demand_weighed_ms = now_ms;
+  edge->room_rejections = 0;
+  if (!edge_targets_has_brittle (edge->targets, now_ms))
+    {
+      edge->demand_weight = 0;
+      edge->mean_demand = 0;
+      return;
+    }
+  edge->mean_demand = edge->mean_demand == 0
+                          ? count
+                          : edge->mean_demand - edge->mean_demand / MEAN_PART
+                                + count / MEAN_PART;
+  uint32_t mean = MAX (edge->mean_demand, WEIGHT_MIN);
+  uint32_t difference = mean > edge->demand_weight
+                            ? mean - edge->demand_weight
+                            : edge->demand_weight - mean;
+  if (100 * difference > WEIGHT_CHANGE_PERCENT * edge->demand_weight)
+    edge->demand_weight = mean;
+}
+
 void
-edge_room_run (struct edge *edge)
+edge_room_run (struct edge *edge, uint64_t now_ms)
 {
+  weigh_demand (edge, now_ms);
   const struct edge_service *full = NULL;
   if (!edge->has_freed_room)
     return;
--- a/src/edge_room.h
+++ b/src/edge_room.h
@@ -35,6 +35,6 @@
 uint32_t edge_room_retry_after_ms (const struct edge_request *request);
 /** Sends requests that wait, if others have ended; called once per loop
  *  iteration. */
-void edge_room_run (struct edge *edge);
+void edge_room_run (struct edge *edge, uint64_t now_ms);
 
 #endif
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -300,6 +300,7 @@
 edge_send_reject_full (struct edge_request *request)
 {
   base_counter_add (request->edge->counters.room_rejected, 1);
+  request->edge->room_rejections++;
   give_up (request, edge_room_retry_after_ms (request),
            "the targets have no room at the moment");
 }
--- a/src/edge_targets.c
+++ b/src/edge_targets.c
@@ -30,6 +30,8 @@
   /* Times (uint64_t) at which a target of a service last said that it is
      brittle, by service. */
   GHashTable *brittle;
+  /* Time at which any did. */
+  uint64_t brittle_ms;
 };
 
 /* The builds of a service's targets. */
@@ -269,6 +271,7 @@
 edge_targets_note_brittle (struct edge_targets *targets, const char *service,
                            uint64_t now_ms)
 {
+  targets->brittle_ms = now_ms;
   uint64_t *stated_ms = g_hash_table_lookup (targets->brittle, service);
   if (!stated_ms)
     {
@@ -278,6 +281,13 @@
   *stated_ms = now_ms;
 }
 
+bool
+edge_targets_has_brittle (const struct edge_targets *targets, uint64_t now_ms)
+{
+  return targets->brittle_ms != 0
+         && now_ms < targets->brittle_ms + BRITTLE_MEMORY_MS;
+}
+
 bool
 edge_targets_is_brittle (const struct edge_targets *targets,
                          const struct edge_target *target, uint64_t now_ms)
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -39,8 +39,9 @@
   struct edge_path path;
   struct edge_pacing pacing;
   /** Requests of this router that may run at the target while it is brittle,
-   *  as of brittle_window_ms. */
+   *  as of brittle_window_ms, and its part as computed then. */
   uint32_t brittle_window;
+  uint32_t brittle_part;
   uint64_t brittle_window_ms;
 };
 
@@ -73,6 +74,9 @@
 /** Notes that a target of the service said that it is brittle. */
 void edge_targets_note_brittle (struct edge_targets *targets,
                                 const char *service, uint64_t now_ms);
+/** Returns whether any target lately said that it is brittle. */
+bool edge_targets_has_brittle (const struct edge_targets *targets,
+                               uint64_t now_ms);
 /** Returns whether the target is brittle, as far as it or others of its
  * service said lately. */
 bool edge_targets_is_brittle (const struct edge_targets *targets,
--- a/src/edge_watcher.c
+++ b/src/edge_watcher.c
@@ -79,6 +79,7 @@
   args.self.availability_zone = shared->availability_zone;
   args.self.relay_port = atomic_load (&shared->relay_port);
   args.self.is_cut_off = atomic_load (&shared->is_cut_off);
+  args.self.demand = atomic_load (&shared->demand);
   update->source = watcher->source;
   update->status = wire_client_call (
       watcher->client, CONTROL_WATCH, (xdrproc_t)xdr_control_watch_args, &args,
--- a/src/edge_watcher.h
+++ b/src/edge_watcher.h
@@ -24,6 +24,7 @@
   char *availability_zone;
   atomic_uint relay_port;
   atomic_bool is_cut_off;
+  atomic_uint demand;
   /** Queue of struct edge_update, read by the loop's thread. */
   GAsyncQueue *updates;
   /** Called by a watcher after it queued an update. */
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -613,6 +613,7 @@
 	u_int relay_port;
 	wire_name availability_zone;
 	bool_t is_cut_off;
+	u_int demand;
 	bool_t gone;
 };
 typedef struct control_router_record control_router_record;
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -586,6 +586,7 @@
   unsigned int relay_port;        /* 0: it takes no connections of others */
   wire_name availability_zone;
   bool is_cut_off;                /* it can't reach most targets itself */
+  unsigned int demand;            /* weight of its demand for brittle targets */
   bool gone;                      /* it has stopped calling */
 };
 
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -1122,6 +1122,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_cut_off))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->demand))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->gone))
 		 return FALSE;
 	return TRUE;
