--- a/src/edge.h
+++ b/src/edge.h
@@ -146,11 +146,12 @@
   struct edge_demand *room_demand;
   bool has_freed_room;
   /** Weight of the demand for brittle targets, which other routers are told,
-   *  the mean demand that it follows, when that was computed, and requests
-   *  rejected for want of room since. */
+   *  the mean demand that it follows, when that was computed and when the
+   *  weight changed, and requests rejected for want of room since. */
   uint32_t demand_weight;
   uint32_t mean_demand;
   uint64_t demand_weighed_ms;
+  uint64_t demand_told_ms;
   uint32_t room_rejections;
   /** A request waits for a permit and control was not asked for it yet. */
   bool has_unasked_requests;
--- a/src/edge_room.c
+++ b/src/edge_room.c
@@ -160,6 +160,9 @@
    the mean must differ from the weight that others know. */
 #define MEAN_PART 4
 #define WEIGHT_CHANGE_PERCENT 25
+/* Interval of changes for each router of the fleet, in ms, so that all routers
+   together change their weights 20 times a second at most. */
+#define WEIGHT_SPACING_MS 50
 
 /* Computes the weight of the router's demand for brittle targets: its requests
    that are open, or were rejected for want of room in the last interval, in
@@ -186,8 +189,12 @@
   uint32_t difference = mean > edge->demand_weight
                             ? mean - edge->demand_weight
                             : edge->demand_weight - mean;
-  if (100 * difference > WEIGHT_CHANGE_PERCENT * edge->demand_weight)
-    edge->demand_weight = mean;
+  if (100 * difference <= WEIGHT_CHANGE_PERCENT * edge->demand_weight
+      || now_ms < edge->demand_told_ms
+                      + (uint64_t)WEIGHT_SPACING_MS * count_routers (edge))
+    return;
+  edge->demand_weight = mean;
+  edge->demand_told_ms = now_ms;
 }
 
 void
