--- a/src/edge_room.c
+++ b/src/edge_room.c
@@ -45,18 +45,18 @@
   return target->brittle_window;
 }
 
-/* Returns whether the target's memory has room for the request, if other
-   routers use as much as this one. */
+/* Returns whether the request fits into this router's part of the target's
+   memory, which is as large as its part of the slots. */
 static bool
 has_memory (const struct edge_request *request,
-            const struct edge_target *target)
+            const struct edge_target *target, uint32_t window)
 {
   const struct place_request *placement = &request->placement;
   uint64_t tokens = target->load.held_tokens + placement->prompt_tokens
                     + placement->output_tokens;
   uint64_t limit = request->service->kv_tokens * MEMORY_PERCENT / 100;
   return limit == 0 || target->load.running == 0
-         || tokens * count_routers (request->edge) <= limit;
+         || tokens * MAX (target->record.slots, 1) <= limit * MAX (window, 1);
 }
 
 enum edge_room
@@ -70,8 +70,8 @@
     return EDGE_ROOM_FULL;
   if (!edge_targets_is_brittle (edge->targets, target, now_ms))
     return EDGE_ROOM_FREE;
-  return target->load.running < find_window (edge, target, now_ms)
-                 && has_memory (request, target)
+  uint32_t window = find_window (edge, target, now_ms);
+  return target->load.running < window && has_memory (request, target, window)
              ? EDGE_ROOM_FREE
              : EDGE_ROOM_FULL;
 }
