Bound the probes that a lost target causes

With the first lost target a router probed all others: at 600 targets and 380 routers 228,000 connections where one target dies.

--- a/src/edge_reach.c
+++ b/src/edge_reach.c
@@ -6,10 +6,46 @@
 #include "base_event.h"
 #include "edge_probe.h"
 
+/* Number of other targets that are probed when one is lost; each of them that
+   is lost too has as many more probed. */
+#define CHECKS 12
+/* A target that nobody reaches and that has stopped announcing itself for this
+   time is probed less often, at this interval, in milliseconds. */
+#define GONE_MS 10000
+
+/* A choice of targets to probe. */
+struct check
+{
+  struct edge *edge;
+  uint64_t now_ms;
+  uint32_t targets;
+};
+
+static void
+count_target (void *context, struct edge_target *target)
+{
+  struct check *check = context;
+  check->targets += !target->path.is_lost;
+}
+
+/* Probes each target with the same probability, CHECKS in the mean. */
 static void
 check_path (void *context, struct edge_target *target)
 {
-  edge_path_check (&target->path, *(const uint64_t *)context);
+  struct check *check = context;
+  if (!target->path.is_lost
+      && base_random_below (&check->edge->random, check->targets) < CHECKS)
+    edge_path_check (&target->path, check->now_ms);
+}
+
+/* What cut one target off may have cut off others. */
+static void
+check_others (struct edge *edge, uint64_t now_ms)
+{
+  struct check check = { edge, now_ms, 0 };
+  edge_targets_visit_all (edge->targets, count_target, &check);
+  if (check.targets > 0)
+    edge_targets_visit_all (edge->targets, check_path, &check);
 }
 
 void
@@ -31,8 +67,7 @@
   base_event ("target-unreachable target=%s zone=%s error=\"%s\" heard=%d",
               target->record.name, target->record.availability_zone,
               strerror (error), !edge_target_is_silent (target, now_ms));
-  /* What cut this target off may have cut off others. */
-  edge_targets_visit_all (edge->targets, check_path, &now_ms);
+  check_others (edge, now_ms);
 }
 
 void
@@ -112,6 +147,17 @@
   bool has_work;
 };
 
+/* Returns whether the target has probably ended, and was probed lately. */
+static bool
+is_gone (const struct edge_target *target, uint64_t now_ms)
+{
+  const struct edge_path *path = &target->path;
+  return path->is_lost && path->relay == EDGE_PATH_RELAY_FAILS
+         && now_ms >= path->lost_ms + GONE_MS
+         && now_ms < path->tried_ms + GONE_MS
+         && edge_target_is_silent (target, now_ms);
+}
+
 static void
 survey_path (void *context, struct edge_target *target)
 {
@@ -121,6 +167,8 @@
   survey->targets++;
   survey->lost += path->is_lost;
   survey->has_work |= path->is_lost || path->probe_ms != 0;
+  if (is_gone (target, survey->now_ms))
+    return;
   if (edge_path_needs_probe (path, survey->now_ms)
       && edge_probe_start (edge, target, NULL, EDGE_PROBE_PATH,
                            survey->now_ms))
