Tell a router that takes no more connections from one that can't be reached

Under a rush, with one of seven routers left that reached all targets, it had 256 tunnels open and declined 1,192 further ones in 7 s; those who asked took that for a lost router and left it out for up to 4 s.

--- a/src/edge_path.c
+++ b/src/edge_path.c
@@ -93,6 +93,11 @@
       path->relay_failures = 0;
       return former != path->relay;
     }
+  if (result == EDGE_PATH_BUSY_PEER)
+    {
+      path->relay_probe_ms = now_ms + PROBE_MIN_MS;
+      return false;
+    }
   if (result != EDGE_PATH_NO_PEER)
     remember_failure (path, peer, now_ms);
   path->relay_failures++;
--- a/src/edge_path.h
+++ b/src/edge_path.h
@@ -31,9 +31,10 @@
   EDGE_PATH_REFUSED,
   /** Nothing answered. */
   EDGE_PATH_UNREACHABLE,
-  /** The other router could not be reached or takes no more connections;
-   *  nothing is known of the target. */
-  EDGE_PATH_NO_PEER
+  /** The other router could not be reached; nothing is known of the target. */
+  EDGE_PATH_NO_PEER,
+  /** The other router takes no more connections at the moment. */
+  EDGE_PATH_BUSY_PEER
 };
 
 /** Another router that didn't reach the target. */
--- a/src/edge_peers.c
+++ b/src/edge_peers.c
@@ -13,6 +13,9 @@
 #define HOLD_MIN_MS 250
 #define HOLD_MAX_MS 4000
 #define HOLD_DOUBLINGS_MAX 4
+/* Hold after a router took no more connections, in milliseconds: some of those
+   that it passes on have ended by then. */
+#define BUSY_HOLD_MS 100
 /* Cost of each step of the way, by its distance, and of a router that is
    itself cut off from most targets; more than any way. */
 static const uint32_t distance_cost[] = { 0, 10, 100 };
@@ -264,6 +267,17 @@
   peer->hold_until_ms = now_ms + MIN (HOLD_MIN_MS << doublings, HOLD_MAX_MS);
 }
 
+void
+edge_peers_note_busy (struct edge_peers *peers, const char *name,
+                      uint64_t now_ms)
+{
+  struct edge_peer *peer = edge_peers_find (peers, name);
+  if (!peer)
+    return;
+  peer->failures = 0;
+  peer->hold_until_ms = now_ms + BUSY_HOLD_MS;
+}
+
 void
 edge_peers_note_open (struct edge_peers *peers, const char *name, bool is_open)
 {
--- a/src/edge_peers.h
+++ b/src/edge_peers.h
@@ -84,6 +84,9 @@
 /** Notes that a connection to the router was made, or could not be. */
 void edge_peers_note_contact (struct edge_peers *peers, const char *name,
                               bool is_reached, uint64_t now_ms);
+/** Notes that the router takes no more connections at the moment. */
+void edge_peers_note_busy (struct edge_peers *peers, const char *name,
+                           uint64_t now_ms);
 /** Counts a connection that the router passes on, or its end. */
 void edge_peers_note_open (struct edge_peers *peers, const char *name,
                            bool is_open);
--- a/src/edge_reach.c
+++ b/src/edge_reach.c
@@ -75,10 +75,13 @@
                          const char *peer, enum edge_path_result result)
 {
   static const char *const names[]
-      = { "reached", "refused", "unreachable", "no-peer" };
+      = { "reached", "refused", "unreachable", "no-peer", "busy-peer" };
   uint64_t now_ms = edge_now_ms ();
-  edge_peers_note_contact (edge->peers, peer, result != EDGE_PATH_NO_PEER,
-                           now_ms);
+  if (result == EDGE_PATH_BUSY_PEER)
+    edge_peers_note_busy (edge->peers, peer, now_ms);
+  else
+    edge_peers_note_contact (edge->peers, peer, result != EDGE_PATH_NO_PEER,
+                             now_ms);
   if (edge_path_note_relayed (&target->path, peer, result, now_ms))
     base_event ("target-relay target=%s via=%s result=%s relay=%d",
                 target->record.name, peer, names[result],
--- a/src/edge_relay.c
+++ b/src/edge_relay.c
@@ -18,7 +18,7 @@
 #define BACKLOG 256
 /* Maximum number of connections at a time, so that those of others leave room
    for the router's own callers. */
-#define TUNNELS_MAX 256
+#define TUNNELS_MAX 512
 /* Time for the request of a new connection, in milliseconds. */
 #define HEAD_TIMEOUT_MS 1000
 /* Maximum size of the head of a response that is read. */
--- a/src/edge_tunnel.c
+++ b/src/edge_tunnel.c
@@ -75,6 +75,8 @@
     case EDGE_TUNNEL_TARGET_RESTS:
     case EDGE_TUNNEL_TARGET_SILENT:
       return EDGE_PATH_UNREACHABLE;
+    case EDGE_TUNNEL_FULL:
+      return EDGE_PATH_BUSY_PEER;
     default:
       return EDGE_PATH_NO_PEER;
     }
