Read the clock once for a choice of a target

Each candidate read it twice, at every request; the time left of a rest was computed for targets that don't rest. edge_limits_is_empty has no user outside of its file any more.

--- a/src/edge_limits.c
+++ b/src/edge_limits.c
@@ -227,8 +227,9 @@
     }
 }
 
-bool
-edge_limits_is_empty (const struct edge_limits *limits)
+/* Returns whether no target is known to be limited. */
+static bool
+is_empty (const struct edge_limits *limits)
 {
   return g_hash_table_size (limits->by_target) == 0;
 }
@@ -237,7 +238,7 @@
 find_in_force (const struct edge_limits *limits,
                const struct edge_limit_target *target, uint64_t now_ms)
 {
-  if (edge_limits_is_empty (limits))
+  if (is_empty (limits))
     return NULL;
   struct limit *limit = g_hash_table_lookup (limits->by_target, target->name);
   return limit && limit->born_ms == target->born_ms
--- a/src/edge_limits.h
+++ b/src/edge_limits.h
@@ -60,8 +60,6 @@
 uint32_t edge_limits_count_permits (const struct edge_limits *limits,
                                     const struct edge_limit_target *target,
                                     uint32_t priority, uint64_t now_ms);
-/** Returns whether no target is known to be limited, which needs no lookup. */
-bool edge_limits_is_empty (const struct edge_limits *limits);
 /** Number of targets that are limited. */
 uint32_t edge_limits_count (const struct edge_limits *limits, uint64_t now_ms);
 /** Returns whether there is a change to report. */
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -61,7 +61,8 @@
   uint32_t full_count;
   uint32_t resting_count;
   uint64_t rest_left_ms;
-  /* Time of the choice (base_clock_steady_wall_ms). */
+  /* Time of the choice, and the same as base_clock_steady_wall_ms. */
+  uint64_t now_ms;
   uint64_t steady_ms;
 };
 
@@ -78,11 +79,11 @@
 static bool
 has_room (struct choice *choice, struct edge_target *target)
 {
-  uint64_t now_ms = edge_now_ms ();
-  uint64_t left_ms = edge_pacing_rest_left_ms (&target->pacing, now_ms);
-  switch (edge_room_find (choice->request, target, now_ms))
+  uint64_t left_ms;
+  switch (edge_room_find (choice->request, target, choice->now_ms))
     {
     case EDGE_ROOM_RESTS:
+      left_ms = edge_pacing_rest_left_ms (&target->pacing, choice->now_ms);
       choice->rest_left_ms = choice->resting_count == 0
                                  ? left_ms
                                  : MIN (choice->rest_left_ms, left_ms);
@@ -127,7 +128,7 @@
     = edge_distance_to (request->edge, target->record.availability_zone),
     .slots = target->record.slots,
     .kv_tokens = request->service->kv_tokens,
-    .is_unannounced = edge_target_is_silent (target, edge_now_ms ()),
+    .is_unannounced = edge_target_is_silent (target, choice->now_ms),
     .is_relayed = is_relayed,
     .held_until_ms = target->path.relay == EDGE_PATH_RELAY_WORKS ? 0 : HELD_MS,
     .is_avoided = is_avoided (request, target->record.name),
@@ -315,6 +316,7 @@
   choice->full_count = 0;
   choice->resting_count = 0;
   choice->rest_left_ms = 0;
+  choice->now_ms = edge_now_ms ();
   choice->steady_ms = base_clock_steady_wall_ms ();
   edge_targets_visit (request->edge->targets, request->service->name,
                       add_candidate, choice);
