Draw random numbers of tests in statements of their own

Cause: the test draws the class and the queueing limit of a request as two arguments of one call. C leaves open in which order arguments are evaluated; gcc goes from the last to the first on x86-64 and from the first to the last on arm64, so the same seed gave two histories. No floating-point code takes part: -ffp-contract=off changed nothing. The queue itself is right on both (the model in the test agreed with it at every step).

Change: one draw a statement, in the order of the golden file. The same cause stood in test_control_difference (two draws in a printf, an index and a bit in one assignment) and in test_edge_reach (two draws in one sum); their seeds now give the same histories on both architectures as well.

No run on x86-64 was possible here.

--- a/tests/test_admission_fuzz.c
+++ b/tests/test_admission_fuzz.c
@@ -177,6 +177,17 @@
   g_assert_cmpuint (queued_count (fuzz, service, -1, -1), >, 0);
 }
 
+/* Draws in statements of their own: the order in which arguments are evaluated
+   differs between architectures, and the golden file holds one order. */
+static void
+push_random (struct fuzz *fuzz, struct request *request)
+{
+  uint32_t queue_ms = 100 + below (fuzz, 20000);
+  uint32_t class_index = below (fuzz, CLASSES);
+  init_request (fuzz, request, class_index, queue_ms);
+  push (fuzz, request);
+}
+
 static int64_t
 rank_of (const struct fuzz *fuzz, const struct class_model *model,
          uint32_t class_index)
@@ -349,9 +360,7 @@
     case 3:
       if (!request)
         break;
-      init_request (fuzz, request, below (fuzz, CLASSES),
-                    100 + below (fuzz, 20000));
-      push (fuzz, request);
+      push_random (fuzz, request);
       break;
     case 4:
     case 5:
--- a/tests/test_control_difference.c
+++ b/tests/test_control_difference.c
@@ -17,9 +17,12 @@
 {
   GString *text = g_string_new ("[");
   for (uint32_t i = 0; i < objects; i++)
-    g_string_append_printf (text, "{\"n\":%u,\"v\":\"%*s\"},",
-                            (unsigned)base_random_below (random, 50),
-                            (int)base_random_below (random, 40), "");
+    {
+      int value_bytes = (int)base_random_below (random, 40);
+      unsigned number = (unsigned)base_random_below (random, 50);
+      g_string_append_printf (text, "{\"n\":%u,\"v\":\"%*s\"},", number,
+                              value_bytes, "");
+    }
   g_string_append_c (text, ']');
   return text;
 }
@@ -119,8 +122,8 @@
   for (uint32_t i = 0; i < ROUNDS; i++)
     {
       guint8 *damaged = g_memdup2 (data, bytes);
-      damaged[base_random_below (&random, bytes)]
-          ^= (guint8)(1u << base_random_below (&random, 8));
+      gsize at = base_random_below (&random, bytes);
+      damaged[at] ^= (guint8)(1u << base_random_below (&random, 8));
       GBytes *packed = g_bytes_new_take (
           damaged, bytes - (i % 2 ? base_random_below (&random, bytes) : 0));
       GBytes *result = control_difference_apply (from, packed);
--- a/tests/test_edge_reach.c
+++ b/tests/test_edge_reach.c
@@ -479,9 +479,8 @@
       if (world->now_ms >= next_ms)
         {
           disturb (world);
-          next_ms = world->now_ms
-                    + (below (world, 4) == 0 ? 3 * CONTACT_MS : 0)
-                    + below (world, pause_ms);
+          uint64_t calm_ms = below (world, 4) == 0 ? 3 * CONTACT_MS : 0;
+          next_ms = world->now_ms + calm_ms + below (world, pause_ms);
         }
       for (uint32_t i = 0; i < routers; i++)
         run_router (world, &world->routers[i]);
