Measure how late a router and its targets learn that a caller left

A caller-left line named the target and the age of the request, but not when the close came, when the router read it, when the target was told, and what the request waited for, so a late close could not be told from a slow target.

Change, no logic: caller-left lines and two histograms by queue give the age of the close, how long it may have gone unread, and the time until the target's connection was closed; edge_loop_gap_us is the time between two looks at the events. What handles a disconnected caller moves to edge_disconnect.

--- a/src/edge.c
+++ b/src/edge.c
@@ -106,6 +106,7 @@
         metrics, "edge_document_reads_total", "outcome=\"failed\""),
     .document_bytes
     = base_metrics_counter (metrics, "edge_document_bytes_total", NULL),
+    .loop_gap_us = base_metrics_histogram (metrics, "edge_loop_gap_us", NULL),
   };
   for (size_t i = 0; i < G_N_ELEMENTS (kind_labels); i++)
     {
@@ -129,6 +130,7 @@
   edge->options = *options;
   edge->metrics = base_metrics_create ();
   make_counters (edge);
+  edge_disconnect_metrics_create (&edge->disconnect_metrics, edge->metrics);
   edge->accounts = edge_accounts_create (edge->metrics);
   base_random_seed (&edge->random, base_random_system_seed ());
   edge->targets = edge_targets_create ();
@@ -360,6 +362,8 @@
   while (!stop_is_complete (edge, now_ms))
     {
       router_poll_run (edge->loop, wait_ms (edge));
+      base_histogram_record (edge->counters.loop_gap_us,
+                             1000 * router_poll_gap_ms (edge->loop));
       now_ms = edge_now_ms ();
       edge_links_run (edge->links, now_ms);
       edge_relay_run (edge->relay, now_ms);
--- a/src/edge.h
+++ b/src/edge.h
@@ -15,6 +15,7 @@
 #include "edge_accounts.h"
 #include "edge_demand.h"
 #include "edge_dialect.h"
+#include "edge_disconnect.h"
 #include "edge_limits.h"
 #include "edge_streams.h"
 #include "edge_peers.h"
@@ -109,6 +110,8 @@
   struct base_counter *document_reads_restarted;
   struct base_counter *document_reads_failed;
   struct base_counter *document_bytes;
+  /** Time between two looks at the events of connections. */
+  struct base_histogram *loop_gap_us;
   /** Latency histograms, indexed by enum edge_route_kind. */
   struct base_histogram *first_event_us[3];
   struct base_histogram *request_us[3];
@@ -120,6 +123,7 @@
   struct edge_options options;
   struct base_metrics *metrics;
   struct edge_counters counters;
+  struct edge_disconnect_metrics disconnect_metrics;
   struct edge_accounts *accounts;
   struct base_random random;
   struct router_poll *loop;
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -9,6 +9,7 @@
 #include "base_clock.h"
 #include "base_event.h"
 #include "edge_answer.h"
+#include "edge_disconnect.h"
 #include "edge_front.h"
 #include "edge_links.h"
 #include "edge_permits.h"
@@ -35,7 +36,6 @@
                              struct http_ending *ending);
 static void handle_done (struct edge_attempt_callbacks *callbacks,
                          enum edge_attempt_outcome outcome);
-static void handle_disconnect (struct router_watch *watch, uint32_t events);
 static void handle_writable (struct router_stream *stream);
 
 struct edge_request *
@@ -47,7 +47,7 @@
   request->callbacks.data = handle_data;
   request->callbacks.describe_events = describe_events;
   request->callbacks.done = handle_done;
-  request->watch.ready = handle_disconnect;
+  request->watch.ready = edge_disconnect_handle;
   request->edge = edge;
   request->references = 1;
   request->caller_fd = caller_fd;
@@ -421,35 +421,6 @@
     edge_attempt_pause (request->attempt, false);
 }
 
-/* Handles a connection that the caller closed: aborts the attempt and settles
-   the request. */
-static void
-handle_disconnect (struct router_watch *watch, uint32_t events)
-{
-  struct edge_request *request
-      = (struct edge_request *)((char *)watch
-                                - offsetof (struct edge_request, watch));
-  (void)events;
-  if (request->step == EDGE_STEP_DONE)
-    return;
-  base_counter_add (request->edge->counters.callers_left, 1);
-  edge_count_outcome (request, EDGE_ACCOUNT_CALLER_LEFT);
-  base_event ("caller-left id=%s target=%s events=%" PRIu32 " age_ms=%" PRIu64,
-              request->head.request_id,
-              request->target ? request->target->record.name : "-",
-              request->event_count, edge_now_ms () - request->arrived_ms);
-  if (request->is_started)
-    edge_streams_flush (request->edge->streams);
-  request->references++;
-  if (request->step == EDGE_STEP_READING)
-    router_poll_unwatch (request->edge->loop, request->caller_fd);
-  else
-    edge_settle_request (request);
-  router_stream_abort (&request->stream);
-  edge_front_schedule (request->edge->front);
-  edge_request_unref (request);
-}
-
 void
 edge_request_close (struct edge_request *request)
 {
--- a/src/router_poll.c
+++ b/src/router_poll.c
@@ -34,6 +34,10 @@
   GHashTable *sockets;
   int wake;
   uint64_t timer_ms;
+  /* Time of the last look at the events, and time between the one before and
+     that. */
+  uint64_t looked_ms;
+  uint64_t gap_ms;
   void (*done) (CURL *easy, CURLcode code);
 };
 
@@ -252,8 +256,11 @@
 {
   struct epoll_event ready[READY_MAX];
   int running;
+  uint64_t former_ms = loop->looked_ms;
+  loop->gap_ms = former_ms > 0 ? now_ms () - former_ms : 0;
   int count = epoll_wait (loop->epoll, ready, READY_MAX,
                           wait_timeout_ms (loop, wait_ms));
+  loop->looked_ms = now_ms ();
   for (int i = 0; i < count; i++)
     handle_ready (loop, &ready[i]);
   if (loop->timer_ms <= now_ms ())
@@ -264,6 +271,18 @@
   handle_done (loop);
 }
 
+uint64_t
+router_poll_gap_ms (const struct router_poll *loop)
+{
+  return loop->gap_ms;
+}
+
+uint64_t
+router_poll_unread_max_ms (const struct router_poll *loop)
+{
+  return loop->gap_ms + (now_ms () - loop->looked_ms);
+}
+
 void
 router_poll_wake (struct router_poll *loop)
 {
--- a/src/router_poll.h
+++ b/src/router_poll.h
@@ -46,6 +46,12 @@
 void router_poll_unwatch (struct router_poll *loop, int fd);
 /** Waits for at most @p wait_ms and handles the events that are ready. */
 void router_poll_run (struct router_poll *loop, uint32_t wait_ms);
+/** Returns the time between the last two looks at the events, without the time
+ *  for which the loop waited for some, in milliseconds. */
+uint64_t router_poll_gap_ms (const struct router_poll *loop);
+/** Returns how long an event that is handled now may have gone unread, in
+ *  milliseconds. */
+uint64_t router_poll_unread_max_ms (const struct router_poll *loop);
 /** Ends the wait of router_poll_run; safe from any thread. */
 void router_poll_wake (struct router_poll *loop);
 
