Read callers' closes before anything else

What callers saw: nothing; targets worked for callers that had left, and the others waited for that work.

Cause: a router that is behind handled new work before the news that it isn't wanted. The loop read at most 128 events a round in the kernel's order, and the first event of any target's connection has libcurl start all transfers that are due: requests that had just been read went out on kept connections before the closes beside them were read. All late ones were of routes that reuse connections; the others wait for a connection, and the closes are read meanwhile.

Why this works: closes have an epoll of their own, edge-triggered, which is emptied before other events, every 10 ms while events are handled, and before a request begins. The library's hook before the first byte is sent asks for this caller's connection if the last look is 10 ms old, so that no round is too long. Routers that pass connections on read closes first in the same way.

--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -53,6 +53,8 @@
   enum http_body_end body_end;
   /* The response was rejected: too large, or without this request's id. */
   bool is_invalid;
+  /* The request was not sent, since its caller has left. */
+  bool is_unwanted;
   /* What is wrong with the response, or NULL. */
   const char *fault;
 };
@@ -162,6 +164,20 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
 }
 
+/* Called when the connection is ready, before the first byte is sent. */
+static int
+check_before_send (void *context, char *target_address, char *own_address,
+                   int target_port, int own_port)
+{
+  struct edge_attempt *attempt = context;
+  (void)target_address;
+  (void)own_address;
+  (void)target_port;
+  (void)own_port;
+  attempt->is_unwanted = !attempt->callbacks->may_send (attempt->callbacks);
+  return attempt->is_unwanted ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static int
 set_socket_options (void *context, curl_socket_t socket, curlsocktype purpose)
 {
@@ -241,6 +257,8 @@
   http_transfer_set_callbacks (easy, attempt, receive_header, receive_body,
                                READ_BUFFER_BYTES);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, check_before_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, attempt);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, options->reuse ? 0L : 1L);
   if (options->via_address)
@@ -313,6 +331,8 @@
 find_outcome (const struct edge_attempt *attempt)
 {
   long sent_bytes = 0;
+  if (attempt->is_unwanted)
+    return EDGE_ATTEMPT_UNWANTED;
   if (!attempt->fault)
     return EDGE_ATTEMPT_COMPLETE;
   /* Bytes are counted with those of the request for the tunnel, so an open one
--- a/src/edge_attempt.h
+++ b/src/edge_attempt.h
@@ -21,6 +21,8 @@
   EDGE_ATTEMPT_COMPLETE,
   /** No connection could be made, so nothing was sent. */
   EDGE_ATTEMPT_UNSENT,
+  /** A connection was made, but may_send returned false: nothing was sent. */
+  EDGE_ATTEMPT_UNWANTED,
   /** The connection or the response failed after sending began; the request
    *  may have run. */
   EDGE_ATTEMPT_LOST
@@ -30,6 +32,9 @@
  *  first member of the owner's struct. */
 struct edge_attempt_callbacks
 {
+  /** The connection to the target is ready: returns whether the request may
+   *  still be sent.  The attempt must not be destroyed in this call. */
+  bool (*may_send) (struct edge_attempt_callbacks *callbacks);
   /** The head of the final response is complete.  The attempt must not be
    *  destroyed in this call. */
   void (*head) (struct edge_attempt_callbacks *callbacks);
--- a/src/edge_disconnect.c
+++ b/src/edge_disconnect.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include "base_event.h"
@@ -67,8 +68,15 @@
   return info.tcpi_last_ack_recv;
 }
 
-/* Ends the request and the work of its target.  Returns the time that this
-   took, in microseconds. */
+bool
+edge_disconnect_has_left (const struct edge_request *request)
+{
+  struct pollfd caller = { .fd = request->caller_fd, .events = POLLRDHUP };
+  return request->has_left || poll (&caller, 1, 0) > 0;
+}
+
+/* Ends the request and closes the connection to its target.  Returns the time
+   that this took, in microseconds. */
 static uint64_t
 end_request (struct edge_request *request)
 {
@@ -76,9 +84,7 @@
   if (request->is_started)
     edge_streams_flush (request->edge->streams);
   request->references++;
-  if (request->step == EDGE_STEP_READING)
-    router_poll_unwatch (request->edge->loop, request->caller_fd);
-  else
+  if (request->step != EDGE_STEP_READING)
     edge_settle_request (request);
   router_stream_abort (&request->stream);
   edge_front_schedule (request->edge->front);
@@ -87,15 +93,12 @@
 }
 
 void
-edge_disconnect_handle (struct router_watch *watch, uint32_t events)
+edge_disconnect_end (struct edge_request *request)
 {
-  struct edge_request *request
-      = (struct edge_request *)((char *)watch
-                                - offsetof (struct edge_request, watch));
   struct edge *edge = request->edge;
-  (void)events;
-  if (request->step == EDGE_STEP_DONE)
+  if (request->has_left || request->step == EDGE_STEP_DONE)
     return;
+  request->has_left = true;
   struct edge_disconnect_metrics *metrics = &edge->disconnect_metrics;
   enum edge_disconnect_queue queue = find_queue (request);
   uint64_t now_ms = edge_now_ms ();
@@ -121,3 +124,12 @@
   g_free (id);
   g_free (target);
 }
+
+void
+edge_disconnect_handle (struct router_watch *watch, uint32_t events)
+{
+  (void)events;
+  edge_disconnect_end (
+      (struct edge_request *)((char *)watch
+                              - offsetof (struct edge_request, watch)));
+}
--- a/src/edge_disconnect.h
+++ b/src/edge_disconnect.h
@@ -5,6 +5,7 @@
  *  Callers that disconnect before their response is complete: ends their
  *  requests, and measures how late the router and the target learned of it. */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base_metrics.h"
@@ -39,6 +40,11 @@
 /** Creates the metrics. */
 void edge_disconnect_metrics_create (struct edge_disconnect_metrics *result,
                                      struct base_metrics *metrics);
+/** Returns whether the caller has closed its connection. */
+bool edge_disconnect_has_left (const struct edge_request *request);
+/** Ends a request whose caller has disconnected, and the work of its
+ *  target. */
+void edge_disconnect_end (struct edge_request *request);
 /** Handles an event of the caller's connection; the callback of the request's
  *  watch. */
 void edge_disconnect_handle (struct router_watch *watch, uint32_t events);
--- a/src/edge_front.c
+++ b/src/edge_front.c
@@ -125,6 +125,10 @@
     }
   if (*upload_bytes > 0)
     return append_body (call, upload, upload_bytes);
+  /* Requests of many connections may be read in one run of the server. */
+  router_poll_read_due_closes (front->edge->loop);
+  if (!call->is_begun && call->request->has_left)
+    return MHD_NO;
   if (!call->is_begun)
     {
       call->is_begun = true;
--- a/src/edge_relay.c
+++ b/src/edge_relay.c
@@ -34,6 +34,13 @@
 struct side
 {
   struct router_watch watch;
+  /* For the close of the connection, of which events says nothing while the
+     other side takes no bytes. */
+  struct close_watch
+  {
+    struct router_watch watch;
+    struct side *side;
+  } close;
   struct tunnel *tunnel;
   struct side *other;
   int fd;
@@ -108,6 +115,8 @@
   if (is_reset)
     setsockopt (side->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
   router_poll_unwatch (loop_of (side), side->fd);
+  if (side->close.side)
+    router_poll_unwatch_close (loop_of (side), side->fd);
   close (side->fd);
   side->fd = -1;
 }
@@ -460,6 +469,16 @@
     update_events (tunnel);
 }
 
+/* The other router closes the connection before it has the whole response only
+   when its caller has left: what it sent before is not passed on any more. */
+static void
+handle_origin_close (struct router_watch *watch, uint32_t events)
+{
+  struct tunnel *tunnel = ((struct close_watch *)watch)->side->tunnel;
+  (void)events;
+  close_tunnel (tunnel, false, "the other router closed the connection");
+}
+
 static void
 init_side (struct tunnel *tunnel, struct side *side, struct side *other,
            int fd)
@@ -496,6 +515,9 @@
   g_queue_push_tail_link (&relay->tunnels, &tunnel->link);
   tunnel->origin.events = EPOLLIN;
   router_poll_watch (relay->edge->loop, fd, EPOLLIN, &tunnel->origin.watch);
+  tunnel->origin.close.watch.ready = handle_origin_close;
+  tunnel->origin.close.side = &tunnel->origin;
+  router_poll_watch_close (relay->edge->loop, fd, &tunnel->origin.close.watch);
 }
 
 struct edge_relay *
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -29,6 +29,7 @@
    checks, and later requests could be cut off by the forced stop. */
 #define STOP_SERVE_PERCENT 28
 
+static bool may_send (struct edge_attempt_callbacks *callbacks);
 static void handle_head (struct edge_attempt_callbacks *callbacks);
 static bool handle_data (struct edge_attempt_callbacks *callbacks,
                          const char *data, size_t bytes);
@@ -43,6 +44,7 @@
                      const char *http_version, int caller_fd)
 {
   struct edge_request *request = g_new0 (struct edge_request, 1);
+  request->callbacks.may_send = may_send;
   request->callbacks.head = handle_head;
   request->callbacks.data = handle_data;
   request->callbacks.describe_events = describe_events;
@@ -58,8 +60,7 @@
   request->link.data = request;
   router_stream_init (&request->stream, connection, http_version,
                       handle_writable);
-  router_poll_watch (edge->loop, caller_fd, EPOLLRDHUP | EPOLLHUP | EPOLLERR,
-                     &request->watch);
+  router_poll_watch_close (edge->loop, caller_fd, &request->watch);
   return request;
 }
 
@@ -338,6 +339,14 @@
     edge_send_request (request);
 }
 
+static bool
+may_send (struct edge_attempt_callbacks *callbacks)
+{
+  const struct edge_request *request = (struct edge_request *)callbacks;
+  return !router_poll_closes_are_due (request->edge->loop)
+         || !edge_disconnect_has_left (request);
+}
+
 static void
 handle_head (struct edge_attempt_callbacks *callbacks)
 {
@@ -407,7 +416,13 @@
              enum edge_attempt_outcome outcome)
 {
   struct edge_request *request = (struct edge_request *)callbacks;
-  edge_send_handle_attempt_end (request, outcome);
+  if (outcome != EDGE_ATTEMPT_UNWANTED)
+    {
+      edge_send_handle_attempt_end (request, outcome);
+      return;
+    }
+  request->attempts_maybe_run--;
+  edge_disconnect_end (request);
 }
 
 static void
@@ -424,7 +439,7 @@
 void
 edge_request_close (struct edge_request *request)
 {
-  router_poll_unwatch (request->edge->loop, request->caller_fd);
+  router_poll_unwatch_close (request->edge->loop, request->caller_fd);
   router_stream_detach (&request->stream);
   if (request->step != EDGE_STEP_READING)
     edge_settle_request (request);
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -40,8 +40,11 @@
   /** Number of references: one for the caller's connection, and one while the
    *  request is open. */
   uint32_t references;
+  /** Watches for the close of the caller's connection. */
   struct router_watch watch;
   int caller_fd;
+  /** The caller has disconnected. */
+  bool has_left;
   struct router_stream stream;
   struct edge_request_head head;
   GString *body;
--- a/src/router_poll.c
+++ b/src/router_poll.c
@@ -9,6 +9,9 @@
 #include "base_clock.h"
 
 #define READY_MAX 128
+/* Interval at which closed connections are looked for while other events are
+   handled, in milliseconds. */
+#define CLOSES_INTERVAL_MS 10
 #define NO_TIMER UINT64_MAX
 /* Set in the data of an epoll event that holds a pointer to a router_watch;
    clear when the data is a file descriptor. */
@@ -30,6 +33,12 @@
 {
   CURLM *multi;
   int epoll;
+  /* Reports connections that their peers closed, each once; it is in epoll
+     itself. */
+  int closes;
+  /* Time of the last look at them, later by the time for which the loop has
+     waited for events since. */
+  uint64_t closes_looked_ms;
   /* Sockets of libcurl (struct transfer_socket) by file descriptor. */
   GHashTable *sockets;
   int wake;
@@ -128,8 +137,10 @@
   loop->sockets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   loop->multi = curl_multi_init ();
   loop->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  loop->closes = epoll_create1 (EPOLL_CLOEXEC);
+  loop->closes_looked_ms = now_ms ();
   loop->wake = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
-  if (!loop->multi || loop->epoll < 0 || loop->wake < 0)
+  if (!loop->multi || loop->epoll < 0 || loop->closes < 0 || loop->wake < 0)
     {
       router_poll_destroy (loop);
       return NULL;
@@ -137,6 +148,8 @@
   event.events = EPOLLIN;
   event.data.u64 = (uint32_t)loop->wake;
   epoll_ctl (loop->epoll, EPOLL_CTL_ADD, loop->wake, &event);
+  event.data.u64 = (uint32_t)loop->closes;
+  epoll_ctl (loop->epoll, EPOLL_CTL_ADD, loop->closes, &event);
   curl_multi_setopt (loop->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
   curl_multi_setopt (loop->multi, CURLMOPT_SOCKETDATA, loop);
   curl_multi_setopt (loop->multi, CURLMOPT_TIMERFUNCTION, set_timer);
@@ -153,6 +166,8 @@
   if (loop->multi)
     curl_multi_cleanup (loop->multi);
   g_hash_table_unref (loop->sockets);
+  if (loop->closes >= 0)
+    close (loop->closes);
   if (loop->epoll >= 0)
     close (loop->epoll);
   if (loop->wake >= 0)
@@ -198,6 +213,53 @@
   epoll_ctl (loop->epoll, EPOLL_CTL_DEL, fd, NULL);
 }
 
+int
+router_poll_watch_close (struct router_poll *loop, int fd,
+                         struct router_watch *watch)
+{
+  struct epoll_event event = { 0 };
+  event.events = EPOLLRDHUP | EPOLLHUP | EPOLLERR | EPOLLET;
+  event.data.ptr = watch;
+  return epoll_ctl (loop->closes, EPOLL_CTL_ADD, fd, &event);
+}
+
+void
+router_poll_unwatch_close (struct router_poll *loop, int fd)
+{
+  epoll_ctl (loop->closes, EPOLL_CTL_DEL, fd, NULL);
+}
+
+static void
+read_closes (struct router_poll *loop)
+{
+  struct epoll_event ready[READY_MAX];
+  int count;
+  do
+    {
+      count = epoll_wait (loop->closes, ready, READY_MAX, 0);
+      for (int i = 0; i < count; i++)
+        {
+          struct router_watch *watch = ready[i].data.ptr;
+          watch->ready (watch, ready[i].events);
+        }
+    }
+  while (count == READY_MAX);
+  loop->closes_looked_ms = now_ms ();
+}
+
+bool
+router_poll_closes_are_due (const struct router_poll *loop)
+{
+  return now_ms () >= loop->closes_looked_ms + CLOSES_INTERVAL_MS;
+}
+
+void
+router_poll_read_due_closes (struct router_poll *loop)
+{
+  if (router_poll_closes_are_due (loop))
+    read_closes (loop);
+}
+
 static void
 handle_done (struct router_poll *loop)
 {
@@ -227,6 +289,8 @@
       watch->ready (watch, event->events);
       return;
     }
+  if (event->data.fd == loop->closes)
+    return;
   if (event->data.fd == loop->wake)
     {
       ssize_t got = read (loop->wake, &count, sizeof count);
@@ -260,9 +324,18 @@
   loop->gap_ms = former_ms > 0 ? now_ms () - former_ms : 0;
   int count = epoll_wait (loop->epoll, ready, READY_MAX,
                           wait_timeout_ms (loop, wait_ms));
+  uint64_t called_ms = former_ms + loop->gap_ms;
   loop->looked_ms = now_ms ();
+  if (former_ms > 0)
+    loop->closes_looked_ms += loop->looked_ms - called_ms;
+  /* First of all, since the first event of a transfer starts all transfers
+     that are due, those of callers that have left among them. */
+  read_closes (loop);
   for (int i = 0; i < count; i++)
-    handle_ready (loop, &ready[i]);
+    {
+      handle_ready (loop, &ready[i]);
+      router_poll_read_due_closes (loop);
+    }
   if (loop->timer_ms <= now_ms ())
     {
       loop->timer_ms = NO_TIMER;
@@ -280,7 +353,7 @@
 uint64_t
 router_poll_unread_max_ms (const struct router_poll *loop)
 {
-  return loop->gap_ms + (now_ms () - loop->looked_ms);
+  return now_ms () - loop->closes_looked_ms;
 }
 
 void
--- a/src/router_poll.h
+++ b/src/router_poll.h
@@ -44,12 +44,24 @@
                           struct router_watch *watch);
 /** Removes a file descriptor; call it before closing. */
 void router_poll_unwatch (struct router_poll *loop, int fd);
+/** Calls @p watch once when the peer of a connection closes or resets it,
+ * before other events are handled.  Returns 0, or -1 with errno set. */
+int router_poll_watch_close (struct router_poll *loop, int fd,
+                             struct router_watch *watch);
+/** Ends router_poll_watch_close; call it before closing. */
+void router_poll_unwatch_close (struct router_poll *loop, int fd);
+/** Returns whether connections may have been closed since the loop last looked
+ *  for that some milliseconds ago. */
+bool router_poll_closes_are_due (const struct router_poll *loop);
+/** Handles closed connections if that is due; for work that takes long.  Not
+ *  to be called by a callback of libcurl. */
+void router_poll_read_due_closes (struct router_poll *loop);
 /** Waits for at most @p wait_ms and handles the events that are ready. */
 void router_poll_run (struct router_poll *loop, uint32_t wait_ms);
 /** Returns the time between the last two looks at the events, without the time
  *  for which the loop waited for some, in milliseconds. */
 uint64_t router_poll_gap_ms (const struct router_poll *loop);
-/** Returns how long an event that is handled now may have gone unread, in
+/** Returns how long a close that is handled now may have gone unread, in
  *  milliseconds. */
 uint64_t router_poll_unread_max_ms (const struct router_poll *loop);
 /** Ends the wait of router_poll_run; safe from any thread. */
--- a/tests/test_platform_callers_left.c
+++ b/tests/test_platform_callers_left.c
@@ -41,6 +41,27 @@
   g_assert_cmpuint (4 * outcome.late_work, <=, outcome.at_work);
 }
 
+/* Half of the routers reach targets only through the others. */
+static void
+test_slow_relay (void)
+{
+  const struct platform_scene_options options = {
+    .routers = 4,
+    .cut_routers = 2,
+    .run_us = 1600,
+    .pause_us = 30000,
+    .targets = ENGINE,
+    .requests_per_s = 100,
+    .burst_factor = 4,
+    .length_ms = 12000,
+    .leave_percent = 75,
+    .leave_max_ms = 1500,
+  };
+  struct platform_scene_outcome outcome = platform_scene_play (&options, 4);
+  g_assert_cmpuint (outcome.late_arrivals, <=, LATE_ARRIVALS_MAX);
+  g_assert_cmpuint (4 * outcome.late_work, <=, outcome.at_work);
+}
+
 /* Requests that come while the router stands still: all callers that leave
    have left before it goes on. */
 static void
@@ -100,6 +121,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_set_nonfatal_assertions ();
   g_test_add_func ("/platform-callers-left/slow-router", test_slow_router);
+  g_test_add_func ("/platform-callers-left/slow-relay", test_slow_relay);
   g_test_add_func ("/platform-callers-left/unread-requests",
                    test_unread_requests);
   g_test_add_func ("/platform-callers-left/full-targets", test_full_targets);
--- a/tools/platform_scene.c
+++ b/tools/platform_scene.c
@@ -22,6 +22,8 @@
 #define BRAINS 6
 #define SHOPS 3
 #define TARGETS (BRAINS + SHOPS)
+/* Time after which a router has read what it is cut off from. */
+#define CUT_READ_US 100000
 /* Time after which nothing may happen for a caller that left. */
 #define LATE_US (G_USEC_PER_SEC / 2)
 
@@ -32,7 +34,8 @@
 {
   struct platform_scene *scene = g_new0 (struct platform_scene, 1);
   scene->options = *options;
-  scene->rig = platform_rig_create ();
+  scene->rig = platform_rig_create_with (
+      options->cut_routers > 0 ? "cactus-entry-cut" : "cactus-entry");
   g_strlcpy (scene->addresses[0], "127.0.0.1", 16);
   scene->routers[0] = scene->rig->entry;
   for (uint32_t i = 1; i < options->routers; i++)
@@ -67,6 +70,21 @@
   return scene;
 }
 
+/* Cuts some routers off from all targets.  The connections that they have stay
+   open. */
+static void
+cut_routers (struct platform_scene *scene)
+{
+  GString *cut = g_string_new ("refuse live");
+  for (uint32_t i = 0; i < TARGETS; i++)
+    g_string_append_printf (cut, " %u",
+                            (unsigned)platform_engine_port (scene->engine, i));
+  for (uint32_t i = 0; i < scene->options.cut_routers; i++)
+    platform_rig_cut (scene->rig, i, cut->str);
+  g_string_free (cut, TRUE);
+  g_usleep (CUT_READ_US);
+}
+
 void
 platform_scene_destroy (struct platform_scene *scene)
 {
@@ -188,6 +206,8 @@
   struct platform_share *share = NULL;
   struct platform_scene *scene = platform_scene_create (options);
   platform_scene_make_calls (scene, seed);
+  if (options->cut_routers > 0)
+    cut_routers (scene);
   if (options->pause_us > 0)
     share = platform_share_create (scene->routers, options->routers,
                                    options->run_us, options->pause_us);
--- a/tools/platform_scene.h
+++ b/tools/platform_scene.h
@@ -18,6 +18,8 @@
 struct platform_scene_options
 {
   uint32_t routers;
+  /** The first of them that reach no target themselves. */
+  uint32_t cut_routers;
   /** Time that the routers run and stand still in turn; pause_us 0: they
    *  run. */
   uint32_t run_us;
