--- a/src/bundle_difference.c
+++ b/src/bundle_difference.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base_hash.h"
+#include "base_json.h"
 #include "bundle_reader.h"
 
 static json_t *
@@ -12,7 +13,7 @@
 {
   if (!bundle)
     return json_object ();
-  return json_loadb (bundle->canonical, bundle->canonical_bytes, 0, NULL);
+  return base_json_load (bundle->canonical, bundle->canonical_bytes, 0, NULL);
 }
 
 /* Iterator over the entries of one section, in order of names. */
@@ -204,7 +205,7 @@
   struct bundle *bundle = NULL;
   json_t *document = NULL;
   json_t *parsed
-      = json_loadb (difference, bytes, JSON_REJECT_DUPLICATES, &error);
+      = base_json_load (difference, bytes, JSON_REJECT_DUPLICATES, &error);
   if (!parsed)
     {
       base_findings_add (findings, "difference", "line %d column %d: %s",
--- a/src/bundle_read.c
+++ b/src/bundle_read.c
@@ -4,6 +4,8 @@
 
 #include "bundle_reader.h"
 
+#include "base_json.h"
+
 #define VERSION_MAX INT64_MAX
 
 static const char *const document_members[]
@@ -79,7 +81,7 @@
 {
   json_error_t error;
   json_t *parsed
-      = json_loadb (document, bytes, JSON_REJECT_DUPLICATES, &error);
+      = base_json_load (document, bytes, JSON_REJECT_DUPLICATES, &error);
   if (!parsed)
     {
       base_findings_add (findings, "document", "line %d column %d: %s",
--- a/src/ctl_http.c
+++ b/src/ctl_http.c
@@ -6,6 +6,8 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "base_json.h"
+
 #define PAGE_BYTES_MAX (64u * 1024 * 1024)
 
 /* Write callback of libcurl; aborts the transfer at PAGE_BYTES_MAX. */
@@ -35,7 +37,7 @@
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, append_data);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, page);
   if (curl_easy_perform (curl) == CURLE_OK)
-    document = json_loadb (page->str, page->len, 0, NULL);
+    document = base_json_load (page->str, page->len, 0, NULL);
   curl_easy_cleanup (curl);
   g_free (url);
   g_string_free (page, TRUE);
--- a/src/router_body.c
+++ b/src/router_body.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base_hash.h"
+#include "base_json.h"
 
 /* Upper bound of the tokens that an engine's template adds to a message. */
 #define MESSAGE_TOKENS 16
@@ -200,7 +201,7 @@
 {
   json_error_t error;
   size_t before = base_findings_count (findings);
-  body->document = json_loadb (data, bytes, JSON_REJECT_DUPLICATES, &error);
+  body->document = base_json_load (data, bytes, JSON_REJECT_DUPLICATES, &error);
   if (!body->document)
     base_findings_add (findings, "$", "line %d column %d: %s", error.line,
                        error.column, error.text);
--- a/src/router_relay.c
+++ b/src/router_relay.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base_json.h"
 #include "router.h"
 #include "router_finish.h"
 #include "router_ledger.h"
@@ -136,7 +137,7 @@
 bool
 router_relay_read_usage (const char *body, size_t bytes, uint64_t *tokens)
 {
-  json_t *document = json_loadb (body, bytes, 0, NULL);
+  json_t *document = base_json_load (body, bytes, 0, NULL);
   *tokens = read_usage (document);
   bool whole
       = json_is_array (json_object_get (document, "choices")) && *tokens > 0;
@@ -171,7 +172,7 @@
 static bool
 handle_chunk (struct router_request *request, const char *data, size_t bytes)
 {
-  json_t *chunk = json_loadb (data, bytes, 0, NULL);
+  json_t *chunk = base_json_load (data, bytes, 0, NULL);
   const json_t *choices = json_object_get (chunk, "choices");
   bool valid = json_is_array (choices);
   uint64_t usage = read_usage (chunk);
--- a/src/router_targets.c
+++ b/src/router_targets.c
@@ -8,6 +8,7 @@
 #include <jansson.h>
 
 #include "base_clock.h"
+#include "base_json.h"
 #include "cactus_config.h"
 #include "gossip.h"
 
@@ -93,7 +94,7 @@
   size_t before = base_findings_count (findings);
   memset (record, 0, sizeof *record);
   record->last_report_ms = received_ms;
-  json_t *document = json_loadb (body, bytes, 0, &error);
+  json_t *document = base_json_load (body, bytes, 0, &error);
   if (!document)
     base_findings_add (findings, "$", "line %d column %d: %s", error.line,
                        error.column, error.text);
