Keep no connection to a target after an error response

What callers saw: 502 for requests before whose own answer an earlier refusal was written once more on a kept connection, though their target ran them. With one attempt a request, half of the callers of such targets got that. The refusal of an earlier attempt of the same request, written again, bears its id and was taken for the refusal of the attempt that runs.

Cause: libcurl reads one response for each request; what a target writes between two of them stands where the next response is due. The id tells that it belongs to another request, but the connection can't be read on, and an equal id tells nothing.

Why this works: after a response with status 400 or above its connection is closed, so what else the target writes reaches nobody. Only routes that may be repeated keep connections, and tunnels carry one request, so no other place reads a second response. A second copy of a successful response still costs the next request an attempt.

--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -13,6 +13,7 @@
 #define BODY_MAX_BYTES (8u * 1024 * 1024)
 #define STATUS_OK 200
 #define STATUS_SUCCESS_MAX 299
+#define STATUS_ERROR 400
 /* Maximum time that sent data or a keep-alive probe may stay unacknowledged
    before TCP drops the connection; long enough for the retransmissions of a
    lost packet on the slowest link.  TCP_USER_TIMEOUT applies to both, whatever
@@ -88,6 +89,10 @@
   if (attempt->has_head || attempt->response.status < STATUS_OK)
     return;
   attempt->has_head = true;
+  /* A faulty target may write a refusal once more, where the response to the
+     next request on the connection is due. */
+  if (attempt->response.status >= STATUS_ERROR)
+    curl_easy_setopt (attempt->easy, CURLOPT_FORBID_REUSE, 1L);
   attempt->callbacks->head (attempt->callbacks);
 }
 
