Know a stream by the request that brought its last event too

What callers saw: a caller that took a stream up, lost it again and named the request that had brought its last event was refused (503) at every router but one, though targets of the version served.

Cause: a router noted which version began a stream under the id of the request that brought its first event only. Take-ups without an id were all noted under one key of their account.

Why this works: a take-up that brings events is noted under its own id as well; one that names no stream only under that.

--- a/src/edge_version.c
+++ b/src/edge_version.c
@@ -43,14 +43,26 @@
              && is_certain (request->edge, target));
 }
 
+static uint64_t
+make_key (const struct edge_request *request, const char *request_id)
+{
+  return control_streams_key (request->account ? request->account->name : "",
+                              request_id);
+}
+
+static bool
+takes_up (const struct edge_request *request)
+{
+  return request->head.last_event_id != EDGE_NO_EVENT;
+}
+
 /* Returns the key of the stream that the request begins or takes up. */
 static uint64_t
 stream_key (const struct edge_request *request)
 {
   const struct edge_request_head *head = &request->head;
-  bool takes_up = head->last_event_id != EDGE_NO_EVENT;
-  return control_streams_key (request->account ? request->account->name : "",
-                              takes_up ? head->resumed_id : head->request_id);
+  return make_key (request,
+                   takes_up (request) ? head->resumed_id : head->request_id);
 }
 
 static void
@@ -133,6 +145,12 @@
   if (request->build == UNCERTAIN_BUILD || !request->route->is_resumable)
     return;
   base_counter_add (edge->counters.streams_noted, 1);
-  edge_streams_begin (edge->streams, stream_key (request), request->build,
-                      edge_now_ms ());
+  if (!takes_up (request) || *request->head.resumed_id)
+    edge_streams_begin (edge->streams, stream_key (request), request->build,
+                        edge_now_ms ());
+  /* A caller may also name the request that brought its last event. */
+  if (takes_up (request))
+    edge_streams_begin (edge->streams,
+                        make_key (request, request->head.request_id),
+                        request->build, edge_now_ms ());
 }
--- a/tests/test_platform_versions.c
+++ b/tests/test_platform_versions.c
@@ -29,6 +29,9 @@
 #define BREAK_PERCENT 15
 #define LEAVE_PERCENT 20
 #define TRIES_MAX 4
+/* The same, and the pause before each, where all routers are killed. */
+#define PATIENT_TRIES_MAX 14
+#define PATIENT_PAUSE_US 350000
 #define ANNOUNCE_INTERVAL_US 400000
 #define READ_WAIT_MS 3000
 /* Duration of a test with traffic, in seconds. */
@@ -36,6 +39,9 @@
 /* Share of new streams that begin, of which at least this share of those taken
    up again must go on, in percent. */
 #define GO_ON_PERCENT 90
+/* The same where all routers are killed: the notes of the last 60 ms are lost,
+   and a patient caller is refused again and again. */
+#define ALL_DIED_PERCENT 50
 #define CONFIG                                                                \
   "{\"version\":3,\"routes\":[{\"name\":\"ask\",\"host\":\"h.example\","      \
   "\"pathPrefix\":\"/ask/\",\"kind\":\"streaming\",\"timeoutMs\":10000,"      \
@@ -72,6 +78,10 @@
   GPtrArray *processes;
   struct base_random random;
   atomic_bool stopping;
+  /* Callers wait between their tries, and make more of them. */
+  bool is_patient;
+  /* They name the request that brought their last event, not their first. */
+  bool names_last_try;
   atomic_uint requests;
   GThread *announcer;
   /* Counts, under the mutex. */
@@ -191,8 +201,8 @@
   const char *version;
   bool is_mixed;
   bool is_complete;
-  /* Id of the request that brought the first event. */
-  char first_request[16];
+  /* Id of the request that the caller names to take the stream up. */
+  char named_request[16];
 };
 
 /* Reads the events of the answer into @p received, up to @p leave_at.  Returns
@@ -286,14 +296,15 @@
   if (!is_new)
     g_string_append_printf (
         text, "Last-Event-Id: %" G_GUINT64_FORMAT "\r\nResumes: %s\r\n",
-        received->last_id, received->first_request);
+        received->last_id, received->named_request);
   g_string_append (text, "\r\n");
   send (fd, text->str, text->len, MSG_NOSIGNAL);
   g_string_free (text, TRUE);
   bool went_on = read_events (fd, leave_at, received, &status);
   close (fd);
-  if (is_new && received->last_id > 0)
-    g_strlcpy (received->first_request, id, sizeof received->first_request);
+  if ((is_new && received->last_id > 0)
+      || (went_on && fixture->names_last_try))
+    g_strlcpy (received->named_request, id, sizeof received->named_request);
   bool may_go_on = is_new || count_targets (fixture, received->version) >= 2;
   g_mutex_lock (&fixture->mutex);
   if (!went_on)
@@ -321,8 +332,13 @@
       struct received received
           = { .number = atomic_fetch_add (&fixture->requests, 1) };
       uint32_t router = (uint32_t)draw (fixture, ROUTERS);
-      for (uint32_t i = 0; i < TRIES_MAX && !received.is_complete; i++)
-        try_stream (fixture, (router + i) % ROUTERS, &received);
+      uint32_t tries = fixture->is_patient ? PATIENT_TRIES_MAX : TRIES_MAX;
+      for (uint32_t i = 0; i < tries && !received.is_complete; i++)
+        {
+          if (i > 0 && fixture->is_patient)
+            g_usleep (PATIENT_PAUSE_US);
+          try_stream (fixture, (router + i) % ROUTERS, &received);
+        }
       g_mutex_lock (&fixture->mutex);
       fixture->streams++;
       fixture->mixed += received.is_mixed;
@@ -389,7 +405,7 @@
 /* Runs callers while @p disturb goes on, and checks the streams. */
 static void
 run_traffic (struct fixture *fixture,
-             void (*disturb) (struct fixture *fixture))
+             void (*disturb) (struct fixture *fixture), uint32_t go_on_percent)
 {
   GThread *callers[CALLERS];
   gint64 end_us = g_get_monotonic_time () + TRAFFIC_S * G_USEC_PER_SEC;
@@ -411,7 +427,7 @@
   g_assert_cmpuint (fixture->mixed, ==, 0);
   g_assert_cmpuint (fixture->resumed_tries, >=, 12);
   g_assert_cmpuint (100 * 100 * fixture->gone_on / fixture->resumed_tries, >=,
-                    GO_ON_PERCENT * 100 * fixture->begun / fixture->new_tries);
+                    go_on_percent * 100 * fixture->begun / fixture->new_tries);
 }
 
 /* Targets of two versions side by side. */
@@ -422,7 +438,7 @@
       = { "v1", "v2", "v1", "v2", "v1", "v2" };
   struct fixture fixture;
   set_up (&fixture, versions);
-  run_traffic (&fixture, NULL);
+  run_traffic (&fixture, NULL, GO_ON_PERCENT);
   tear_down (&fixture);
 }
 
@@ -447,7 +463,7 @@
       = { "v1", "v1", "v1", "v1", "v1", "v1" };
   struct fixture fixture;
   set_up (&fixture, versions);
-  run_traffic (&fixture, replace_targets);
+  run_traffic (&fixture, replace_targets, GO_ON_PERCENT);
   tear_down (&fixture);
 }
 
@@ -473,7 +489,65 @@
       = { "v1", "v2", "v1", "v2", "v1", "v2" };
   struct fixture fixture;
   set_up (&fixture, versions);
-  run_traffic (&fixture, kill_router);
+  run_traffic (&fixture, kill_router, GO_ON_PERCENT);
+  tear_down (&fixture);
+}
+
+/* Callers that name the request that brought their last event. */
+static void
+test_stream_named_by_last_try (void)
+{
+  static const char *const versions[TARGETS]
+      = { "v1", "v2", "v1", "v2", "v1", "v2" };
+  struct fixture fixture;
+  set_up (&fixture, versions);
+  fixture.names_last_try = true;
+  run_traffic (&fixture, kill_router, GO_ON_PERCENT);
+  tear_down (&fixture);
+}
+
+/* Kills all routers at once and starts them again. */
+static void
+kill_all_routers (struct fixture *fixture, uint32_t dark_ms)
+{
+  fleet_process_kill (fixture->rig->entry);
+  for (uint32_t i = 0; i < ROUTERS - 1; i++)
+    fleet_process_kill (fixture->rig->more_entries[i]);
+  g_usleep (1000 * dark_ms);
+  g_assert_cmpint (fleet_process_start (fixture->rig->entry), ==, 0);
+  for (uint32_t i = 0; i < ROUTERS - 1; i++)
+    g_assert_cmpint (fleet_process_start (fixture->rig->more_entries[i]), ==,
+                     0);
+}
+
+/* Replaces half of the targets, kills all routers, replaces the other half and
+   kills all routers again. */
+static void
+kill_all_at_release (struct fixture *fixture)
+{
+  for (uint32_t half = 0; half < 2; half++)
+    {
+      g_usleep (G_USEC_PER_SEC);
+      for (uint32_t i = half; i < TARGETS; i += 2)
+        {
+          struct platform_raw_target *former = fixture->targets[i].raw;
+          start_target (fixture, i, "v2");
+          platform_raw_target_crash (former);
+        }
+      g_usleep (G_USEC_PER_SEC / 5);
+      kill_all_routers (fixture, half == 0 ? 800 : 1500);
+    }
+}
+
+static void
+test_stream_of_two_versions_after_all_routers_died (void)
+{
+  static const char *const versions[TARGETS]
+      = { "v1", "v1", "v1", "v1", "v1", "v1" };
+  struct fixture fixture;
+  set_up (&fixture, versions);
+  fixture.is_patient = true;
+  run_traffic (&fixture, kill_all_at_release, ALL_DIED_PERCENT);
   tear_down (&fixture);
 }
 
@@ -488,5 +562,10 @@
   g_test_add_func (
       "/platform-versions/stream-of-two-versions-after-router-died",
       test_stream_of_two_versions_after_router_died);
+  g_test_add_func (
+      "/platform-versions/stream-of-two-versions-after-all-routers-died",
+      test_stream_of_two_versions_after_all_routers_died);
+  g_test_add_func ("/platform-versions/stream-named-by-its-last-try",
+                   test_stream_named_by_last_try);
   return g_test_run ();
 }
