--- a/tools/platform_share.c
+++ b/tools/platform_share.c
@@ -41,7 +41,9 @@
                        uint32_t run_us, uint32_t pause_us)
 {
   struct platform_share *share = g_new0 (struct platform_share, 1);
-  share->processes = g_memdup2 (processes, count * sizeof *processes);
+  share->processes = g_new (struct fleet_process *, count);
+  for (uint32_t i = 0; i < count; i++)
+    share->processes[i] = processes[i];
   share->count = count;
   share->run_us = run_us;
   share->pause_us = pause_us;
