Lend tokens among the routers of an availability zone

Cause: each of 94 routers leased tokens of 27 accounts for itself. A part of 1 percent of what is unspent, divided by 94, is smaller than one request, so almost every request went beyond what its router had announced and waited for a lease call; calls go one at a time and take 107 ms where the leader commits across regions.

Change: for each account one router of the zone, found by rendezvous hashing among the routers that control reports, holds the lease. The others borrow from it what a request may use (edge_borrower, edge_lender; datagrams in XDR, edge_loans). A loan is reserved in the lender's lease like a request of its own, so control's bound on what a lost router may have used holds unchanged; one that is never settled counts as spent in full. A lender that doesn't answer within 100 ms, or an older build, is passed over for a second, and the request takes the former way. Nothing changes on the wires and disks of control.

Ruled out: announcing more at each router (one request of each of 2,538 pairs is a quarter of all totals, written off at a loss of power); several lease calls at once (saves half a wait, not the small parts).

Test: /edge-loans/few-requests-an-account replays the load, 831 of 1,038 requests wait for control without lenders, 2 of 943 with them. /edge-loans/never-overspent: 60 histories with losses, repeats, crashes.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,7 +4,7 @@
 # Needs build/compile_commands.json (cmake --preset release).
 set -eu
 cd "$(dirname "$0")/.."
-generated='^src/wire_(common|ledger|control|consensus|gossip)(_xdr)?\.[ch]$'
+generated='^src/wire_(common|ledger|control|consensus|gossip|loan)(_xdr)?\.[ch]$'
 files=$(git ls-files -co --exclude-standard '*.c' '*.h' | grep -Ev "$generated" || true)
 sources=$(echo "$files" | grep '\.c$' || true)
 if [ "${1:-}" = --fix ]; then
--- a/src/edge.c
+++ b/src/edge.c
@@ -10,6 +10,7 @@
 #include "edge_attempt.h"
 #include "edge_front.h"
 #include "edge_links.h"
+#include "edge_loans.h"
 #include "edge_probe.h"
 #include "edge_reach.h"
 #include "edge_relay.h"
@@ -159,6 +160,13 @@
                 (unsigned)options->relay_port);
       goto failed;
     }
+  if (options->relay_port > 0)
+    edge->loans
+        = edge_loans_create (edge, options->address, options->relay_port);
+  if (options->relay_port > 0 && !edge->loans)
+    base_log (BASE_LOG_WARNING,
+              "can't listen loans=%s:%u; all tokens come from control",
+              options->address, (unsigned)options->relay_port);
   if (options->metrics_port > 0)
     edge->status
         = http_status_create (options->metrics_address, options->metrics_port,
@@ -182,6 +190,7 @@
   http_status_destroy (edge->status);
   edge_front_destroy (edge->front);
   edge_relay_destroy (edge->relay);
+  edge_loans_destroy (edge->loans);
   edge_probe_cancel_all (edge);
   router_poll_destroy (edge->loop);
   edge_table_unref (edge->table);
@@ -368,6 +377,7 @@
                              1000 * router_poll_gap_ms (edge->loop));
       now_ms = edge_now_ms ();
       edge_links_run (edge->links, now_ms);
+      edge_loans_run (edge->loans, now_ms);
       edge_relay_run (edge->relay, router_poll_looked_ms (edge->loop));
       run_timers (edge, now_ms);
       edge_front_run (edge->front);
--- a/src/edge.h
+++ b/src/edge.h
@@ -29,6 +29,7 @@
 struct edge_links;
 struct edge_front;
 struct edge_relay;
+struct edge_loans;
 struct http_status;
 
 /** Settings; the strings must outlive the router. */
@@ -43,7 +44,8 @@
   const void *region_context;
   /** IPv4 address of the host, from which other routers are called. */
   const char *address;
-  /** Port at which other routers ask to pass connections on; 0 for none. */
+  /** Port at which other routers ask to pass connections on, and borrow tokens
+   *  by datagrams; 0 for none. */
   uint16_t relay_port;
   /** Listening address for callers. */
   const char *callers_address;
@@ -136,6 +138,8 @@
    *  NULL. */
   struct edge_peers *peers;
   struct edge_relay *relay;
+  /** Loans of prepaid tokens among routers, or NULL. */
+  struct edge_loans *loans;
   /** A target may have to be probed; most targets can't be reached. */
   bool has_lost_paths;
   bool is_cut_off;
--- a/src/edge_peers.c
+++ b/src/edge_peers.c
@@ -12,6 +12,9 @@
    one, in milliseconds. */
 #define HOLD_MIN_MS 250
 #define HOLD_MAX_MS 4000
+/* Time for which nothing is borrowed from a router that did not answer, in
+   milliseconds. */
+#define LENDER_HOLD_MS 1000
 #define HOLD_DOUBLINGS_MAX 4
 /* Hold after a router took no more connections, in milliseconds: some of those
    that it passes on have ended by then. */
@@ -278,6 +281,39 @@
   peer->hold_until_ms = now_ms + BUSY_HOLD_MS;
 }
 
+const struct edge_peer *
+edge_peers_choose_lender (struct edge_peers *peers, const char *own,
+                          const char *account, uint64_t now_ms)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  const struct edge_peer *lender = NULL;
+  uint64_t most = order_hash (own, account);
+  g_hash_table_iter_init (&iterator, peers->by_name);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct edge_peer *peer = value;
+      if (peer->distance != PLACE_SAME_ZONE || peer->port == 0
+          || peer->sources == 0 || now_ms < peer->no_loans_until_ms)
+        continue;
+      uint64_t hash = order_hash (peer->name, account);
+      if (hash <= most)
+        continue;
+      most = hash;
+      lender = peer;
+    }
+  return lender;
+}
+
+void
+edge_peers_note_lender_lost (struct edge_peers *peers, const char *name,
+                             uint64_t now_ms)
+{
+  struct edge_peer *peer = edge_peers_find (peers, name);
+  if (peer)
+    peer->no_loans_until_ms = now_ms + LENDER_HOLD_MS;
+}
+
 void
 edge_peers_note_open (struct edge_peers *peers, const char *name, bool is_open)
 {
--- a/src/edge_peers.h
+++ b/src/edge_peers.h
@@ -39,6 +39,8 @@
    *  chosen. */
   uint32_t failures;
   uint64_t hold_until_ms;
+  /** Time before which nothing is borrowed from it. */
+  uint64_t no_loans_until_ms;
 };
 
 /** Where the target of a connection is. */
@@ -87,6 +89,16 @@
 /** Notes that the router takes no more connections at the moment. */
 void edge_peers_note_busy (struct edge_peers *peers, const char *name,
                            uint64_t now_ms);
+/** Chooses the router that lends tokens of the account in the availability
+ *  zone of the router named @p own: the same one for all routers of the zone
+ *  that know the same routers.  Returns NULL when it is @p own. */
+const struct edge_peer *edge_peers_choose_lender (struct edge_peers *peers,
+                                                  const char *own,
+                                                  const char *account,
+                                                  uint64_t now_ms);
+/** Notes that the router did not answer a wish for a loan. */
+void edge_peers_note_lender_lost (struct edge_peers *peers, const char *name,
+                                  uint64_t now_ms);
 /** Counts a connection that the router passes on, or its end. */
 void edge_peers_note_open (struct edge_peers *peers, const char *name,
                            bool is_open);
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -12,6 +12,7 @@
 #include "edge_disconnect.h"
 #include "edge_front.h"
 #include "edge_links.h"
+#include "edge_loans.h"
 #include "edge_permits.h"
 #include "edge_reach.h"
 #include "edge_send.h"
@@ -205,9 +206,53 @@
         = edge_events_create (EVENT_MAX_BYTES, request->head.last_event_id);
 }
 
+static void
+refuse_exhausted (struct edge_request *request)
+{
+  struct edge *edge = request->edge;
+  base_counter_add (edge->counters.exhausted, 1);
+  base_event (
+      "lease-exhausted id=%s account=%s tokens=%" PRIu64
+      " free_tokens=%" PRIu64,
+      request->head.request_id, request->account->name,
+      request->reserved_tokens,
+      edge_prepaid_free_tokens (edge->prepaid, request->account->name));
+  edge_answer_refuse (request, MHD_HTTP_PAYMENT_REQUIRED, 0,
+                      "the prepaid tokens don't cover the request");
+}
+
+static void
+log_lease_wait (const struct edge_request *request, uint64_t now_ms)
+{
+  const struct edge_prepaid *prepaid = request->edge->prepaid;
+  const char *account = request->account->name;
+  base_event ("lease-wait id=%s account=%s tokens=%" PRIu64
+              " free_tokens=%" PRIu64 " usable_tokens=%" PRIu64
+              " answered_ago_ms=%" PRIu64,
+              request->head.request_id, account, request->reserved_tokens,
+              edge_prepaid_free_tokens (prepaid, account),
+              edge_prepaid_usable_tokens (prepaid, account, now_ms),
+              now_ms - edge_prepaid_last_answer_ms (prepaid));
+}
+
+/* Returns whether the request waits for a loan.  Tokens of the own lease go
+   before. */
+static bool
+seek_loan (struct edge_request *request, uint64_t now_ms)
+{
+  if (request->has_sought_loan)
+    return false;
+  request->has_sought_loan = true;
+  return edge_prepaid_usable_tokens (request->edge->prepaid,
+                                     request->account->name, now_ms)
+             < request->reserved_tokens
+         && edge_loans_ask (request);
+}
+
 /* Reserves the maximum number of tokens that the request may use, if its
    account is prepaid and its service an engine.  Returns true when the request
-   may be sent; otherwise the request waits for a lease or was refused. */
+   may be sent; otherwise the request waits for a loan or a lease, or was
+   refused. */
 static bool
 reserve (struct edge_request *request)
 {
@@ -218,9 +263,15 @@
     return true;
   request->reserved_tokens = (uint64_t)request->placement.prompt_tokens
                              + request->placement.output_tokens;
-  uint32_t waited_ms = request->step == EDGE_STEP_AWAITS_LEASE
+  if (seek_loan (request, now_ms))
+    {
+      request->step = EDGE_STEP_AWAITS_LEASE;
+      return false;
+    }
+  uint32_t waited_ms = request->is_in_demand
                            ? (uint32_t)MAX (now_ms - request->arrived_ms, 1)
                            : 0;
+  request->is_in_demand = true;
   switch (edge_prepaid_reserve (edge->prepaid, request->account->name,
                                 request->reserved_tokens, waited_ms, now_ms))
     {
@@ -229,16 +280,7 @@
       return true;
     case EDGE_PREPAID_WAIT:
       if (waited_ms == 0)
-        base_event (
-            "lease-wait id=%s account=%s tokens=%" PRIu64
-            " free_tokens=%" PRIu64 " usable_tokens=%" PRIu64
-            " answered_ago_ms=%" PRIu64,
-            request->head.request_id, request->account->name,
-            request->reserved_tokens,
-            edge_prepaid_free_tokens (edge->prepaid, request->account->name),
-            edge_prepaid_usable_tokens (edge->prepaid, request->account->name,
-                                        now_ms),
-            now_ms - edge_prepaid_last_answer_ms (edge->prepaid));
+        log_lease_wait (request, now_ms);
       if (edge_control_is_unreachable (edge)
           && !edge_silence_ends_soon (edge, now_ms))
         {
@@ -252,15 +294,7 @@
       return false;
     case EDGE_PREPAID_EXHAUSTED:
     default:
-      base_counter_add (edge->counters.exhausted, 1);
-      base_event (
-          "lease-exhausted id=%s account=%s tokens=%" PRIu64
-          " free_tokens=%" PRIu64,
-          request->head.request_id, request->account->name,
-          request->reserved_tokens,
-          edge_prepaid_free_tokens (edge->prepaid, request->account->name));
-      edge_answer_refuse (request, MHD_HTTP_PAYMENT_REQUIRED, 0,
-                          "the prepaid tokens don't cover the request");
+      refuse_exhausted (request);
       return false;
     }
 }
@@ -335,10 +369,34 @@
 void
 edge_request_retry_lease (struct edge_request *request)
 {
-  if (request->step == EDGE_STEP_AWAITS_LEASE && reserve (request))
+  if (request->step == EDGE_STEP_AWAITS_LEASE && request->loan == 0
+      && reserve (request))
     edge_send_request (request);
 }
 
+void
+edge_request_handle_loan (struct edge_request *request,
+                          enum edge_borrower_outcome outcome)
+{
+  switch (outcome)
+    {
+    case EDGE_BORROWER_GRANTED:
+      request->holds_tokens = true;
+      edge_send_request (request);
+      return;
+    case EDGE_BORROWER_EXHAUSTED:
+      request->loan = 0;
+      refuse_exhausted (request);
+      return;
+    case EDGE_BORROWER_DECLINED:
+    case EDGE_BORROWER_UNANSWERED:
+    default:
+      request->loan = 0;
+      edge_request_retry_lease (request);
+      return;
+    }
+}
+
 static bool
 may_send (struct edge_attempt_callbacks *callbacks)
 {
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -7,6 +7,7 @@
 
 #include "edge.h"
 #include "edge_attempt.h"
+#include "edge_borrower.h"
 #include "edge_events.h"
 #include "router_stream.h"
 
@@ -62,6 +63,13 @@
   uint64_t reserved_tokens;
   /** The reservation was made and is not settled yet. */
   bool holds_tokens;
+  /** Number of the loan that the tokens come from, or that the request waits
+   *  for; 0 for tokens of the own lease. */
+  uint64_t loan;
+  /** The request has looked for a lender. */
+  bool has_sought_loan;
+  /** The request is counted in the demand for the own lease. */
+  bool is_in_demand;
   /** The digest, once it was needed. */
   uint64_t digest;
   bool has_digest;
@@ -149,5 +157,8 @@
 void edge_request_retry_version (struct edge_request *request);
 /** Tries the reservation again after control answered a lease call. */
 void edge_request_retry_lease (struct edge_request *request);
+/** Handles the outcome of the request's wish for a loan. */
+void edge_request_handle_loan (struct edge_request *request,
+                               enum edge_borrower_outcome outcome);
 
 #endif
--- a/src/edge_settle.c
+++ b/src/edge_settle.c
@@ -1,5 +1,7 @@
 #include "edge_settle.h"
 
+#include "edge_loans.h"
+
 void
 edge_settle_first_response (struct edge_request *request)
 {
@@ -54,6 +56,12 @@
 static void
 settle_tokens (struct edge_request *request)
 {
+  if (request->loan != 0)
+    {
+      edge_loans_settle (
+          request, request->holds_tokens ? edge_settle_tokens (request) : 0);
+      request->holds_tokens = false;
+    }
   if (!request->holds_tokens)
     return;
   request->holds_tokens = false;
