Take a router's targets for all only when it is in touch

What callers might see: a router that has just started, or is cut off from control, knows targets of one build only and counts any of them as certain, so a stream that it begins on a target replaced under its id is noted under the former build and goes on at another version (a report of another operator: one router out of step while replicas of a new version join).

Cause: "all targets have one build" held from the first record on and for as long as a router was cut off. The look-up of unknown streams asked for a view of 5 s and for touch already; the certainty of a target did not.

Test: /edge-versions/one-build-of-a-partial-view, fails before.

/platform-versions/stream-named-by-its-last-try-after-all-routers-died is new.

--- a/src/edge_version_view.c
+++ b/src/edge_version_view.c
@@ -14,6 +14,19 @@
   return view->now_ms <= view->last_answer_ms + IN_TOUCH_MS;
 }
 
+/* Returns the build of all targets of the service, or 0 when there are several
+   or when this router may not know all targets: it has started or was out of
+   touch, so targets of another build may have replaced those it knows. */
+static uint64_t
+find_view_build (const struct edge_version_view *view, const char *service)
+{
+  uint64_t since_ms = edge_targets_known_since_ms (view->targets, service);
+  if (!is_in_touch (view) || since_ms == 0
+      || view->now_ms < since_ms + VIEW_MIN_MS)
+    return 0;
+  return edge_targets_only_build (view->targets, service, view->now_ms);
+}
+
 bool
 edge_version_view_is_certain (const struct edge_version_view *view,
                               const struct edge_target *target)
@@ -21,9 +34,7 @@
   if (!edge_targets_is_current (view->targets, target))
     return false;
   /* A replacement has the same build if all targets have. */
-  if (edge_targets_only_build (view->targets, target->record.service,
-                               view->now_ms)
-      != 0)
+  if (find_view_build (view, target->record.service) != 0)
     return true;
   return is_in_touch (view) && !edge_target_is_silent (target, view->now_ms)
          && view->now_ms >= target->doubted_until_ms;
@@ -34,11 +45,9 @@
 static uint64_t
 find_only_build (const struct edge_version_view *view, const char *service)
 {
-  uint64_t since_ms = edge_targets_known_since_ms (view->targets, service);
-  if (!is_in_touch (view) || !edge_streams_has_majority (view->streams)
-      || since_ms == 0 || view->now_ms < since_ms + VIEW_MIN_MS)
-    return 0;
-  return edge_targets_only_build (view->targets, service, view->now_ms);
+  return edge_streams_has_majority (view->streams)
+             ? find_view_build (view, service)
+             : 0;
 }
 
 bool
--- a/tests/test_edge_versions.c
+++ b/tests/test_edge_versions.c
@@ -867,6 +867,36 @@
     }
 }
 
+/* A router that has just started, or is out of touch, knows targets of one
+   build only, and can't know whether others have replaced them. */
+static void
+test_one_build_of_a_partial_view (void)
+{
+  struct edge_targets *targets = edge_targets_create ();
+  struct edge_streams *streams = edge_streams_create ();
+  struct control_target record = { .name = (char *)"i-1",
+                                   .service = (char *)SERVICE,
+                                   .address = (char *)"127.0.0.1",
+                                   .availability_zone = (char *)"z",
+                                   .software_version = (char *)"v1",
+                                   .state = CONTROL_TARGET_READY,
+                                   .port = 1,
+                                   .slots = 4,
+                                   .born_ms = 1,
+                                   .sequence = 1 };
+  edge_targets_merge (targets, 0, &record, 10000);
+  const struct edge_target *target = edge_targets_find (targets, "i-1");
+  struct edge_version_view view = { targets, streams, 10000, 10100 };
+  g_assert_nonnull (target);
+  g_assert_true (edge_version_view_is_certain (&view, target));
+  view.now_ms = 10000 + 3 * CONTACT_MS;
+  g_assert_false (edge_version_view_is_certain (&view, target));
+  view.last_answer_ms = view.now_ms;
+  g_assert_true (edge_version_view_is_certain (&view, target));
+  edge_streams_destroy (streams);
+  edge_targets_destroy (targets);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -875,6 +905,8 @@
   g_test_add_func ("/edge-versions/releases", test_releases);
   g_test_add_func ("/edge-versions/faults", test_faults);
   g_test_add_func ("/edge-versions/large-deployment", test_large_deployment);
+  g_test_add_func ("/edge-versions/one-build-of-a-partial-view",
+                   test_one_build_of_a_partial_view);
   g_test_add_func ("/edge-versions/version-swaps-at-id",
                    test_version_swaps_at_id);
   return g_test_run ();
--- a/tests/test_platform_versions.c
+++ b/tests/test_platform_versions.c
@@ -551,6 +551,20 @@
   tear_down (&fixture);
 }
 
+/* The same by callers that name the request that brought their last event. */
+static void
+test_stream_named_by_last_try_after_all_routers_died (void)
+{
+  static const char *const versions[TARGETS]
+      = { "v1", "v1", "v1", "v1", "v1", "v1" };
+  struct fixture fixture;
+  set_up (&fixture, versions);
+  fixture.is_patient = true;
+  fixture.names_last_try = true;
+  run_traffic (&fixture, kill_all_at_release, ALL_DIED_PERCENT);
+  tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -567,5 +581,8 @@
       test_stream_of_two_versions_after_all_routers_died);
   g_test_add_func ("/platform-versions/stream-named-by-its-last-try",
                    test_stream_named_by_last_try);
+  g_test_add_func (
+      "/platform-versions/stream-named-by-its-last-try-after-all-routers-died",
+      test_stream_named_by_last_try_after_all_routers_died);
   return g_test_run ();
 }
