--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -308,10 +308,9 @@
   kill (machine->pid, signal_number);
 }
 
-void
-rig_restart_front (uint32_t front)
+static void
+restart (struct machine *machine)
 {
-  struct machine *machine = front_machine (front);
   int status = 0;
   waitpid (machine->pid, &status, 0);
   rig_record ("%s has ended, exit=%d signal=%d", machine->name,
@@ -320,6 +319,21 @@
   start_machine (machine);
 }
 
+void
+rig_restart_front (uint32_t front)
+{
+  restart (front_machine (front));
+}
+
+void
+rig_roll_core (uint32_t core)
+{
+  struct machine *machine = &rig.machines[core];
+  rig_record ("signal %d to %s", SIGTERM, machine->name);
+  kill (machine->pid, SIGTERM);
+  restart (machine);
+}
+
 int64_t
 rig_front_started_ms (uint32_t front)
 {
@@ -707,12 +721,14 @@
       "\"seq\":%u,\"born\":%" G_GINT64_FORMAT "}",
       replica->options.service, (unsigned)replica->port, replica->state,
       (unsigned)++replica->sequence, replica->born_ms);
-  int status = rig_control (replica->options.core, "PUT", path, body);
-  if (status != 200 || replica->sequence == 1
+  uint32_t core = replica->sequence % 2 == 1 ? replica->options.core
+                                             : replica->options.other_core;
+  int status = rig_control (core, "PUT", path, body);
+  if (status != 200 || replica->sequence <= 2
       || strcmp (replica->state, "ready") != 0)
     rig_record ("liveness report of %s to core-%u, state=%s seq=%u: %d",
-                replica->options.id, (unsigned)replica->options.core + 1,
-                replica->state, (unsigned)replica->sequence, status);
+                replica->options.id, (unsigned)core + 1, replica->state,
+                (unsigned)replica->sequence, status);
   g_free (body);
   g_free (path);
 }
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -60,8 +60,10 @@
 {
   const char *id;
   const char *service;
-  /** Core machine that gets its liveness reports. */
+  /** Core machine that gets its liveness reports, and one that gets every
+   *  second of them; the same one by default. */
   uint32_t core;
+  uint32_t other_core;
   /** Answers a request that is meant for this replica.  Returns whether the
    *  channel stays open. */
   bool (*serve) (struct rig_replica *replica,
@@ -87,6 +89,8 @@
 void rig_signal_front (uint32_t front, int signal_number);
 /** Waits until the process ended, and starts it again. */
 void rig_restart_front (uint32_t front);
+/** Stops a core machine's process by SIGTERM and starts it again. */
+void rig_roll_core (uint32_t core);
 /** Time of the last start of a front machine's process. */
 int64_t rig_front_started_ms (uint32_t front);
 /** Returns what a front machine's process has written. */
