--- a/review/common/rig.c
+++ b/review/common/rig.c
@@ -334,6 +334,16 @@
   restart (machine);
 }
 
+void
+rig_kill_all (void)
+{
+  rig_record ("signal %d to all machines", SIGKILL);
+  for (uint32_t i = 0; i < RIG_CORES + rig.fronts; i++)
+    kill (rig.machines[i].pid, SIGKILL);
+  for (uint32_t i = 0; i < RIG_CORES + rig.fronts; i++)
+    restart (&rig.machines[i]);
+}
+
 int64_t
 rig_front_started_ms (uint32_t front)
 {
@@ -620,8 +630,9 @@
   char *id = find_header (head, "X-Request-Id");
   char *expected = find_header (head, "X-Expected-Replica");
   char *tenant = find_header (head, "X-Tenant");
+  char *event = find_header (head, "Last-Event-Id");
   bool stays = false;
-  struct rig_exchange exchange = { fd, words[0], words[1], id, tenant };
+  struct rig_exchange exchange = { fd, words[0], words[1], id, tenant, event };
   char *health = g_strdup_printf ("X-Replica-Id: %s\r\n", replica->options.id);
   if (g_strcmp0 (words[1], "/health") == 0)
     stays = rig_reply (&exchange, "200 OK", health, "");
@@ -631,6 +642,7 @@
   else
     stays = replica->options.serve (replica, &exchange);
   g_free (health);
+  g_free (event);
   g_free (tenant);
   g_free (expected);
   g_free (id);
@@ -717,10 +729,11 @@
   char *path = g_strdup_printf ("/v1/replicas/%s", replica->options.id);
   char *body = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.13.1:%u\",\"zone\":\"cnx-a\","
-      "\"version\":\"v1\",\"slots\":64,\"state\":\"%s\",\"coldLeftMs\":0,"
+      "\"version\":\"%s\",\"slots\":64,\"state\":\"%s\",\"coldLeftMs\":0,"
       "\"seq\":%u,\"born\":%" G_GINT64_FORMAT "}",
-      replica->options.service, (unsigned)replica->port, replica->state,
-      (unsigned)++replica->sequence, replica->born_ms);
+      replica->options.service, (unsigned)replica->port,
+      replica->options.version ? replica->options.version : "v1",
+      replica->state, (unsigned)++replica->sequence, replica->born_ms);
   uint32_t core = replica->sequence % 2 == 1 ? replica->options.core
                                              : replica->options.other_core;
   int status = rig_control (core, "PUT", path, body);
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -51,6 +51,7 @@
   /** Values of the headers, or NULL. */
   const char *request_id;
   const char *tenant;
+  const char *last_event_id;
 };
 
 struct rig_replica;
@@ -60,6 +61,8 @@
 {
   const char *id;
   const char *service;
+  /** Version of its software; "v1" by default. */
+  const char *version;
   /** Core machine that gets its liveness reports, and one that gets every
    *  second of them; the same one by default. */
   uint32_t core;
@@ -89,6 +92,8 @@
 void rig_signal_front (uint32_t front, int signal_number);
 /** Waits until the process ended, and starts it again. */
 void rig_restart_front (uint32_t front);
+/** Kills the processes of all machines and starts them again at once. */
+void rig_kill_all (void);
 /** Stops a core machine's process by SIGTERM and starts it again. */
 void rig_roll_core (uint32_t core);
 /** Time of the last start of a front machine's process. */
