Reset passed-on connections when their router dies

What callers saw: a router passes another one's connections on and is killed, or forced to end at the end of its grace.

Cause: the end of the connection delimits such an answer, and the kernel closes a dead process's connections in order. The relay resets its origin's side only where it sees the target's side fail itself.

Evidence: the router that asked has the answer as complete without an error of its connection, the target logs that its caller closed the connection midway.

Change: while a tunnel is open the origin's connection lingers for zero time, so that any end of the process resets it; the orderly end of the target takes that back.

Test: /platform-relay/killed-router-in-unframed-answers, 6 of 6 answers looked whole before, 0 of 6 after; /platform-relay/unframed-answer passes before and after.

--- a/src/edge_relay.c
+++ b/src/edge_relay.c
@@ -106,14 +106,20 @@
   side->events = events;
 }
 
+/* Sets whether the connection ends by a reset, also when this process ends. */
+static void
+set_reset_at_close (int fd, bool resets)
+{
+  const struct linger linger = { .l_onoff = resets, .l_linger = 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 static void
 close_side (struct side *side, bool is_reset)
 {
-  const struct linger reset = { 1, 0 };
   if (side->fd < 0)
     return;
-  if (is_reset)
-    setsockopt (side->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  set_reset_at_close (side->fd, is_reset);
   router_poll_unwatch (loop_of (side), side->fd);
   if (side->close.side)
     router_poll_unwatch_close (loop_of (side), side->fd);
@@ -205,6 +211,9 @@
   if (status == EDGE_TUNNEL_OPEN)
     {
       base_counter_add (edge->counters.relayed, 1);
+      /* The end of the connection may delimit the response: an orderly end
+         must come from the target, not from the end of this process. */
+      set_reset_at_close (tunnel->origin.fd, true);
       tunnel->step = TUNNEL_OPEN;
       return;
     }
@@ -591,7 +600,7 @@
   if (!relay)
     return;
   for (GList *link = relay->tunnels.head; link; link = link->next)
-    close_tunnel (link->data, false, "this router stops");
+    close_tunnel (link->data, true, "this router stops");
   free_closed (relay);
   router_poll_unwatch (relay->edge->loop, relay->listener);
   close (relay->listener);
--- a/tests/test_platform_relay.c
+++ b/tests/test_platform_relay.c
@@ -52,6 +52,21 @@
   atomic_bool resets;
 };
 
+/* Sends a slow plain response without a length, which ends with its
+   connection. */
+static void
+respond_unframed (struct platform_raw_target *raw, int fd, const char *head)
+{
+  static const char end[] = "Connection: close\r\n\r\n";
+  bool sound = platform_raw_target_write_head (raw, fd, head)
+               && platform_raw_target_write (fd, end, sizeof end - 1);
+  for (uint32_t i = 0; sound && i < EVENTS; i++)
+    {
+      g_usleep (EVENT_US);
+      sound = platform_raw_target_write (fd, "line\n", 5);
+    }
+}
+
 /* Sends a slow stream, or a slow plain response. */
 static void
 respond (struct platform_raw_target *raw, int fd, const char *head,
@@ -68,6 +83,11 @@
                               + 1
                         : 1;
   atomic_fetch_add (&fixture->runs, 1);
+  if (strstr (head, " /order/unframed"))
+    {
+      respond_unframed (raw, fd, head);
+      return;
+    }
   if (strstr (head, " /order/"))
     {
       g_usleep (G_USEC_PER_SEC);
@@ -240,6 +260,52 @@
   tear_down (fixture);
 }
 
+/* Guards against a part of an answer that looks whole: the router that passes
+   on answers without a length dies, and the kernel closes its connections. */
+static void
+test_killed_router_in_unframed_answers (void)
+{
+  struct call calls[6];
+  GThread *threads[6];
+  uint32_t complete = 0;
+  struct fixture *fixture = set_up (1);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      calls[i] = (struct call){
+        fixture, 0, i % 2 == 0 ? "/order/unframed" : "/stream/x", { 0 }
+      };
+      threads[i] = g_thread_new ("call", make_call, &calls[i]);
+    }
+  g_usleep (G_USEC_PER_SEC);
+  fleet_process_kill (fixture->rig->more_entries[0]);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      const struct platform_reply *reply = &calls[i].reply;
+      g_thread_join (threads[i]);
+      g_test_message ("%s: status %ld, whole %d, %u bytes", calls[i].path,
+                      reply->status, (int)reply->whole,
+                      (unsigned)reply->body->len);
+      complete += reply->whole && reply->status == 200;
+      platform_reply_clear (&calls[i].reply);
+    }
+  g_assert_cmpuint (atomic_load (&fixture->runs), ==, 6);
+  g_assert_cmpuint (complete, ==, 0);
+  tear_down (fixture);
+}
+
+/* An answer without a length that is passed on undisturbed is whole. */
+static void
+test_unframed_answer (void)
+{
+  struct fixture *fixture = set_up (1);
+  struct platform_reply reply = post (fixture, 0, "/order/unframed");
+  g_assert_cmpint (reply.status, ==, 200);
+  g_assert_true (reply.whole);
+  g_assert_cmpuint (reply.body->len, ==, strlen ("line\n") * EVENTS);
+  platform_reply_clear (&reply);
+  tear_down (fixture);
+}
+
 /* The router that passes a stream on is frozen: the stream goes on by the
    third router after its last event. */
 static void
@@ -412,6 +478,9 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/platform-relay/killed-router", test_killed_router);
+  g_test_add_func ("/platform-relay/killed-router-in-unframed-answers",
+                   test_killed_router_in_unframed_answers);
+  g_test_add_func ("/platform-relay/unframed-answer", test_unframed_answer);
   g_test_add_func ("/platform-relay/frozen-router", test_frozen_router);
   g_test_add_func ("/platform-relay/stopping-router", test_stopping_router);
   g_test_add_func ("/platform-relay/caller-leaves", test_caller_leaves);
