Share departures of targets among the control members

It had signed off at a member that did not know it, or the member that took the sign-off was restarted.

Cause, one for both: each control member knows only what targets told it itself, in memory. The member that the target had announced itself to goes on to report it as ready, and a new router has nothing against that. A sign-off at a member that doesn't know the target has no incarnation besides: a router that hears it first drops it, and one that hears it late takes it for that of a later run.

Change: the members watch each other by the routers' call. A member keeps what others hear without reporting it, so that a sign-off names the incarnation, and keeps and reports departures that any of them was told of, with their time of expiry. No wire and no file changes; a member of an older build counts the callers as one more router.

Ruled out: sign-offs in the replicated log, which need a quorum to be taken and a command that older builds drop.

--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -170,6 +170,8 @@
   if (members->count == 0)
     members = learned.count > 0 ? &learned : &daemon->options.members;
   control_peers_update (daemon->peers, members, daemon->options.member_id);
+  control_targets_sync_update (daemon->targets_sync, members,
+                               daemon->options.member_id);
 }
 
 static void
@@ -342,6 +344,12 @@
                                                 ? options->target_timeout_ms
                                                 : CACTUS_TARGET_LAPSE_MS);
   g_mutex_init (&daemon->mutex);
+  const struct control_targets_sync_options sync
+      = { .cluster = options->cluster,
+          .address = options->address,
+          .mutex = &daemon->mutex,
+          .targets = daemon->targets };
+  daemon->targets_sync = control_targets_sync_create (&sync);
   control_counters_create (daemon);
   if (open_store (daemon, findings) == 0 && listen_on (daemon, findings) == 0)
     return daemon;
@@ -355,6 +363,7 @@
   if (!daemon)
     return;
   wire_server_destroy (daemon->server);
+  control_targets_sync_destroy (daemon->targets_sync);
   control_peers_destroy (daemon->peers);
   control_pending_destroy (daemon->proposals);
   control_pending_destroy (daemon->reads);
@@ -389,6 +398,7 @@
     {
       daemon->stop_deadline_ms = now + HAND_OVER_TIMEOUT_MS;
       base_log (BASE_LOG_NOTICE, "shutting-down");
+      control_targets_sync_stop (daemon->targets_sync);
     }
   consensus_transfer_leadership (daemon->consensus, now);
   return !consensus_is_leader (daemon->consensus)
@@ -432,15 +442,29 @@
   return atomic_load (&daemon->ready);
 }
 
+/* Notifies routers and members of a departure.  It is acknowledged once the
+   other members hold it, as far as they can be reached. */
+static void
+share_departure (struct control_daemon *daemon, const char *target,
+                 uint64_t change)
+{
+  wire_server_wake (daemon->server);
+  if (!control_targets_sync_wait (daemon->targets_sync, change))
+    base_log (BASE_LOG_WARNING,
+              "departure-unconfirmed target=%s change=%" PRIu64, target,
+              change);
+}
+
 bool
 control_daemon_announce_target (struct control_daemon *daemon,
                                 const struct control_target *target)
 {
   g_mutex_lock (&daemon->mutex);
-  uint64_t change = control_targets_newest_change (daemon->targets);
+  uint64_t former = control_targets_newest_change (daemon->targets);
   bool accepted
       = control_targets_announce (daemon->targets, target, now_ms ());
-  bool changed = control_targets_newest_change (daemon->targets) != change;
+  uint64_t change = control_targets_newest_change (daemon->targets);
+  bool changed = change != former;
   g_mutex_unlock (&daemon->mutex);
   if (changed)
     {
@@ -450,7 +474,10 @@
                 target->name, target->service, target->address, target->port,
                 (int)target->state, (uint64_t)target->born_ms,
                 (uint64_t)target->sequence);
-      wire_server_wake (daemon->server);
+      if (target->state == CONTROL_TARGET_LEAVING)
+        share_departure (daemon, target->name, change);
+      else
+        wire_server_wake (daemon->server);
     }
   return accepted;
 }
@@ -461,9 +488,10 @@
 {
   g_mutex_lock (&daemon->mutex);
   control_targets_mark_gone (daemon->targets, target, now_ms ());
+  uint64_t change = control_targets_newest_change (daemon->targets);
   g_mutex_unlock (&daemon->mutex);
   base_log (BASE_LOG_NOTICE, "target-over target=%s", target);
-  wire_server_wake (daemon->server);
+  share_departure (daemon, target, change);
 }
 
 void
--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -8,7 +8,7 @@
 /* Time without an announcement after which a target is removed, in
    milliseconds.  Gone and silent targets are kept that long, so that a late
    announcement of that incarnation is recognized. */
-#define RETENTION_MS 120000
+#define RETENTION_MS 120000u
 
 /* A target with its last change and announcement. */
 struct entry
@@ -17,13 +17,21 @@
   /* Change number of the last change. */
   uint64_t change;
   /* Time of the last announcement, or of the call that marked it as gone, in
-     milliseconds. */
+     milliseconds; 0 when only other members know the target. */
   uint64_t announced_ms;
+  /* Time at which the entry is removed. */
+  uint64_t expires_ms;
+  /* Other members that receive the target's announcements, one bit each. */
+  uint32_t sources;
+  /* Routers are told of the target. */
+  bool is_reported;
 };
 
 struct control_targets
 {
   uint32_t timeout_ms;
+  /* Time of the latest call, in milliseconds. */
+  uint64_t now_ms;
   /* Number of the newest change; changes are numbered from 1. */
   uint64_t change;
   /* struct entry by name. */
@@ -94,12 +102,36 @@
          && strcmp (a->software_version, b->software_version) == 0;
 }
 
+/* Returns whether the entry is a sign-off of a target that was not known. */
+static bool
+is_nameless (const struct entry *entry)
+{
+  return entry->target.state == CONTROL_TARGET_GONE && !*entry->target.service;
+}
+
+static void
+note_change (struct control_targets *targets, struct entry *entry)
+{
+  entry->is_reported = true;
+  entry->change = ++targets->change;
+}
+
+static void
+mark_entry_gone (struct control_targets *targets, struct entry *entry,
+                 uint64_t kept_ms)
+{
+  entry->target.state = CONTROL_TARGET_GONE;
+  entry->expires_ms = targets->now_ms + kept_ms;
+  note_change (targets, entry);
+}
+
 bool
 control_targets_announce (struct control_targets *targets,
                           const struct control_target *target, uint64_t now_ms)
 {
   struct control_target copy;
   struct entry *entry = g_hash_table_lookup (targets->entries, target->name);
+  targets->now_ms = now_ms;
   if (entry && is_outdated (entry, target))
     return false;
   control_target_copy (target, &copy);
@@ -109,18 +141,22 @@
   if (entry && entry->target.born_ms == target->born_ms
       && entry->target.state == CONTROL_TARGET_LEAVING)
     copy.state = CONTROL_TARGET_LEAVING;
-  bool changed = !entry || !is_same_to_routers (&entry->target, &copy);
+  bool changed = !entry || !entry->is_reported
+                 || !is_same_to_routers (&entry->target, &copy);
   if (!entry)
     entry = g_new0 (struct entry, 1);
   else
     {
+      if (entry->target.born_ms != target->born_ms)
+        entry->sources = 0;
       g_hash_table_steal (targets->entries, entry->target.name);
       xdr_free ((xdrproc_t)xdr_control_target, (char *)&entry->target);
     }
   entry->target = copy;
   entry->announced_ms = now_ms;
+  entry->expires_ms = now_ms + RETENTION_MS;
   if (changed)
-    entry->change = ++targets->change;
+    note_change (targets, entry);
   g_hash_table_insert (targets->entries, entry->target.name, entry);
   return true;
 }
@@ -130,6 +166,7 @@
                            uint64_t now_ms)
 {
   struct entry *entry = g_hash_table_lookup (targets->entries, name);
+  targets->now_ms = now_ms;
   if (!entry)
     {
       /* The target is not known to this member, but other members and routers
@@ -144,9 +181,127 @@
     }
   else if (entry->target.state == CONTROL_TARGET_GONE)
     return;
-  entry->target.state = CONTROL_TARGET_GONE;
   entry->announced_ms = now_ms;
-  entry->change = ++targets->change;
+  mark_entry_gone (targets, entry, RETENTION_MS);
+}
+
+/* Time for which a departure that another member reports is kept: as long as
+   there.  Builds that don't report it leave another value, or 0. */
+static uint64_t
+kept_ms (const struct control_target *record)
+{
+  return record->cold_left_ms > 0 ? MIN (record->cold_left_ms, RETENTION_MS)
+                                  : RETENTION_MS;
+}
+
+static void
+set_sources (struct entry *entry, uint32_t sources, uint64_t now_ms)
+{
+  entry->sources = sources;
+  if (entry->announced_ms != 0 || entry->target.state == CONTROL_TARGET_GONE)
+    return;
+  if (sources != 0)
+    entry->expires_ms = UINT64_MAX;
+  else if (entry->expires_ms == UINT64_MAX)
+    entry->expires_ms = now_ms + RETENTION_MS;
+}
+
+/* Replaces the entry, or NULL, by what another member knows of a later
+   incarnation.  Returns the new entry. */
+static struct entry *
+replace_learned (struct control_targets *targets,
+                 const struct control_target *record)
+{
+  struct entry *entry = g_new0 (struct entry, 1);
+  g_hash_table_remove (targets->entries, record->name);
+  control_target_copy (record, &entry->target);
+  entry->target.silent = true;
+  entry->expires_ms = targets->now_ms + RETENTION_MS;
+  g_hash_table_insert (targets->entries, entry->target.name, entry);
+  if (record->state == CONTROL_TARGET_GONE)
+    mark_entry_gone (targets, entry, kept_ms (record));
+  else if (record->state != CONTROL_TARGET_READY)
+    note_change (targets, entry);
+  return entry;
+}
+
+/* Learns of a target that signed off here before it was known.  A run that
+   began after that is another one. */
+static struct entry *
+resolve_sign_off (struct control_targets *targets, const struct entry *entry,
+                  const struct control_target *record, uint64_t wall_ms)
+{
+  uint64_t age_ms = targets->now_ms - entry->announced_ms;
+  bool is_later
+      = wall_ms < record->born_ms || wall_ms - record->born_ms < age_ms;
+  struct entry *known = replace_learned (targets, record);
+  if (!is_later && known->target.state != CONTROL_TARGET_GONE)
+    mark_entry_gone (targets, known,
+                     RETENTION_MS - MIN (age_ms, RETENTION_MS));
+  return known;
+}
+
+bool
+control_targets_learn (struct control_targets *targets, uint32_t source,
+                       const struct control_target *record, uint64_t now_ms,
+                       uint64_t wall_ms)
+{
+  uint64_t change = targets->change;
+  uint32_t bit = UINT32_C (1) << source;
+  struct entry *entry = g_hash_table_lookup (targets->entries, record->name);
+  targets->now_ms = now_ms;
+  /* Another member's sign-off of a target that it doesn't know: it learns the
+     incarnation from this one. */
+  if (!*record->service)
+    return false;
+  if (entry && is_nameless (entry))
+    entry = resolve_sign_off (targets, entry, record, wall_ms);
+  else if (!entry || record->born_ms > entry->target.born_ms)
+    entry = replace_learned (targets, record);
+  else if (record->born_ms < entry->target.born_ms)
+    return false;
+  else if (record->state > entry->target.state)
+    {
+      entry->target.state = record->state;
+      if (record->state == CONTROL_TARGET_GONE)
+        mark_entry_gone (targets, entry, kept_ms (record));
+      else
+        note_change (targets, entry);
+    }
+  set_sources (entry,
+               record->silent || record->state == CONTROL_TARGET_GONE
+                   ? entry->sources & ~bit
+                   : entry->sources | bit,
+               now_ms);
+  return targets->change != change;
+}
+
+void
+control_targets_forget_source (struct control_targets *targets,
+                               uint32_t source, uint64_t now_ms)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  uint32_t bit = UINT32_C (1) << source;
+  g_hash_table_iter_init (&iterator, targets->entries);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct entry *entry = value;
+      set_sources (entry, entry->sources & ~bit, now_ms);
+    }
+}
+
+/* Handles the end of an entry's time.  Returns whether it is to be removed:
+   other members may still hear the target. */
+static bool
+is_over (struct entry *entry)
+{
+  if (entry->sources == 0 || entry->target.state == CONTROL_TARGET_GONE)
+    return true;
+  entry->announced_ms = 0;
+  entry->expires_ms = UINT64_MAX;
+  entry->is_reported = entry->target.state != CONTROL_TARGET_READY;
+  return false;
 }
 
 void
@@ -154,12 +309,16 @@
 {
   GHashTableIter iterator;
   gpointer value;
+  targets->now_ms = now_ms;
   g_hash_table_iter_init (&iterator, targets->entries);
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       struct entry *entry = value;
-      if (now_ms >= entry->announced_ms + RETENTION_MS)
-        g_hash_table_iter_remove (&iterator);
+      if (now_ms >= entry->expires_ms)
+        {
+          if (is_over (entry))
+            g_hash_table_iter_remove (&iterator);
+        }
       else if (!entry->target.silent
                && entry->target.state != CONTROL_TARGET_GONE
                && now_ms >= entry->announced_ms + targets->timeout_ms)
@@ -188,8 +347,15 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       const struct entry *entry = value;
-      if (entry->change > change && count < CONTROL_TARGETS_MAX)
-        control_target_copy (&entry->target, &(*list)[count++]);
+      if (!entry->is_reported || entry->change <= change
+          || count == CONTROL_TARGETS_MAX)
+        continue;
+      struct control_target *copy = &(*list)[count++];
+      control_target_copy (&entry->target, copy);
+      if (copy->state == CONTROL_TARGET_GONE)
+        copy->cold_left_ms = (u_int)(entry->expires_ms > targets->now_ms
+                                         ? entry->expires_ms - targets->now_ms
+                                         : 1);
     }
   return count;
 }
--- a/src/control_targets.h
+++ b/src/control_targets.h
@@ -2,10 +2,15 @@
 #define CONTROL_TARGETS_H
 
 /** @file
- *  Targets as they announced themselves to this control member.  A start time
- *  (born_ms) identifies an incarnation of a target.  An announcement of the
- *  same incarnation counts only when its sequence number is higher than the
- *  last one.  Without I/O. */
+ *  Targets as they announced themselves to this control member, and as the
+ *  other members report them.  A start time (born_ms) identifies an
+ * incarnation of a target.  An announcement of the same incarnation counts
+ * only when its sequence number is higher than the last one.
+ *
+ *  A target may announce itself to one member and sign off at another.  What
+ *  others report tells which incarnation has signed off, and a departure that
+ *  any member was told of holds here too.  Targets that only others hear are
+ *  not reported to routers until they leave.  Without I/O. */
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -28,6 +33,15 @@
  *  not known. */
 void control_targets_mark_gone (struct control_targets *targets,
                                 const char *name, uint64_t now_ms);
+/** Merges a record that member @p source (below 32) reported at wall time
+ *  @p wall_ms.  Returns true when routers must be notified. */
+bool control_targets_learn (struct control_targets *targets, uint32_t source,
+                            const struct control_target *record,
+                            uint64_t now_ms, uint64_t wall_ms);
+/** Drops what only member @p source reports, after a while; called when that
+ *  member has restarted or doesn't answer. */
+void control_targets_forget_source (struct control_targets *targets,
+                                    uint32_t source, uint64_t now_ms);
 /** Marks targets whose announcements timed out as silent, and removes those
  *  without an announcement for the retention time. */
 void control_targets_expire (struct control_targets *targets, uint64_t now_ms);
--- a/src/control_watch.c
+++ b/src/control_watch.c
@@ -138,7 +138,13 @@
                       const struct control_watch_args *args, uint64_t now_ms)
 {
   struct watcher *watcher = g_new0 (struct watcher, 1);
-  control_routers_note_call (watch->routers, &args->self, now_ms);
+  bool is_member = control_targets_sync_is_member (args);
+  if (is_member)
+    control_targets_sync_note_call (
+        watch->daemon->targets_sync, args->router,
+        args->epoch == watch->epoch ? args->change : 0, now_ms);
+  else
+    control_routers_note_call (watch->routers, &args->self, now_ms);
   watcher->call = call;
   watcher->change = args->epoch == watch->epoch ? args->change : 0;
   watcher->document_version = args->document_version;
@@ -146,6 +152,8 @@
   watcher->limits_version = args->limits_version;
   watcher->routers_change
       = args->epoch == watch->epoch ? args->routers_change : 0;
+  if (is_member)
+    watcher->routers_change = UINT64_MAX;
   watcher->router = g_strdup (args->self.name);
   watcher->due_ms = now_ms + MIN (args->wait_ms, WAIT_MAX_MS);
   if (args->epoch != watch->epoch)
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -550,7 +550,8 @@
   unsigned int port;
   wire_name availability_zone;
   unsigned int slots;
-  unsigned int cold_left_ms;
+  unsigned int cold_left_ms;      /* of a target that is gone: time for which
+                                     the member keeps the record */
   control_target_state state;
   bool silent;                    /* announcements stopped arriving */
   wire_name software_version;     /* empty: not announced */
@@ -593,7 +594,9 @@
 /* Long poll: any member answers as soon as it has newer data than the router,
    at the latest after wait_ms.  epoch is drawn at each start of the member;
    change counts the changes of its targets since then.  document_version is
-   the newest document that the caller knows this member to hold. */
+   the newest document that the caller knows this member to hold.  A member that
+   watches another one has an empty self.name, and its address as router; it
+   counts as no router. */
 struct control_watch_args
 {
   wire_name cluster;
--- a/tests/test_target_announcements.c
+++ b/tests/test_target_announcements.c
@@ -91,6 +91,153 @@
   control_targets_destroy (targets);
 }
 
+/* State of the only record that routers are told, and its start; false when
+   there is none. */
+static bool
+find_reported (struct control_targets *targets,
+               enum control_target_state *state, uint64_t *born_ms)
+{
+  struct control_target *list = NULL;
+  uint32_t count = control_targets_changed_since (targets, 0, &list);
+  g_assert_cmpuint (count, <=, 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      *state = list[i].state;
+      *born_ms = list[i].born_ms;
+      xdr_free ((xdrproc_t)xdr_control_target, (char *)&list[i]);
+    }
+  free (list);
+  return count > 0;
+}
+
+/* A target that another member hears isn't reported to routers, but its
+   sign-off here names its incarnation. */
+static void
+test_sign_off_of_learned (void)
+{
+  enum control_target_state state;
+  uint64_t born_ms;
+  struct control_targets *targets = control_targets_create (SILENT_MS);
+  struct control_target target = record ("a", 5, 1, CONTROL_TARGET_READY);
+  g_assert_false (control_targets_learn (targets, 1, &target, 1000, 9000));
+  g_assert_false (find_reported (targets, &state, &born_ms));
+  /* It is known for as long as the other member hears it. */
+  control_targets_expire (targets, 1000000);
+  control_targets_mark_gone (targets, "a", 1000001);
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpint (state, ==, CONTROL_TARGET_GONE);
+  g_assert_cmpuint (born_ms, ==, 5);
+  control_targets_destroy (targets);
+}
+
+/* A departure that another member was told of holds for a target that this one
+   hears, and for one that it has never heard of. */
+static void
+test_learned_departures (void)
+{
+  enum control_target_state state;
+  uint64_t born_ms;
+  struct control_targets *targets = control_targets_create (SILENT_MS);
+  struct control_target ready = record ("a", 5, 1, CONTROL_TARGET_READY);
+  struct control_target leaving = record ("a", 5, 2, CONTROL_TARGET_LEAVING);
+  struct control_target gone = record ("a", 5, 2, CONTROL_TARGET_GONE);
+  g_assert_true (control_targets_announce (targets, &ready, 1000));
+  g_assert_true (control_targets_learn (targets, 1, &leaving, 1100, 9000));
+  ready.sequence = 3;
+  g_assert_true (control_targets_announce (targets, &ready, 1200));
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpint (state, ==, CONTROL_TARGET_LEAVING);
+  g_assert_true (control_targets_learn (targets, 1, &gone, 1300, 9000));
+  g_assert_false (control_targets_learn (targets, 2, &gone, 1300, 9000));
+  ready.sequence = 4;
+  g_assert_false (control_targets_announce (targets, &ready, 1400));
+  control_targets_destroy (targets);
+
+  targets = control_targets_create (SILENT_MS);
+  g_assert_true (control_targets_learn (targets, 1, &gone, 1000, 9000));
+  g_assert_false (control_targets_announce (targets, &ready, 1100));
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpint (state, ==, CONTROL_TARGET_GONE);
+  /* A later run isn't affected. */
+  ready.born_ms = 6;
+  g_assert_true (control_targets_announce (targets, &ready, 1200));
+  g_assert_false (control_targets_learn (targets, 1, &gone, 1300, 9000));
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpint (state, ==, CONTROL_TARGET_READY);
+  control_targets_destroy (targets);
+}
+
+/* A sign-off of a target that no member had reported yet concerns the run that
+   had begun by then. */
+static void
+test_sign_off_before_learned (void)
+{
+  enum control_target_state state;
+  uint64_t born_ms;
+  struct control_target target = record ("a", 5000, 1, CONTROL_TARGET_READY);
+  /* At the wall time 8,000 the sign-off is 2,000 old. */
+  struct control_targets *targets = control_targets_create (SILENT_MS);
+  control_targets_mark_gone (targets, "a", 1000);
+  g_assert_true (control_targets_learn (targets, 1, &target, 3000, 8000));
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpint (state, ==, CONTROL_TARGET_GONE);
+  g_assert_cmpuint (born_ms, ==, 5000);
+  control_targets_destroy (targets);
+
+  targets = control_targets_create (SILENT_MS);
+  target.born_ms = 7000;
+  control_targets_mark_gone (targets, "a", 1000);
+  control_targets_learn (targets, 1, &target, 3000, 8000);
+  g_assert_false (find_reported (targets, &state, &born_ms));
+  control_targets_destroy (targets);
+}
+
+/* Two members that tell each other of a departure forget it nevertheless. */
+static void
+test_learned_departure_ends (void)
+{
+  struct control_targets *members[2] = { control_targets_create (SILENT_MS),
+                                         control_targets_create (SILENT_MS) };
+  struct control_target gone = record ("a", 5, 2, CONTROL_TARGET_GONE);
+  g_assert_true (control_targets_learn (members[0], 2, &gone, 1000, 9000));
+  uint64_t known_until_ms = 0;
+  for (uint64_t now_ms = 1000; now_ms < 600000; now_ms += 5000)
+    for (uint32_t i = 0; i < 2; i++)
+      {
+        struct control_target *list = NULL;
+        control_targets_expire (members[i], now_ms);
+        uint32_t count = control_targets_changed_since (members[i], 0, &list);
+        for (uint32_t j = 0; j < count; j++)
+          {
+            known_until_ms = now_ms;
+            control_targets_learn (members[1 - i], i, &list[j], now_ms, 9000);
+            xdr_free ((xdrproc_t)xdr_control_target, (char *)&list[j]);
+          }
+        free (list);
+      }
+  g_assert_cmpuint (known_until_ms, >, 100000);
+  g_assert_cmpuint (known_until_ms, <, 130000);
+  control_targets_destroy (members[0]);
+  control_targets_destroy (members[1]);
+}
+
+/* What only an unreachable member hears is forgotten after a while. */
+static void
+test_forgotten_source (void)
+{
+  enum control_target_state state;
+  uint64_t born_ms = 9;
+  struct control_targets *targets = control_targets_create (SILENT_MS);
+  struct control_target target = record ("a", 5, 1, CONTROL_TARGET_READY);
+  control_targets_learn (targets, 1, &target, 1000, 9000);
+  control_targets_forget_source (targets, 1, 2000);
+  control_targets_expire (targets, 200000);
+  control_targets_mark_gone (targets, "a", 200001);
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpuint (born_ms, ==, 0);
+  control_targets_destroy (targets);
+}
+
 /* Equal reports of two members are one target; a leaving target gets no new
    work, whatever the other member reports. */
 static void
@@ -178,6 +325,16 @@
                    test_repeat_is_no_change);
   g_test_add_func ("/target-announcements/late-announcements",
                    test_late_announcements);
+  g_test_add_func ("/target-announcements/sign-off-of-learned",
+                   test_sign_off_of_learned);
+  g_test_add_func ("/target-announcements/learned-departures",
+                   test_learned_departures);
+  g_test_add_func ("/target-announcements/sign-off-before-learned",
+                   test_sign_off_before_learned);
+  g_test_add_func ("/target-announcements/learned-departure-ends",
+                   test_learned_departure_ends);
+  g_test_add_func ("/target-announcements/forgotten-source",
+                   test_forgotten_source);
   g_test_add_func ("/target-announcements/router-merges-reports",
                    test_router_merges_reports);
   g_test_add_func ("/target-announcements/gone-without-incarnation",
