Check the ids of sign-offs

Cause: announcements have their id checked, sign-offs had not. The member keeps the id as that of a target that is gone, a name of more than 128 bytes can't be encoded, and so each answer to a watch call fails as a whole, unlogged.

Test: /platform-odd-announcements/odd-sign-offs; on the former programs the added route is refused with 404 and the dropped one served 3 s after the acknowledgement, now the reverse.

--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -167,6 +167,9 @@
 {
   struct entry *entry = g_hash_table_lookup (targets->entries, name);
   targets->now_ms = now_ms;
+  /* One record that can't be encoded would keep all others from routers. */
+  if (strlen (name) > WIRE_NAME_BYTES)
+    return;
   if (!entry)
     {
       /* The target is not known to this member, but other members and routers
--- a/src/control_targets.h
+++ b/src/control_targets.h
@@ -30,7 +30,7 @@
                                const struct control_target *target,
                                uint64_t now_ms);
 /** Marks the current incarnation of a target as gone; adds the name when it is
- *  not known. */
+ *  not known.  A name that the wire can't carry is ignored. */
 void control_targets_mark_gone (struct control_targets *targets,
                                 const char *name, uint64_t now_ms);
 /** Merges a record that member @p source (below 32) reported at wall time
--- a/src/wire_server.c
+++ b/src/wire_server.c
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "base_log.h"
 #include "wire_connection.h"
 
 #define LISTEN_BACKLOG 1024
@@ -417,6 +418,10 @@
   xdrmem_create (&stream, call->reply, call->reply_bytes, XDR_ENCODE);
   call->failed = !codec (&stream, result);
   XDR_DESTROY (&stream);
+  if (call->failed)
+    base_log (BASE_LOG_ERROR, "reply-not-encoded program=%u procedure=%u",
+              (unsigned)call->record.program,
+              (unsigned)call->record.procedure);
   mark_answered (call);
 }
 
--- a/tests/test_platform_odd_announcements.c
+++ b/tests/test_platform_odd_announcements.c
@@ -17,6 +17,8 @@
   "\"maxAttempts\":2}],\"services\":[{\"name\":\"shop\"}],"                   \
   "\"limits\":{\"idleTimeoutMs\":15000}}"
 #define STATUS_BAD_REQUEST 400
+/* Time within which an accepted configuration is in force. */
+#define CONFIG_APPLY_US (3 * G_USEC_PER_SEC)
 /* Depths of nesting: just below the parser's own limit, beyond it, and much
    beyond it. */
 static const uint32_t depths[] = { 65, 400, 1000, 2040, 2047, 2049, 30000 };
@@ -52,7 +54,7 @@
 {
   for (uint32_t i = 0; i < PLATFORM_RIG_CORES; i++)
     g_assert_true (fleet_process_running (fixture->rig->cores[i]));
-  configure (fixture, 4);
+  configure (fixture, 9);
   platform_rig_announce (fixture->rig, "e1", "shop",
                          platform_target_port (fixture->target), "ready", 2);
   g_assert_true (platform_rig_wait_status (fixture->rig, "/look/a", "k", 200));
@@ -153,6 +155,43 @@
   check_and_tear_down (&fixture);
 }
 
+/* Guards against sign-offs that keep all later changes from routers: names
+   that no record can hold.  A configuration is in force in time after them. */
+static void
+test_odd_sign_offs (void)
+{
+  static const char later[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+        "\"pathPrefix\":\"/later/\",\"kind\":\"safe\",\"timeoutMs\":2500,"
+        "\"targetLatencyMs\":400,\"priority\":1,\"service\":\"shop\"}],"
+        "\"services\":[{\"name\":\"shop\"}],"
+        "\"limits\":{\"idleTimeoutMs\":15000}}";
+  char long_id[150 + 1] = "";
+  struct fixture fixture;
+  set_up (&fixture);
+  memset (long_id, 'a', sizeof long_id - 1);
+  const char *const ids[] = { long_id, "a%01b", "%ff%fe", "" };
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    for (uint32_t core = 0; core < PLATFORM_RIG_CORES; core++)
+      {
+        char *path = g_strdup_printf ("/v1/replicas/%s", ids[i]);
+        g_assert_cmpint (platform_rig_call_control (fixture.rig, core,
+                                                    "DELETE", path, NULL),
+                         ==, STATUS_BAD_REQUEST);
+        g_free (path);
+      }
+  platform_rig_configure (fixture.rig, later);
+  g_usleep (CONFIG_APPLY_US);
+  struct platform_reply reply
+      = platform_rig_request (fixture.rig, "/later/a", "k", NULL);
+  g_assert_cmpint (reply.status, ==, 200);
+  platform_reply_clear (&reply);
+  reply = platform_rig_request (fixture.rig, "/look/a", "k", NULL);
+  g_assert_cmpint (reply.status, ==, 404);
+  platform_reply_clear (&reply);
+  check_and_tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -164,5 +203,7 @@
                    test_deep_configuration);
   g_test_add_func ("/platform-odd-announcements/out-of-range",
                    test_out_of_range);
+  g_test_add_func ("/platform-odd-announcements/odd-sign-offs",
+                   test_odd_sign_offs);
   return g_test_run ();
 }
