Ignore trailer fields of answers, and bound them

A trailer with another request id makes a whole answer a 502, and one that says that the request has not run is believed.

Cause: libcurl reports trailer fields by the header callback, which read them like headers and kept them; libcurl keeps them as well, without a limit.

Change: after the head of the final response fields change nothing, and a trailer of more than 16 kB ends the attempt, in cactus-entry and cactus-router.

Test: /platform-endless-answers/* has bytes without end in each part of an answer, plain and streams, at a router that reaches the target and through one that passes the connection on.

--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -52,6 +52,8 @@
   /* The head of the final response is complete. */
   bool has_head;
   enum http_body_end body_end;
+  /* Bytes of the trailer fields that followed the body. */
+  uint32_t trailer_bytes;
   /* The response was rejected: too large, or without this request's id. */
   bool is_invalid;
   /* The connection is ready; the time within which it must be, and the end of
@@ -81,12 +83,11 @@
          && attempt->response.status <= STATUS_SUCCESS_MAX;
 }
 
-/* Handles the empty line that ends a head; libcurl reports one after trailers
-   too. */
+/* Handles the empty line that ends a head. */
 static void
 end_head (struct edge_attempt *attempt)
 {
-  if (attempt->has_head || attempt->response.status < STATUS_OK)
+  if (attempt->response.status < STATUS_OK)
     return;
   attempt->has_head = true;
   /* A faulty target may write a refusal once more, where the response to the
@@ -97,12 +98,19 @@
 }
 
 /* Header callback.  A status line starts a new response, since libcurl also
-   reports the headers of interim (1xx) responses. */
+   reports the headers of interim (1xx) responses.  It reports trailer fields
+   too, which change nothing about the response; libcurl keeps them. */
 static size_t
 receive_header (char *data, size_t size, size_t count, void *context)
 {
   struct edge_attempt *attempt = context;
   size_t bytes = size * count;
+  if (attempt->has_head)
+    {
+      bool fits = http_trailer_add (&attempt->trailer_bytes, bytes);
+      attempt->is_invalid |= !fits;
+      return fits ? bytes : 0;
+    }
   char *line = g_strndup (data, bytes);
   g_strchomp (line);
   char *colon = strchr (line, ':');
--- a/src/http_transfer.c
+++ b/src/http_transfer.c
@@ -1,5 +1,8 @@
 #include "http_transfer.h"
 
+/* Maximum size of a response's trailer fields. */
+#define TRAILER_MAX_BYTES 16384u
+
 void
 http_transfer_configure (CURL *easy, const char *url,
                          const struct http_transfer_limits *limits, bool reuse)
@@ -28,3 +31,12 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, context);
   curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, buffer_bytes);
 }
+
+bool
+http_trailer_add (uint32_t *trailer_bytes, size_t line_bytes)
+{
+  if (line_bytes > TRAILER_MAX_BYTES - *trailer_bytes)
+    return false;
+  *trailer_bytes += (uint32_t)line_bytes;
+  return true;
+}
--- a/src/http_transfer.h
+++ b/src/http_transfer.h
@@ -31,4 +31,9 @@
                                   curl_write_callback on_body,
                                   long buffer_bytes);
 
+/** Adds a line of @p line_bytes to the size of a response's trailer.  Returns
+ *  false when that is over its limit: the header callback must then return 0,
+ *  since libcurl keeps trailer fields without a limit. */
+bool http_trailer_add (uint32_t *trailer_bytes, size_t line_bytes);
+
 #endif
--- a/src/router_attempt.c
+++ b/src/router_attempt.c
@@ -30,6 +30,7 @@
   /* The head of the final response is complete. */
   bool has_head;
   enum http_body_end body_end;
+  uint32_t trailer_bytes;
   uint64_t events;
   bool is_stream;
   bool active;
@@ -66,14 +67,21 @@
 {
   struct router_attempt *attempt = context;
   size_t bytes = size * count;
+  /* libcurl reports trailer fields too. */
+  if (attempt->has_head)
+    {
+      bool fits = http_trailer_add (&attempt->trailer_bytes, bytes);
+      attempt->invalid |= !fits;
+      return fits ? bytes : 0;
+    }
   GString *value = g_string_new (NULL);
   const char *colon = memchr (line, ':', bytes);
   if (bytes > 4 && memcmp (line, "HTTP", 4) == 0)
     attempt->body_end = HTTP_BODY_END_CONNECTION;
-  else if (colon && !attempt->has_head)
+  else if (colon)
     http_body_end_read (&attempt->body_end, line, (size_t)(colon - line));
   else if (*line == '\r' || *line == '\n')
-    attempt->has_head |= router_attempt_status (attempt) >= STATUS_OK;
+    attempt->has_head = router_attempt_status (attempt) >= STATUS_OK;
   if (header_value (line, bytes, "Content-Type", value))
     {
       g_free (attempt->content_type);
