Bound the chunk extensions of answers

Cause: libcurl skips extensions without a limit and tells nobody.

Change: http_overhead compares the bytes that the kernel received on the connection with the content of a chunked response, ten times a second while no content comes and else twice.

--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -1,6 +1,7 @@
 #include "edge_attempt.h"
 #include "base_clock.h"
 #include "edge_tunnel.h"
+#include "http_overhead.h"
 #include "http_transfer.h"
 
 #include <errno.h>
@@ -52,8 +53,10 @@
   /* The head of the final response is complete. */
   bool has_head;
   enum http_body_end body_end;
-  /* Bytes of the trailer fields that followed the body. */
+  /* Bytes of the body, and of the trailer fields that followed it. */
+  uint64_t content_bytes;
   uint32_t trailer_bytes;
+  struct http_overhead overhead;
   /* The response was rejected: too large, or without this request's id. */
   bool is_invalid;
   /* The connection is ready; the time within which it must be, and the end of
@@ -90,6 +93,9 @@
   if (attempt->response.status < STATUS_OK)
     return;
   attempt->has_head = true;
+  http_overhead_begin (&attempt->overhead,
+                       router_poll_socket (attempt->loop, attempt->easy),
+                       base_clock_now_ms (base_clock_system ()));
   /* A faulty target may write a refusal once more, where the response to the
      next request on the connection is due. */
   if (attempt->response.status >= STATUS_ERROR)
@@ -143,6 +149,7 @@
 {
   struct edge_attempt *attempt = context;
   size_t bytes = size * count;
+  attempt->content_bytes += bytes;
   bool is_expected = attempt->response.request_id_matches
                      && !attempt->response.request_id_differs;
   if (is_expected && attempt->response.is_stream && is_success (attempt))
@@ -391,6 +398,20 @@
          && looked_ms >= attempt->connect_due_ms;
 }
 
+bool
+edge_attempt_is_flooded (struct edge_attempt *attempt, uint64_t now_ms)
+{
+  if (!attempt->active || !attempt->has_head
+      || attempt->body_end != HTTP_BODY_END_CHUNKS
+      || !http_overhead_is_excessive (
+          &attempt->overhead,
+          router_poll_socket (attempt->loop, attempt->easy),
+          attempt->content_bytes, now_ms))
+    return false;
+  attempt->fault = "the response has too many bytes besides its content";
+  return true;
+}
+
 void
 edge_attempt_pause (struct edge_attempt *attempt, bool pause)
 {
@@ -434,7 +455,8 @@
 edge_attempt_error (const struct edge_attempt *attempt)
 {
   if (attempt->active)
-    return "the connection was not made in time";
+    return attempt->fault ? attempt->fault
+                          : "the connection was not made in time";
   if (attempt->code != CURLE_OK)
     return curl_easy_strerror (attempt->code);
   return attempt->fault ? attempt->fault : "none";
--- a/src/edge_attempt.h
+++ b/src/edge_attempt.h
@@ -89,6 +89,9 @@
  *  for longer than its timeout. */
 bool edge_attempt_connect_is_overdue (const struct edge_attempt *attempt,
                                       uint64_t looked_ms);
+/** Returns whether much more than the response's content comes; the attempt is
+ *  then lost. */
+bool edge_attempt_is_flooded (struct edge_attempt *attempt, uint64_t now_ms);
 /** Pauses or continues reading the response. */
 void edge_attempt_pause (struct edge_attempt *attempt, bool pause);
 /** Returns the status and headers of the response. */
--- a/src/edge_timeouts.c
+++ b/src/edge_timeouts.c
@@ -107,6 +107,11 @@
       edge_send_handle_attempt_end (request, EDGE_ATTEMPT_UNSENT);
       return;
     }
+  if (request->attempt && edge_attempt_is_flooded (request->attempt, now_ms))
+    {
+      edge_send_handle_attempt_end (request, EDGE_ATTEMPT_LOST);
+      return;
+    }
   const char *reason = find_stall (request, looked_ms);
   if (reason && !request->via)
     edge_reach_suspect (request->edge, request->target);
--- a/src/router_poll.c
+++ b/src/router_poll.c
@@ -41,8 +41,11 @@
   /* Time of the last look at them, later by the time for which the loop has
      waited for events since. */
   uint64_t closes_looked_ms;
-  /* Sockets of libcurl (struct transfer_socket) by file descriptor. */
+  /* Sockets of libcurl (struct transfer_socket) by file descriptor, and file
+     descriptors by transfer: libcurl tells the socket of a transfer only when
+     that has ended. */
   GHashTable *sockets;
+  GHashTable *transfers;
   int wake;
   uint64_t timer_ms;
   /* Time of the last look at the events, and time between the one before and
@@ -81,16 +84,26 @@
   return g_hash_table_lookup (loop->sockets, GINT_TO_POINTER (fd));
 }
 
+int
+router_poll_socket (const struct router_poll *loop, CURL *easy)
+{
+  gpointer fd;
+  return g_hash_table_lookup_extended (loop->transfers, easy, NULL, &fd)
+             ? GPOINTER_TO_INT (fd)
+             : -1;
+}
+
 static int
 watch_socket (CURL *easy, curl_socket_t fd, int what, void *context,
               void *known)
 {
   struct router_poll *loop = context;
   struct transfer_socket *socket = find_socket (loop, fd);
-  (void)easy;
   (void)known;
   if (what == CURL_POLL_REMOVE)
     {
+      if (router_poll_socket (loop, easy) == fd)
+        g_hash_table_remove (loop->transfers, easy);
       if (socket && socket->is_watched)
         epoll_ctl (loop->epoll, EPOLL_CTL_DEL, fd, NULL);
       g_hash_table_remove (loop->sockets, GINT_TO_POINTER (fd));
@@ -101,6 +114,7 @@
       socket = g_new0 (struct transfer_socket, 1);
       g_hash_table_insert (loop->sockets, GINT_TO_POINTER (fd), socket);
     }
+  g_hash_table_insert (loop->transfers, easy, GINT_TO_POINTER (fd));
   socket->events = (what & CURL_POLL_IN ? EPOLLIN : 0u)
                    | (what & CURL_POLL_OUT ? EPOLLOUT : 0u);
   update_watch (loop, fd, socket);
@@ -110,8 +124,7 @@
 void
 router_poll_pause (struct router_poll *loop, CURL *easy, bool pause)
 {
-  curl_socket_t fd = CURL_SOCKET_BAD;
-  curl_easy_getinfo (easy, CURLINFO_ACTIVESOCKET, &fd);
+  int fd = router_poll_socket (loop, easy);
   struct transfer_socket *socket = find_socket (loop, fd);
   if (!socket || socket->is_paused == pause)
     return;
@@ -137,6 +150,7 @@
   loop->done = done;
   loop->timer_ms = NO_TIMER;
   loop->sockets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  loop->transfers = g_hash_table_new (NULL, NULL);
   loop->multi = curl_multi_init ();
   loop->epoll = epoll_create1 (EPOLL_CLOEXEC);
   loop->closes = epoll_create1 (EPOLL_CLOEXEC);
@@ -168,6 +182,7 @@
   if (loop->multi)
     curl_multi_cleanup (loop->multi);
   g_hash_table_unref (loop->sockets);
+  g_hash_table_unref (loop->transfers);
   if (loop->closes >= 0)
     close (loop->closes);
   if (loop->epoll >= 0)
@@ -187,6 +202,7 @@
 router_poll_remove (struct router_poll *loop, CURL *easy)
 {
   curl_multi_remove_handle (loop->multi, easy);
+  g_hash_table_remove (loop->transfers, easy);
 }
 
 int
--- a/src/router_poll.h
+++ b/src/router_poll.h
@@ -31,6 +31,9 @@
 int router_poll_add (struct router_poll *loop, CURL *easy);
 /** Cancels a transfer and closes its connection. */
 void router_poll_remove (struct router_poll *loop, CURL *easy);
+/** Returns the socket of a transfer in progress, or -1 before it is
+ *  connected. */
+int router_poll_socket (const struct router_poll *loop, CURL *easy);
 /** Stops or continues reading a transfer's response.  Unlike curl_easy_pause,
  *  this leaves what isn't read yet with the kernel: libcurl discards what it
  *  holds for a paused transfer when the connection then fails. */
--- a/tests/test_platform_endless_answers.c
+++ b/tests/test_platform_endless_answers.c
@@ -59,10 +59,19 @@
   { "connection", HEAD "%s\r\nConnection: close\r\n\r\n", "aaaaaaaa", false },
   { "chunks", HEAD "%s\r\n" CHUNKED "\r\n", "8\r\naaaaaaaa\r\n", false },
   { "zeros", HEAD "%s\r\n" CHUNKED "\r\n", "00000000", false },
+  { "extension", HEAD "%s\r\n" CHUNKED "\r\n2;a=", "aaaaaaaa", false },
+  { "extensions", HEAD "%s\r\n" CHUNKED "\r\n",
+    "1;a=aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"
+    "a\r\n",
+    false },
   { "trailer", HEAD "%s\r\n" CHUNKED "\r\n2\r\nok\r\n0\r\nX-A: ", "aaaaaaaa",
     true },
   { "trailers", HEAD "%s\r\n" CHUNKED "\r\n2\r\nok\r\n0\r\n",
     "X-A: aaaaaaaa\r\n", true },
+  { "event-extension",
+    HEAD "%s\r\nContent-Type: text/event-stream\r\n" CHUNKED "\r\n"
+         "f\r\nid: 1\ndata: x\n\n\r\n2;a=",
+    "aaaaaaaa", false },
   { "event-trailers",
     HEAD "%s\r\nContent-Type: text/event-stream\r\n" CHUNKED "\r\n"
          "f\r\nid: 1\ndata: x\n\n\r\n0\r\n",
