Search an event that comes in small parts once

What callers saw: a target that sends one long event of a stream in chunks of 8 bytes holds the router's only thread for 3.5 s; all callers of that router wait.

Cause: the search for the end of an event begins at its first byte with each part of it that comes; 64,000 parts of up to 512 kB.

Change: the search goes on where it ended.

Test: /platform-endless-answers/event, read for 3.5 s before, 0.010 s now.

--- a/src/edge_events.c
+++ b/src/edge_events.c
@@ -33,11 +33,13 @@
 }
 
 /* Returns the length of the first complete event with its empty line, in
-   bytes, or 0 when the event is still incomplete. */
+   bytes, or 0 when the event is still incomplete.  It doesn't end within the
+   first @p searched bytes. */
 static size_t
-find_end (const char *text, size_t bytes)
+find_end (const char *text, size_t bytes, size_t searched)
 {
-  for (size_t i = 0; i + 1 < bytes; i++)
+  /* The last two of them may be the beginning of an empty line. */
+  for (size_t i = searched > 2 ? searched - 2 : 0; i + 1 < bytes; i++)
     {
       if (text[i] != '\n')
         continue;
@@ -87,13 +89,16 @@
 {
   int count = 0;
   size_t used = 0;
+  /* An event that comes in many small parts is searched once. */
+  size_t searched = events->pending->len;
   g_string_append_len (events->pending, data, (gssize)bytes);
   for (;;)
     {
       const char *text = events->pending->str + used;
-      size_t end = find_end (text, events->pending->len - used);
+      size_t end = find_end (text, events->pending->len - used, searched);
       if (end == 0)
         break;
+      searched = 0;
       count += append_if_new (events, text, end, out) ? 1 : 0;
       used += end;
     }
--- a/tests/test_platform_endless_answers.c
+++ b/tests/test_platform_endless_answers.c
@@ -68,6 +68,10 @@
     true },
   { "trailers", HEAD "%s\r\n" CHUNKED "\r\n2\r\nok\r\n0\r\n",
     "X-A: aaaaaaaa\r\n", true },
+  { "event",
+    HEAD "%s\r\nContent-Type: text/event-stream\r\n" CHUNKED "\r\n"
+         "18\r\nid: 1\ndata: x\n\ndata: aaa\r\n",
+    "8\r\naaaaaaaa\r\n", false },
   { "event-extension",
     HEAD "%s\r\nContent-Type: text/event-stream\r\n" CHUNKED "\r\n"
          "f\r\nid: 1\ndata: x\n\n\r\n2;a=",
