Refuse requests whose turn comes late in a planned stop

Cause: a stopping router refuses what comes after 28 % of the grace period, but goes by the time at which the head came. A caller that sends slowly, or a request that waits for a place, a lease or a permit, is sent at any time of the stop.

Change: the time at which the request is complete counts, and that at which it is sent. What has not run is refused as not run; what has may go on.

--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -25,9 +25,9 @@
 /* Value of Retry-After where another router may serve the request, in
    milliseconds. */
 #define ELSEWHERE_RETRY_AFTER_MS 50
-/* Percentage of the grace period in which new requests are still served after
-   a stop request: the load balancer notices the stop within two readiness
-   checks, and later requests could be cut off by the forced stop. */
+/* Percentage of the grace period in which requests are still sent to targets
+   after a stop request: the load balancer notices the stop within two
+   readiness checks, and later requests could be cut off by the forced stop. */
 #define STOP_SERVE_PERCENT 28
 
 static bool may_send (struct edge_attempt_callbacks *callbacks);
@@ -299,19 +299,19 @@
     }
 }
 
-/* Refuses a request that arrived too late in a graceful stop. */
-static bool
-check_not_stopping (struct edge_request *request)
+bool
+edge_request_refuse_late (struct edge_request *request)
 {
   const struct edge *edge = request->edge;
-  if (!edge->stopping
-      || request->arrived_ms < edge->stop_started_ms
-                                   + (uint64_t)edge->options.grace_ms
-                                         * STOP_SERVE_PERCENT / 100)
-    return true;
+  if (!edge->stopping || request->maybe_ran || request->is_started
+      || request->attempts_maybe_run > 0
+      || edge_now_ms () < edge->stop_started_ms
+                              + (uint64_t)edge->options.grace_ms
+                                    * STOP_SERVE_PERCENT / 100)
+    return false;
   edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE,
                       ELSEWHERE_RETRY_AFTER_MS, "this router is stopping");
-  return false;
+  return true;
 }
 
 /* Refuses a request with a malformed header value rather than replacing the
@@ -351,7 +351,7 @@
   g_queue_push_tail_link (&edge->requests, &request->link);
   base_counter_add (edge->counters.requests, 1);
   base_counter_set (edge->counters.open_requests, edge->requests.length);
-  if (!check_not_stopping (request) || !check_headers (request)
+  if (edge_request_refuse_late (request) || !check_headers (request)
       || !find_route (request) || !find_account (request))
     return;
   set_limits (request);
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -147,6 +147,9 @@
 /** Returns a digest of account, path and body, by which a request is known
  *  again under another id. */
 uint64_t edge_request_digest (struct edge_request *request);
+/** Refuses a request that has not run when a graceful stop has gone on for so
+ *  long that its run may be cut off, and returns true. */
+bool edge_request_refuse_late (struct edge_request *request);
 /** Starts processing once headers and body were read. */
 void edge_request_begin (struct edge_request *request);
 /** Called when the caller disconnected or has the complete response.  Drops
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -388,7 +388,7 @@
 {
   struct edge *edge = request->edge;
   bool is_unreachable = false;
-  if (edge_send_is_blocked (request))
+  if (edge_send_is_blocked (request) || edge_request_refuse_late (request))
     return;
   if (!edge_suspicion_may_send (request))
     {
