Keep the targets that a control member reports in its data folder

Cause: which version began a stream, and which versions a service had, is known in memory only. A router that has known its targets for 5 s takes the one version among them for that of a stream that nobody knows; after a start of all nobody knows that there was another one. By the same, all forget sign-offs.

Change: a thread of each member writes what the member reports to a file of its data folder, within half a second of a change; a member that starts reports it as silent, leaving or gone for the rest of its time. Builds without this ignore the file; wires are unchanged.

Ruled out: to wait longer than 5 s. Callers don't name the stream that they take up, so every take-up at a router that has just started would be refused.

--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -352,7 +352,11 @@
   daemon->targets_sync = control_targets_sync_create (&sync);
   control_counters_create (daemon);
   if (open_store (daemon, findings) == 0 && listen_on (daemon, findings) == 0)
-    return daemon;
+    {
+      daemon->targets_store = control_targets_store_create (
+          options->data_dir, &daemon->mutex, daemon->targets);
+      return daemon;
+    }
   control_daemon_destroy (daemon);
   return NULL;
 }
@@ -364,6 +368,7 @@
     return;
   wire_server_destroy (daemon->server);
   control_targets_sync_destroy (daemon->targets_sync);
+  control_targets_store_destroy (daemon->targets_store);
   control_peers_destroy (daemon->peers);
   control_pending_destroy (daemon->proposals);
   control_pending_destroy (daemon->reads);
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -14,6 +14,7 @@
 #include "control_state.h"
 #include "control_store.h"
 #include "control_targets.h"
+#include "control_targets_store.h"
 #include "control_targets_sync.h"
 #include "control_streams.h"
 #include "control_watch.h"
@@ -69,6 +70,7 @@
   GMutex mutex;
   struct control_targets *targets;
   struct control_targets_sync *targets_sync;
+  struct control_targets_store *targets_store;
   /** Members that another member listed; used while this member's log is
    *  empty. */
   struct consensus_configuration learned_members;
--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -362,3 +362,49 @@
     }
   return count;
 }
+
+void
+control_targets_save (const struct control_targets *targets, uint64_t wall_ms,
+                      struct control_targets_file *file)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  u_int count = 0;
+  guint size = g_hash_table_size (targets->entries);
+  struct control_target_entry *list = calloc (size + 1, sizeof *list);
+  g_hash_table_iter_init (&iterator, targets->entries);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct entry *entry = value;
+      if (!entry->is_reported || is_nameless (entry)
+          || entry->expires_ms <= targets->now_ms
+          || count == CONTROL_TARGETS_MAX)
+        continue;
+      control_target_copy (&entry->target, &list[count].target);
+      list[count++].left_ms
+          = MIN (entry->expires_ms - targets->now_ms, RETENTION_MS);
+    }
+  file->wall_ms = wall_ms;
+  file->entries.entries_len = count;
+  file->entries.entries_val = list;
+}
+
+void
+control_targets_restore (struct control_targets *targets,
+                         const struct control_targets_file *file,
+                         uint64_t now_ms, uint64_t wall_ms)
+{
+  uint64_t away_ms = wall_ms > file->wall_ms ? wall_ms - file->wall_ms : 0;
+  targets->now_ms = now_ms;
+  for (u_int i = 0; i < file->entries.entries_len; i++)
+    {
+      const struct control_target_entry *saved = &file->entries.entries_val[i];
+      uint64_t left_ms = MIN (saved->left_ms, RETENTION_MS);
+      if (left_ms <= away_ms
+          || g_hash_table_contains (targets->entries, saved->target.name))
+        continue;
+      struct entry *entry = replace_learned (targets, &saved->target);
+      entry->expires_ms = now_ms + left_ms - away_ms;
+      note_change (targets, entry);
+    }
+}
--- a/src/control_targets.h
+++ b/src/control_targets.h
@@ -53,6 +53,15 @@
 uint32_t control_targets_changed_since (const struct control_targets *targets,
                                         uint64_t change,
                                         struct control_target **list);
+/** Fills @p file with what routers are told; the caller frees it with
+ *  xdr_free. */
+void control_targets_save (const struct control_targets *targets,
+                           uint64_t wall_ms,
+                           struct control_targets_file *file);
+/** Adds what an earlier process of this member saved, as silent targets. */
+void control_targets_restore (struct control_targets *targets,
+                              const struct control_targets_file *file,
+                              uint64_t now_ms, uint64_t wall_ms);
 /** Copies a record; the caller frees the copy with xdr_free. */
 void control_target_copy (const struct control_target *from,
                           struct control_target *to);
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -587,6 +587,21 @@
 };
 typedef struct control_target control_target;
 
+struct control_target_entry {
+	control_target target;
+	u_quad_t left_ms;
+};
+typedef struct control_target_entry control_target_entry;
+
+struct control_targets_file {
+	u_quad_t wall_ms;
+	struct {
+		u_int entries_len;
+		control_target_entry *entries_val;
+	} entries;
+};
+typedef struct control_targets_file control_targets_file;
+
 struct control_suspect {
 	bool_t is_request;
 	u_quad_t part;
@@ -1207,6 +1222,8 @@
 extern  bool_t xdr_control_limit_list (XDR *, control_limit_list*);
 extern  bool_t xdr_control_target_state (XDR *, control_target_state*);
 extern  bool_t xdr_control_target (XDR *, control_target*);
+extern  bool_t xdr_control_target_entry (XDR *, control_target_entry*);
+extern  bool_t xdr_control_targets_file (XDR *, control_targets_file*);
 extern  bool_t xdr_control_suspect (XDR *, control_suspect*);
 extern  bool_t xdr_control_suspects (XDR *, control_suspects*);
 extern  bool_t xdr_control_router_record (XDR *, control_router_record*);
@@ -1298,6 +1315,8 @@
 extern bool_t xdr_control_limit_list ();
 extern bool_t xdr_control_target_state ();
 extern bool_t xdr_control_target ();
+extern bool_t xdr_control_target_entry ();
+extern bool_t xdr_control_targets_file ();
 extern bool_t xdr_control_suspect ();
 extern bool_t xdr_control_suspects ();
 extern bool_t xdr_control_router_record ();
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -557,6 +557,21 @@
   wire_name software_version;     /* empty: not announced */
 };
 
+/* The targets that a member reports, in its data folder; a member that starts
+   knows by them which targets there were and which have left.  Builds that
+   don't read the file ignore it. */
+struct control_target_entry
+{
+  control_target target;
+  unsigned hyper left_ms;         /* time until the member forgets it */
+};
+
+struct control_targets_file
+{
+  unsigned hyper wall_ms;         /* wall time at which it was written */
+  control_target_entry entries<CONTROL_TARGETS_MAX>;
+};
+
 /* A part of a prompt, or a whole request, that is suspected to crash targets,
    or blocked. */
 struct control_suspect
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -1074,6 +1074,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_control_target_entry (XDR *xdrs, control_target_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_target (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_targets_file (XDR *xdrs, control_targets_file *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->wall_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, CONTROL_TARGETS_MAX,
+		sizeof (control_target_entry), (xdrproc_t) xdr_control_target_entry))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_suspect (XDR *xdrs, control_suspect *objp)
 {
--- a/tests/test_target_announcements.c
+++ b/tests/test_target_announcements.c
@@ -8,8 +8,10 @@
 #include <string.h>
 
 #include <glib.h>
+#include <glib/gstdio.h>
 
 #include "control_targets.h"
+#include "control_targets_store.h"
 #include "edge_targets.h"
 
 /* Timeout of announcements. */
@@ -238,6 +240,90 @@
   control_targets_destroy (targets);
 }
 
+/* A member that starts knows the targets and departures that its former
+   process reported, for as long as that would have known them. */
+static void
+test_restored (void)
+{
+  enum control_target_state state;
+  uint64_t born_ms;
+  struct control_targets_file file = { 0 };
+  struct control_target gone = record ("a", 5, 2, CONTROL_TARGET_GONE);
+  struct control_target ready = record ("a", 5, 3, CONTROL_TARGET_READY);
+  struct control_targets *targets = control_targets_create (SILENT_MS);
+  control_targets_learn (targets, 1, &gone, 1000, 9000);
+  control_targets_save (targets, 50000, &file);
+  control_targets_destroy (targets);
+
+  targets = control_targets_create (SILENT_MS);
+  control_targets_restore (targets, &file, 700, 60000);
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpint (state, ==, CONTROL_TARGET_GONE);
+  g_assert_false (control_targets_announce (targets, &ready, 800));
+  control_targets_expire (targets, 700 + 111000);
+  g_assert_false (find_reported (targets, &state, &born_ms));
+  control_targets_destroy (targets);
+
+  targets = control_targets_create (SILENT_MS);
+  control_targets_restore (targets, &file, 700, 50000 + 121000);
+  g_assert_false (find_reported (targets, &state, &born_ms));
+  control_targets_destroy (targets);
+  xdr_free ((xdrproc_t)xdr_control_targets_file, (char *)&file);
+}
+
+/* Opens the folder's targets and returns the number that is reported; a target
+   is added when @p name isn't NULL. */
+static uint32_t
+reopen (const char *folder, const char *name)
+{
+  GMutex mutex;
+  struct control_targets *targets = control_targets_create (SILENT_MS);
+  g_mutex_init (&mutex);
+  struct control_targets_store *store
+      = control_targets_store_create (folder, &mutex, targets);
+  if (name)
+    {
+      struct control_target target = record (name, 5, 1, CONTROL_TARGET_READY);
+      g_mutex_lock (&mutex);
+      control_targets_announce (targets, &target,
+                                (uint64_t)g_get_monotonic_time () / 1000);
+      g_mutex_unlock (&mutex);
+    }
+  control_targets_store_destroy (store);
+  uint32_t count = changed_since (targets, 0);
+  control_targets_destroy (targets);
+  g_mutex_clear (&mutex);
+  return count;
+}
+
+/* A file of targets that is damaged or torn is ignored. */
+static void
+test_damaged_file (void)
+{
+  char *folder = g_dir_make_tmp ("targets-XXXXXX", NULL);
+  char *path = g_build_filename (folder, "targets", NULL);
+  char *data = NULL;
+  gsize bytes = 0;
+  g_assert_cmpuint (reopen (folder, "a"), ==, 1);
+  g_assert_cmpuint (reopen (folder, "b"), ==, 2);
+  g_assert_cmpuint (reopen (folder, NULL), ==, 2);
+  g_assert_true (g_file_get_contents (path, &data, &bytes, NULL));
+  for (gsize at = 0; at < bytes; at += 7)
+    {
+      data[at] ^= 1;
+      g_assert_true (g_file_set_contents (path, data, (gssize)bytes, NULL));
+      g_assert_cmpuint (reopen (folder, NULL), ==, 0);
+      data[at] ^= 1;
+      g_assert_true (g_file_set_contents (path, data, (gssize)at, NULL));
+      g_assert_cmpuint (reopen (folder, NULL), ==, 0);
+    }
+  g_free (data);
+  g_unlink (path);
+  g_rmdir (folder);
+  g_free (path);
+  g_free (folder);
+}
+
 /* Equal reports of two members are one target; a leaving target gets no new
    work, whatever the other member reports. */
 static void
@@ -335,6 +421,8 @@
                    test_learned_departure_ends);
   g_test_add_func ("/target-announcements/forgotten-source",
                    test_forgotten_source);
+  g_test_add_func ("/target-announcements/restored", test_restored);
+  g_test_add_func ("/target-announcements/damaged-file", test_damaged_file);
   g_test_add_func ("/target-announcements/router-merges-reports",
                    test_router_merges_reports);
   g_test_add_func ("/target-announcements/gone-without-incarnation",
