Write a member's file of targets from time to time

What callers might see: targets that don't change for more than 120 s, then a kill of all processes while a release replaces them: the file of targets is older than the time for which its entries count, the former version is unknown, and a stream of it may go on at the next one.

Cause: the file was written only when a target changed.

Change: it is written at least every 20 s, so an entry loses 20 s of its 120.

--- a/src/control_targets.h
+++ b/src/control_targets.h
@@ -3,9 +3,9 @@
 
 /** @file
  *  Targets as they announced themselves to this control member, and as the
- *  other members report them.  A start time (born_ms) identifies an
- * incarnation of a target.  An announcement of the same incarnation counts
- * only when its sequence number is higher than the last one.
+ *  other members report them.  A start time (born_ms) identifies a target's
+ *  incarnation.  An announcement of the same incarnation counts only when its
+ *  sequence number is higher than the last one.
  *
  *  A target may announce itself to one member and sign off at another.  What
  *  others report tells which incarnation has signed off, and a departure that
--- a/src/control_targets_store.c
+++ b/src/control_targets_store.c
@@ -10,17 +10,20 @@
 #include "store_file.h"
 
 #define FILE_NAME "targets"
-/* Shortest time between two writes, in milliseconds. */
+/* Shortest time between two writes, and longest one, in milliseconds: the
+   entries of a file that is older than their time are lost. */
 #define WRITE_INTERVAL_MS 500
+#define WRITE_INTERVAL_MAX_MS 20000
 
 struct control_targets_store
 {
   char *folder;
   GMutex *targets_mutex;
   struct control_targets *targets;
-  /* Used by the thread: the last change that was written, and whether the last
-     write failed. */
+  /* Used by the thread: the last change that was written, when, and whether
+     the last write failed. */
   uint64_t written_change;
+  uint64_t written_ms;
   bool has_failed;
   GMutex mutex;
   GCond wake;
@@ -83,7 +86,7 @@
   g_free (path);
 }
 
-/* Writes the targets if they have changed. */
+/* Writes the targets if they have changed, or from time to time. */
 static void
 write_changes (struct control_targets_store *store)
 {
@@ -91,11 +94,13 @@
   struct control_targets_file file = { 0 };
   g_mutex_lock (store->targets_mutex);
   uint64_t change = control_targets_newest_change (store->targets);
-  bool has_changed = change != store->written_change;
-  if (has_changed)
+  bool is_due = change != store->written_change
+                || (change != 0
+                    && now_ms () >= store->written_ms + WRITE_INTERVAL_MAX_MS);
+  if (is_due)
     control_targets_save (store->targets, base_clock_steady_wall_ms (), &file);
   g_mutex_unlock (store->targets_mutex);
-  if (!has_changed)
+  if (!is_due)
     return;
   u_int bytes = (u_int)xdr_sizeof ((xdrproc_t)xdr_control_targets_file, &file);
   char *data = g_malloc (bytes + 1);
@@ -113,6 +118,7 @@
               (unsigned)file.entries.entries_len,
               failed ? g_strerror (errno) : "none");
   store->has_failed = failed;
+  store->written_ms = now_ms ();
   if (!failed)
     store->written_change = change;
   g_free (data);
--- a/src/control_targets_sync.h
+++ b/src/control_targets_sync.h
@@ -2,11 +2,11 @@
 #define CONTROL_TARGETS_SYNC_H
 
 /** @file
- *  Exchanges knowledge of targets among the control members: a thread for each
- *  other member makes the watch calls that routers make, and what it learns is
- *  merged into the daemon's table (control_targets.h).  So a departure that
- * one member was told of outlives that member's restart, and holds at members
- * that hear the target themselves. */
+ *  Exchanges knowledge of targets among the control members: a thread for
+ *  each other member makes the watch calls that routers make, and merges what
+ *  it learns into the daemon's table (control_targets.h).  So a departure that
+ *  one member was told of outlives that member's restart, and holds at members
+ *  that hear the target themselves. */
 
 #include <stdint.h>
 
