--- a/tests/test_platform_cut_heads.c
+++ b/tests/test_platform_cut_heads.c
@@ -65,10 +65,8 @@
 };
 
 static char *
-make_head (const struct platform_raw_target *raw, const char *request,
-           const char *framing, bool is_stream)
+make_head (const char *request, const char *framing, bool is_stream)
 {
-  (void)raw;
   char **parts = g_strsplit (request, "X-Request-Id: ", 2);
   char *id = g_strdup (parts[0] && parts[1] ? parts[1] : "");
   g_strdelimit (id, "\r", '\0');
@@ -97,13 +95,14 @@
          void *context)
 {
   struct fixture *fixture = context;
+  (void)raw;
   bool resumes = strstr (request, "Last-Event-Id: ") != NULL;
   bool is_ask = strstr (request, " /ask/") != NULL;
   bool is_stream = is_ask || strstr (request, " /stream/") != NULL;
   const char *framing
       = framings[atomic_load (&fixture->framing) % G_N_ELEMENTS (framings)];
   char *head = make_head (
-      raw, request, atomic_load (&fixture->is_calm) ? framings[2] : framing,
+      request, atomic_load (&fixture->is_calm) ? framings[2] : framing,
       is_stream);
   if (atomic_load (&fixture->is_calm))
     {
@@ -113,7 +112,7 @@
   else if (is_ask && !resumes)
     {
       /* The stream breaks off, so that another run resumes it. */
-      char *first = make_head (raw, request, framings[2], true);
+      char *first = make_head (request, framings[2], true);
       platform_raw_target_write (fd, first, strlen (first));
       send_events (fd, 1, EVENTS_BEFORE);
       g_usleep (WAIT_US);
@@ -238,7 +237,7 @@
   uint32_t wrong = 0;
   uint32_t tried[2] = { 0 };
   struct fixture *fixture = set_up ();
-  char *head = make_head (NULL, "X-Request-Id: q1\r", framings[1], true);
+  char *head = make_head ("X-Request-Id: q1\r", framings[1], true);
   uint32_t head_bytes = (uint32_t)strlen (head);
   g_free (head);
   for (uint32_t router = 0; router < 2; router++)
