--- a/src/consensus.h
+++ b/src/consensus.h
@@ -148,6 +148,8 @@
 bool consensus_snapshot_decode (GBytes *snapshot,
                                 struct consensus_wire_snapshot *wire);
 
+/** Number of votes that the other members granted in the last election. */
+uint32_t consensus_votes (const struct consensus *consensus);
 /** Whether this member is the leader. */
 bool consensus_is_leader (const struct consensus *consensus);
 /** Whether this member is the leader and has committed an entry of its term.
--- a/src/consensus_view.c
+++ b/src/consensus_view.c
@@ -70,6 +70,15 @@
   return valid;
 }
 
+uint32_t
+consensus_votes (const struct consensus *consensus)
+{
+  uint32_t votes = 0;
+  for (uint32_t i = 0; i < consensus->peer_count; i++)
+    votes += consensus->peers[i].vote_granted;
+  return votes;
+}
+
 bool
 consensus_is_leader (const struct consensus *consensus)
 {
--- a/src/control_counters.c
+++ b/src/control_counters.c
@@ -2,8 +2,39 @@
 
 #include <inttypes.h>
 
+#include "base_clock.h"
 #include "base_log.h"
 
+/* Interval of the log lines of a member that knows no leader, in
+   milliseconds. */
+#define LEADERLESS_LOG_MS 2000
+
+/* Logs now and then what keeps this member without a leader. */
+static void
+log_leaderless (struct control_daemon *daemon)
+{
+  uint64_t now_ms = base_clock_now_ms (base_clock_system ());
+  const struct consensus_configuration *members
+      = consensus_members (daemon->consensus);
+  if (daemon->logged_leader != 0 || members->count == 0)
+    {
+      daemon->leaderless_log_due_ms = now_ms + LEADERLESS_LOG_MS;
+      return;
+    }
+  if (now_ms < daemon->leaderless_log_due_ms)
+    return;
+  daemon->leaderless_log_due_ms = now_ms + LEADERLESS_LOG_MS;
+  base_log (
+      BASE_LOG_NOTICE,
+      "leaderless term=%" PRIu64 " votes=%" PRIu32 " majority=%" PRIu32
+      " members=%" PRIu32 " is_voter=%d last_index=%" PRIu64,
+      consensus_term (daemon->consensus), consensus_votes (daemon->consensus),
+      consensus_configuration_majority (members), members->count,
+      (int)consensus_configuration_is_voter (
+          members, daemon->options.member_id, daemon->identity.incarnation),
+      consensus_last_index (daemon->consensus));
+}
+
 static void
 log_leader (struct control_daemon *daemon)
 {
@@ -21,6 +52,7 @@
 {
   struct control_counters *counters = &daemon->counters;
   log_leader (daemon);
+  log_leaderless (daemon);
   base_counter_set (counters->leader, consensus_is_ready (daemon->consensus));
   base_counter_set (counters->term, consensus_term (daemon->consensus));
   base_counter_set (
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -80,6 +80,8 @@
   struct control_counters counters;
   /** Leader in the last leader-changed log line. */
   uint64_t logged_leader;
+  /** Time of the next log line while no leader is known, in milliseconds. */
+  uint64_t leaderless_log_due_ms;
   /** Whether this member was a ready leader in the previous round. */
   bool was_ready;
   /** Time of the next check for expired sessions, in milliseconds. */
--- a/src/control_peers.c
+++ b/src/control_peers.c
@@ -1,10 +1,12 @@
 #include "control_peers.h"
 
+#include <inttypes.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "cactus_config.h"
+#include "base_log.h"
 #include "consensus.h"
 #include "wire_client.h"
 
@@ -26,6 +28,8 @@
   GQueue queue;
   uint64_t queued_bytes;
   bool stopping;
+  /* Whether the last log line says that posted messages are unanswered. */
+  bool is_silent;
   GThread *thread;
 };
 
@@ -76,6 +80,24 @@
   g_mutex_unlock (&sender->mutex);
 }
 
+/* Logs when posted messages stay unanswered, and when they are answered
+   again. */
+static void
+log_silence (struct sender *sender, struct wire_client *client)
+{
+  uint32_t open_calls = 0;
+  uint64_t silent_ms = wire_client_silent_ms (client, &open_calls);
+  bool is_silent = silent_ms >= CACTUS_CALL_TIMEOUT_MS;
+  if (is_silent == sender->is_silent)
+    return;
+  sender->is_silent = is_silent;
+  base_log (BASE_LOG_NOTICE,
+            "member-posts address=%s:%u unanswered=%d silent_ms=%" PRIu64
+            " open_calls=%" PRIu32,
+            sender->address, (unsigned)sender->port, (int)is_silent, silent_ms,
+            open_calls);
+}
+
 static gpointer
 send_messages (gpointer data)
 {
@@ -96,6 +118,7 @@
       /* Messages queued behind a lost one are out of date. */
       if (status != WIRE_OK)
         drop_queue (sender);
+      log_silence (sender, client);
     }
   wire_client_destroy (client);
   return NULL;
--- a/src/wire_client.c
+++ b/src/wire_client.c
@@ -13,7 +13,9 @@
 #include <glib.h>
 
 #include "base_address_map.h"
+#include "base_clock.h"
 #include "cactus_config.h"
+#include "wire_replies.h"
 
 /* Bit of the record mark (RFC 5531, section 11) that the last fragment of a
    record has. */
@@ -29,6 +31,8 @@
   uint32_t last_xid;
   /* Connected non-blocking socket, or -1. */
   int fd;
+  /* Replies to the calls that were posted on the connection. */
+  struct wire_replies *replies;
 };
 
 struct wire_client *
@@ -45,6 +49,7 @@
   client->program = program;
   client->fd = -1;
   client->version = version;
+  client->replies = wire_replies_create ();
   return client;
 }
 
@@ -54,6 +59,7 @@
   if (client->fd >= 0)
     close (client->fd);
   client->fd = -1;
+  wire_replies_reset (client->replies);
 }
 
 void
@@ -62,10 +68,17 @@
   if (!client)
     return;
   disconnect (client);
+  wire_replies_destroy (client->replies);
   g_mutex_clear (&client->mutex);
   g_free (client);
 }
 
+static uint64_t
+now_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
 /* Returns the time until a monotonic deadline, rounded up to ms for poll. */
 static int
 remaining_ms (gint64 deadline_us)
@@ -330,7 +343,12 @@
   char buffer[4096];
   ssize_t got;
   do
-    got = recv (client->fd, buffer, sizeof buffer, MSG_DONTWAIT);
+    {
+      got = recv (client->fd, buffer, sizeof buffer, MSG_DONTWAIT);
+      if (got > 0)
+        wire_replies_note_bytes (client->replies, buffer, (size_t)got,
+                                 now_ms ());
+    }
   while (got > 0 || (got < 0 && errno == EINTR));
   return got < 0 && errno == EAGAIN;
 }
@@ -355,12 +373,26 @@
                    : WIRE_LOST;
       if (status == WIRE_LOST)
         disconnect (client);
+      else
+        wire_replies_note_call (client->replies, bytes, now_ms ());
     }
   g_mutex_unlock (&client->mutex);
   g_free (record);
   return status;
 }
 
+uint64_t
+wire_client_silent_ms (struct wire_client *client, uint32_t *open_calls)
+{
+  g_mutex_lock (&client->mutex);
+  if (client->fd >= 0)
+    drop_replies (client);
+  *open_calls = wire_replies_open (client->replies);
+  uint64_t silent_ms = wire_replies_silent_ms (client->replies, now_ms ());
+  g_mutex_unlock (&client->mutex);
+  return silent_ms;
+}
+
 const char *
 wire_status_name (enum wire_status status)
 {
--- a/src/wire_client.h
+++ b/src/wire_client.h
@@ -46,6 +46,11 @@
 enum wire_status wire_client_post (struct wire_client *client,
                                    uint32_t procedure, xdrproc_t args_codec,
                                    void *args, uint32_t timeout_ms);
+/** Returns for how long the connection has brought nothing although posted
+ *  calls are open, in milliseconds, and their number in @p open_calls; 0 when
+ *  none is open. */
+uint64_t wire_client_silent_ms (struct wire_client *client,
+                                uint32_t *open_calls);
 /** Returns the name of a status, for log lines. */
 const char *wire_status_name (enum wire_status status);
 
--- /dev/null
+++ b/src/wire_replies.c
@@ -0,0 +1,130 @@
+#include "wire_replies.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include <glib.h>
+
+/* Bit of the record mark (RFC 5531, section 11) that the last fragment of a
+   record has. */
+#define LAST_FRAGMENT 0x80000000u
+
+struct wire_replies
+{
+  /* Sizes of the open calls, the oldest first. */
+  GQueue open;
+  uint64_t open_bytes;
+  /* Start of the present silence. */
+  uint64_t silent_since_ms;
+  /* Received bytes of the mark of the fragment that is being read. */
+  char mark[sizeof (uint32_t)];
+  size_t mark_bytes;
+  /* Bytes of the fragment that are still missing. */
+  uint32_t fragment_bytes;
+};
+
+struct wire_replies *
+wire_replies_create (void)
+{
+  struct wire_replies *replies = g_new0 (struct wire_replies, 1);
+  g_queue_init (&replies->open);
+  return replies;
+}
+
+void
+wire_replies_destroy (struct wire_replies *replies)
+{
+  if (!replies)
+    return;
+  g_queue_clear (&replies->open);
+  g_free (replies);
+}
+
+void
+wire_replies_reset (struct wire_replies *replies)
+{
+  g_queue_clear (&replies->open);
+  replies->open_bytes = 0;
+  replies->mark_bytes = 0;
+  replies->fragment_bytes = 0;
+}
+
+void
+wire_replies_note_call (struct wire_replies *replies, size_t bytes,
+                        uint64_t now_ms)
+{
+  if (g_queue_is_empty (&replies->open))
+    replies->silent_since_ms = now_ms;
+  g_queue_push_tail (&replies->open, GSIZE_TO_POINTER (bytes));
+  replies->open_bytes += bytes;
+}
+
+static void
+end_reply (struct wire_replies *replies)
+{
+  if (!g_queue_is_empty (&replies->open))
+    replies->open_bytes
+        -= GPOINTER_TO_SIZE (g_queue_pop_head (&replies->open));
+}
+
+/* Notes the end of a fragment, and that of a reply when it was its last. */
+static void
+end_fragment (struct wire_replies *replies)
+{
+  uint32_t mark;
+  memcpy (&mark, replies->mark, sizeof mark);
+  replies->mark_bytes = 0;
+  if (ntohl (mark) & LAST_FRAGMENT)
+    end_reply (replies);
+}
+
+/* Takes bytes of a mark; returns their number. */
+static size_t
+take_mark (struct wire_replies *replies, const char *data, size_t bytes)
+{
+  uint32_t mark;
+  size_t taken = MIN (bytes, sizeof mark - replies->mark_bytes);
+  memcpy (replies->mark + replies->mark_bytes, data, taken);
+  replies->mark_bytes += taken;
+  if (replies->mark_bytes < sizeof mark)
+    return taken;
+  memcpy (&mark, replies->mark, sizeof mark);
+  replies->fragment_bytes = ntohl (mark) & ~LAST_FRAGMENT;
+  if (replies->fragment_bytes == 0)
+    end_fragment (replies);
+  return taken;
+}
+
+void
+wire_replies_note_bytes (struct wire_replies *replies, const char *data,
+                         size_t bytes, uint64_t now_ms)
+{
+  size_t at = 0;
+  if (bytes > 0)
+    replies->silent_since_ms = now_ms;
+  while (at < bytes)
+    if (replies->mark_bytes < sizeof replies->mark)
+      at += take_mark (replies, data + at, bytes - at);
+    else
+      {
+        size_t taken = MIN (bytes - at, replies->fragment_bytes);
+        replies->fragment_bytes -= (uint32_t)taken;
+        at += taken;
+        if (replies->fragment_bytes == 0)
+          end_fragment (replies);
+      }
+}
+
+uint32_t
+wire_replies_open (const struct wire_replies *replies)
+{
+  return replies->open.length;
+}
+
+uint64_t
+wire_replies_silent_ms (const struct wire_replies *replies, uint64_t now_ms)
+{
+  if (replies->open.length == 0 || now_ms < replies->silent_since_ms)
+    return 0;
+  return now_ms - replies->silent_since_ms;
+}
--- /dev/null
+++ b/src/wire_replies.h
@@ -0,0 +1,32 @@
+#ifndef WIRE_REPLIES_H
+#define WIRE_REPLIES_H
+
+/** @file
+ *  Counts the replies to posted calls in the bytes that a connection brings,
+ *  without decoding them, and tells for how long they have been missing. */
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct wire_replies;
+
+/** Creates the count of a connection without open calls. */
+struct wire_replies *wire_replies_create (void);
+/** Frees the count. */
+void wire_replies_destroy (struct wire_replies *replies);
+/** Forgets the calls and bytes of a connection that was closed. */
+void wire_replies_reset (struct wire_replies *replies);
+/** Notes a call of @p bytes that was sent at @p now_ms. */
+void wire_replies_note_call (struct wire_replies *replies, size_t bytes,
+                             uint64_t now_ms);
+/** Notes received bytes, which may hold replies in part. */
+void wire_replies_note_bytes (struct wire_replies *replies, const char *data,
+                              size_t bytes, uint64_t now_ms);
+/** Number of calls without a reply. */
+uint32_t wire_replies_open (const struct wire_replies *replies);
+/** Time since the last received byte or, when that is later, since a call was
+ *  sent while no other was open; 0 when no call is open. */
+uint64_t wire_replies_silent_ms (const struct wire_replies *replies,
+                                 uint64_t now_ms);
+
+#endif
