Show that silent connections between control members stop all changes

test_control_silent runs three members with a relay between them that takes the bytes of open connections and delivers none, in both directions or one, on all connections or half of them, up to three times within three seconds. New connections work and no process ends.

--- /dev/null
+++ b/tests/test_control_silent.c
@@ -0,0 +1,203 @@
+/** @file
+ *  Tests of control members as processes whose open connections to each other
+ *  go silent: bytes are taken and never arrive, nothing is reset, and new
+ *  connections work. */
+
+#include <stdlib.h>
+
+#include <glib.h>
+
+#include "base_clock.h"
+#include "base_random.h"
+#include "control_rig.h"
+#include "link_relay.h"
+
+#define MEMBERS 3
+#define ROUNDS 3
+#define SILENCES_MAX 3
+#define SILENCE_PAUSE_MAX_MS 1500
+/* Time within which a change must be accepted, and within which it must be in
+   force at all members, from the last fault on. */
+#define ACCEPT_MS 6000
+#define IN_FORCE_MS 7000
+#define POLL_US 20000
+#define FIRST_SEED 1
+#define SEEDS 2
+
+/* What goes silent in a round. */
+struct silence
+{
+  enum link_sides sides;
+  uint32_t percent;
+  /* Most silences in a row. */
+  uint32_t times_max;
+};
+
+struct fixture
+{
+  struct link_relay *relay;
+  struct control_rig *rig;
+  struct base_random random;
+  uint64_t version;
+};
+
+static uint64_t
+now_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
+static uint32_t
+setting (const char *name, uint32_t value)
+{
+  const char *text = g_getenv (name);
+  return text ? (uint32_t)strtoul (text, NULL, 10) : value;
+}
+
+static void
+set_up (struct fixture *fixture, uint64_t seed)
+{
+  static const char *const arguments[]
+      = { "--election-ms", "600", "--heartbeat-ms", "100", NULL };
+  fixture->relay = link_relay_create ();
+  fixture->rig
+      = control_rig_create_linked (MEMBERS, arguments, fixture->relay);
+  g_assert_nonnull (fixture->rig);
+  fixture->version = 0;
+  base_random_seed (&fixture->random, seed);
+}
+
+static void
+tear_down (struct fixture *fixture)
+{
+  control_rig_destroy (fixture->rig);
+  link_relay_destroy (fixture->relay);
+}
+
+/* Pushes the next version; returns whether it is accepted by @p end_ms. */
+static bool
+push_until (struct fixture *fixture, uint64_t end_ms)
+{
+  int status;
+  fixture->version++;
+  do
+    status = control_rig_push (fixture->rig, fixture->version, 1,
+                               (uint32_t)fixture->version);
+  while (status != CONTROL_OK && now_ms () < end_ms);
+  return status == CONTROL_OK && now_ms () <= end_ms;
+}
+
+static bool
+is_in_force (struct fixture *fixture, uint32_t member)
+{
+  struct control_status_result result = { 0 };
+  bool in_force = control_rig_status (fixture->rig, member, &result)
+                  && result.bundle_version >= fixture->version;
+  xdr_free ((xdrproc_t)xdr_control_status_result, (char *)&result);
+  return in_force;
+}
+
+static bool
+wait_in_force (struct fixture *fixture, uint64_t end_ms)
+{
+  uint32_t held;
+  do
+    {
+      held = 0;
+      for (uint32_t i = 0; i < MEMBERS; i++)
+        held += is_in_force (fixture, i);
+      if (held < MEMBERS)
+        g_usleep (POLL_US);
+    }
+  while (held < MEMBERS && now_ms () < end_ms);
+  return held == MEMBERS;
+}
+
+static void
+silence (struct fixture *fixture, const struct silence *kind)
+{
+  uint32_t times
+      = 1 + (uint32_t)base_random_below (&fixture->random, kind->times_max);
+  for (uint32_t i = 0; i < times; i++)
+    {
+      if (i > 0)
+        g_usleep (
+            1000 * base_random_below (&fixture->random, SILENCE_PAUSE_MAX_MS));
+      link_relay_silence (fixture->relay, kind->sides, kind->percent,
+                          &fixture->random);
+    }
+}
+
+/* Plays one round; returns whether a change was accepted and in force in
+   time. */
+static bool
+play_round (struct fixture *fixture, const struct silence *kind)
+{
+  silence (fixture, kind);
+  uint64_t silent_ms = now_ms ();
+  bool accepted = push_until (fixture, silent_ms + ACCEPT_MS);
+  uint64_t took_ms = now_ms () - silent_ms;
+  bool in_force = wait_in_force (fixture, silent_ms + IN_FORCE_MS);
+  g_test_message ("accepted %d after %u ms, in force %d", (int)accepted,
+                  (unsigned)took_ms, (int)in_force);
+  return accepted && in_force;
+}
+
+static void
+play (const struct silence *kind)
+{
+  uint32_t first = setting ("SILENT_SEED", FIRST_SEED);
+  uint32_t seeds = setting ("SILENT_SEEDS", SEEDS);
+  for (uint32_t seed = first; seed < first + seeds; seed++)
+    {
+      struct fixture fixture;
+      bool works = true;
+      set_up (&fixture, seed);
+      g_assert_true (push_until (&fixture, now_ms () + ACCEPT_MS));
+      for (uint32_t round = 0; works && round < ROUNDS; round++)
+        works = play_round (&fixture, kind);
+      tear_down (&fixture);
+      if (!works)
+        {
+          g_test_fail_printf ("no change in time, seed %u", seed);
+          return;
+        }
+    }
+}
+
+/* Guards against members that post messages into silent connections for
+   ever. */
+static void
+test_all_connections (void)
+{
+  static const struct silence kind
+      = { .sides = LINK_BOTH, .percent = 100, .times_max = 1 };
+  play (&kind);
+}
+
+static void
+test_half_of_the_connections (void)
+{
+  static const struct silence kind
+      = { .sides = LINK_BOTH, .percent = 50, .times_max = SILENCES_MAX };
+  play (&kind);
+}
+
+static void
+test_one_direction (void)
+{
+  static const struct silence kind
+      = { .sides = LINK_EITHER, .percent = 100, .times_max = SILENCES_MAX };
+  play (&kind);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/control-silent/all-connections", test_all_connections);
+  g_test_add_func ("/control-silent/half-of-the-connections",
+                   test_half_of_the_connections);
+  g_test_add_func ("/control-silent/one-direction", test_one_direction);
+  return g_test_run ();
+}
--- a/tools/control_rig.c
+++ b/tools/control_rig.c
@@ -32,7 +32,7 @@
   GString *text = g_string_new (NULL);
   for (uint32_t i = 0; i < rig->count; i++)
     g_string_append_printf (text, "%s%u@127.0.0.1:%u", i > 0 ? "," : "", i + 1,
-                            rig->ports[i]);
+                            rig->advertised_ports[i]);
   return g_string_free (text, FALSE);
 }
 
@@ -99,8 +99,20 @@
   return client;
 }
 
+/* Picks a port for the member, and one of the relay that leads to it. */
+static void
+pick_ports (struct control_rig *rig, uint32_t member, struct link_relay *relay)
+{
+  rig->ports[member] = fleet_free_port ("127.0.0.1");
+  rig->advertised_ports[member]
+      = relay ? link_relay_add_listener (relay, "127.0.0.1", 0, "127.0.0.1",
+                                         rig->ports[member])
+              : rig->ports[member];
+}
+
 struct control_rig *
-control_rig_create_with (uint32_t count, const char *const *arguments)
+control_rig_create_linked (uint32_t count, const char *const *arguments,
+                           struct link_relay *relay)
 {
   struct control_rig *rig = g_new0 (struct control_rig, 1);
   uint8_t seed[32] = { 7 };
@@ -111,8 +123,9 @@
   rig->count = count;
   rig->members = g_new0 (struct fleet_process *, count);
   rig->ports = g_new0 (uint16_t, count);
+  rig->advertised_ports = g_new0 (uint16_t, count);
   for (uint32_t i = 0; i < count; i++)
-    rig->ports[i] = fleet_free_port ("127.0.0.1");
+    pick_ports (rig, i, relay);
   describe_members (rig, arguments);
   rig->client = make_client (rig);
   for (uint32_t i = 0; started && i < count; i++)
@@ -123,6 +136,12 @@
   return NULL;
 }
 
+struct control_rig *
+control_rig_create_with (uint32_t count, const char *const *arguments)
+{
+  return control_rig_create_linked (count, arguments, NULL);
+}
+
 struct control_rig *
 control_rig_create (uint32_t count)
 {
@@ -141,6 +160,7 @@
   g_free (rig->folder);
   g_free (rig->members);
   g_free (rig->ports);
+  g_free (rig->advertised_ports);
   g_free (rig);
 }
 
@@ -207,7 +227,7 @@
   for (u_int i = 0; succeeded && i < result.members.members_len; i++)
     {
       const struct control_member *reported = &result.members.members_val[i];
-      if (reported->port == rig->ports[member])
+      if (reported->port == rig->advertised_ports[member])
         caught_up
             = reported->voter && reported->match_index >= result.last_index;
     }
--- a/tools/control_rig.h
+++ b/tools/control_rig.h
@@ -7,6 +7,7 @@
 
 #include "control_client.h"
 #include "fleet_process.h"
+#include "link_relay.h"
 #include "wire_control.h"
 
 /** Cluster name of the control members. */
@@ -19,6 +20,9 @@
   uint32_t count;
   struct fleet_process **members;
   uint16_t *ports;
+  /** Ports at which the members know each other; those of a relay, or the same
+   *  as @ref ports. */
+  uint16_t *advertised_ports;
   struct control_client *client;
   /** Root key, which signs bundle version 1; also the key of operator "root",
    *  who signs all later versions. */
@@ -32,6 +36,11 @@
  *  NULL; @p arguments may be NULL. */
 struct control_rig *control_rig_create_with (uint32_t count,
                                              const char *const *arguments);
+/** The same with a relay between the members, which the caller destroys after
+ *  the rig; @p relay may be NULL. */
+struct control_rig *control_rig_create_linked (uint32_t count,
+                                               const char *const *arguments,
+                                               struct link_relay *relay);
 /** Kills the members and removes their folders. */
 void control_rig_destroy (struct control_rig *rig);
 /** Starts or restarts member @p member (counted from 0); false when it isn't
--- a/tools/link_direction.c
+++ b/tools/link_direction.c
@@ -96,6 +96,12 @@
 {
   struct link_chunk *chunk;
   uint64_t now = now_us ();
+  if (direction->silent)
+    {
+      link_direction_clear (direction);
+      direction->held_bytes = 0;
+      return true;
+    }
   while ((chunk = g_queue_peek_head (&direction->chunks))
          && chunk->due_us <= now)
     {
--- a/tools/link_direction.h
+++ b/tools/link_direction.h
@@ -23,6 +23,8 @@
   bool from_closed;
   /** The close was passed on to the receiver. */
   bool to_closed;
+  /** Bytes and the close are read and discarded. */
+  bool silent;
 };
 
 /** Initializes a direction without bytes. */
--- a/tools/link_relay.c
+++ b/tools/link_relay.c
@@ -351,6 +351,29 @@
   wake (relay);
 }
 
+static void
+silence_connection (struct link_connection *connection, enum link_sides sides,
+                    struct base_random *random)
+{
+  if (sides == LINK_EITHER)
+    sides
+        = base_random_below (random, 2) == 0 ? LINK_TO_SERVER : LINK_TO_CALLER;
+  connection->to_server.silent |= (sides & LINK_TO_SERVER) != 0;
+  connection->to_caller.silent |= (sides & LINK_TO_CALLER) != 0;
+}
+
+void
+link_relay_silence (struct link_relay *relay, enum link_sides sides,
+                    uint32_t percent, struct base_random *random)
+{
+  g_mutex_lock (&relay->mutex);
+  for (guint i = 0; i < relay->connections->len; i++)
+    if (base_random_below (random, 100) < percent)
+      silence_connection (relay->connections->pdata[i], sides, random);
+  g_mutex_unlock (&relay->mutex);
+  wake (relay);
+}
+
 uint64_t
 link_relay_forwarded_bytes (const struct link_relay *relay)
 {
--- a/tools/link_relay.h
+++ b/tools/link_relay.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base_random.h"
+
 struct link_relay;
 
 /** Starts a relay without delay, bandwidth limit or faults. */
@@ -35,6 +37,20 @@
 /** Holds the bytes from the server until this is off again; those to the
  *  server pass, so that requests run and their answers don't arrive. */
 void link_relay_set_mute (struct link_relay *relay, bool mute);
+/** Directions that link_relay_silence stops. */
+enum link_sides
+{
+  LINK_TO_SERVER = 1,
+  LINK_TO_CALLER = 2,
+  LINK_BOTH = 3,
+  /** One of the two, drawn for each connection. */
+  LINK_EITHER = 4
+};
+/** Silences each open connection with a probability of @p percent: what is
+ *  sent on it is taken and discarded from now on, also its close.  Connections
+ *  that are opened later work. */
+void link_relay_silence (struct link_relay *relay, enum link_sides sides,
+                         uint32_t percent, struct base_random *random);
 /** Bytes forwarded so far, both directions together. */
 uint64_t link_relay_forwarded_bytes (const struct link_relay *relay);
 
