Replace connections between control members that bring no answers

Cause: messages of consensus are posted without waiting for replies. The sender learned of a failed connection only from the kernel, which reports nothing as long as bytes are taken or retransmitted, so it posted votes and heartbeats into a dead connection for ever. Calls that wait for a reply have always given their connection up at the deadline, so all else went on.

Change: the server has always answered posted calls. The client now counts these replies and replaces a connection that brings none for a second, longer when large messages are open. The sender wakes up for that also when it has nothing to send.

--- a/src/control_counters.c
+++ b/src/control_counters.c
@@ -68,6 +68,8 @@
                     write_off->unreported_tokens);
   base_counter_set (counters->dropped_messages,
                     control_peers_dropped (daemon->peers));
+  base_counter_set (counters->silent_connections,
+                    control_peers_silent_connections (daemon->peers));
   base_counter_set (counters->syncs, control_store_syncs (daemon->store));
   atomic_store (&daemon->ready, consensus_leader_id (daemon->consensus) != 0);
 }
@@ -85,6 +87,8 @@
       = base_metrics_counter (metrics, "cactus_control_syncs_total", NULL);
   counters->dropped_messages = base_metrics_counter (
       metrics, "cactus_control_dropped_messages_total", NULL);
+  counters->silent_connections = base_metrics_counter (
+      metrics, "cactus_control_silent_connections_total", NULL);
   counters->snapshots
       = base_metrics_counter (metrics, "cactus_control_snapshots_total", NULL);
   counters->document_bytes = base_metrics_counter (
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -28,6 +28,7 @@
   struct base_counter *applied;
   struct base_counter *syncs;
   struct base_counter *dropped_messages;
+  struct base_counter *silent_connections;
   struct base_counter *leader;
   struct base_counter *term;
   struct base_counter *bundle_version;
--- a/src/control_peers.c
+++ b/src/control_peers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "cactus_config.h"
+#include "base_clock.h"
 #include "base_log.h"
 #include "consensus.h"
 #include "wire_client.h"
@@ -28,7 +29,7 @@
   GQueue queue;
   uint64_t queued_bytes;
   bool stopping;
-  /* Whether the last log line says that posted messages are unanswered. */
+  /* Whether the last connection was given up since it brought no answers. */
   bool is_silent;
   GThread *thread;
 };
@@ -38,6 +39,7 @@
   char *cluster;
   GPtrArray *senders;
   atomic_uint_least64_t dropped;
+  atomic_uint_least64_t silent_connections;
 };
 
 static uint64_t
@@ -49,15 +51,32 @@
   return bytes;
 }
 
-/* Waits for the next message.  Returns NULL when the sender stops. */
+/* Waits until the sender is woken; false when @p due_ms has passed. */
+static bool
+wait_wake (struct sender *sender, uint64_t due_ms)
+{
+  if (due_ms == UINT64_MAX)
+    {
+      g_cond_wait (&sender->wake, &sender->mutex);
+      return true;
+    }
+  uint64_t now = base_clock_now_ms (base_clock_system ());
+  gint64 wait_us = due_ms > now ? (gint64)(due_ms - now) * 1000 : 0;
+  return g_cond_wait_until (&sender->wake, &sender->mutex,
+                            g_get_monotonic_time () + wait_us);
+}
+
+/* Waits for the next message until @p due_ms.  Returns NULL when there is none
+   by then or the sender stops. */
 static struct consensus_wire_message *
-wait_message (struct sender *sender)
+wait_message (struct sender *sender, uint64_t due_ms)
 {
   struct consensus_wire_message *message = NULL;
+  bool in_time = true;
   g_mutex_lock (&sender->mutex);
-  while (!sender->stopping && g_queue_is_empty (&sender->queue))
-    g_cond_wait (&sender->wake, &sender->mutex);
-  if (!sender->stopping)
+  while (in_time && !sender->stopping && g_queue_is_empty (&sender->queue))
+    in_time = wait_wake (sender, due_ms);
+  if (!sender->stopping && !g_queue_is_empty (&sender->queue))
     {
       message = g_queue_pop_head (&sender->queue);
       sender->queued_bytes -= message_bytes (message);
@@ -80,45 +99,73 @@
   g_mutex_unlock (&sender->mutex);
 }
 
-/* Logs when posted messages stay unanswered, and when they are answered
-   again. */
 static void
-log_silence (struct sender *sender, struct wire_client *client)
+log_posts (const struct sender *sender, const struct wire_posts *posts)
 {
-  uint32_t open_calls = 0;
-  uint64_t silent_ms = wire_client_silent_ms (client, &open_calls);
-  bool is_silent = silent_ms >= CACTUS_CALL_TIMEOUT_MS;
-  if (is_silent == sender->is_silent)
-    return;
-  sender->is_silent = is_silent;
   base_log (BASE_LOG_NOTICE,
             "member-posts address=%s:%u unanswered=%d silent_ms=%" PRIu64
             " open_calls=%" PRIu32,
-            sender->address, (unsigned)sender->port, (int)is_silent, silent_ms,
-            open_calls);
+            sender->address, (unsigned)sender->port, (int)sender->is_silent,
+            posts->silent_ms, posts->open_calls);
+}
+
+/* Gives up a connection that takes messages and brings no answers: only a new
+   one can tell whether the member is there.  Its messages are lost; consensus
+   sends again what is needed. */
+static void
+check_connection (struct sender *sender, struct wire_client *client)
+{
+  struct wire_posts posts;
+  wire_client_check_posts (client, &posts);
+  if (posts.is_dropped)
+    atomic_fetch_add (&sender->peers->silent_connections, 1);
+  bool is_silent
+      = posts.is_dropped || (sender->is_silent && posts.replies == 0);
+  if (is_silent == sender->is_silent)
+    return;
+  sender->is_silent = is_silent;
+  log_posts (sender, &posts);
+}
+
+static void
+send_message (struct sender *sender, struct wire_client *client,
+              struct consensus_wire_message *message)
+{
+  message->cluster = strdup (sender->peers->cluster);
+  /* The call is posted without waiting for its reply: on a link with a delay
+     of 30 ms, one call at a time would be too slow even for the heartbeats.
+     Later messages make up for a lost one. */
+  enum wire_status status = wire_client_post (
+      client, CONSENSUS_STEP, (xdrproc_t)xdr_consensus_wire_message, message,
+      CACTUS_CALL_TIMEOUT_MS);
+  consensus_message_free (message);
+  /* Messages queued behind a lost one are out of date. */
+  if (status != WIRE_OK)
+    drop_queue (sender);
+}
+
+static bool
+is_stopping (struct sender *sender)
+{
+  g_mutex_lock (&sender->mutex);
+  bool stopping = sender->stopping;
+  g_mutex_unlock (&sender->mutex);
+  return stopping;
 }
 
 static gpointer
 send_messages (gpointer data)
 {
   struct sender *sender = data;
-  struct consensus_wire_message *message;
   struct wire_client *client = wire_client_create (
       sender->address, sender->port, CONSENSUS_PROGRAM, CONSENSUS_VERSION);
-  while ((message = wait_message (sender)))
+  while (!is_stopping (sender))
     {
-      message->cluster = strdup (sender->peers->cluster);
-      /* The call is posted without waiting for its reply: on a link with a
-         delay of 30 ms, one call at a time would be too slow even for the
-         heartbeats.  Later messages make up for a lost one. */
-      enum wire_status status = wire_client_post (
-          client, CONSENSUS_STEP, (xdrproc_t)xdr_consensus_wire_message,
-          message, CACTUS_CALL_TIMEOUT_MS);
-      consensus_message_free (message);
-      /* Messages queued behind a lost one are out of date. */
-      if (status != WIRE_OK)
-        drop_queue (sender);
-      log_silence (sender, client);
+      struct consensus_wire_message *message
+          = wait_message (sender, wire_client_reply_due_ms (client));
+      check_connection (sender, client);
+      if (message)
+        send_message (sender, client, message);
     }
   wire_client_destroy (client);
   return NULL;
@@ -247,3 +294,9 @@
 {
   return atomic_load (&peers->dropped);
 }
+
+uint64_t
+control_peers_silent_connections (struct control_peers *peers)
+{
+  return atomic_load (&peers->silent_connections);
+}
--- a/src/control_peers.h
+++ b/src/control_peers.h
@@ -23,5 +23,8 @@
                          struct consensus_wire_message *message);
 /** Returns the number of messages dropped so far. */
 uint64_t control_peers_dropped (struct control_peers *peers);
+/** Returns the number of connections given up so far since they took messages
+ *  and brought no answers. */
+uint64_t control_peers_silent_connections (struct control_peers *peers);
 
 #endif
--- a/src/wire_client.c
+++ b/src/wire_client.c
@@ -31,8 +31,10 @@
   uint32_t last_xid;
   /* Connected non-blocking socket, or -1. */
   int fd;
-  /* Replies to the calls that were posted on the connection. */
+  /* Replies to the calls that were posted on the connection, and the timeout
+     of the last one. */
   struct wire_replies *replies;
+  uint32_t reply_timeout_ms;
 };
 
 struct wire_client *
@@ -353,17 +355,38 @@
   return got < 0 && errno == EAGAIN;
 }
 
+/* Reads replies and closes the connection when the peer closed it or replies
+   are overdue. */
+static void
+check_posts (struct wire_client *client, struct wire_posts *posts)
+{
+  memset (posts, 0, sizeof *posts);
+  if (client->fd < 0)
+    return;
+  bool is_open = drop_replies (client);
+  uint64_t now = now_ms ();
+  posts->open_calls = wire_replies_open (client->replies);
+  posts->silent_ms = wire_replies_silent_ms (client->replies, now);
+  posts->replies = wire_replies_received (client->replies);
+  posts->is_dropped = is_open
+                      && now >= wire_replies_due_ms (client->replies,
+                                                     client->reply_timeout_ms);
+  if (!is_open || posts->is_dropped)
+    disconnect (client);
+}
+
 enum wire_status
 wire_client_post (struct wire_client *client, uint32_t procedure,
                   xdrproc_t args_codec, void *args, uint32_t timeout_ms)
 {
   enum wire_status status = WIRE_UNSENT;
+  struct wire_posts posts;
   size_t bytes = 0;
   g_mutex_lock (&client->mutex);
   gint64 deadline_us = g_get_monotonic_time () + timeout_ms * INT64_C (1000);
   char *record = encode_call (client, procedure, args_codec, args, &bytes);
-  if (client->fd >= 0 && !drop_replies (client))
-    disconnect (client);
+  check_posts (client, &posts);
+  client->reply_timeout_ms = timeout_ms;
   if (record && client->fd < 0)
     client->fd = connect_socket (&client->address, deadline_us);
   if (record && client->fd >= 0)
@@ -382,15 +405,21 @@
 }
 
 uint64_t
-wire_client_silent_ms (struct wire_client *client, uint32_t *open_calls)
+wire_client_reply_due_ms (struct wire_client *client)
 {
   g_mutex_lock (&client->mutex);
-  if (client->fd >= 0)
-    drop_replies (client);
-  *open_calls = wire_replies_open (client->replies);
-  uint64_t silent_ms = wire_replies_silent_ms (client->replies, now_ms ());
+  uint64_t due_ms
+      = wire_replies_due_ms (client->replies, client->reply_timeout_ms);
+  g_mutex_unlock (&client->mutex);
+  return due_ms;
+}
+
+void
+wire_client_check_posts (struct wire_client *client, struct wire_posts *posts)
+{
+  g_mutex_lock (&client->mutex);
+  check_posts (client, posts);
   g_mutex_unlock (&client->mutex);
-  return silent_ms;
 }
 
 const char *
--- a/src/wire_client.h
+++ b/src/wire_client.h
@@ -5,6 +5,7 @@
  *  ONC RPC client with deadlines.  A client has one connection, opened when
  *  needed, and makes one call at a time; further callers wait. */
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -27,6 +28,19 @@
   WIRE_REFUSED = 3
 };
 
+/** What wire_client_check_posts found. */
+struct wire_posts
+{
+  /** The connection was closed since replies were overdue. */
+  bool is_dropped;
+  /** Number of calls that had no reply. */
+  uint32_t open_calls;
+  /** Time without a received byte while calls were open, in milliseconds. */
+  uint64_t silent_ms;
+  /** Number of replies on the present connection. */
+  uint64_t replies;
+};
+
 /** Creates a client of @p program at @p address:@p port, not yet connected. */
 struct wire_client *wire_client_create (const char *address, uint16_t port,
                                         uint32_t program, uint32_t version);
@@ -41,16 +55,20 @@
                                    uint32_t timeout_ms);
 /** Sends a call without waiting for its reply, so that many calls can be in
  *  flight on a slow connection.  WIRE_OK means only that the kernel took the
- *  call within @p timeout_ms.  The next call reads and drops the replies, so a
- *  client must not use both this and wire_client_call. */
+ *  call within @p timeout_ms.  Replies are read and dropped by the next call
+ * of this or the next two functions, so a client must not use both this and
+ *  wire_client_call.  A connection that brings no replies for @p timeout_ms is
+ *  replaced first. */
 enum wire_status wire_client_post (struct wire_client *client,
                                    uint32_t procedure, xdrproc_t args_codec,
                                    void *args, uint32_t timeout_ms);
-/** Returns for how long the connection has brought nothing although posted
- *  calls are open, in milliseconds, and their number in @p open_calls; 0 when
- *  none is open. */
-uint64_t wire_client_silent_ms (struct wire_client *client,
-                                uint32_t *open_calls);
+/** Time at which the replies to posted calls are overdue, in milliseconds of
+ *  base_clock_system(); UINT64_MAX when no call is open. */
+uint64_t wire_client_reply_due_ms (struct wire_client *client);
+/** Closes the connection when replies to posted calls are overdue: it takes
+ *  bytes, but the calls or their replies don't arrive. */
+void wire_client_check_posts (struct wire_client *client,
+                              struct wire_posts *posts);
 /** Returns the name of a status, for log lines. */
 const char *wire_status_name (enum wire_status status);
 
--- a/src/wire_replies.c
+++ b/src/wire_replies.c
@@ -8,12 +8,16 @@
 /* Bit of the record mark (RFC 5531, section 11) that the last fragment of a
    record has. */
 #define LAST_FRAGMENT 0x80000000u
+/* Slowest rate of a connection that works, in bytes per millisecond: a call is
+   answered only after its last byte has arrived. */
+#define SLOWEST_BYTES_PER_MS 256
 
 struct wire_replies
 {
   /* Sizes of the open calls, the oldest first. */
   GQueue open;
   uint64_t open_bytes;
+  uint64_t received;
   /* Start of the present silence. */
   uint64_t silent_since_ms;
   /* Received bytes of the mark of the fragment that is being read. */
@@ -45,6 +49,7 @@
 {
   g_queue_clear (&replies->open);
   replies->open_bytes = 0;
+  replies->received = 0;
   replies->mark_bytes = 0;
   replies->fragment_bytes = 0;
 }
@@ -62,6 +67,7 @@
 static void
 end_reply (struct wire_replies *replies)
 {
+  replies->received++;
   if (!g_queue_is_empty (&replies->open))
     replies->open_bytes
         -= GPOINTER_TO_SIZE (g_queue_pop_head (&replies->open));
@@ -121,6 +127,12 @@
   return replies->open.length;
 }
 
+uint64_t
+wire_replies_received (const struct wire_replies *replies)
+{
+  return replies->received;
+}
+
 uint64_t
 wire_replies_silent_ms (const struct wire_replies *replies, uint64_t now_ms)
 {
@@ -128,3 +140,12 @@
     return 0;
   return now_ms - replies->silent_since_ms;
 }
+
+uint64_t
+wire_replies_due_ms (const struct wire_replies *replies, uint32_t timeout_ms)
+{
+  if (replies->open.length == 0)
+    return UINT64_MAX;
+  return replies->silent_since_ms + timeout_ms
+         + replies->open_bytes / SLOWEST_BYTES_PER_MS;
+}
--- a/src/wire_replies.h
+++ b/src/wire_replies.h
@@ -24,9 +24,16 @@
                               size_t bytes, uint64_t now_ms);
 /** Number of calls without a reply. */
 uint32_t wire_replies_open (const struct wire_replies *replies);
+/** Number of replies on the connection so far. */
+uint64_t wire_replies_received (const struct wire_replies *replies);
 /** Time since the last received byte or, when that is later, since a call was
  *  sent while no other was open; 0 when no call is open. */
 uint64_t wire_replies_silent_ms (const struct wire_replies *replies,
                                  uint64_t now_ms);
+/** Time at which the connection counts as failed when it brings nothing until
+ *  then: @p timeout_ms after the silence began, and more when the open calls
+ *  are large.  UINT64_MAX when no call is open. */
+uint64_t wire_replies_due_ms (const struct wire_replies *replies,
+                              uint32_t timeout_ms);
 
 #endif
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -14,8 +14,12 @@
 #include "wire_client.h"
 #include "wire_control.h"
 #include "wire_ledger.h"
+#include "wire_replies.h"
 #include "wire_server.h"
 
+/* Timeout of calls that are posted to a silent connection, in milliseconds. */
+#define SILENT_MS 200
+
 /* Answers budget calls with the budget's id + 1, in every third round. */
 struct late_handler
 {
@@ -372,6 +376,79 @@
   wire_server_destroy (server);
 }
 
+static enum wire_status
+post_budget (struct wire_client *client, uint64_t id, uint32_t timeout_ms)
+{
+  struct ledger_budget_args args = { id };
+  return wire_client_post (client, LEDGER_BUDGET,
+                           (xdrproc_t)xdr_ledger_budget_args, &args,
+                           timeout_ms);
+}
+
+/* Guards against posts into a connection that takes bytes for ever and
+   delivers none: it is replaced once the reply is overdue. */
+static void
+test_posts_on_a_silent_connection (void)
+{
+  struct wire_program program = { LEDGER_PROGRAM, LEDGER_VERSION };
+  struct counting_handler handler = { .base = { .call = count_call } };
+  struct base_random random;
+  struct wire_posts posts;
+  base_random_seed (&random, 1);
+  struct wire_server *server
+      = wire_server_create ("127.0.0.1", 0, &program, 1, &handler.base);
+  struct link_relay *link = link_relay_create ();
+  uint16_t port = link_relay_add_listener (link, "127.0.0.1", 0, "127.0.0.1",
+                                           wire_server_port (server));
+  struct wire_client *client
+      = wire_client_create ("127.0.0.1", port, LEDGER_PROGRAM, LEDGER_VERSION);
+  g_assert_cmpint (post_budget (client, 0, SILENT_MS), ==, WIRE_OK);
+  while (atomic_load (&handler.count) < 1)
+    wire_server_round (server, 10);
+  for (uint32_t i = 0; i < 2 * SILENT_MS / 10; i++)
+    wire_server_round (server, 10);
+  /* The reply to the first call came, so the connection isn't overdue. */
+  wire_client_check_posts (client, &posts);
+  g_assert_false (posts.is_dropped);
+  g_assert_cmpuint (posts.replies, ==, 1);
+  link_relay_silence (link, LINK_BOTH, 100, &random);
+  g_assert_cmpint (post_budget (client, 7, SILENT_MS), ==, WIRE_OK);
+  g_usleep (1000 * (SILENT_MS + 10));
+  wire_client_check_posts (client, &posts);
+  g_printerr ("open %u silent %u replies %u\n", posts.open_calls,
+              (unsigned)posts.silent_ms, (unsigned)posts.replies);
+  g_assert_true (posts.is_dropped);
+  g_assert_cmpuint (posts.open_calls, ==, 1);
+  g_assert_cmpint (post_budget (client, 1, SILENT_MS), ==, WIRE_OK);
+  while (atomic_load (&handler.count) < 2)
+    wire_server_round (server, 10);
+  wire_client_destroy (client);
+  link_relay_destroy (link);
+  wire_server_destroy (server);
+}
+
+/* Replies are counted however their bytes and fragments are split. */
+static void
+test_replies_in_parts (void)
+{
+  static const char stream[] = "\0\0\0\2ab\x80\0\0\3cde\x80\0\0\0"
+                               "\0\0\0\0\x80\0\0\1f";
+  for (size_t part = 1; part < sizeof stream; part++)
+    {
+      struct wire_replies *replies = wire_replies_create ();
+      for (uint32_t i = 0; i < 4; i++)
+        wire_replies_note_call (replies, 100, 1000);
+      for (size_t at = 0; at < sizeof stream - 1; at += part)
+        wire_replies_note_bytes (replies, stream + at,
+                                 MIN (part, sizeof stream - 1 - at), 1500);
+      g_assert_cmpuint (wire_replies_received (replies), ==, 3);
+      g_assert_cmpuint (wire_replies_open (replies), ==, 1);
+      g_assert_cmpuint (wire_replies_silent_ms (replies, 1700), ==, 200);
+      g_assert_cmpuint (wire_replies_due_ms (replies, 300), ==, 1800);
+      wire_replies_destroy (replies);
+    }
+}
+
 /* A call to a port where nobody listens ends as WIRE_UNSENT. */
 static void
 test_unsent (void)
@@ -480,6 +557,9 @@
   g_test_add_func ("/wire/undecodable-arguments-leak",
                    test_undecodable_arguments_leak);
   g_test_add_func ("/wire/posts", test_posts);
+  g_test_add_func ("/wire/posts-on-a-silent-connection",
+                   test_posts_on_a_silent_connection);
+  g_test_add_func ("/wire/replies-in-parts", test_replies_in_parts);
   g_test_add_func ("/wire/unsent", test_unsent);
   g_test_add_func ("/wire/silent-host", test_silent_host);
   g_test_add_func ("/wire/half-sent-call", test_half_sent_call);
