Close a member's idle connections after a call on one brought no answer

A call gives up its own connection at its deadline, but the others that were opened on the same path were kept and used next.

Change: after a lost call the client closes the member's idle connections.

--- a/src/control_client.c
+++ b/src/control_client.c
@@ -145,6 +145,21 @@
   wire_client_destroy (connection);
 }
 
+/* Closes the member's idle connections after a call on one of them brought no
+   answer: they may be as silent as that one, and each would cost another call
+   its time. */
+static void
+drop_idle_connections (struct control_client *client,
+                       struct control_endpoint *member)
+{
+  GPtrArray *dropped = g_ptr_array_new_with_free_func (free_connection);
+  g_mutex_lock (&client->mutex);
+  while (member->idle->len > 0)
+    g_ptr_array_add (dropped, g_ptr_array_steal_index_fast (member->idle, 0));
+  g_mutex_unlock (&client->mutex);
+  g_ptr_array_unref (dropped);
+}
+
 /* Returns the member to call next, or NULL when there is none. */
 static struct control_endpoint *
 choose_member (struct control_client *client, guint *index)
@@ -261,6 +276,8 @@
   enum wire_status status = wire_client_call (
       connection, call->procedure, call->args_codec, call->args,
       call->result_codec, call->result, call->result_bytes, timeout_ms);
+  if (status == WIRE_LOST)
+    drop_idle_connections (client, member);
   release_connection (client, member, connection);
   const struct control_answer *answer = call->result;
   enum attempt_outcome outcome = outcome_of (status, answer);
--- a/tests/test_control_client.c
+++ b/tests/test_control_client.c
@@ -10,6 +10,10 @@
 
 #define MEMBERS 3
 #define TIMEOUT_MS 30000
+/* Timeout of a call that waits for one member only, in milliseconds. */
+#define SHORT_TIMEOUT_MS 400
+/* Calls that are made at once. */
+#define IDLE_CALLS 6
 
 /* Three members, each a relay to the same fake control. */
 struct cluster
@@ -280,6 +284,65 @@
   stop (&cluster);
 }
 
+/* Answers once IDLE_CALLS calls wait, so that each has a connection of its
+   own. */
+static void
+answer_together (struct control_fake *fake, struct wire_call *call)
+{
+  static struct wire_call *waiting[IDLE_CALLS];
+  static uint32_t count;
+  if (atomic_load (&fake->calls) > IDLE_CALLS)
+    {
+      reply (call, CONTROL_OK, 0);
+      return;
+    }
+  waiting[count++] = call;
+  if (count == IDLE_CALLS)
+    for (; count > 0; count--)
+      reply (waiting[count - 1], CONTROL_OK, 0);
+}
+
+static gpointer
+call_briefly (gpointer data)
+{
+  struct control_top_up_result result;
+  enum wire_status status = top_up (data, &result, SHORT_TIMEOUT_MS);
+  free_result (&result);
+  return GINT_TO_POINTER (status);
+}
+
+/* Makes IDLE_CALLS calls at once; returns how many bring no answer. */
+static uint32_t
+count_lost (struct cluster *cluster)
+{
+  GThread *threads[IDLE_CALLS];
+  uint32_t lost = 0;
+  for (int i = 0; i < IDLE_CALLS; i++)
+    threads[i] = g_thread_new ("caller", call_briefly, cluster);
+  for (int i = 0; i < IDLE_CALLS; i++)
+    lost += GPOINTER_TO_INT (g_thread_join (threads[i])) != WIRE_OK;
+  return lost;
+}
+
+/* Guards against idle connections that went silent together and each cost a
+   call its time: after the first call the others are closed. */
+static void
+test_silent_idle_connections (void)
+{
+  struct cluster cluster;
+  struct base_random random;
+  base_random_seed (&random, 1);
+  start (&cluster, answer_together);
+  const char *const leader[] = { cluster.endpoints[0], NULL };
+  control_client_destroy (cluster.client);
+  cluster.client = control_client_create (leader);
+  g_assert_cmpuint (count_lost (&cluster), ==, 0);
+  link_relay_silence (cluster.relays[0], LINK_BOTH, 100, &random);
+  g_assert_cmpint (GPOINTER_TO_INT (call_briefly (&cluster)), !=, WIRE_OK);
+  g_assert_cmpuint (count_lost (&cluster), ==, 0);
+  stop (&cluster);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -292,5 +355,7 @@
   g_test_add_func ("/control-client/no-leader", test_no_leader);
   g_test_add_func ("/control-client/refusal", test_refusal);
   g_test_add_func ("/control-client/threads", test_threads);
+  g_test_add_func ("/control-client/silent-idle-connections",
+                   test_silent_idle_connections);
   return g_test_run ();
 }
