--- a/tests/test_control_silent.c
+++ b/tests/test_control_silent.c
@@ -20,6 +20,7 @@
    force at all members, from the last fault on. */
 #define ACCEPT_MS 6000
 #define IN_FORCE_MS 7000
+#define RESTART_MAX_MS 500
 #define POLL_US 20000
 #define FIRST_SEED 1
 #define SEEDS 2
@@ -31,6 +32,8 @@
   uint32_t percent;
   /* Most silences in a row. */
   uint32_t times_max;
+  /* After each silence a member is killed and started again. */
+  bool with_restarts;
 };
 
 struct fixture
@@ -113,6 +116,16 @@
   return held == MEMBERS;
 }
 
+/* Kills a member, and starts it again after a drawn time. */
+static void
+restart_one (struct fixture *fixture)
+{
+  uint32_t member = (uint32_t)base_random_below (&fixture->random, MEMBERS);
+  fleet_process_kill (fixture->rig->members[member]);
+  g_usleep (1000 * base_random_below (&fixture->random, RESTART_MAX_MS));
+  g_assert_cmpint (fleet_process_start (fixture->rig->members[member]), ==, 0);
+}
+
 static void
 silence (struct fixture *fixture, const struct silence *kind)
 {
@@ -125,6 +138,8 @@
             1000 * base_random_below (&fixture->random, SILENCE_PAUSE_MAX_MS));
       link_relay_silence (fixture->relay, kind->sides, kind->percent,
                           &fixture->random);
+      if (kind->with_restarts)
+        restart_one (fixture);
     }
 }
 
@@ -191,6 +206,16 @@
   play (&kind);
 }
 
+static void
+test_beside_restarts (void)
+{
+  static const struct silence kind = { .sides = LINK_EITHER,
+                                       .percent = 70,
+                                       .times_max = SILENCES_MAX,
+                                       .with_restarts = true };
+  play (&kind);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -199,5 +224,6 @@
   g_test_add_func ("/control-silent/half-of-the-connections",
                    test_half_of_the_connections);
   g_test_add_func ("/control-silent/one-direction", test_one_direction);
+  g_test_add_func ("/control-silent/beside-restarts", test_beside_restarts);
   return g_test_run ();
 }
