Cut off what an unsynced last write left of a log

What callers saw: after a loss of power a control member ended at every start ("the record at offset N is damaged or incomplete"); with another one's disk lost at the same time no change was accepted any more.

Cause: a log that is opened cut off only a record that was too short or zeros up to the end. A write that was not synced may also be left at its full length with other bytes for a part of it, and it holds several records, so an intact one can follow.

Each record of a control log names the first record of its write behind its data, which replay in older builds ignores. On damage in the last segment the log is cut off, unless a valid record follows that was written later or has no mark; then the start is refused as before. The ledger's log stays without marks, since its replay reads all bytes.

--- a/bench/bench_base.c
+++ b/bench/bench_base.c
@@ -42,7 +42,7 @@
   char record[SYNC_RECORD_BYTES] = { 0 };
   char *folder = g_dir_make_tmp ("cactus-bench-XXXXXX", NULL);
   struct base_findings *findings = base_findings_create ();
-  struct store_log *log = store_log_open (folder, 1, findings);
+  struct store_log *log = store_log_open (folder, 1, false, findings);
   uint64_t start_us = bench_slope_now_us ();
   for (int i = 0; i < SYNCS; i++)
     {
--- a/bench/bench_escrow.c
+++ b/bench/bench_escrow.c
@@ -155,7 +155,7 @@
 {
   struct base_findings *findings = base_findings_create ();
   GByteArray *journal = g_byte_array_new ();
-  struct store_log *log = store_log_open (folder, 1, findings);
+  struct store_log *log = store_log_open (folder, 1, false, findings);
   g_assert_nonnull (log);
   escrow_ledger_set_journal (ledger, journal);
   escrow_ledger_open_session (ledger, "router", 7, 1000);
--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -296,6 +296,11 @@
   if (!daemon->store
       || control_store_load (daemon->store, daemon->consensus, findings) != 0)
     return -1;
+  if (control_store_cut_bytes (daemon->store) > 0)
+    base_log (BASE_LOG_WARNING,
+              "log-cut bytes=%" PRIu64 " last_index=%" PRIu64,
+              control_store_cut_bytes (daemon->store),
+              consensus_last_index (daemon->consensus));
   GBytes *snapshot = consensus_snapshot (daemon->consensus);
   if (snapshot && control_snapshot_load (daemon, snapshot) != 0)
     {
--- a/src/control_store.c
+++ b/src/control_store.c
@@ -27,7 +27,7 @@
 struct control_store *
 control_store_open (const char *folder, struct base_findings *findings)
 {
-  struct store_log *log = store_log_open (folder, 1, findings);
+  struct store_log *log = store_log_open (folder, 1, true, findings);
   if (!log)
     return NULL;
   struct control_store *store = g_new0 (struct control_store, 1);
@@ -270,6 +270,12 @@
   return store->tail_bytes;
 }
 
+uint64_t
+control_store_cut_bytes (const struct control_store *store)
+{
+  return store_log_cut_bytes (store->log);
+}
+
 uint64_t
 control_store_syncs (const struct control_store *store)
 {
--- a/src/control_store.h
+++ b/src/control_store.h
@@ -31,6 +31,8 @@
                            struct consensus *consensus);
 /** Returns the bytes of log records since the last snapshot. */
 uint64_t control_store_tail_bytes (const struct control_store *store);
+/** Number of bytes of an unsynced write that were cut off at the start. */
+uint64_t control_store_cut_bytes (const struct control_store *store);
 /** Returns the number of syncs so far. */
 uint64_t control_store_syncs (const struct control_store *store);
 
--- a/src/ledger_store.c
+++ b/src/ledger_store.c
@@ -108,7 +108,7 @@
 replay_log (struct ledger_store *store, uint64_t from_index,
             struct base_findings *findings)
 {
-  store->log = store_log_open (store->folder, from_index, findings);
+  store->log = store_log_open (store->folder, from_index, false, findings);
   if (!store->log)
     return -1;
   if (store_log_first_index (store->log) > from_index
--- a/src/store_log.c
+++ b/src/store_log.c
@@ -34,6 +34,10 @@
   uint64_t next_index;
   /* Appended records that are not written yet. */
   GByteArray *pending;
+  /* Whether records get marks, and the first record of the next write. */
+  bool marks;
+  uint64_t write_first_index;
+  uint64_t cut_bytes;
   /* Whether a write failed; no more records are accepted then. */
   bool failed;
 };
@@ -80,6 +84,11 @@
       log->next_index++;
     }
   segment->bytes = scan.offset;
+  if (step == STORE_SCAN_DAMAGED && last
+      && store_scan_may_be_unsynced (&scan, log->next_index))
+    step = STORE_SCAN_TORN;
+  if (step == STORE_SCAN_TORN)
+    log->cut_bytes = scan.bytes - scan.offset;
   if (step == STORE_SCAN_DAMAGED || (step == STORE_SCAN_TORN && !last))
     store_scan_report_damage (&scan, findings);
   else if (step == STORE_SCAN_TORN
@@ -182,7 +191,7 @@
 }
 
 struct store_log *
-store_log_open (const char *folder, uint64_t first_index,
+store_log_open (const char *folder, uint64_t first_index, bool marks,
                 struct base_findings *findings)
 {
   struct store_log *log = g_new0 (struct store_log, 1);
@@ -191,6 +200,7 @@
   log->pending = g_byte_array_new ();
   log->fd = -1;
   log->next_index = first_index;
+  log->marks = marks;
   if (list_segments (log, findings) != 0
       || check_segments (log, findings) != 0)
     goto fail;
@@ -221,6 +231,29 @@
   g_free (log);
 }
 
+/* Appends the next record to the buffer. */
+static void
+append_record (struct store_log *log, const void *data, size_t bytes)
+{
+  struct store_record_header header;
+  struct store_write_mark mark;
+  guint at = log->pending->len;
+  if (at == 0)
+    log->write_first_index = log->next_index;
+  g_byte_array_set_size (log->pending, at + sizeof header);
+  g_byte_array_append (log->pending, data, (guint)bytes);
+  if (log->marks)
+    {
+      store_write_mark_fill (&mark, log->write_first_index);
+      g_byte_array_append (log->pending, (const guint8 *)&mark, sizeof mark);
+    }
+  guint start = at + (guint)sizeof header;
+  store_record_header_fill (&header, log->next_index,
+                            log->pending->data + start,
+                            log->pending->len - start);
+  memcpy (log->pending->data + at, &header, sizeof header);
+}
+
 uint64_t
 store_log_append (struct store_log *log, const void *data, size_t bytes)
 {
@@ -240,10 +273,7 @@
       log->failed = true;
       return 0;
     }
-  struct store_record_header header;
-  store_record_header_fill (&header, log->next_index, data, bytes);
-  g_byte_array_append (log->pending, (const guint8 *)&header, sizeof header);
-  g_byte_array_append (log->pending, data, (guint)bytes);
+  append_record (log, data, bytes);
   return log->next_index++;
 }
 
@@ -269,6 +299,19 @@
   return 0;
 }
 
+/* Size of the data of the record at the offset, without its mark. */
+static size_t
+data_bytes (const struct store_log *log, const struct store_scan *scan,
+            const struct store_record_header *header)
+{
+  struct store_write_mark mark;
+  bool has_mark
+      = log->marks
+        && store_write_mark_read (store_scan_data (scan), header->bytes,
+                                  header->index, &mark);
+  return has_mark ? header->bytes - sizeof mark : header->bytes;
+}
+
 static int
 replay_segment (struct store_log *log, const struct segment *segment,
                 uint64_t from_index,
@@ -289,7 +332,8 @@
   while ((step = store_scan_next (&scan, index, &header)) == STORE_SCAN_RECORD)
     {
       if (index >= from_index)
-        status = visit (context, index, store_scan_data (&scan), header.bytes);
+        status = visit (context, index, store_scan_data (&scan),
+                        data_bytes (log, &scan, &header));
       if (status != 0)
         goto done;
       store_scan_advance (&scan, &header);
@@ -441,3 +485,9 @@
     total += segment_at (log, i)->bytes;
   return total;
 }
+
+uint64_t
+store_log_cut_bytes (const struct store_log *log)
+{
+  return log->cut_bytes;
+}
--- a/src/store_log.h
+++ b/src/store_log.h
@@ -3,9 +3,14 @@
 
 /** @file
  *  A segmented log of records with checksums in one folder.  Opening it
- *  removes an incompletely written record at the end; damage anywhere else is
- *  an error that names file and offset.  Not thread-safe. */
+ *  removes what a last, unsynced write left incomplete or damaged; damage
+ *  anywhere else is an error that names file and offset.  Not thread-safe.
+ *
+ *  A log with marks tells which records were written together, and so damage
+ *  of an earlier, synced write from that of the last one.  In a log without
+ *  marks only the last record counts as the last write. */
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -15,10 +20,11 @@
 struct store_log;
 
 /** Opens the log in @p folder, or creates one whose first record will have
- *  index @p first_index.  Returns NULL with findings (file and offset) when
- *  the log is damaged or can't be read. */
+ *  index @p first_index.  With @p marks the records get marks behind their
+ *  data, which readers of the data in older builds must ignore.  Returns NULL
+ * with findings (file and offset) when the log is damaged or can't be read. */
 struct store_log *store_log_open (const char *folder, uint64_t first_index,
-                                  struct base_findings *findings);
+                                  bool marks, struct base_findings *findings);
 /** Closes the log; records appended since the last sync are lost. */
 void store_log_close (struct store_log *log);
 /** Appends a record to the buffer.  Returns its index, or 0 with errno set. */
@@ -46,6 +52,8 @@
 /** Removes all records and syncs; the next record has @p index.  Returns 0 or
  *  -1. */
 int store_log_reset (struct store_log *log, uint64_t index);
+/** Number of bytes that were cut off when the log was opened. */
+uint64_t store_log_cut_bytes (const struct store_log *log);
 /** Size of all records in bytes, including those not synced yet. */
 uint64_t store_log_bytes (const struct store_log *log);
 
--- a/src/store_scan.c
+++ b/src/store_scan.c
@@ -9,6 +9,8 @@
 
 /* Magic number of a record; the bytes "CACR" in the file. */
 #define RECORD_MAGIC 0x52434143u
+/* Magic number of a mark behind a record's data. */
+#define MARK_MAGIC UINT64_C (0x314b524d43414357)
 
 static uint64_t
 compute_header_checksum (const struct store_record_header *header)
@@ -28,6 +30,23 @@
   header->header_checksum = compute_header_checksum (header);
 }
 
+void
+store_write_mark_fill (struct store_write_mark *mark, uint64_t first_index)
+{
+  mark->first_index = first_index;
+  mark->magic = MARK_MAGIC;
+}
+
+bool
+store_write_mark_read (const void *data, size_t bytes, uint64_t index,
+                       struct store_write_mark *mark)
+{
+  if (bytes < sizeof *mark)
+    return false;
+  memcpy (mark, (const char *)data + bytes - sizeof *mark, sizeof *mark);
+  return mark->magic == MARK_MAGIC && mark->first_index <= index;
+}
+
 int
 store_scan_open (struct store_scan *scan, char *path,
                  struct base_findings *findings)
@@ -86,6 +105,44 @@
   return STORE_SCAN_RECORD;
 }
 
+/* Whether a valid record, with any index above @p index, is at @p offset. */
+static bool
+is_record_at (const struct store_scan *scan, size_t offset, uint64_t index,
+              struct store_record_header *header)
+{
+  const char *at = scan->data + offset;
+  memcpy (header, at, sizeof *header);
+  return header->magic == RECORD_MAGIC
+         && header->header_checksum == compute_header_checksum (header)
+         && header->index > index
+         && header->bytes <= scan->bytes - offset - sizeof *header
+         && header->data_checksum
+                == base_hash64 (at + sizeof *header, header->bytes);
+}
+
+bool
+store_scan_may_be_unsynced (const struct store_scan *scan, uint64_t index)
+{
+  struct store_record_header header;
+  struct store_write_mark mark;
+  size_t offset = scan->offset + 1;
+  while (offset + sizeof header <= scan->bytes)
+    {
+      if (!is_record_at (scan, offset, index, &header))
+        {
+          offset++;
+          continue;
+        }
+      offset += sizeof header;
+      if (!store_write_mark_read (scan->data + offset, header.bytes,
+                                  header.index, &mark)
+          || mark.first_index > index)
+        return false;
+      offset += header.bytes;
+    }
+  return true;
+}
+
 const void *
 store_scan_data (const struct store_scan *scan)
 {
--- a/tests/test_control_process.c
+++ b/tests/test_control_process.c
@@ -3,10 +3,12 @@
  *  a data folder is lost, members are replaced. */
 
 #include <signal.h>
+#include <string.h>
 
 #include <glib.h>
 
 #include "control_rig.h"
+#include "store_log.h"
 #include "wire_client.h"
 
 #define TIMEOUT_MS 20000
@@ -151,6 +153,64 @@
   control_rig_destroy (trial);
 }
 
+/* Adds a write of three records to the log of a member that isn't running, and
+   then replaces @p bytes of its first record, from @p at on, by zeros: a loss
+   of power left the write at its full length. */
+static void
+tear_write (struct control_rig *trial, uint32_t member, size_t at,
+            size_t bytes)
+{
+  static const char record[200] = { 1 };
+  char *contents;
+  gsize length;
+  struct base_findings *findings = base_findings_create ();
+  char *folder = g_strdup_printf ("%s/data-%u", trial->folder, member + 1);
+  struct store_log *log = store_log_open (folder, 1, true, findings);
+  g_assert_nonnull (log);
+  char *name = g_strdup_printf ("log-%020" G_GUINT64_FORMAT,
+                                store_log_first_index (log));
+  char *path = g_build_filename (folder, name, NULL);
+  size_t start = store_log_bytes (log);
+  for (uint32_t i = 0; i < 3; i++)
+    store_log_append (log, record, sizeof record);
+  g_assert_cmpint (store_log_sync (log), ==, 0);
+  store_log_close (log);
+  g_assert_true (g_file_get_contents (path, &contents, &length, NULL));
+  memset (contents + start + at, 0, bytes);
+  g_assert_true (g_file_set_contents (path, contents, (gssize)length, NULL));
+  g_free (contents);
+  g_free (path);
+  g_free (name);
+  g_free (folder);
+  base_findings_destroy (findings);
+}
+
+/* Guards against members that can't start after a loss of power left the last
+   write at its full length with zeros for a part of it; another member's
+   folder is lost then, so each is needed. */
+static void
+test_torn_write (void)
+{
+  struct control_rig *trial = control_rig_create (3);
+  g_assert_nonnull (trial);
+  accept_version (trial, 1);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      uint32_t torn = i;
+      uint32_t lost = (i + 1) % 3;
+      fleet_process_kill (trial->members[torn]);
+      tear_write (trial, torn, 16 * i, 60);
+      g_assert_true (control_rig_start (trial, torn));
+      g_assert_true (control_rig_wait_voter (trial, torn, TIMEOUT_MS));
+      fleet_process_kill (trial->members[lost]);
+      control_rig_wipe (trial, lost);
+      accept_version (trial, 2 + i);
+      g_assert_true (control_rig_start (trial, lost));
+      g_assert_true (control_rig_wait_voter (trial, lost, TIMEOUT_MS));
+    }
+  control_rig_destroy (trial);
+}
+
 /* With a snapshot each 50 entries, a member that was down for versions 2 to
    200 is sent a snapshot.  Then all members restart from their snapshots. */
 static void
@@ -273,6 +333,7 @@
   g_test_add_func ("/control/process/leader_killed", test_leader_killed);
   g_test_add_func ("/control/process/leader_frozen", test_leader_frozen);
   g_test_add_func ("/control/process/folder_lost", test_folder_lost);
+  g_test_add_func ("/control/process/torn_write", test_torn_write);
   g_test_add_func ("/control/process/snapshots", test_snapshots);
   g_test_add_func ("/control/process/member_replaced", test_member_replaced);
   g_test_add_func ("/control/process/hand_over", test_hand_over);
