Wait for room on a full disk

What callers saw, reported by other operators: disks were full for a few seconds each, one after another, and long after the last had room changes were refused or stayed unanswered. Here members ended by themselves instead, each time their disk was full, and came back when they were started again.

Cause: a failed write of the log ended the process, whatever the error.

Change: on ENOSPC and EDQUOT the log cuts off what was written, keeps its records and may be synced again. The member waits, answers nothing meanwhile, as with a disk that stalls, and another one leads; it ends when it is asked to. A segment that can't be started leaves no file behind, and the present one grows on. Other errors end the process as before.

--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -149,6 +149,7 @@
       daemon->failure = -1;
       return;
     }
+  control_room_note (daemon);
   if (installed
       && control_snapshot_load (daemon, consensus_snapshot (daemon->consensus))
              != 0)
@@ -275,6 +276,7 @@
 open_store (struct control_daemon *daemon, struct base_findings *findings)
 {
   const struct control_daemon_options *options = &daemon->options;
+  const struct control_store_wait wait = { control_room_wait, daemon };
   struct store_identity *identity = &daemon->identity;
   g_strlcpy (identity->cluster, options->cluster, sizeof identity->cluster);
   g_strlcpy (identity->role, "control", sizeof identity->role);
@@ -296,6 +298,7 @@
   if (!daemon->store
       || control_store_load (daemon->store, daemon->consensus, findings) != 0)
     return -1;
+  control_store_set_wait (daemon->store, &wait);
   if (control_store_cut_bytes (daemon->store) > 0)
     base_log (BASE_LOG_WARNING,
               "log-cut bytes=%" PRIu64 " last_index=%" PRIu64,
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -85,6 +85,10 @@
   uint64_t leaderless_log_due_ms;
   /** Whether this member was a ready leader in the previous round. */
   bool was_ready;
+  /** Time since which the data folder's disk is full, or 0. */
+  uint64_t full_since_ms;
+  /** Time before which no snapshot is written, after one found no room. */
+  uint64_t snapshot_due_ms;
   /** Time of the next check for expired sessions, in milliseconds. */
   uint64_t sweep_due_ms;
   /** Time that end_round took in the last round, in milliseconds. */
@@ -138,6 +142,12 @@
 /** Writes a snapshot when the log has reached its limit; sets failure on an
  *  error. */
 void control_snapshot_write (struct control_daemon *daemon);
+/** Waits for a moment while the disk of the data folder is full; false when
+ * the process stops.  The member answers nothing meanwhile, as with a disk
+ * that stalls, so that another one leads.  @p context is the daemon. */
+bool control_room_wait (void *context);
+/** Logs that the disk has room again, after control_room_wait. */
+void control_room_note (struct control_daemon *daemon);
 /** Copies the members into an array allocated with malloc.  Returns their
  *  number. */
 uint32_t control_members_list (struct control_daemon *daemon,
--- a/src/control_snapshot.c
+++ b/src/control_snapshot.c
@@ -4,9 +4,12 @@
 
 #include "base_clock.h"
 #include "base_log.h"
+#include "store_file.h"
 
 /* Bytes of log records after which a snapshot replaces them. */
 #define SNAPSHOT_LOG_BYTES (16u * 1024 * 1024)
+/* Pause after a snapshot that found no room, in milliseconds. */
+#define FULL_RETRY_MS 1000
 /* Factors by which the log may grow beyond its limits while another member
    catches up. */
 #define CATCH_UP_ENTRIES_FACTOR 8
@@ -61,7 +64,7 @@
   struct consensus *consensus = daemon->consensus;
   uint32_t bytes = 0;
   uint64_t now_ms = base_clock_now_ms (base_clock_system ());
-  if (!is_snapshot_due (daemon, now_ms))
+  if (now_ms < daemon->snapshot_due_ms || !is_snapshot_due (daemon, now_ms))
     return;
   /* A heartbeat restarts the followers' election timeouts before the leader
      stops responding to write the snapshot. */
@@ -74,9 +77,14 @@
   g_free (state);
   if (control_store_compact (daemon->store, consensus) != 0)
     {
+      int error = errno;
       base_log (BASE_LOG_ERROR, "snapshot-not-written error=%s",
-                g_strerror (errno));
-      daemon->failure = -1;
+                g_strerror (error));
+      /* What is stored is still whole; the log goes on behind it. */
+      if (store_file_is_full (error))
+        daemon->snapshot_due_ms = now_ms + FULL_RETRY_MS;
+      else
+        daemon->failure = -1;
     }
   base_counter_add (daemon->counters.snapshots, 1);
 }
--- a/src/control_store.c
+++ b/src/control_store.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "store_file.h"
 #include "store_log.h"
 #include "store_snapshot.h"
 
@@ -22,6 +23,7 @@
   uint64_t base;
   uint64_t tail_bytes;
   uint64_t syncs;
+  struct control_store_wait wait;
 };
 
 struct control_store *
@@ -220,15 +222,46 @@
   return store_log_drop_before (store->log, next_record);
 }
 
+/* Whether to try again after a failure: the disk is full, and the process
+   waits. */
+static bool
+may_retry (const struct control_store *store)
+{
+  return store_file_is_full (errno) && store->wait.wait
+         && store->wait.wait (store->wait.context);
+}
+
+static int
+sync_log (struct control_store *store)
+{
+  int status;
+  do
+    status = store_log_sync (store->log);
+  while (status != 0 && may_retry (store));
+  return status;
+}
+
 /* Replaces all entries by a snapshot that a leader sent. */
 static int
 persist_installed (struct control_store *store, struct consensus *consensus)
 {
-  if (store_log_sync (store->log) != 0)
+  int status;
+  if (sync_log (store) != 0)
     return -1;
   store->base = consensus_snapshot_index (consensus);
   g_array_set_size (store->records, 0);
-  return write_snapshot (store, consensus, store_log_next_index (store->log));
+  do
+    status
+        = write_snapshot (store, consensus, store_log_next_index (store->log));
+  while (status != 0 && may_retry (store));
+  return status;
+}
+
+void
+control_store_set_wait (struct control_store *store,
+                        const struct control_store_wait *wait)
+{
+  store->wait = *wait;
 }
 
 int
@@ -247,7 +280,7 @@
       && append_entries (store, consensus, effects->persist_from) != 0)
     return -1;
   store->syncs++;
-  return store_log_sync (store->log);
+  return sync_log (store);
 }
 
 int
--- a/src/control_store.h
+++ b/src/control_store.h
@@ -10,6 +10,14 @@
 
 struct control_store;
 
+/** Called again and again while the disk is full: waits for a moment, and
+ *  returns false to give up. */
+struct control_store_wait
+{
+  bool (*wait) (void *context);
+  void *context;
+};
+
 /** Opens the log in @p folder.  Returns NULL with findings on an error. */
 struct control_store *control_store_open (const char *folder,
                                           struct base_findings *findings);
@@ -20,13 +28,17 @@
 int control_store_load (struct control_store *store,
                         struct consensus *consensus,
                         struct base_findings *findings);
+/** Sets what to do while the disk is full. */
+void control_store_set_wait (struct control_store *store,
+                             const struct control_store_wait *wait);
 /** Writes and syncs the vote, snapshot and entries that the effects list.
- *  Returns 0, or -1 with errno set. */
+ *  Waits while the disk is full.  Returns 0, or -1 with errno set. */
 int control_store_persist (struct control_store *store,
                            struct consensus *consensus,
                            const struct consensus_effects *effects);
 /** Writes the snapshot that @p consensus made when it compacted its log, and
- *  drops the records that it covers.  Returns 0, or -1 with errno set. */
+ *  drops the records that it covers.  Returns 0, or -1 with errno set; when
+ * the disk is full the former snapshot and the records stay. */
 int control_store_compact (struct control_store *store,
                            struct consensus *consensus);
 /** Returns the bytes of log records since the last snapshot. */
--- a/src/store_file.c
+++ b/src/store_file.c
@@ -7,6 +7,12 @@
 
 #include <glib.h>
 
+bool
+store_file_is_full (int error)
+{
+  return error == ENOSPC || error == EDQUOT;
+}
+
 int
 store_file_write_all (int fd, const void *data, size_t bytes)
 {
--- a/src/store_file.h
+++ b/src/store_file.h
@@ -4,8 +4,11 @@
 /** @file
  *  Helpers for files that must survive a crash. */
 
+#include <stdbool.h>
 #include <stddef.h>
 
+/** Whether an error number says that the disk, or the quota on it, is full. */
+bool store_file_is_full (int error);
 /** Writes all bytes.  Returns 0, or -1 with errno set. */
 int store_file_write_all (int fd, const void *data, size_t bytes);
 /** Syncs a folder, so that files created or removed in it stay so after a
--- a/src/store_log.c
+++ b/src/store_log.c
@@ -157,6 +157,15 @@
   return 0;
 }
 
+static int
+remove_file (const struct store_log *log, uint64_t first_index)
+{
+  char *path = segment_path (log, first_index);
+  int status = unlink (path);
+  g_free (path);
+  return status;
+}
+
 /* Creates the segment that starts at next_index and opens it for appending. */
 static int
 start_segment (struct store_log *log)
@@ -169,7 +178,11 @@
     return -1;
   if (store_file_sync_folder (log->folder) != 0)
     {
+      int error = errno;
+      /* An empty segment behind one that grows on would leave a gap. */
+      remove_file (log, log->next_index);
       close (fd);
+      errno = error;
       return -1;
     }
   if (log->fd >= 0)
@@ -231,6 +244,23 @@
   g_free (log);
 }
 
+static bool
+is_segment_full (const struct store_log *log)
+{
+  return last_segment (log)->bytes + log->pending->len > CACTUS_SEGMENT_BYTES;
+}
+
+/* Syncs and starts the next segment.  On a full disk the present one grows
+   on. */
+static int
+next_segment (struct store_log *log)
+{
+  int status = store_log_sync (log);
+  if (status == 0)
+    status = start_segment (log);
+  return status != 0 && store_file_is_full (errno) ? 0 : status;
+}
+
 /* Appends the next record to the buffer. */
 static void
 append_record (struct store_log *log, const void *data, size_t bytes)
@@ -267,8 +297,7 @@
       errno = EMSGSIZE;
       return 0;
     }
-  if (last_segment (log)->bytes + log->pending->len > CACTUS_SEGMENT_BYTES
-      && (store_log_sync (log) != 0 || start_segment (log) != 0))
+  if (is_segment_full (log) && next_segment (log) != 0)
     {
       log->failed = true;
       return 0;
@@ -277,6 +306,18 @@
   return log->next_index++;
 }
 
+/* After a failed write, cuts off what was written of it if the disk is full,
+   so that the whole write can be repeated: the kernel may have dropped any
+   part of it.  Keeps errno. */
+static void
+undo_write (struct store_log *log)
+{
+  int error = errno;
+  log->failed = !store_file_is_full (error)
+                || ftruncate (log->fd, (off_t)last_segment (log)->bytes) != 0;
+  errno = error;
+}
+
 int
 store_log_sync (struct store_log *log)
 {
@@ -291,7 +332,7 @@
           != 0
       || fdatasync (log->fd) != 0)
     {
-      log->failed = true;
+      undo_write (log);
       return -1;
     }
   last_segment (log)->bytes += log->pending->len;
@@ -391,9 +432,7 @@
 static int
 remove_segment (struct store_log *log, guint position)
 {
-  char *path = segment_path (log, segment_at (log, position)->first_index);
-  int status = unlink (path);
-  g_free (path);
+  int status = remove_file (log, segment_at (log, position)->first_index);
   if (status == 0)
     g_array_remove_index (log->segments, position);
   return status;
--- a/src/store_log.h
+++ b/src/store_log.h
@@ -31,7 +31,9 @@
 uint64_t store_log_append (struct store_log *log, const void *data,
                            size_t bytes);
 /** Writes and syncs all appended records.  Returns 0, or -1 with errno set.
- *  After a failure the log accepts no more records. */
+ *  When the disk is full (store_file_is_full), the records stay appended and
+ *  the sync may be tried again; after another failure the log accepts no more
+ *  records. */
 int store_log_sync (struct store_log *log);
 /** Syncs, then calls @p visit for each record from @p from_index on until it
  *  returns non-zero.  Returns 0, the non-zero value of @p visit, or -1 with
--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -76,32 +76,56 @@
   rig->more_entries[index] = start_entry (rig, name, address);
 }
 
+struct platform_rig *
+platform_rig_create_with (const char *entry_program)
+{
+  return platform_rig_create_programs ("cactus-core", entry_program);
+}
+
 struct platform_rig *
 platform_rig_create (void)
 {
   return platform_rig_create_with ("cactus-entry");
 }
 
+/* Writes the file SETTINGS.@p kind of a process; NULL removes it. */
+static void
+write_fault (const struct platform_rig *rig, const char *name,
+             const char *kind, const char *text)
+{
+  char *path = g_strdup_printf ("%s/%s.settings.%s", rig->folder, name, kind);
+  if (text)
+    g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  else
+    g_unlink (path);
+  g_free (path);
+}
+
+void
+platform_rig_fill (struct platform_rig *rig, uint32_t core, const char *how)
+{
+  char name[16];
+  g_snprintf (name, sizeof name, "core-%u", core);
+  write_fault (rig, name, "full", how);
+}
+
 void
 platform_rig_cut (struct platform_rig *rig, uint32_t entry, const char *cut)
 {
   char name[16] = "entry";
   if (entry > 0)
     g_snprintf (name, sizeof name, "entry-%u", entry + 1);
-  char *path = g_strdup_printf ("%s/%s.settings.cut", rig->folder, name);
-  if (cut)
-    g_assert_true (g_file_set_contents (path, cut, -1, NULL));
-  else
-    g_unlink (path);
-  g_free (path);
+  write_fault (rig, name, "cut", cut);
 }
 
 struct platform_rig *
-platform_rig_create_with (const char *entry_program)
+platform_rig_create_programs (const char *core_program,
+                              const char *entry_program)
 {
   char address[16];
   char name[16];
   struct platform_rig *rig = g_new0 (struct platform_rig, 1);
+  rig->core_program = core_program;
   rig->entry_program = entry_program;
   rig->folder = g_dir_make_tmp ("platform-XXXXXX", NULL);
   rig->rpc_port = fleet_free_port ("127.0.0.2");
@@ -115,7 +139,7 @@
       char *listen = g_strdup_printf ("control=%s:%u\n", address,
                                       (unsigned)rig->control_port);
       rig->cores[i] = start_process (
-          rig, name, "cactus-core",
+          rig, name, rig->core_program,
           write_settings (rig, name, address, rig->rpc_port, listen));
       g_free (listen);
     }
@@ -203,6 +227,19 @@
   return status;
 }
 
+struct platform_reply
+platform_rig_read_control (struct platform_rig *rig, uint32_t core,
+                           const char *path)
+{
+  char address[16];
+  core_address (core, address);
+  char *url = g_strdup_printf ("http://%s:%u%s", address,
+                               (unsigned)rig->control_port, path);
+  struct platform_reply reply = platform_rig_call ("GET", url, NULL, NULL);
+  g_free (url);
+  return reply;
+}
+
 void
 platform_rig_configure (struct platform_rig *rig, const char *body)
 {
--- a/tools/platform_rig.h
+++ b/tools/platform_rig.h
@@ -22,6 +22,7 @@
 struct platform_rig
 {
   char *folder;
+  const char *core_program;
   const char *entry_program;
   struct fleet_process *cores[PLATFORM_RIG_CORES];
   struct fleet_process *entry;
@@ -48,6 +49,13 @@
 struct platform_rig *platform_rig_create (void);
 /** Like platform_rig_create(), with another program as the routers. */
 struct platform_rig *platform_rig_create_with (const char *entry_program);
+/** Like platform_rig_create(), with other programs as members and routers. */
+struct platform_rig *platform_rig_create_programs (const char *core_program,
+                                                   const char *entry_program);
+/** Fills the disk of control member @p core, which must run cactus-core-full,
+ *  as tests/full_disk.c describes; NULL makes room. */
+void platform_rig_fill (struct platform_rig *rig, uint32_t core,
+                        const char *how);
 /** Cuts router @p entry (0 is the first), which must run cactus-entry-cut, off
  *  from ports as tests/cut_sockets.c describes; NULL ends the cut. */
 void platform_rig_cut (struct platform_rig *rig, uint32_t entry,
@@ -71,6 +79,11 @@
 long platform_rig_call_control (struct platform_rig *rig, uint32_t core,
                                 const char *method, const char *path,
                                 const char *body);
+/** Gets @p path from control member @p core; free the reply with
+ *  platform_reply_clear(). */
+struct platform_reply platform_rig_read_control (struct platform_rig *rig,
+                                                 uint32_t core,
+                                                 const char *path);
 /** Sends a configuration to the control members in turn until one accepts it;
  *  aborts when none does in 200 calls, 50 ms apart. */
 void platform_rig_configure (struct platform_rig *rig, const char *body);
