Sync the log when it is opened

What callers saw: after a member was killed between a write and its sync, started again and then lost power, records that it had already acted on were gone, or it ended at every start ("damaged or incomplete").

Cause: opening a log read what a killed process had left unsynced and treated it as stored. The next write then followed an unsynced one, which the rule for torn writes excludes. What was cut off was not synced either, so that it could come back behind later records.

--- a/src/store_log.c
+++ b/src/store_log.c
@@ -63,7 +63,7 @@
 }
 
 /* Checks the records of a segment and sets its size; removes a torn tail of
-   the last segment.  Returns 0, or -1 with findings. */
+   the last segment, without a sync.  Returns 0, or -1 with findings. */
 static int
 check_segment (struct store_log *log, struct segment *segment, bool last,
                struct base_findings *findings)
@@ -203,6 +203,17 @@
   return log->fd < 0 ? -1 : 0;
 }
 
+/* Opens the last segment and syncs what was read and cut off: a killed process
+   may have written it without a sync, and what was cut off must not come back
+   behind later records. */
+static int
+resume_last_segment (struct store_log *log)
+{
+  if (open_last_segment (log) != 0 || fsync (log->fd) != 0)
+    return -1;
+  return store_file_sync_folder (log->folder);
+}
+
 struct store_log *
 store_log_open (const char *folder, uint64_t first_index, bool marks,
                 struct base_findings *findings)
@@ -218,7 +229,7 @@
       || check_segments (log, findings) != 0)
     goto fail;
   int opened
-      = log->segments->len ? open_last_segment (log) : start_segment (log);
+      = log->segments->len ? resume_last_segment (log) : start_segment (log);
   if (opened != 0)
     {
       base_findings_add (findings, folder, "the log can't be opened: %s",
