--- a/src/control_store.c
+++ b/src/control_store.c
@@ -142,6 +142,16 @@
                          "the snapshot file can't be decoded");
       return -1;
     }
+  /* Records that the snapshot covers may have been cut off or lost.  New ones
+     with their numbers would not be replayed. */
+  if (store_log_next_index (store->log) <= covered
+      && store_log_reset (store->log, covered + 1) != 0)
+    {
+      base_findings_add (findings, store->folder,
+                         "the log can't be started again: %s",
+                         g_strerror (errno));
+      return -1;
+    }
   uint64_t from = MAX (covered + 1, store_log_first_index (store->log));
   int status
       = store_log_replay (store->log, from, replay_record, &replay, findings);
--- a/src/store_log.c
+++ b/src/store_log.c
@@ -519,7 +519,7 @@
     if (remove_segment (log, log->segments->len - 1) != 0)
       return -1;
   log->next_index = index;
-  if (start_segment (log) != 0)
+  if (store_file_sync_folder (log->folder) != 0 || start_segment (log) != 0)
     {
       log->failed = true;
       return -1;
