Sync each record of a ledger's long round

What callers saw: a ledger that lost power in a round of more than 4 MB ended at every start ("the record at offset N is damaged or incomplete").

Cause: such a round was one write of several records. The ledger's log has no marks, so damage before an intact record counts as damage of what was synced.

Change: each record is written and synced before the next one. Rounds of up to 4 MB are one record as before.

/ledger-power/histories plays kills before syncs and losses of power with torn writes, with rounds of about 9 MB.

--- a/src/ledger_store.c
+++ b/src/ledger_store.c
@@ -291,7 +291,9 @@
   return store->bills;
 }
 
-/* Appends the journal to the log, split between entries into records. */
+/* Appends the journal to the log, split between entries into records.  Each is
+   a write of its own: the log has no marks, so that one whose last write holds
+   several records can't be opened when it is torn. */
 static int
 append_journal (struct ledger_store *store)
 {
@@ -308,9 +310,10 @@
           g_assert (status == 0);
           ledger_bills_add (store->bills, &entry);
         }
-      if (store_log_append (store->log, store->journal->data + start,
-                            reader.offset - start)
-          == 0)
+      if (store_log_sync (store->log) != 0
+          || store_log_append (store->log, store->journal->data + start,
+                               reader.offset - start)
+                 == 0)
         return -1;
       start = reader.offset;
     }
