Test full disks beside restarts, leases, joins and the file of targets

Not tried so far: members that end and are started again while their disk is full or not, routers with leases, many changes at once beside it, the file of targets, members that are replaced as voters meanwhile, and calls other than write().

--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -21,18 +21,20 @@
 /* Writes a settings file in the format of the deployment template. */
 static char *
 write_settings (struct platform_rig *rig, const char *name,
-                const char *address, uint16_t rpc_port, const char *listen)
+                const char *address, uint16_t rpc_port, const char *listen,
+                bool is_first_start)
 {
   char *path = g_strdup_printf ("%s/%s.settings", rig->folder, name);
   char *data = g_strdup_printf ("%s/%s", rig->folder, name);
   char *text = g_strdup_printf (
       "[process]\nhost=%s\naddress=%s\navailability-zone=z1\nregion=r1\n"
-      "bootstrap=true\ndata-dir=%s\nfirst-port=%u\nlast-port=%u\n"
+      "bootstrap=%s\ndata-dir=%s\nfirst-port=%u\nlast-port=%u\n"
       "members=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1\nannounce-ms=1000\n"
       "tolerated-hosts=1\n[listen]\n%s[limits]\ngrace-s=8\n"
       "retry-ratio=0.5\nretry-window-s=10\nretry-slack=100\n"
       "[regions]\nz1=r1\n",
-      name, address, data, (unsigned)rpc_port, (unsigned)rpc_port + 9, listen);
+      name, address, is_first_start ? "true" : "false", data,
+      (unsigned)rpc_port, (unsigned)rpc_port + 9, listen);
   g_mkdir_with_parents (data, 0700);
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
@@ -60,17 +62,42 @@
                                   (unsigned)rig->ready_port);
   struct fleet_process *process = start_process (
       rig, name, rig->entry_program,
-      write_settings (rig, name, address, rig->rpc_port, listen));
+      write_settings (rig, name, address, rig->rpc_port, listen, true));
   g_free (listen);
   return process;
 }
 
+static struct fleet_process *
+start_core (struct platform_rig *rig, uint32_t core, bool is_first_start)
+{
+  char address[16];
+  char name[16];
+  core_address (core, address);
+  g_snprintf (name, sizeof name, "core-%u", core);
+  char *listen = g_strdup_printf ("control=%s:%u\n", address,
+                                  (unsigned)rig->control_port);
+  struct fleet_process *process
+      = start_process (rig, name, rig->core_program,
+                       write_settings (rig, name, address, rig->rpc_port,
+                                       listen, is_first_start));
+  g_free (listen);
+  return process;
+}
+
+void
+platform_rig_add_core (struct platform_rig *rig)
+{
+  g_assert_true (!rig->more_core && rig->more_entry_count == 0);
+  rig->more_core = start_core (rig, PLATFORM_RIG_CORES, false);
+}
+
 void
 platform_rig_add_entry (struct platform_rig *rig, char address[16])
 {
   char name[16];
   uint32_t index = rig->more_entry_count++;
   g_assert_cmpuint (index, <, PLATFORM_RIG_ENTRIES_MAX);
+  g_assert_null (rig->more_core);
   g_snprintf (address, 16, "127.0.0.%u", PLATFORM_RIG_CORES + 2 + index);
   g_snprintf (name, sizeof name, "entry-%u", index + 2);
   rig->more_entries[index] = start_entry (rig, name, address);
@@ -122,8 +149,6 @@
 platform_rig_create_programs (const char *core_program,
                               const char *entry_program)
 {
-  char address[16];
-  char name[16];
   struct platform_rig *rig = g_new0 (struct platform_rig, 1);
   rig->core_program = core_program;
   rig->entry_program = entry_program;
@@ -133,16 +158,7 @@
   rig->callers_port = fleet_free_port ("127.0.0.1");
   rig->ready_port = fleet_free_port ("127.0.0.1");
   for (uint32_t i = 0; i < PLATFORM_RIG_CORES; i++)
-    {
-      core_address (i, address);
-      g_snprintf (name, sizeof name, "core-%u", i);
-      char *listen = g_strdup_printf ("control=%s:%u\n", address,
-                                      (unsigned)rig->control_port);
-      rig->cores[i] = start_process (
-          rig, name, rig->core_program,
-          write_settings (rig, name, address, rig->rpc_port, listen));
-      g_free (listen);
-    }
+    rig->cores[i] = start_core (rig, i, true);
   rig->entry = start_entry (rig, "entry", "127.0.0.1");
   return rig;
 }
@@ -155,6 +171,8 @@
     fleet_process_destroy (rig->more_entries[i]);
   for (uint32_t i = 0; i < PLATFORM_RIG_CORES; i++)
     fleet_process_destroy (rig->cores[i]);
+  if (rig->more_core)
+    fleet_process_destroy (rig->more_core);
   tool_folder_remove (rig->folder);
   g_free (rig->folder);
   g_free (rig);
--- a/tools/platform_rig.h
+++ b/tools/platform_rig.h
@@ -25,6 +25,8 @@
   const char *core_program;
   const char *entry_program;
   struct fleet_process *cores[PLATFORM_RIG_CORES];
+  /** Control member PLATFORM_RIG_CORES, or NULL. */
+  struct fleet_process *more_core;
   struct fleet_process *entry;
   /** Routers that platform_rig_add_entry started. */
   struct fleet_process *more_entries[PLATFORM_RIG_ENTRIES_MAX];
@@ -52,6 +54,9 @@
 /** Like platform_rig_create(), with other programs as members and routers. */
 struct platform_rig *platform_rig_create_programs (const char *core_program,
                                                    const char *entry_program);
+/** Starts control member PLATFORM_RIG_CORES, which joins the others; the rig
+ *  then can't have more routers. */
+void platform_rig_add_core (struct platform_rig *rig);
 /** Fills the disk of control member @p core, which must run cactus-core-full,
  *  as tests/full_disk.c describes; NULL makes room. */
 void platform_rig_fill (struct platform_rig *rig, uint32_t core,
