--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -87,8 +87,8 @@
   bool was_ready;
   /** Time since which the data folder's disk is full, or 0. */
   uint64_t full_since_ms;
-  /** Time before which no snapshot is written, after one found no room. */
-  uint64_t snapshot_due_ms;
+  /** Time at which a snapshot that found no room is written again, or 0. */
+  uint64_t snapshot_retry_ms;
   /** Time of the next check for expired sessions, in milliseconds. */
   uint64_t sweep_due_ms;
   /** Time that end_round took in the last round, in milliseconds. */
--- a/src/control_snapshot.c
+++ b/src/control_snapshot.c
@@ -58,13 +58,35 @@
              || control_store_tail_bytes (daemon->store) >= bytes_limit);
 }
 
+/* Stores the snapshot that consensus holds.  On a full disk the member goes on
+   with what is stored, which is whole, and tries again later. */
+static void
+store_snapshot (struct control_daemon *daemon, uint64_t now_ms)
+{
+  daemon->snapshot_retry_ms = 0;
+  if (control_store_compact (daemon->store, daemon->consensus) == 0)
+    {
+      base_counter_add (daemon->counters.snapshots, 1);
+      return;
+    }
+  int error = errno;
+  base_log (BASE_LOG_ERROR, "snapshot-not-written error=%s",
+            g_strerror (error));
+  if (store_file_is_full (error))
+    daemon->snapshot_retry_ms = now_ms + FULL_RETRY_MS;
+  else
+    daemon->failure = -1;
+}
+
 void
 control_snapshot_write (struct control_daemon *daemon)
 {
   struct consensus *consensus = daemon->consensus;
   uint32_t bytes = 0;
   uint64_t now_ms = base_clock_now_ms (base_clock_system ());
-  if (now_ms < daemon->snapshot_due_ms || !is_snapshot_due (daemon, now_ms))
+  bool is_retry = daemon->snapshot_retry_ms != 0;
+  if (is_retry ? now_ms < daemon->snapshot_retry_ms
+               : !is_snapshot_due (daemon, now_ms))
     return;
   /* A heartbeat restarts the followers' election timeouts before the leader
      stops responding to write the snapshot. */
@@ -72,19 +94,11 @@
   consensus_flush (consensus, now_ms);
   control_send_messages (daemon,
                          consensus_effects (consensus)->early_messages);
-  char *state = control_state_save (daemon->state, &bytes);
-  consensus_compact (consensus, state, bytes);
-  g_free (state);
-  if (control_store_compact (daemon->store, consensus) != 0)
+  if (!is_retry)
     {
-      int error = errno;
-      base_log (BASE_LOG_ERROR, "snapshot-not-written error=%s",
-                g_strerror (error));
-      /* What is stored is still whole; the log goes on behind it. */
-      if (store_file_is_full (error))
-        daemon->snapshot_due_ms = now_ms + FULL_RETRY_MS;
-      else
-        daemon->failure = -1;
+      char *state = control_state_save (daemon->state, &bytes);
+      consensus_compact (consensus, state, bytes);
+      g_free (state);
     }
-  base_counter_add (daemon->counters.snapshots, 1);
+  store_snapshot (daemon, now_ms);
 }
--- a/tools/control_rig.c
+++ b/tools/control_rig.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 
 #include <glib.h>
+#include <glib/gstdio.h>
 
 #include "base_clock.h"
 #include "base_hash.h"
@@ -42,6 +43,20 @@
   return g_strdup_printf ("%s/data-%u", rig->folder, member + 1);
 }
 
+void
+control_rig_fill (const struct control_rig *rig, uint32_t member,
+                  const char *how)
+{
+  char *folder = data_folder (rig, member);
+  char *path = g_strconcat (folder, ".full", NULL);
+  if (how)
+    g_assert_true (g_file_set_contents (path, how, -1, NULL));
+  else
+    g_unlink (path);
+  g_free (path);
+  g_free (folder);
+}
+
 static struct fleet_process *
 describe_member (const struct control_rig *rig, uint32_t member,
                  const char *members, const char *root_key,
@@ -66,7 +81,7 @@
     g_ptr_array_add (all, (char *)*extra_arguments);
   g_ptr_array_add (all, NULL);
   struct fleet_process *process = fleet_process_create (
-      name, "cactus-control", (const char *const *)all->pdata, rig->folder);
+      name, rig->program, (const char *const *)all->pdata, rig->folder);
   g_ptr_array_unref (all);
   g_free (name);
   g_free (id);
@@ -110,9 +125,10 @@
               : rig->ports[member];
 }
 
-struct control_rig *
-control_rig_create_linked (uint32_t count, const char *const *arguments,
-                           struct link_relay *relay)
+/* Starts members of @p program, with a relay between them unless NULL. */
+static struct control_rig *
+create (const char *program, uint32_t count, const char *const *arguments,
+        struct link_relay *relay)
 {
   struct control_rig *rig = g_new0 (struct control_rig, 1);
   uint8_t seed[32] = { 7 };
@@ -121,6 +137,7 @@
   crypto_sign_seed_keypair (rig->public_key, rig->secret_key, seed);
   rig->folder = g_dir_make_tmp ("control-trial-XXXXXX", NULL);
   rig->count = count;
+  rig->program = program;
   rig->members = g_new0 (struct fleet_process *, count);
   rig->ports = g_new0 (uint16_t, count);
   rig->advertised_ports = g_new0 (uint16_t, count);
@@ -136,6 +153,19 @@
   return NULL;
 }
 
+struct control_rig *
+control_rig_create_linked (uint32_t count, const char *const *arguments,
+                           struct link_relay *relay)
+{
+  return create ("cactus-control", count, arguments, relay);
+}
+
+struct control_rig *
+control_rig_create_full (uint32_t count, const char *const *arguments)
+{
+  return create ("cactus-control-full", count, arguments, NULL);
+}
+
 struct control_rig *
 control_rig_create_with (uint32_t count, const char *const *arguments)
 {
--- a/tools/control_rig.h
+++ b/tools/control_rig.h
@@ -17,6 +17,7 @@
 struct control_rig
 {
   char *folder;
+  const char *program;
   uint32_t count;
   struct fleet_process **members;
   uint16_t *ports;
@@ -41,6 +42,13 @@
 struct control_rig *control_rig_create_linked (uint32_t count,
                                                const char *const *arguments,
                                                struct link_relay *relay);
+/** The same with members that run cactus-control-full. */
+struct control_rig *control_rig_create_full (uint32_t count,
+                                             const char *const *arguments);
+/** Fills the disk of a member that runs cactus-control-full, as
+ *  tests/full_disk.c describes; NULL makes room. */
+void control_rig_fill (const struct control_rig *rig, uint32_t member,
+                       const char *how);
 /** Kills the members and removes their folders. */
 void control_rig_destroy (struct control_rig *rig);
 /** Starts or restarts member @p member (counted from 0); false when it isn't
