Leave the kept connections to a target once one of them is silent

What callers saw: when the connections that a router keeps to a target go silent without a reset, each of them costs one more request its time, although new connections work. A request that was sent again after a stall got a silent connection to the next target and failed at its deadline.

Cause: a stalled attempt closed its own connection only, and the next attempt took any kept one.

Change: a stall on a kept connection without a byte, or in the middle of a response, gives the target a new pool of connections; older ones are used by no later request and close. The request itself is sent again on a new connection. What may be sent again is unchanged.

--- a/src/edge.c
+++ b/src/edge.c
@@ -66,6 +66,8 @@
     .resumed = base_metrics_counter (metrics, "edge_resumed_total", NULL),
     .exhausted = base_metrics_counter (metrics, "edge_exhausted_total", NULL),
     .unsent = base_metrics_counter (metrics, "edge_unsent_total", NULL),
+    .pools_replaced
+    = base_metrics_counter (metrics, "edge_pools_replaced_total", NULL),
     .lost_targets
     = base_metrics_gauge (metrics, "edge_unreachable_targets", NULL),
     .sent_via_others
--- a/src/edge.h
+++ b/src/edge.h
@@ -78,6 +78,7 @@
   /** Attempts that reached no target, targets that this router can't reach,
    *  and attempts that other routers passed on. */
   struct base_counter *unsent;
+  struct base_counter *pools_replaced;
   struct base_counter *lost_targets;
   struct base_counter *sent_via_others;
   /** Responses by which a target said that it leaves, rests or is brittle. */
@@ -128,6 +129,8 @@
   struct edge_disconnect_metrics disconnect_metrics;
   struct edge_accounts *accounts;
   struct base_random random;
+  /** Number of the last pool of connections (edge_pool.h). */
+  uint32_t last_pool;
   struct router_poll *loop;
   struct edge_front *front;
   struct edge_links *links;
--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -37,10 +37,13 @@
   const char *request_id;
   const GString *request_body;
   size_t body_sent;
+  uint32_t pool;
   CURL *easy;
   CURLcode code;
   struct curl_slist *headers;
   struct curl_slist *tunnel_headers;
+  /* Where to connect, when the URL names a pool. */
+  struct curl_slist *connect_to;
   /* Another router passes the connection on. */
   bool is_tunnelled;
   struct edge_target_response response;
@@ -271,18 +274,36 @@
   curl_easy_setopt (attempt->easy, CURLOPT_HTTPHEADER, lines);
 }
 
+/* Returns the URL.  libcurl keeps connections by the host that it names, so
+   that of a pool gets a name of its own. */
+static char *
+format_url (struct edge_attempt *attempt,
+            const struct edge_attempt_options *options)
+{
+  unsigned port = options->port;
+  if (options->pool == 0 || options->via_address)
+    return g_strdup_printf ("http://%s:%u%s", options->address, port,
+                            options->head->uri);
+  char *to = g_strdup_printf ("::%s:%u", options->address, port);
+  attempt->connect_to = curl_slist_append (NULL, to);
+  g_free (to);
+  curl_easy_setopt (attempt->easy, CURLOPT_CONNECT_TO, attempt->connect_to);
+  return g_strdup_printf ("http://pool%u.%s:%u%s", (unsigned)options->pool,
+                          options->address, port, options->head->uri);
+}
+
 static void
 set_transfer (struct edge_attempt *attempt,
               const struct edge_attempt_options *options)
 {
   CURL *easy = attempt->easy;
-  char *url = g_strdup_printf ("http://%s:%u%s", options->address,
-                               (unsigned)options->port, options->head->uri);
+  char *url = format_url (attempt, options);
   /* The library would take this process's own delay for that of the target, so
      the timeout of the connection is kept here. */
   struct http_transfer_limits limits
       = { options->timeout_ms, options->timeout_ms };
-  http_transfer_configure (easy, url, &limits, options->reuse);
+  http_transfer_configure (easy, url, &limits,
+                           options->reuse && !options->connects);
   g_free (url);
   http_transfer_set_callbacks (easy, attempt, receive_header, receive_body,
                                READ_BUFFER_BYTES);
@@ -307,6 +328,7 @@
   attempt->dialect = options->dialect;
   attempt->request_id = options->send->request_id;
   attempt->request_body = options->body;
+  attempt->pool = options->pool;
   attempt->connect_timeout_ms = options->connect_timeout_ms;
   attempt->body = g_string_new (NULL);
   attempt->response.lines = g_ptr_array_new_with_free_func (g_free);
@@ -335,6 +357,7 @@
   curl_easy_cleanup (attempt->easy);
   curl_slist_free_all (attempt->headers);
   curl_slist_free_all (attempt->tunnel_headers);
+  curl_slist_free_all (attempt->connect_to);
   g_ptr_array_unref (attempt->response.lines);
   g_string_free (attempt->body, TRUE);
   g_free (attempt);
@@ -494,3 +517,23 @@
   curl_easy_getinfo (attempt->easy, CURLINFO_NUM_CONNECTS, &connects);
   return connects == 0;
 }
+
+uint32_t
+edge_attempt_pool (const struct edge_attempt *attempt)
+{
+  return attempt->pool;
+}
+
+bool
+edge_attempt_awaits_on_kept (const struct edge_attempt *attempt)
+{
+  return attempt->is_connected && attempt->head_ms == 0
+         && edge_attempt_reused (attempt);
+}
+
+void
+edge_attempt_forbid_reuse (struct edge_attempt *attempt)
+{
+  if (attempt->active)
+    curl_easy_setopt (attempt->easy, CURLOPT_FORBID_REUSE, 1L);
+}
--- a/src/edge_attempt.h
+++ b/src/edge_attempt.h
@@ -64,6 +64,11 @@
   /** Whether a kept-alive connection may be used; otherwise a new one is
    *  opened. */
   bool reuse;
+  /** Number of the pool that the connection is taken from and returned to.  A
+   *  connection of one pool is never used in another. */
+  uint32_t pool;
+  /** Whether a new connection is opened, which may be kept afterwards. */
+  bool connects;
   uint32_t connect_timeout_ms;
   uint32_t timeout_ms;
   /** Router that passes the connection on (edge_tunnel.h), or NULL. */
@@ -85,6 +90,13 @@
 void edge_attempt_destroy (struct edge_attempt *attempt);
 /** Handles the end of a transfer; the callback for router_poll_create. */
 void edge_attempt_finish (CURL *easy, CURLcode code);
+/** Returns the number of the pool that the attempt's connection belongs to. */
+uint32_t edge_attempt_pool (const struct edge_attempt *attempt);
+/** Returns whether the request was sent on a kept connection and no head of a
+ *  response has arrived on it. */
+bool edge_attempt_awaits_on_kept (const struct edge_attempt *attempt);
+/** Has the connection closed at the end of the attempt. */
+void edge_attempt_forbid_reuse (struct edge_attempt *attempt);
 /** Returns whether the attempt still waits for its connection, at @p looked_ms
  *  for longer than its timeout. */
 bool edge_attempt_connect_is_overdue (const struct edge_attempt *attempt,
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -101,6 +101,9 @@
   /** Interned name of the router that passes the present attempt on, or
    *  NULL. */
   const char *via;
+  /** A connection that was sent on proved silent, so the next attempt gets a
+   *  new one: those that are kept to other targets may be silent too. */
+  bool needs_connection;
   /** Shortest rest of the targets when all that could take the request rested,
    *  in milliseconds, or 0. */
   uint32_t rest_left_ms;
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -8,6 +8,7 @@
 #include "base_event.h"
 #include "edge_answer.h"
 #include "edge_permits.h"
+#include "edge_pool.h"
 #include "edge_reach.h"
 #include "edge_room.h"
 #include "edge_settle.h"
@@ -186,6 +187,8 @@
     .port = (uint16_t)request->target->record.port,
     .body = request->body,
     .reuse = request->is_idempotent,
+    .pool = request->target->pool,
+    .connects = request->needs_connection,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = request->send.deadline_ms + TRANSFER_SLACK_MS,
   };
@@ -654,6 +657,8 @@
     handle_unsent (request);
   else
     {
+      if (request->attempt && edge_attempt_is_silent_loss (request->attempt))
+        edge_pool_note_silence (request);
       edge_suspicion_note_lost (request);
       handle_lost (request, reason);
     }
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -38,6 +38,9 @@
   struct place_load load;
   struct edge_path path;
   struct edge_pacing pacing;
+  /** Pool of the kept connections that requests to the target may use
+   *  (edge_pool.h). */
+  uint32_t pool;
   /** Requests of this router that may run at the target while it is brittle,
    *  as of brittle_window_ms, and its part as computed then. */
   uint32_t brittle_window;
--- a/src/edge_timeouts.c
+++ b/src/edge_timeouts.c
@@ -2,6 +2,7 @@
 
 #include "edge_answer.h"
 #include "edge_permits.h"
+#include "edge_pool.h"
 #include "edge_reach.h"
 #include "edge_room.h"
 #include "edge_send.h"
@@ -64,6 +65,7 @@
   uint64_t slack_ms = request->step == EDGE_STEP_SENT ? DEADLINE_SLACK_MS : 0;
   if (now_ms >= request->deadline_ms + slack_ms)
     {
+      edge_pool_note_deadline (request, looked_ms);
       end_by_deadline (request);
       return;
     }
@@ -114,7 +116,10 @@
     }
   const char *reason = find_stall (request, looked_ms);
   if (reason && !request->via)
-    edge_reach_suspect (request->edge, request->target);
+    {
+      edge_reach_suspect (request->edge, request->target);
+      edge_pool_note_silence (request);
+    }
   if (reason && edge_send_may_repeat (request))
     edge_send_handle_stall (request, reason);
 }
