--- a/tools/fleet_process.c
+++ b/tools/fleet_process.c
@@ -164,6 +164,13 @@
   g_free (process);
 }
 
+void
+fleet_process_set_program (struct fleet_process *process, const char *path)
+{
+  g_free (process->arguments[0]);
+  process->arguments[0] = g_strdup (path);
+}
+
 int
 fleet_process_start (struct fleet_process *process)
 {
--- a/tools/fleet_process.h
+++ b/tools/fleet_process.h
@@ -20,6 +20,10 @@
                                             const char *folder);
 /** Kills the process if it runs, and frees its description. */
 void fleet_process_destroy (struct fleet_process *process);
+/** From its next start on the process runs the program at @p path, such as one
+ *  of another build. */
+void fleet_process_set_program (struct fleet_process *process,
+                                const char *path);
 /** Starts or restarts a process that isn't running; 0, or -1 with errno
  *  set. */
 int fleet_process_start (struct fleet_process *process);
