Let a replacement vote before a silent voter is removed

Cause: a silent voter was removed first, and its replacement promoted with the next look 250 ms later. In between two voters of three wanted were left, and the disk of one of them became full (184 ms after the removal).

Change: the replacement is promoted and votes, then the silent voter is removed. Three of four voters then agree on changes meanwhile, also if the silent one is back. A voter is removed only when more vote than wanted.

--- a/src/control_voters.c
+++ b/src/control_voters.c
@@ -40,20 +40,25 @@
   return found;
 }
 
+static uint32_t
+count_voters (const struct control_voters_member *members, uint32_t count)
+{
+  uint32_t voters = 0;
+  for (uint32_t i = 0; i < count; i++)
+    voters += members[i].role == CONSENSUS_VOTER;
+  return voters;
+}
+
 /* Returns whether a majority of the voters is reachable, as that majority
    must agree on the change. */
 static bool
 may_remove_voter (const struct control_voters_member *members, uint32_t count)
 {
-  uint32_t voters = 0;
   uint32_t reachable = 0;
   for (uint32_t i = 0; i < count; i++)
-    {
-      voters += members[i].role == CONSENSUS_VOTER;
-      reachable += members[i].role == CONSENSUS_VOTER
-                   && members[i].silent_ms < REPLACE_VOTER_AFTER_MS;
-    }
-  return reachable > voters / 2;
+    reachable += members[i].role == CONSENSUS_VOTER
+                 && members[i].silent_ms < REPLACE_VOTER_AFTER_MS;
+  return reachable > count_voters (members, count) / 2;
 }
 
 enum control_voters_action
@@ -67,12 +72,20 @@
       = find_silent (members, count, true, REPLACE_VOTER_AFTER_MS);
   for (uint32_t i = 0; i < count; i++)
     slots += members[i].role != CONSENSUS_LEARNER;
-  if (learner && slots < wanted_voters)
+  bool may_change = may_remove_voter (members, count);
+  /* The replacement votes before the silent voter is removed: with fewer
+     voters than wanted, one more that fails would stop all changes. */
+  if (learner
+      && (slots < wanted_voters
+          || (slots == wanted_voters && silent && may_change)))
     {
       *id = learner->id;
       return CONTROL_VOTERS_PROMOTE;
     }
-  if (learner && silent && may_remove_voter (members, count))
+  bool is_replaced = silent && slots > wanted_voters
+                     && (silent->role != CONSENSUS_VOTER
+                         || count_voters (members, count) > wanted_voters);
+  if (is_replaced && may_change)
     {
       *id = silent->id;
       return CONTROL_VOTERS_REMOVE;
--- a/src/control_voters.h
+++ b/src/control_voters.h
@@ -3,8 +3,8 @@
 
 /** @file
  *  Decides which control members vote: a learner fills a free voter slot, or
- *  replaces a voter that has not answered for REPLACE_VOTER_AFTER_MS.  Without
- *  I/O. */
+ *  replaces a voter that has not answered for REPLACE_VOTER_AFTER_MS.  It
+ * votes before the other one is removed.  Without I/O. */
 
 #include <stdbool.h>
 #include <stdint.h>
