Answer members that this member's log doesn't list yet

What callers saw: after members had been replaced while one was away, that one never caught up, although all processes ran; when it was needed for the majority, no change was accepted any more.

Cause: a member had connections only to the members of its own log. One that was added while it was away asks it for votes and sends it entries, and its answers were dropped. It could not learn of the new member, since that takes the entries.

Change: a member also connects to the members of its settings and to those that other members list, which it now asks for also while it is listed itself.

--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -157,8 +157,20 @@
   consensus_mark_persisted (daemon->consensus, now);
 }
 
-/* Connects to each known member: those of the log, else those that another
-   member listed, else those of the settings. */
+/* Adds the members that @p members doesn't list. */
+static void
+add_unlisted (struct consensus_configuration *members,
+              const struct consensus_configuration *others)
+{
+  for (uint32_t i = 0; i < others->count; i++)
+    if (!consensus_configuration_find (members, others->members[i].id))
+      consensus_configuration_add (members, &others->members[i]);
+}
+
+/* Connects to each known member: those of the log, those that another member
+   listed and those of the settings.  A member whose log is behind must be able
+   to answer one that was added since, or it neither votes for it nor catches
+   up with it. */
 static void
 update_senders (struct control_daemon *daemon)
 {
@@ -168,9 +180,12 @@
   g_mutex_lock (&daemon->mutex);
   learned = daemon->learned_members;
   g_mutex_unlock (&daemon->mutex);
+  struct consensus_configuration known = *members;
+  add_unlisted (&known, &learned);
+  add_unlisted (&known, &daemon->options.members);
+  control_peers_update (daemon->peers, &known, daemon->options.member_id);
   if (members->count == 0)
     members = learned.count > 0 ? &learned : &daemon->options.members;
-  control_peers_update (daemon->peers, members, daemon->options.member_id);
   control_targets_sync_update (daemon->targets_sync, members,
                                daemon->options.member_id);
 }
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -75,7 +75,7 @@
 /** Marks a target as gone.  Thread-safe. */
 void control_daemon_mark_target_gone (struct control_daemon *daemon,
                                       const char *target);
-/** Sets the members to contact while this member's log is empty.
+/** Sets the members to contact beside those of this member's log.
  *  Thread-safe. */
 void
 control_daemon_learn_members (struct control_daemon *daemon,
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -72,8 +72,7 @@
   struct control_targets *targets;
   struct control_targets_sync *targets_sync;
   struct control_targets_store *targets_store;
-  /** Members that another member listed; used while this member's log is
-   *  empty. */
+  /** Members that another member listed last. */
   struct consensus_configuration learned_members;
   /** Copy of the state's document for other threads. */
   GBytes *published_document;
--- a/src/control_join.c
+++ b/src/control_join.c
@@ -88,9 +88,9 @@
   xdr_free ((xdrproc_t)xdr_control_status_result, (char *)&status);
   if (members.count == 0)
     return false;
+  control_daemon_learn_members (join->daemon, &members);
   if (consensus_configuration_find (&members, join->options.member_id))
     return true;
-  control_daemon_learn_members (join->daemon, &members);
   request_join (join);
   return false;
 }
--- a/tests/test_control_process.c
+++ b/tests/test_control_process.c
@@ -308,6 +308,37 @@
   control_rig_destroy (trial);
 }
 
+/* Guards against a member that was away while another one became a member: it
+   could not answer that one, so neither was elected nor caught up again. */
+static void
+test_unknown_member (void)
+{
+  struct control_rig *trial = control_rig_create (4);
+  g_assert_nonnull (trial);
+  accept_version (trial, 1);
+  int leader = control_rig_leader (trial, TIMEOUT_MS);
+  g_assert_cmpint (leader, >=, 0);
+  uint32_t readded = ((uint32_t)leader + 1) % 4;
+  uint32_t away = ((uint32_t)leader + 2) % 4;
+  uint32_t removed = ((uint32_t)leader + 3) % 4;
+  change_member (trial, CONTROL_MEMBER_REMOVE, readded);
+  accept_version (trial, 2);
+  g_assert_true (control_rig_wait_voter (trial, away, TIMEOUT_MS));
+  fleet_process_kill (trial->members[away]);
+  change_member (trial, CONTROL_MEMBER_ADD, readded);
+  change_member (trial, CONTROL_MEMBER_PROMOTE, readded);
+  g_assert_true (control_rig_wait_voter (trial, readded, TIMEOUT_MS));
+  change_member (trial, CONTROL_MEMBER_REMOVE, removed);
+  fleet_process_kill (trial->members[removed]);
+  accept_version (trial, 3);
+  /* The voter that the member doesn't know is needed for the majority. */
+  fleet_process_kill (trial->members[leader]);
+  g_assert_true (control_rig_start (trial, away));
+  accept_version (trial, 4);
+  check_kept (trial, 4, 0);
+  control_rig_destroy (trial);
+}
+
 /* A leader that gets SIGTERM hands over leadership and exits with status 0. */
 static void
 test_hand_over (void)
@@ -336,6 +367,7 @@
   g_test_add_func ("/control/process/torn_write", test_torn_write);
   g_test_add_func ("/control/process/snapshots", test_snapshots);
   g_test_add_func ("/control/process/member_replaced", test_member_replaced);
+  g_test_add_func ("/control/process/unknown_member", test_unknown_member);
   g_test_add_func ("/control/process/hand_over", test_hand_over);
   return g_test_run ();
 }
