Let only the oldest call put off the end of a silent connection

Cause: the time after which a connection without answers is replaced grew with all open calls.

Change: the oldest open call alone counts, since its answer needs no later bytes, and by no more than the timeout. A large call on a slow connection is told from a silent one by the peer's kernel: as long as it acknowledges the call bit by bit, the connection is not silent.

/wire/large-calls-on-a-silent-connection and /wire/large-call-on-a-slow- connection hold the rule.

--- a/src/wire_client.c
+++ b/src/wire_client.c
@@ -7,6 +7,8 @@
 #include <poll.h>
 #include <stdbool.h>
 #include <string.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -365,6 +367,10 @@
     return;
   bool is_open = drop_replies (client);
   uint64_t now = now_ms ();
+  int unacknowledged = 0;
+  if (ioctl (client->fd, SIOCOUTQ, &unacknowledged) == 0)
+    wire_replies_note_unacknowledged (client->replies,
+                                      (uint64_t)unacknowledged, now);
   posts->open_calls = wire_replies_open (client->replies);
   posts->silent_ms = wire_replies_silent_ms (client->replies, now);
   posts->replies = wire_replies_received (client->replies);
--- a/src/wire_replies.c
+++ b/src/wire_replies.c
@@ -8,15 +8,20 @@
 /* Bit of the record mark (RFC 5531, section 11) that the last fragment of a
    record has. */
 #define LAST_FRAGMENT 0x80000000u
-/* Slowest rate of a connection that works, in bytes per millisecond: a call is
-   answered only after its last byte has arrived. */
+/* Slowest rate, in bytes per millisecond, at which a device on the way may
+   pass on what it has acknowledged: a call is answered only after its last
+   byte has arrived. */
 #define SLOWEST_BYTES_PER_MS 256
 
 struct wire_replies
 {
-  /* Sizes of the open calls, the oldest first. */
+  /* Where the open calls end in the bytes sent, the oldest first. */
   GQueue open;
-  uint64_t open_bytes;
+  /* Where the last answered call ends. */
+  uint64_t answered_end;
+  uint64_t sent_bytes;
+  /* Bytes that the peer's kernel has acknowledged. */
+  uint64_t acknowledged_bytes;
   uint64_t received;
   /* Start of the present silence. */
   uint64_t silent_since_ms;
@@ -48,7 +53,9 @@
 wire_replies_reset (struct wire_replies *replies)
 {
   g_queue_clear (&replies->open);
-  replies->open_bytes = 0;
+  replies->answered_end = 0;
+  replies->sent_bytes = 0;
+  replies->acknowledged_bytes = 0;
   replies->received = 0;
   replies->mark_bytes = 0;
   replies->fragment_bytes = 0;
@@ -60,8 +67,28 @@
 {
   if (g_queue_is_empty (&replies->open))
     replies->silent_since_ms = now_ms;
-  g_queue_push_tail (&replies->open, GSIZE_TO_POINTER (bytes));
-  replies->open_bytes += bytes;
+  replies->sent_bytes += bytes;
+  g_queue_push_tail (&replies->open, GSIZE_TO_POINTER (replies->sent_bytes));
+}
+
+/* Where the oldest open call ends. */
+static uint64_t
+oldest_end (const struct wire_replies *replies)
+{
+  return GPOINTER_TO_SIZE (replies->open.head->data);
+}
+
+void
+wire_replies_note_unacknowledged (struct wire_replies *replies, uint64_t bytes,
+                                  uint64_t now_ms)
+{
+  uint64_t acknowledged
+      = replies->sent_bytes > bytes ? replies->sent_bytes - bytes : 0;
+  if (acknowledged <= replies->acknowledged_bytes)
+    return;
+  replies->acknowledged_bytes = acknowledged;
+  if (replies->open.length > 0 && acknowledged < oldest_end (replies))
+    replies->silent_since_ms = now_ms;
 }
 
 static void
@@ -69,8 +96,8 @@
 {
   replies->received++;
   if (!g_queue_is_empty (&replies->open))
-    replies->open_bytes
-        -= GPOINTER_TO_SIZE (g_queue_pop_head (&replies->open));
+    replies->answered_end
+        = GPOINTER_TO_SIZE (g_queue_pop_head (&replies->open));
 }
 
 /* Notes the end of a fragment, and that of a reply when it was its last. */
@@ -146,6 +173,7 @@
 {
   if (replies->open.length == 0)
     return UINT64_MAX;
+  uint64_t oldest_bytes = oldest_end (replies) - replies->answered_end;
   return replies->silent_since_ms + timeout_ms
-         + replies->open_bytes / SLOWEST_BYTES_PER_MS;
+         + MIN (oldest_bytes / SLOWEST_BYTES_PER_MS, timeout_ms);
 }
--- a/src/wire_replies.h
+++ b/src/wire_replies.h
@@ -19,6 +19,11 @@
 /** Notes a call of @p bytes that was sent at @p now_ms. */
 void wire_replies_note_call (struct wire_replies *replies, size_t bytes,
                              uint64_t now_ms);
+/** Notes that the peer's kernel has not acknowledged the last @p bytes that
+ *  were sent.  The connection isn't silent while the oldest open call is being
+ *  acknowledged bit by bit. */
+void wire_replies_note_unacknowledged (struct wire_replies *replies,
+                                       uint64_t bytes, uint64_t now_ms);
 /** Notes received bytes, which may hold replies in part. */
 void wire_replies_note_bytes (struct wire_replies *replies, const char *data,
                               size_t bytes, uint64_t now_ms);
@@ -26,13 +31,14 @@
 uint32_t wire_replies_open (const struct wire_replies *replies);
 /** Number of replies on the connection so far. */
 uint64_t wire_replies_received (const struct wire_replies *replies);
-/** Time since the last received byte or, when that is later, since a call was
- *  sent while no other was open; 0 when no call is open. */
+/** Time since the last sign of life, or since a call was sent while no other
+ *  was open; 0 when no call is open. */
 uint64_t wire_replies_silent_ms (const struct wire_replies *replies,
                                  uint64_t now_ms);
 /** Time at which the connection counts as failed when it brings nothing until
- *  then: @p timeout_ms after the silence began, and more when the open calls
- *  are large.  UINT64_MAX when no call is open. */
+ *  then: @p timeout_ms after the silence began, and up to twice that when the
+ *  oldest open call is large.  Later calls don't put it off.  UINT64_MAX when
+ * no call is open. */
 uint64_t wire_replies_due_ms (const struct wire_replies *replies,
                               uint32_t timeout_ms);
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -415,8 +415,6 @@
   g_assert_cmpint (post_budget (client, 7, SILENT_MS), ==, WIRE_OK);
   g_usleep (1000 * (SILENT_MS + 10));
   wire_client_check_posts (client, &posts);
-  g_printerr ("open %u silent %u replies %u\n", posts.open_calls,
-              (unsigned)posts.silent_ms, (unsigned)posts.replies);
   g_assert_true (posts.is_dropped);
   g_assert_cmpuint (posts.open_calls, ==, 1);
   g_assert_cmpint (post_budget (client, 1, SILENT_MS), ==, WIRE_OK);
@@ -427,6 +425,41 @@
   wire_server_destroy (server);
 }
 
+/* Guards against a connection that is never given up while large calls follow
+   each other: only the oldest one puts the end off, and not for long. */
+static void
+test_large_calls_on_a_silent_connection (void)
+{
+  struct wire_replies *replies = wire_replies_create ();
+  for (uint64_t now_ms = 0; now_ms < 5000; now_ms += 1000)
+    {
+      wire_replies_note_call (replies, 262144, now_ms);
+      wire_replies_note_unacknowledged (replies, 0, now_ms);
+    }
+  g_assert_cmpuint (wire_replies_due_ms (replies, 1000), <=, 3000);
+  wire_replies_destroy (replies);
+}
+
+/* A call that the peer's kernel is still acknowledging is on its way. */
+static void
+test_large_call_on_a_slow_connection (void)
+{
+  struct wire_replies *replies = wire_replies_create ();
+  wire_replies_note_call (replies, 1000000, 0);
+  wire_replies_note_unacknowledged (replies, 1000000, 10);
+  g_assert_cmpuint (wire_replies_silent_ms (replies, 900), ==, 900);
+  wire_replies_note_unacknowledged (replies, 900000, 1000);
+  g_assert_cmpuint (wire_replies_silent_ms (replies, 1500), ==, 500);
+  wire_replies_note_unacknowledged (replies, 400000, 1900);
+  wire_replies_note_unacknowledged (replies, 0, 2800);
+  g_assert_cmpuint (wire_replies_silent_ms (replies, 2800), ==, 900);
+  /* Acknowledged as a whole, it must be answered. */
+  wire_replies_note_call (replies, 100, 3000);
+  wire_replies_note_unacknowledged (replies, 0, 3100);
+  g_assert_cmpuint (wire_replies_silent_ms (replies, 3100), ==, 1200);
+  wire_replies_destroy (replies);
+}
+
 /* Replies are counted however their bytes and fragments are split. */
 static void
 test_replies_in_parts (void)
@@ -559,6 +592,10 @@
   g_test_add_func ("/wire/posts", test_posts);
   g_test_add_func ("/wire/posts-on-a-silent-connection",
                    test_posts_on_a_silent_connection);
+  g_test_add_func ("/wire/large-calls-on-a-silent-connection",
+                   test_large_calls_on_a_silent_connection);
+  g_test_add_func ("/wire/large-call-on-a-slow-connection",
+                   test_large_call_on_a_slow_connection);
   g_test_add_func ("/wire/replies-in-parts", test_replies_in_parts);
   g_test_add_func ("/wire/unsent", test_unsent);
   g_test_add_func ("/wire/silent-host", test_silent_host);
