Keep idle connections after a call that hardly waited

A call whose deadline was a few milliseconds away says nothing about its connection when no answer came, and closed up to eight idle ones. Now only a call that waited for 300 ms or more does (found by reading, in a review).

--- a/src/control_client.c
+++ b/src/control_client.c
@@ -14,6 +14,9 @@
 #include "base_settings.h"
 #include "cactus_config.h"
 
+/* Shortest wait for an answer that says something of the connection, in
+   milliseconds: several of the longest round trips. */
+#define SILENT_MS 300
 /* Idle connections kept per member. */
 #define IDLE_CONNECTIONS_MAX 8
 /* Shortest and longest pause between two rounds over all members. */
@@ -276,7 +279,7 @@
   enum wire_status status = wire_client_call (
       connection, call->procedure, call->args_codec, call->args,
       call->result_codec, call->result, call->result_bytes, timeout_ms);
-  if (status == WIRE_LOST)
+  if (status == WIRE_LOST && timeout_ms >= SILENT_MS)
     drop_idle_connections (client, member);
   release_connection (client, member, connection);
   const struct control_answer *answer = call->result;
