--- a/tools/consensus_harness.c
+++ b/tools/consensus_harness.c
@@ -34,8 +34,18 @@
 
 struct consensus_harness *
 consensus_harness_create (uint64_t seed, uint32_t initial_members)
+{
+  return consensus_harness_create_on (NULL, NULL, seed, initial_members);
+}
+
+struct consensus_harness *
+consensus_harness_create_on (const struct consensus_harness_stores *stores,
+                             void *stores_context, uint64_t seed,
+                             uint32_t initial_members)
 {
   struct consensus_harness *sim = g_new0 (struct consensus_harness, 1);
+  sim->stores = stores;
+  sim->stores_context = stores_context;
   base_random_seed (&sim->random, seed);
   sim->initial_members = initial_members;
   sim->max_delay_ms = 10;
@@ -103,9 +113,16 @@
   member->log_digest = 0;
   member->paused_until_ms = 0;
   member->consensus = consensus_create (&options);
-  consensus_harness_disk_load (&member->disk, member->consensus);
-  if (member->disk.snapshot)
-    consensus_harness_load_state (sim, member, member->disk.snapshot);
+  if (!sim->stores)
+    consensus_harness_disk_load (&member->disk, member->consensus);
+  else if (!sim->stores->load (sim, id, member->consensus))
+    {
+      consensus_harness_crash (sim, id);
+      return;
+    }
+  GBytes *snapshot = consensus_snapshot (member->consensus);
+  if (snapshot)
+    consensus_harness_load_state (sim, member, snapshot);
   consensus_start (member->consensus, sim->now_ms);
   consensus_harness_trace (sim, "start %" PRIu64, id);
 }
@@ -114,8 +131,11 @@
 consensus_harness_crash (struct consensus_harness *sim, uint64_t id)
 {
   struct consensus_harness_member *member = &sim->members[id];
-  consensus_harness_disk_persist_part (&member->disk, member->consensus,
-                                       &sim->random);
+  if (sim->stores)
+    sim->stores->crash (sim, id, member->consensus);
+  else
+    consensus_harness_disk_persist_part (&member->disk, member->consensus,
+                                         &sim->random);
   consensus_destroy (member->consensus);
   member->consensus = NULL;
   g_array_set_size (member->reads, 0);
@@ -126,6 +146,8 @@
 consensus_harness_wipe (struct consensus_harness *sim, uint64_t id)
 {
   struct consensus_harness_member *member = &sim->members[id];
+  if (sim->stores)
+    sim->stores->wipe (sim, id);
   consensus_harness_disk_clear (&member->disk);
   consensus_harness_disk_init (&member->disk);
   member->incarnation = base_random_next (&sim->random) | 1;
@@ -221,12 +243,19 @@
       return;
     }
   bool installed = effects->snapshot_installed;
-  consensus_harness_disk_persist (&member->disk, consensus, effects);
+  if (!sim->stores)
+    consensus_harness_disk_persist (&member->disk, consensus, effects);
+  else if (!sim->stores->persist (sim, id, consensus))
+    {
+      consensus_harness_crash (sim, id);
+      return;
+    }
   consensus_mark_persisted (consensus, sim->now_ms);
   if (installed)
     {
       sim->snapshots_installed++;
-      consensus_harness_load_state (sim, member, member->disk.snapshot);
+      consensus_harness_load_state (sim, member,
+                                    consensus_snapshot (consensus));
     }
   send_messages (sim, effects->early_messages);
   send_messages (sim, effects->messages);
@@ -299,7 +328,10 @@
     return;
   GBytes *snapshot
       = consensus_compact (member->consensus, &state, sizeof state);
-  consensus_harness_disk_compact (&member->disk, snapshot, state.applied);
+  if (!sim->stores)
+    consensus_harness_disk_compact (&member->disk, snapshot, state.applied);
+  else if (!sim->stores->compact (sim, id, member->consensus))
+    consensus_harness_crash (sim, id);
 }
 
 void
--- a/tools/consensus_harness.h
+++ b/tools/consensus_harness.h
@@ -40,6 +40,28 @@
   GArray *reads;
 };
 
+struct consensus_harness;
+
+/** Disks of the members that take the place of the simulated ones.  All calls
+ *  pass the member's id. */
+struct consensus_harness_stores
+{
+  /** Loads a member that starts; false when it crashes meanwhile. */
+  bool (*load) (struct consensus_harness *sim, uint64_t id,
+                struct consensus *consensus);
+  /** Persists and syncs the member's effects; false when it crashes. */
+  bool (*persist) (struct consensus_harness *sim, uint64_t id,
+                   struct consensus *consensus);
+  /** Stores the snapshot that the member made; false when it crashes. */
+  bool (*compact) (struct consensus_harness *sim, uint64_t id,
+                   struct consensus *consensus);
+  /** The member crashes; a part of its unsynced effects may be kept. */
+  void (*crash) (struct consensus_harness *sim, uint64_t id,
+                 struct consensus *consensus);
+  /** The disk of a crashed member is lost. */
+  void (*wipe) (struct consensus_harness *sim, uint64_t id);
+};
+
 /** The simulation.  Aborts by g_error when a member violates a guarantee of
  *  the replicated log. */
 struct consensus_harness
@@ -76,6 +98,9 @@
   uint64_t elections;
   uint64_t snapshots_installed;
   uint64_t members_changed;
+  /** NULL for the simulated disks. */
+  const struct consensus_harness_stores *stores;
+  void *stores_context;
   /** Log of the simulated events, one per line; NULL to record none. */
   GString *trace;
 };
@@ -84,6 +109,11 @@
  *  disks. */
 struct consensus_harness *consensus_harness_create (uint64_t seed,
                                                     uint32_t initial_members);
+/** As consensus_harness_create, with other disks. */
+struct consensus_harness *
+consensus_harness_create_on (const struct consensus_harness_stores *stores,
+                             void *stores_context, uint64_t seed,
+                             uint32_t initial_members);
 /** Frees the simulation. */
 void consensus_harness_destroy (struct consensus_harness *sim);
 /** Starts a member, or restarts it from its disk. */
