Cut off a log's write whose sync failed

What callers saw: after a sync failed with an error of the disk, the ledger opened its log again and served; bills that it acknowledged then were gone after the next loss of power.

Cause: the records of the failed write could still be read, so the ledger went on behind them, though the kernel may have dropped them. Only a write that found the disk full was cut off.

Change: the bytes of every failed write are cut off. After errors other than a full disk the log still accepts nothing until it is opened again.

--- a/src/store_log.c
+++ b/src/store_log.c
@@ -317,15 +317,15 @@
   return log->next_index++;
 }
 
-/* After a failed write, cuts off what was written of it if the disk is full,
-   so that the whole write can be repeated: the kernel may have dropped any
-   part of it.  Keeps errno. */
+/* After a failed write, cuts off what was written of it: the kernel may have
+   dropped any part of it, and a log that is opened again must not go on behind
+   it.  If the disk is full, the whole write can be repeated.  Keeps errno. */
 static void
 undo_write (struct store_log *log)
 {
   int error = errno;
-  log->failed = !store_file_is_full (error)
-                || ftruncate (log->fd, (off_t)last_segment (log)->bytes) != 0;
+  bool cut = ftruncate (log->fd, (off_t)last_segment (log)->bytes) == 0;
+  log->failed = !cut || !store_file_is_full (error);
   errno = error;
 }
 
--- a/tests/lossy_disk.c
+++ b/tests/lossy_disk.c
@@ -5,12 +5,23 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <glib.h>
 
+/* Bytes of a file that a failed sync lost. */
+struct range
+{
+  uint64_t start;
+  uint64_t end;
+};
+
 /* Synced contents (GBytes) by path. */
 static GHashTable *synced;
+/* Lost bytes (struct range) by path. */
+static GHashTable *lost_ranges;
+static bool fails_once;
 static uint64_t syncs_left = UINT64_MAX;
 static bool sync_failed;
 
@@ -32,10 +43,58 @@
   return g_bytes_new_take (data, bytes);
 }
 
+static char *
+path_of (int fd)
+{
+  char link[40];
+  snprintf (link, sizeof link, "/proc/self/fd/%d", fd);
+  char *path = g_file_read_link (link, NULL);
+  g_assert_nonnull (path);
+  return path;
+}
+
+static GHashTable *
+ranges_table (void)
+{
+  if (!lost_ranges)
+    lost_ranges
+        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return lost_ranges;
+}
+
+static int
+fail_sync (char *path)
+{
+  GBytes *known = g_hash_table_lookup (contents_table (), path);
+  GBytes *written = read_file (path);
+  struct range *range = g_new0 (struct range, 1);
+  range->start = known ? g_bytes_get_size (known) : 0;
+  range->end = g_bytes_get_size (written);
+  g_bytes_unref (written);
+  g_hash_table_replace (ranges_table (), path, range);
+  fails_once = false;
+  errno = EIO;
+  return -1;
+}
+
+/* Notes what the file holds, with zeros for what is lost. */
+static void
+store_file (char *path)
+{
+  GBytes *written = read_file (path);
+  const struct range *range = g_hash_table_lookup (ranges_table (), path);
+  gsize bytes;
+  guint8 *data = g_bytes_unref_to_data (written, &bytes);
+  for (uint64_t i = range ? range->start : 0;
+       range && i < MIN (range->end, bytes); i++)
+    data[i] = 0;
+  g_hash_table_replace (contents_table (), path,
+                        g_bytes_new_take (data, bytes));
+}
+
 static int
 note_sync (int fd)
 {
-  char link[40];
   struct stat status;
   if (syncs_left == 0)
     {
@@ -48,10 +107,10 @@
     return -1;
   if (!S_ISREG (status.st_mode))
     return 0;
-  snprintf (link, sizeof link, "/proc/self/fd/%d", fd);
-  char *path = g_file_read_link (link, NULL);
-  g_assert_nonnull (path);
-  g_hash_table_replace (contents_table (), path, read_file (path));
+  char *path = path_of (fd);
+  if (fails_once)
+    return fail_sync (path);
+  store_file (path);
   return 0;
 }
 
@@ -67,6 +126,22 @@
   return note_sync (fd);
 }
 
+int
+ftruncate (int fd, off_t bytes)
+{
+  if (sync_failed)
+    {
+      errno = EIO;
+      return -1;
+    }
+  char *path = path_of (fd);
+  const struct range *range = g_hash_table_lookup (ranges_table (), path);
+  if (range && (uint64_t)bytes <= range->start)
+    g_hash_table_remove (lost_ranges, path);
+  g_free (path);
+  return (int)syscall (SYS_ftruncate, fd, bytes);
+}
+
 int
 rename (const char *from, const char *to)
 {
@@ -85,7 +160,13 @@
 int
 unlink (const char *path)
 {
+  if (sync_failed)
+    {
+      errno = EIO;
+      return -1;
+    }
   g_hash_table_remove (contents_table (), path);
+  g_hash_table_remove (ranges_table (), path);
   return unlinkat (AT_FDCWD, path, 0);
 }
 
@@ -96,6 +177,12 @@
   sync_failed = false;
 }
 
+void
+lossy_disk_fail_once (void)
+{
+  fails_once = true;
+}
+
 bool
 lossy_disk_failed (void)
 {
@@ -198,10 +285,12 @@
 lossy_disk_lose_power (const char *folder, struct base_random *random)
 {
   visit_files (folder, lose_file, random);
+  g_hash_table_remove_all (ranges_table ());
 }
 
 void
 lossy_disk_wipe (const char *folder)
 {
+  lossy_disk_allow (UINT64_MAX);
   visit_files (folder, remove_file, NULL);
 }
--- a/tests/test_ledger_power.c
+++ b/tests/test_ledger_power.c
@@ -16,6 +16,7 @@
 #define BUDGET_TOKENS (UINT64_C (1) << 40)
 #define SEEDS 5
 #define ROUNDS 8
+#define FAILED_SYNC_SEEDS 20
 /* Bills of a round whose log record is split: about 9 MB. */
 #define LONG_ROUND_BILLS 40000
 #define SHORT_ROUND_BILLS 20
@@ -131,6 +132,53 @@
   ledger_store_close (history->store, true);
 }
 
+/* Commits some rounds; false when one fails. */
+static bool
+commit_rounds (struct history *history, uint64_t rounds)
+{
+  while (rounds-- > 0)
+    {
+      bill_one (history);
+      if (ledger_store_commit (history->store) != 0)
+        return false;
+      history->known_bills += history->written_bills;
+      history->written_bills = 0;
+    }
+  return true;
+}
+
+/* Guards against a ledger that opens its log again after a failed sync, goes
+   on behind records that never reached the disk, and can't start after the
+   next loss of power. */
+static void
+test_failed_sync (void)
+{
+  for (uint64_t seed = 1; seed <= FAILED_SYNC_SEEDS; seed++)
+    {
+      struct history history
+          = { g_dir_make_tmp ("cactus-XXXXXX", NULL), { 0 }, NULL, 1, 0, 0 };
+      base_random_seed (&history.random, seed);
+      create_ledger (&history);
+      for (uint32_t round = 0; round < ROUNDS; round++)
+        {
+          g_assert_true (open_store (&history));
+          g_assert_true (commit_rounds (
+              &history, base_random_below (&history.random, 4)));
+          lossy_disk_fail_once ();
+          g_assert_false (commit_rounds (&history, 1));
+          ledger_store_close (history.store, false);
+          g_assert_true (open_store (&history));
+          g_assert_true (commit_rounds (
+              &history, base_random_below (&history.random, 4)));
+          ledger_store_close (history.store, false);
+          lossy_disk_lose_power (history.folder, &history.random);
+        }
+      lossy_disk_wipe (history.folder);
+      tool_folder_remove (history.folder);
+      g_free (history.folder);
+    }
+}
+
 static void
 play (uint64_t seed)
 {
@@ -172,5 +220,6 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/ledger-power/histories", test_histories);
+  g_test_add_func ("/ledger-power/failed-sync", test_failed_sync);
   return g_test_run ();
 }
