--- a/tests/test_control_silent.c
+++ b/tests/test_control_silent.c
@@ -22,6 +22,14 @@
 #define IN_FORCE_MS 7000
 #define RESTART_MAX_MS 500
 #define POLL_US 20000
+/* Time within which a member that lost its folder votes again. */
+#define RECOVER_MS 15000
+/* A snapshot of several pieces, the part that is sent before the silence, and
+   the delay of the links meanwhile. */
+#define LARGE_ACCOUNTS 40000
+#define SNAPSHOT_TOP_UPS 60
+#define SNAPSHOT_PART_BYTES 700000
+#define DELAY_MS 60
 #define FIRST_SEED 1
 #define SEEDS 2
 
@@ -60,8 +68,13 @@
 static void
 set_up (struct fixture *fixture, uint64_t seed)
 {
-  static const char *const arguments[]
-      = { "--election-ms", "600", "--heartbeat-ms", "100", NULL };
+  static const char *const arguments[] = { "--election-ms",
+                                           "600",
+                                           "--heartbeat-ms",
+                                           "100",
+                                           "--snapshot-entries",
+                                           "20",
+                                           NULL };
   fixture->relay = link_relay_create ();
   fixture->rig
       = control_rig_create_linked (MEMBERS, arguments, fixture->relay);
@@ -216,6 +229,51 @@
   play (&kind);
 }
 
+/* Pushes a version with many accounts, which a snapshot then holds. */
+static void
+push_large (struct fixture *fixture)
+{
+  fixture->version++;
+  g_assert_cmpint (
+      control_rig_push (fixture->rig, fixture->version, LARGE_ACCOUNTS, 0), ==,
+      CONTROL_OK);
+  for (uint32_t i = 0; i < SNAPSHOT_TOP_UPS; i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "t%u", i);
+      g_assert_cmpuint (
+          control_rig_top_up (fixture->rig, id, "account-00000", 10), >, 0);
+    }
+}
+
+/* Guards against a member that never comes back since each piece of a snapshot
+   that is sent again puts off the end of its silent connection. */
+static void
+test_during_a_snapshot (void)
+{
+  struct fixture fixture;
+  set_up (&fixture, FIRST_SEED);
+  struct control_rig *rig = fixture.rig;
+  push_large (&fixture);
+  int leader = control_rig_leader (rig, ACCEPT_MS);
+  g_assert_cmpint (leader, >=, 0);
+  uint32_t member = ((uint32_t)leader + 1) % MEMBERS;
+  fleet_process_kill (rig->members[member]);
+  control_rig_wipe (rig, member);
+  uint64_t end_bytes
+      = link_relay_forwarded_bytes (fixture.relay) + SNAPSHOT_PART_BYTES;
+  link_relay_set_delay (fixture.relay, DELAY_MS);
+  g_assert_cmpint (fleet_process_start (rig->members[member]), ==, 0);
+  uint64_t end_ms = now_ms () + RECOVER_MS;
+  while (link_relay_forwarded_bytes (fixture.relay) < end_bytes
+         && now_ms () < end_ms)
+    g_usleep (1000);
+  link_relay_silence_port (fixture.relay, LINK_BOTH, rig->ports[member]);
+  g_assert_true (push_until (&fixture, now_ms () + ACCEPT_MS));
+  g_assert_true (control_rig_wait_voter (rig, member, RECOVER_MS));
+  tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -225,5 +283,7 @@
                    test_half_of_the_connections);
   g_test_add_func ("/control-silent/one-direction", test_one_direction);
   g_test_add_func ("/control-silent/beside-restarts", test_beside_restarts);
+  g_test_add_func ("/control-silent/during-a-snapshot",
+                   test_during_a_snapshot);
   return g_test_run ();
 }
--- a/tools/link_relay.c
+++ b/tools/link_relay.c
@@ -26,6 +26,7 @@
 {
   struct link_direction to_server;
   struct link_direction to_caller;
+  uint16_t server_port;
   bool failed;
 };
 
@@ -97,6 +98,7 @@
     }
   fcntl (server, F_SETFL, fcntl (server, F_GETFL) | O_NONBLOCK);
   struct link_connection *connection = g_new0 (struct link_connection, 1);
+  connection->server_port = ntohs (listener->to.sin_port);
   link_direction_init (&connection->to_server, caller, server);
   link_direction_init (&connection->to_caller, server, caller);
   g_ptr_array_add (relay->connections, connection);
@@ -374,6 +376,21 @@
   wake (relay);
 }
 
+void
+link_relay_silence_port (struct link_relay *relay, enum link_sides sides,
+                         uint16_t server_port)
+{
+  g_mutex_lock (&relay->mutex);
+  for (guint i = 0; i < relay->connections->len; i++)
+    {
+      struct link_connection *connection = relay->connections->pdata[i];
+      if (connection->server_port == server_port)
+        silence_connection (connection, sides, NULL);
+    }
+  g_mutex_unlock (&relay->mutex);
+  wake (relay);
+}
+
 uint64_t
 link_relay_forwarded_bytes (const struct link_relay *relay)
 {
--- a/tools/link_relay.h
+++ b/tools/link_relay.h
@@ -51,6 +51,10 @@
  *  that are opened later work. */
 void link_relay_silence (struct link_relay *relay, enum link_sides sides,
                          uint32_t percent, struct base_random *random);
+/** Silences the open connections to one server port; @p sides isn't
+ *  LINK_EITHER. */
+void link_relay_silence_port (struct link_relay *relay, enum link_sides sides,
+                              uint16_t server_port);
 /** Bytes forwarded so far, both directions together. */
 uint64_t link_relay_forwarded_bytes (const struct link_relay *relay);
 
