Close idle connections to all members after a call brought no answer

What callers saw: a router's call for tokens, and an operator's call through a member, ended without an answer when the connections to several members had gone silent, although new connections worked.

Cause: the client closed the idle connections to the member that gave no answer only. The next attempt went to the next member on a connection that was just as silent, and the two took the whole time of the call.

Change: after a lost call the client closes its idle connections to all members.

--- a/src/control_client.c
+++ b/src/control_client.c
@@ -148,17 +148,21 @@
   wire_client_destroy (connection);
 }
 
-/* Closes the member's idle connections after a call on one of them brought no
-   answer: they may be as silent as that one, and each would cost another call
-   its time. */
+/* Closes the idle connections to all members after a call on one of them
+   brought no answer: they may be as silent as that one, and each would cost
+   another attempt its time. */
 static void
-drop_idle_connections (struct control_client *client,
-                       struct control_endpoint *member)
+drop_idle_connections (struct control_client *client)
 {
   GPtrArray *dropped = g_ptr_array_new_with_free_func (free_connection);
   g_mutex_lock (&client->mutex);
-  while (member->idle->len > 0)
-    g_ptr_array_add (dropped, g_ptr_array_steal_index_fast (member->idle, 0));
+  for (guint i = 0; i < client->members->len; i++)
+    {
+      const struct control_endpoint *member = client->members->pdata[i];
+      while (member->idle->len > 0)
+        g_ptr_array_add (dropped,
+                         g_ptr_array_steal_index_fast (member->idle, 0));
+    }
   g_mutex_unlock (&client->mutex);
   g_ptr_array_unref (dropped);
 }
@@ -280,7 +284,7 @@
       connection, call->procedure, call->args_codec, call->args,
       call->result_codec, call->result, call->result_bytes, timeout_ms);
   if (status == WIRE_LOST && timeout_ms >= SILENT_MS)
-    drop_idle_connections (client, member);
+    drop_idle_connections (client);
   release_connection (client, member, connection);
   const struct control_answer *answer = call->result;
   enum attempt_outcome outcome = outcome_of (status, answer);
--- a/tests/test_control_client.c
+++ b/tests/test_control_client.c
@@ -14,6 +14,8 @@
 #define SHORT_TIMEOUT_MS 400
 /* Calls that are made at once. */
 #define IDLE_CALLS 6
+/* Timeout of a router's call for tokens. */
+#define LEASE_TIMEOUT_MS 1500
 
 /* Three members, each a relay to the same fake control. */
 struct cluster
@@ -343,6 +345,38 @@
   stop (&cluster);
 }
 
+/* Has the first call go to all members. */
+static void
+answer_third (struct control_fake *fake, struct wire_call *call)
+{
+  bool is_early = atomic_load (&fake->calls) < MEMBERS;
+  reply (call, is_early ? CONTROL_UNAVAILABLE : CONTROL_OK, 0);
+}
+
+/* Guards against connections to several members that went silent together and
+   each cost the same call an attempt: after the first attempt the others are
+   closed. */
+static void
+test_silent_members (void)
+{
+  struct cluster cluster;
+  struct base_random random;
+  struct control_top_up_result result;
+  base_random_seed (&random, 1);
+  start (&cluster, answer_third);
+  g_assert_cmpint (top_up (&cluster, &result, TIMEOUT_MS), ==, WIRE_OK);
+  free_result (&result);
+  for (int i = 0; i < MEMBERS; i++)
+    link_relay_silence (cluster.relays[i], LINK_BOTH, 100, &random);
+  gint64 begun_us = g_get_monotonic_time ();
+  enum wire_status status = top_up (&cluster, &result, LEASE_TIMEOUT_MS);
+  free_result (&result);
+  g_test_message ("status %s after %d ms", wire_status_name (status),
+                  (int)((g_get_monotonic_time () - begun_us) / 1000));
+  g_assert_cmpint (status, ==, WIRE_OK);
+  stop (&cluster);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -355,6 +389,7 @@
   g_test_add_func ("/control-client/no-leader", test_no_leader);
   g_test_add_func ("/control-client/refusal", test_refusal);
   g_test_add_func ("/control-client/threads", test_threads);
+  g_test_add_func ("/control-client/silent-members", test_silent_members);
   g_test_add_func ("/control-client/silent-idle-connections",
                    test_silent_idle_connections);
   return g_test_run ();
