End passed-on connections some time after the request's deadline

What would be seen: a router that passes connections on to targets for others keeps one for ever when the asking router's side goes silent: its close never arrives. Each such connection takes one of the 512 places and counts as a request that runs at the target, so the passing router shuns that target.

Cause: an open connection that was passed on had no deadline of its own.

Change: the asking router says for how long it needs the connection (Cactus-Deadline-Ms, the time left to the request, or to the probe); the passing router closes it two seconds after that. Routers without the change ignore the header, and connections asked for without it stay as they were.

--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -228,6 +228,8 @@
                                (unsigned)options->via_port);
   attempt->is_tunnelled = true;
   attempt->tunnel_headers = curl_slist_append (NULL, options->via_header);
+  attempt->tunnel_headers = curl_slist_append (attempt->tunnel_headers,
+                                               options->via_deadline_header);
   curl_easy_setopt (easy, CURLOPT_PROXY, via);
   curl_easy_setopt (easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
   curl_easy_setopt (easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
--- a/src/edge_attempt.h
+++ b/src/edge_attempt.h
@@ -74,9 +74,10 @@
   /** Router that passes the connection on (edge_tunnel.h), or NULL. */
   const char *via_address;
   uint16_t via_port;
-  /** With it: the header line that names the target, and this router's
-   *  address. */
+  /** With it: the header lines that name the target and say how long the
+   *  connection is needed, and this router's address. */
   const char *via_header;
+  const char *via_deadline_header;
   const char *own_address;
 };
 
--- a/src/edge_relay.c
+++ b/src/edge_relay.c
@@ -21,6 +21,9 @@
 #define TUNNELS_MAX 512
 /* Time for the request of a new connection, in milliseconds. */
 #define HEAD_TIMEOUT_MS 1000
+/* Time after a request's deadline at which its connection is closed: the other
+   router has ended the request, but its close may not arrive. */
+#define DEADLINE_SLACK_MS 2000
 /* Maximum size of the head of a response that is read. */
 #define RESPONSE_HEAD_BYTES 32768
 #define STATUS_OK 200
@@ -66,6 +69,8 @@
   GList link;
   enum tunnel_step step;
   uint64_t due_ms;
+  /* Time for which the connection may be open; UINT64_MAX: any. */
+  uint64_t open_max_ms;
   uint64_t started_ms;
   uint64_t bytes;
   /* The router that asked, and its request as far as it was read. */
@@ -300,6 +305,8 @@
       || target->load.running >= edge_pacing_window (&target->pacing))
     return EDGE_TUNNEL_TARGET_RESTS;
   tunnel->target = edge_target_ref (target);
+  if (ask.deadline_ms > 0)
+    tunnel->open_max_ms = (uint64_t)ask.deadline_ms + DEADLINE_SLACK_MS;
   return EDGE_TUNNEL_OPEN;
 }
 
@@ -514,6 +521,7 @@
   tunnel->relay = relay;
   tunnel->started_ms = edge_now_ms ();
   tunnel->due_ms = tunnel->started_ms + HEAD_TIMEOUT_MS;
+  tunnel->open_max_ms = UINT64_MAX;
   tunnel->head = g_string_new (NULL);
   tunnel->response = g_string_new (NULL);
   tunnel->link.data = tunnel;
@@ -578,7 +586,11 @@
   for (GList *link = relay->tunnels.head; link; link = link->next)
     {
       struct tunnel *tunnel = link->data;
-      if (now_ms < tunnel->due_ms)
+      bool is_open
+          = tunnel->step == TUNNEL_OPEN || tunnel->step == TUNNEL_FLUSHES;
+      if (is_open && now_ms - tunnel->started_ms >= tunnel->open_max_ms)
+        close_tunnel (tunnel, true, "the deadline of the request passed");
+      if (is_open || now_ms < tunnel->due_ms)
         continue;
       if (tunnel->step == TUNNEL_READS_HEAD)
         close_tunnel (tunnel, false, "no request");
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -195,18 +195,23 @@
   struct edge *edge = request->edge;
   const struct edge_peer *peer = edge_peers_find (edge->peers, request->via);
   char *via_header = NULL;
+  char *via_deadline_header = NULL;
   if (peer)
     {
       via_header = edge_tunnel_header (request->target);
       options.via_address = peer->address;
       options.via_port = peer->port;
       options.via_header = via_header;
+      via_deadline_header
+          = edge_tunnel_deadline_header (request->send.deadline_ms);
+      options.via_deadline_header = via_deadline_header;
       options.own_address = edge->options.address;
       options.reuse = false;
       options.connect_timeout_ms = EDGE_TUNNEL_WAIT_MS;
     }
   struct edge_attempt *attempt
       = edge_attempt_create (edge->loop, &options, &request->callbacks);
+  g_free (via_deadline_header);
   g_free (via_header);
   return attempt;
 }
--- a/src/edge_tunnel.c
+++ b/src/edge_tunnel.c
@@ -8,6 +8,7 @@
 #include "base_settings.h"
 
 #define TARGET_HEADER "Cactus-Target"
+#define DEADLINE_HEADER "Cactus-Deadline-Ms"
 
 char *
 edge_tunnel_header (const struct edge_target *target)
@@ -16,14 +17,22 @@
                           (uint64_t)target->record.born_ms);
 }
 
+char *
+edge_tunnel_deadline_header (uint32_t deadline_ms)
+{
+  return g_strdup_printf (DEADLINE_HEADER ": %" PRIu32, deadline_ms);
+}
+
 char *
 edge_tunnel_request (const struct edge_target *target)
 {
   char *header = edge_tunnel_header (target);
-  char *request
-      = g_strdup_printf ("CONNECT %s:%u HTTP/1.1\r\nHost: %s:%u\r\n%s\r\n\r\n",
-                         target->record.address, target->record.port,
-                         target->record.address, target->record.port, header);
+  char *deadline = edge_tunnel_deadline_header (EDGE_TUNNEL_WAIT_MS);
+  char *request = g_strdup_printf (
+      "CONNECT %s:%u HTTP/1.1\r\nHost: %s:%u\r\n%s\r\n%s\r\n\r\n",
+      target->record.address, target->record.port, target->record.address,
+      target->record.port, header, deadline);
+  g_free (deadline);
   g_free (header);
   return request;
 }
@@ -42,6 +51,29 @@
                                      &ask->born_ms, NULL);
 }
 
+/* Returns the value of the line if it has this header, or NULL. */
+static char *
+find_value (char *line, const char *name)
+{
+  size_t bytes = strlen (name);
+  return g_ascii_strncasecmp (line, name, bytes) == 0 && line[bytes] == ':'
+             ? g_strstrip (line + bytes + 1)
+             : NULL;
+}
+
+static void
+parse_line (char *line, struct edge_tunnel_ask *ask, bool *has_target)
+{
+  guint64 number = 0;
+  char *value = find_value (line, TARGET_HEADER);
+  if (value)
+    *has_target = parse_target (value, ask);
+  value = find_value (line, DEADLINE_HEADER);
+  if (value
+      && g_ascii_string_to_unsigned (value, 10, 0, G_MAXUINT32, &number, NULL))
+    ask->deadline_ms = (uint32_t)number;
+}
+
 bool
 edge_tunnel_parse (const char *head, struct edge_tunnel_ask *ask)
 {
@@ -53,10 +85,7 @@
       = g_strv_length (words) == 3 && strcmp (words[0], "CONNECT") == 0
         && base_endpoint_split (words[1], ask->address, &ask->port) == 0;
   for (char **line = lines; valid && *line; line++)
-    if (g_ascii_strncasecmp (*line, TARGET_HEADER ":", sizeof TARGET_HEADER)
-        == 0)
-      has_target
-          = parse_target (g_strstrip (*line + sizeof TARGET_HEADER), ask);
+    parse_line (*line, ask, &has_target);
   g_strfreev (words);
   g_strfreev (lines);
   return valid && has_target;
--- a/src/edge_tunnel.h
+++ b/src/edge_tunnel.h
@@ -46,11 +46,17 @@
   uint64_t born_ms;
   char address[16];
   uint16_t port;
+  /** Time after which the sender has no use for the connection, in
+   *  milliseconds, or 0 when the request doesn't say. */
+  uint32_t deadline_ms;
 };
 
 /** Returns the header line that names the target, freed with g_free. */
 char *edge_tunnel_header (const struct edge_target *target);
-/** Returns the whole request, freed with g_free. */
+/** Returns the header line that says how long the connection is needed, freed
+ *  with g_free. */
+char *edge_tunnel_deadline_header (uint32_t deadline_ms);
+/** Returns the whole request of a probe, freed with g_free. */
 char *edge_tunnel_request (const struct edge_target *target);
 /** Parses a complete request.  Returns false when it is malformed. */
 bool edge_tunnel_parse (const char *head, struct edge_tunnel_ask *ask);
--- a/tests/test_platform_silent.c
+++ b/tests/test_platform_silent.c
@@ -4,8 +4,10 @@
  *  connections work. */
 
 #include <stdbool.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <glib.h>
 
@@ -13,6 +15,7 @@
 #include "link_relay.h"
 #include "platform_rig.h"
 #include "platform_target.h"
+#include "raw_answer.h"
 
 #define ROUTE(path, kind, resumable)                                          \
   "{\"name\":\"" path "\",\"host\":\"h.example\",\"pathPrefix\":\"/" path     \
@@ -45,6 +48,12 @@
 #define LATE_US (500 * 1000)
 /* Number of a request that is sent beside a series. */
 #define FIRST_NUMBER 100000
+/* A router's port for other routers, counted from its first one; the deadline
+   of a request that it passes on, and the time within which the connection
+   must end. */
+#define RELAY_OFFSET 9
+#define ASK_DEADLINE_MS 500
+#define PASSED_ON_MAX_MS 4000
 #define WAIT_TRIES 200
 #define WAIT_US 50000
 #define FIRST_SEED 1
@@ -59,6 +68,8 @@
   struct platform_target *targets[TARGETS];
   struct base_random random;
   uint32_t requests;
+  /* Port of the last target's link. */
+  uint16_t target_port;
 };
 
 /* One request of a series. */
@@ -80,9 +91,10 @@
 }
 
 static struct platform_reply
-post (struct fixture *fixture, const char *path, uint32_t number)
+post (struct fixture *fixture, const char *router, const char *path,
+      uint32_t number)
 {
-  char *url = g_strdup_printf ("http://127.0.0.1:%u%s",
+  char *url = g_strdup_printf ("http://%s:%u%s", router,
                                (unsigned)fixture->rig->callers_port, path);
   char *id_line = g_strdup_printf ("X-Request-Id: q%u", (unsigned)number);
   const char *const lines[] = { "Host: h.example",
@@ -103,7 +115,7 @@
   struct request *request = data;
   request->sent_us = g_get_monotonic_time ();
   struct platform_reply reply
-      = post (request->fixture, request->path, request->number);
+      = post (request->fixture, "127.0.0.1", request->path, request->number);
   request->took_us = g_get_monotonic_time () - request->sent_us;
   request->is_served = reply.whole && reply.status == 200;
   platform_reply_clear (&reply);
@@ -192,6 +204,7 @@
       uint16_t port = link_relay_add_listener (
           fixture->relay, "127.0.0.1", 0, "127.0.0.1",
           platform_target_port (fixture->targets[i]));
+      fixture->target_port = port;
       const struct platform_rig_target record = { .id = id,
                                                   .service = "shop",
                                                   .version = "v1",
@@ -305,11 +318,78 @@
     }
 }
 
+/* Waits until a router serves its callers. */
+static void
+wait_served (struct fixture *fixture, const char *router)
+{
+  bool is_served = false;
+  for (uint32_t i = 0; !is_served && i < WAIT_TRIES; i++)
+    {
+      struct platform_reply reply
+          = post (fixture, router, paths[0], FIRST_NUMBER + i);
+      is_served = reply.whole && reply.status == 200;
+      platform_reply_clear (&reply);
+      if (!is_served)
+        g_usleep (WAIT_US);
+    }
+  g_assert_true (is_served);
+}
+
+/* Asks a router to pass a connection to the first target on, as another router
+   does.  Returns the connection once it is open. */
+static int
+ask_for_connection (const struct fixture *fixture, const char *router)
+{
+  char answer[128] = "";
+  for (uint32_t i = 0; i < WAIT_TRIES; i++)
+    {
+      int fd = raw_connect (router, fixture->rig->rpc_port + RELAY_OFFSET);
+      char *ask = g_strdup_printf (
+          "CONNECT 127.0.0.1:%u HTTP/1.1\r\nCactus-Target: t1 5\r\n"
+          "Cactus-Deadline-Ms: %d\r\n\r\n",
+          (unsigned)fixture->target_port, ASK_DEADLINE_MS);
+      raw_send (fd, ask);
+      g_free (ask);
+      if (read (fd, answer, sizeof answer - 1) > 0
+          && g_str_has_prefix (answer, "HTTP/1.1 200 "))
+        return fd;
+      close (fd);
+      g_usleep (WAIT_US);
+    }
+  g_assert_not_reached ();
+}
+
+/* Guards against connections that are passed on for another router for ever,
+   each of which counts as a request at its target: when that router's close
+   doesn't arrive, they end some time after the deadline of the request. */
+static void
+test_passed_on_connection (void)
+{
+  char router[16];
+  char byte;
+  struct fixture fixture;
+  set_up (&fixture, FIRST_SEED, 1);
+  platform_rig_add_entry (fixture.rig, router);
+  wait_served (&fixture, router);
+  int fd = ask_for_connection (&fixture, router);
+  gint64 begun_us = g_get_monotonic_time ();
+  struct pollfd ended = { .fd = fd, .events = POLLIN };
+  int ready = poll (&ended, 1, PASSED_ON_MAX_MS);
+  g_test_message ("ended %d after %d ms", ready,
+                  (int)((g_get_monotonic_time () - begun_us) / 1000));
+  g_assert_cmpint (ready, ==, 1);
+  g_assert_cmpint (read (fd, &byte, 1), <=, 0);
+  close (fd);
+  tear_down (&fixture, 1);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/platform-silent/kept-connections", test_kept_connections);
   g_test_add_func ("/platform-silent/all-kinds", test_all_kinds);
+  g_test_add_func ("/platform-silent/passed-on-connection",
+                   test_passed_on_connection);
   return g_test_run ();
 }
