Close connections to a control member on which no call comes in

What was seen: each silence leaves connections open at the members for good. After three silences of half the connections to three members with four routers they held 38, 39 and 35 descriptors instead of 28, 28 and 27.

Cause: a peer whose connection is silent gives it up and connects again, but its close never arrives, and a member had no limit of its own for an idle connection.

Change: a member closes a connection on which nothing came in for 60 s and no call is open. Clients notice the close before they send and connect again.

Evidence: /wire/idle-limit, a limit of 100 ms: without the check an idle connection is open after 2,000 ms; with it it ends, and a client that was idle for 200 ms in between gets its answers, three times.

--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -18,6 +18,8 @@
 /* Duration above which a round is logged: a third of the shortest election
    timeout. */
 #define SLOW_ROUND_MS 200
+/* Time without a call after which a connection is closed. */
+#define IDLE_MAX_MS 60000
 /* Maximum time for handing over leadership before the process ends. */
 #define HAND_OVER_TIMEOUT_MS 1000
 
@@ -340,7 +342,10 @@
       daemon->options.address, daemon->options.port, programs,
       G_N_ELEMENTS (programs), &daemon->handler);
   if (daemon->server)
-    return 0;
+    {
+      wire_server_set_idle_limit (daemon->server, IDLE_MAX_MS);
+      return 0;
+    }
   base_findings_add (findings, "--rpc", "can't listen on %s:%u: %s",
                      daemon->options.address, daemon->options.port,
                      g_strerror (errno));
--- a/src/wire_server.c
+++ b/src/wire_server.c
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "base_clock.h"
 #include "base_log.h"
 #include "wire_connection.h"
 
@@ -45,6 +46,8 @@
   /* The connection failed or was closed; it is removed at the end of the
      round. */
   bool is_gone;
+  /* Time at which bytes last came in. */
+  uint64_t heard_ms;
 };
 
 struct wire_server
@@ -66,8 +69,16 @@
   /* True when calls were dispatched after the handler's round callback, so
      that the next round must not wait. */
   bool has_work;
+  /* Time without a call after which a connection is closed; 0: none is. */
+  uint64_t idle_max_ms;
 };
 
+static uint64_t
+now_ms (void)
+{
+  return base_clock_now_ms (base_clock_system ());
+}
+
 static void
 free_call (struct wire_call *call)
 {
@@ -186,6 +197,7 @@
     {
       struct peer *peer = g_new0 (struct peer, 1);
       peer->connection = wire_connection_create (fd);
+      peer->heard_ms = now_ms ();
       g_ptr_array_add (server->peers, peer);
     }
 }
@@ -264,7 +276,10 @@
   if (peer->open_call)
     peer->is_gone |= (events & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   else if (events & (POLLIN | POLLHUP | POLLERR))
-    peer->is_gone |= !wire_connection_read (peer->connection);
+    {
+      peer->is_gone |= !wire_connection_read (peer->connection);
+      peer->heard_ms = now_ms ();
+    }
   if (!peer->is_gone)
     dispatch_calls (server, peer);
 }
@@ -303,6 +318,20 @@
     peer->open_call->peer = NULL;
 }
 
+/* A peer that has left can't be told from an idle one when its close doesn't
+   arrive. */
+static void
+find_idle_peers (struct wire_server *server)
+{
+  uint64_t at_ms = now_ms ();
+  for (guint i = 0; server->idle_max_ms > 0 && i < server->peers->len; i++)
+    {
+      struct peer *peer = server->peers->pdata[i];
+      peer->is_gone
+          |= !peer->open_call && at_ms >= peer->heard_ms + server->idle_max_ms;
+    }
+}
+
 static void
 remove_gone_peers (struct wire_server *server)
 {
@@ -356,10 +385,17 @@
   if (server->handler->round)
     server->handler->round (server->handler);
   send_replies (server);
+  find_idle_peers (server);
   remove_gone_peers (server);
   dispatch_buffered_calls (server);
 }
 
+void
+wire_server_set_idle_limit (struct wire_server *server, uint64_t idle_max_ms)
+{
+  server->idle_max_ms = idle_max_ms;
+}
+
 void
 wire_server_wake (struct wire_server *server)
 {
--- a/src/wire_server.h
+++ b/src/wire_server.h
@@ -49,6 +49,10 @@
 /** Runs one round, which waits for calls for at most @p wait_ms.  The
  *  handler's round callback is called also when no call arrived. */
 void wire_server_round (struct wire_server *server, uint32_t wait_ms);
+/** Closes connections on which no call came in for @p idle_max_ms; 0, as at
+ *  first: none.  Call it before the first round. */
+void wire_server_set_idle_limit (struct wire_server *server,
+                                 uint64_t idle_max_ms);
 /** Ends the wait of the current round.  Thread-safe and callable from a signal
  *  handler. */
 void wire_server_wake (struct wire_server *server);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -2,6 +2,7 @@
  *  Tests of the RPC server and client over loopback. */
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <stdatomic.h>
 #include <malloc.h>
 #include <string.h>
@@ -19,6 +20,8 @@
 
 /* Timeout of calls that are posted to a silent connection, in milliseconds. */
 #define SILENT_MS 200
+/* Time after which a server closes an idle connection, in milliseconds. */
+#define IDLE_LIMIT_MS 100
 
 /* Answers budget calls with the budget's id + 1, in every third round. */
 struct late_handler
@@ -540,6 +543,48 @@
   wire_server_destroy (server);
 }
 
+/* Guards against connections that a server keeps for ever since the close of
+   their peer never arrived: idle ones are closed, and clients that have been
+   idle just connect again. */
+static void
+test_idle_limit (void)
+{
+  static const struct wire_program program
+      = { LEDGER_PROGRAM, LEDGER_VERSION };
+  struct late_handler late = { 0 };
+  late.base.call = take_call;
+  late.base.round = answer_waiting_calls;
+  struct wire_server *server
+      = wire_server_create ("127.0.0.1", 0, &program, 1, &late.base);
+  g_assert_nonnull (server);
+  wire_server_set_idle_limit (server, IDLE_LIMIT_MS);
+  uint16_t port = wire_server_port (server);
+  struct wire_client *client
+      = wire_client_create ("127.0.0.1", port, LEDGER_PROGRAM, LEDGER_VERSION);
+  atomic_store (&stopping, false);
+  GThread *thread = g_thread_new ("server", serve, server);
+  int fd = send_half_a_call (port);
+  for (uint64_t i = 0; i < 3; i++)
+    {
+      struct pollfd ended = { .fd = fd, .events = POLLIN };
+      struct ledger_budget_args args = { i };
+      struct ledger_budget_result result;
+      g_assert_cmpint (wire_client_call (client, LEDGER_BUDGET,
+                                         (xdrproc_t)xdr_ledger_budget_args,
+                                         &args,
+                                         (xdrproc_t)xdr_ledger_budget_result,
+                                         &result, sizeof result, 60000),
+                       ==, WIRE_OK);
+      g_assert_cmpint (poll (&ended, 1, 20 * IDLE_LIMIT_MS), ==, 1);
+      g_usleep (2000 * IDLE_LIMIT_MS);
+    }
+  close (fd);
+  wire_client_destroy (client);
+  atomic_store (&stopping, true);
+  g_thread_join (thread);
+  wire_server_destroy (server);
+}
+
 /* Connecting to a host that doesn't answer, for example without power, fails
    long before the call's deadline.  A listener with a full queue, which drops
    new connections, stands in for such a host. */
@@ -598,6 +643,7 @@
                    test_large_call_on_a_slow_connection);
   g_test_add_func ("/wire/replies-in-parts", test_replies_in_parts);
   g_test_add_func ("/wire/unsent", test_unsent);
+  g_test_add_func ("/wire/idle-limit", test_idle_limit);
   g_test_add_func ("/wire/silent-host", test_silent_host);
   g_test_add_func ("/wire/half-sent-call", test_half_sent_call);
   return g_test_run ();
