--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -88,5 +88,8 @@
 uint64_t control_daemon_incarnation (const struct control_daemon *daemon);
 /** Returns whether a leader is known.  Thread-safe. */
 bool control_daemon_ready (struct control_daemon *daemon);
+/** Returns false while the member waits for room on its disk; it shares
+ *  nothing with other members and routers meanwhile.  Thread-safe. */
+bool control_daemon_has_room (const struct control_daemon *daemon);
 
 #endif
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -84,8 +84,9 @@
   uint64_t leaderless_log_due_ms;
   /** Whether this member was a ready leader in the previous round. */
   bool was_ready;
-  /** Time since which the data folder's disk is full, or 0. */
-  uint64_t full_since_ms;
+  /** Time since which the data folder's disk is full, or 0; written by the
+   *  thread that runs the daemon. */
+  atomic_uint_least64_t full_since_ms;
   /** Time at which a snapshot that found no room is written again, or 0. */
   uint64_t snapshot_retry_ms;
   /** Time of the next check for expired sessions, in milliseconds. */
--- a/src/control_room.c
+++ b/src/control_room.c
@@ -18,9 +18,9 @@
 control_room_wait (void *context)
 {
   struct control_daemon *daemon = context;
-  if (daemon->full_since_ms == 0)
+  if (atomic_load (&daemon->full_since_ms) == 0)
     {
-      daemon->full_since_ms = now_ms ();
+      atomic_store (&daemon->full_since_ms, now_ms ());
       base_log (BASE_LOG_WARNING, "data-folder-full folder=%s",
                 daemon->options.data_dir);
     }
@@ -31,9 +31,14 @@
 void
 control_room_note (struct control_daemon *daemon)
 {
-  if (daemon->full_since_ms == 0)
-    return;
-  base_log (BASE_LOG_NOTICE, "data-folder-room full_ms=%" PRIu64,
-            now_ms () - daemon->full_since_ms);
-  daemon->full_since_ms = 0;
+  uint64_t since_ms = atomic_exchange (&daemon->full_since_ms, 0);
+  if (since_ms != 0)
+    base_log (BASE_LOG_NOTICE, "data-folder-room full_ms=%" PRIu64,
+              now_ms () - since_ms);
+}
+
+bool
+control_daemon_has_room (const struct control_daemon *daemon)
+{
+  return atomic_load (&daemon->full_since_ms) == 0;
 }
