--- a/tools/ledger_rig.c
+++ b/tools/ledger_rig.c
@@ -163,14 +163,13 @@
 }
 
 static pid_t
-spawn (struct ledger_rig *rig, const char *host, const char *ready_file,
-       const char *log_file)
+spawn (struct ledger_rig *rig, const char *name, const char *host,
+       const char *ready_file, const char *log_file)
 {
   pid_t pid = -1;
   posix_spawn_file_actions_t actions;
   const char *bin = g_getenv ("CACTUS_BIN");
-  char *program
-      = g_build_filename (bin ? bin : "build/bin", "cactus-ledger", NULL);
+  char *program = g_build_filename (bin ? bin : "build/bin", name, NULL);
   char *control
       = g_strdup_printf ("127.0.0.1:%u", wire_server_port (rig->wire));
   char *folder = ledger_rig_folder (rig, host);
@@ -215,9 +214,32 @@
   return true;
 }
 
+void
+ledger_rig_fill (const struct ledger_rig *rig, const char *host,
+                 const char *how)
+{
+  char *folder = ledger_rig_folder (rig, host);
+  char *path = g_strconcat (folder, ".full", NULL);
+  if (how)
+    g_assert_true (g_file_set_contents (path, how, -1, NULL));
+  else
+    g_unlink (path);
+  g_free (path);
+  g_free (folder);
+}
+
 bool
 ledger_rig_start (struct ledger_rig *rig, const char *host,
                   struct ledger_rig_process *process, char **messages)
+{
+  return ledger_rig_start_program (rig, "cactus-ledger", host, process,
+                                   messages);
+}
+
+bool
+ledger_rig_start_program (struct ledger_rig *rig, const char *program,
+                          const char *host, struct ledger_rig_process *process,
+                          char **messages)
 {
   int status;
   bool ready = false;
@@ -225,7 +247,7 @@
   char *log_file = g_strconcat (rig->folder, "/", host, ".log", NULL);
   g_unlink (ready_file);
   g_unlink (log_file);
-  process->pid = spawn (rig, host, ready_file, log_file);
+  process->pid = spawn (rig, program, host, ready_file, log_file);
   for (uint32_t waited_ms = 0; waited_ms < START_TIMEOUT_MS && !ready;
        waited_ms += POLL_INTERVAL_US / 1000)
     {
--- a/tools/ledger_rig.h
+++ b/tools/ledger_rig.h
@@ -33,6 +33,15 @@
  *  NULL; free it with g_free. */
 bool ledger_rig_start (struct ledger_rig *rig, const char *host,
                        struct ledger_rig_process *process, char **messages);
+/** The same with another program than cactus-ledger. */
+bool ledger_rig_start_program (struct ledger_rig *rig, const char *program,
+                               const char *host,
+                               struct ledger_rig_process *process,
+                               char **messages);
+/** Fills the disk of a ledger that runs cactus-ledger-full, as
+ *  tests/full_disk.c describes; NULL makes room. */
+void ledger_rig_fill (const struct ledger_rig *rig, const char *host,
+                      const char *how);
 /** Sends a signal and waits for the ledger to end; returns its exit status, or
  *  -1 when a signal ended it. */
 int ledger_rig_stop (struct ledger_rig_process *process, int signal_number);
