--- a/tests/test_control_full_disk.c
+++ b/tests/test_control_full_disk.c
@@ -1,6 +1,8 @@
 /** @file
  *  Tests of cactus-control processes whose snapshots find no room. */
 
+#include <signal.h>
+
 #include <glib.h>
 
 #include "base_clock.h"
@@ -13,6 +15,8 @@
 #define CAUGHT_UP_MS 6000
 #define IN_TIME_MS 5000
 #define POLL_US 20000
+/* Time in which a member gets a snapshot but doesn't find room for it. */
+#define INSTALL_MS 1500
 
 static uint64_t
 now_ms (void)
@@ -106,6 +110,35 @@
   control_rig_destroy (rig);
 }
 
+/* A member that gets the leader's snapshot while it finds no room for it
+   waits, and goes on with it once there is room, or after a kill meanwhile. */
+static void
+test_snapshot_installed (void)
+{
+  struct control_rig *rig = start ();
+  uint32_t sent = 0;
+  for (uint32_t i = 0; i < 2 * MEMBERS; i++)
+    {
+      uint32_t member = i % MEMBERS;
+      struct fleet_process *process = rig->members[member];
+      g_assert_true (fleet_process_signal (process, SIGSTOP));
+      send_changes (rig, sent, 3 * CHANGES);
+      sent += 3 * CHANGES;
+      control_rig_fill (rig, member, i % 2 ? "names" : "sync");
+      g_assert_true (fleet_process_signal (process, SIGCONT));
+      g_assert_false (control_rig_wait_voter (rig, member, INSTALL_MS));
+      g_assert_true (fleet_process_running (process));
+      if (i >= MEMBERS)
+        fleet_process_kill (process);
+      control_rig_fill (rig, member, NULL);
+      if (i >= MEMBERS)
+        g_assert_true (control_rig_start (rig, member));
+      g_assert_true (control_rig_wait_voter (rig, member, CAUGHT_UP_MS));
+      g_assert_cmpuint (control_rig_topped_up_tokens (rig, "lonja"), ==, sent);
+    }
+  control_rig_destroy (rig);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -114,5 +147,7 @@
                    test_snapshot_written_again);
   g_test_add_func ("/control-full-disk/killed-without-snapshot",
                    test_killed_without_snapshot);
+  g_test_add_func ("/control-full-disk/snapshot-installed",
+                   test_snapshot_installed);
   return g_test_run ();
 }
--- a/tests/test_platform_full_disks.c
+++ b/tests/test_platform_full_disks.c
@@ -14,6 +14,7 @@
 #include "base_random.h"
 #include "platform_rig.h"
 #include "platform_target.h"
+#include "tool_folder.h"
 
 #define ROUTE(name, kind)                                                     \
   "{\"name\":\"" name "\",\"host\":\"h.example\",\"pathPrefix\":\"/" name     \
@@ -49,6 +50,9 @@
 #define SERVE_MS 6000
 /* More than the interval at which a member writes its file of targets. */
 #define TARGETS_FILE_US 1500000
+/* Starts of a member that ends by itself, and the time between them. */
+#define RESTARTS 5
+#define RESTART_US 100000
 
 struct fixture
 {
@@ -138,6 +142,27 @@
   return now < end_ms && is_read_back (fixture, (uint32_t)(end_ms - now));
 }
 
+/* Whether each member accepts a change itself. */
+static bool
+is_accepted_at_each (struct fixture *fixture, uint32_t limit_ms)
+{
+  uint64_t end_ms = now_ms () + limit_ms;
+  uint32_t core = 0;
+  while (core < core_count (fixture) && now_ms () < end_ms)
+    {
+      char *body = g_strdup_printf (
+          CONFIG, 1 + (uint32_t)atomic_fetch_add (&fixture->version, 1));
+      long status = platform_rig_call_control (fixture->rig, core, "PUT",
+                                               CONFIG_PATH, body);
+      g_free (body);
+      if (status == 200)
+        core++;
+      else
+        g_usleep (POLL_US);
+    }
+  return core == core_count (fixture);
+}
+
 static uint32_t
 count_running (struct fixture *fixture)
 {
@@ -352,6 +377,7 @@
         play_restart (&fixture, i);
       g_assert_true (is_served (&fixture, "k2"));
       stop_changers (&fixture);
+      g_assert_true (is_accepted_at_each (&fixture, ACCEPT_MS));
       g_assert_true (is_changed (&fixture));
       g_assert_true (is_served (&fixture, "k3"));
       platform_rig_destroy (fixture.rig);
@@ -407,6 +433,7 @@
       g_assert_true (is_read_back (&fixture, ACCEPT_MS));
       for (uint32_t i = 0; i < core_count (&fixture); i++)
         g_assert_true (play_full_disk (&fixture, i));
+      g_assert_true (is_accepted_at_each (&fixture, ACCEPT_MS));
       g_assert_true (is_changed (&fixture));
       g_assert_cmpuint (count_running (&fixture), ==, PLATFORM_RIG_CORES);
       g_assert_true (fleet_process_running (fixture.rig->more_core));
@@ -414,6 +441,50 @@
     }
 }
 
+/* Starts a member until it runs on.  One whose empty folder's disk is full
+   ends. */
+static void
+start_until_running (struct fleet_process *member, uint32_t tries)
+{
+  for (uint32_t i = 0; i < tries; i++)
+    {
+      if (!fleet_process_running (member))
+        g_assert_cmpint (fleet_process_start (member), ==, 0);
+      g_usleep (RESTART_US);
+    }
+}
+
+/* A member that lost its folder and is started on a full disk joins again once
+   there is room, in whichever way the disk was full. */
+static void
+test_lost_while_full (void)
+{
+  static const char *const kinds[] = { "", "half", "names", "sync" };
+  struct fixture fixture;
+  set_up (&fixture, 1);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      struct fleet_process *member
+          = fixture.rig->cores[i % PLATFORM_RIG_CORES];
+      char *folder = g_build_filename (fixture.rig->folder,
+                                       fleet_process_name (member), NULL);
+      fleet_process_kill (member);
+      tool_folder_empty (folder);
+      platform_rig_fill (fixture.rig, i % PLATFORM_RIG_CORES, kinds[i]);
+      start_until_running (member, RESTARTS);
+      g_assert_true (change (&fixture, ACCEPT_MS));
+      platform_rig_fill (fixture.rig, i % PLATFORM_RIG_CORES, NULL);
+      start_until_running (member, RESTARTS);
+      g_assert_true (is_accepted_at_each (&fixture, ACCEPT_MS));
+      g_assert_true (is_read_back (&fixture, IN_FORCE_MS - ACCEPT_MS));
+      g_assert_cmpuint (count_running (&fixture), ==, PLATFORM_RIG_CORES);
+      g_free (folder);
+      /* Until the others have given it its vote again. */
+      g_usleep (FULL_MIN_MS * 1000);
+    }
+  platform_rig_destroy (fixture.rig);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -425,6 +496,8 @@
   g_test_add_func ("/platform-full-disks/restarted-while-full",
                    test_restarted_while_full);
   g_test_add_func ("/platform-full-disks/targets-kept", test_targets_kept);
+  g_test_add_func ("/platform-full-disks/lost-while-full",
+                   test_lost_while_full);
   g_test_add_func ("/platform-full-disks/replaced-while-full",
                    test_replaced_while_full);
   return g_test_run ();
