Keep silent voters of more than are wanted

Cause: since a replacement votes first, a silent voter is removed whenever more vote than wanted, also where nobody was added.

Change: without a ready learner a silent voter is removed only if there is one more than wanted, which is what a replacement adds.

/control-voters/silent-voter-of-five-stays: the decision was REMOVE before, it is NONE now; the other 7 cases pass.

--- a/src/control_voters.c
+++ b/src/control_voters.c
@@ -82,7 +82,10 @@
       *id = learner->id;
       return CONTROL_VOTERS_PROMOTE;
     }
+  /* Without a learner only the one that has been replaced is removed: of more
+     voters than that, a majority remains when several are silent. */
   bool is_replaced = silent && slots > wanted_voters
+                     && (learner || slots == wanted_voters + 1)
                      && (silent->role != CONSENSUS_VOTER
                          || count_voters (members, count) > wanted_voters);
   if (is_replaced && may_change)
--- a/tests/test_control_voters.c
+++ b/tests/test_control_voters.c
@@ -87,6 +87,22 @@
                    CONTROL_VOTERS_NONE);
 }
 
+/* Guards against the removal of silent voters from more than are wanted, which
+   leaves fewer that may fail. */
+static void
+test_silent_voter_of_five_stays (void)
+{
+  const struct control_voters_member members[]
+      = { { 1, CONSENSUS_VOTER, 0, true },
+          { 2, CONSENSUS_VOTER, 60000, true },
+          { 3, CONSENSUS_VOTER, 10, true },
+          { 4, CONSENSUS_VOTER, 10, true },
+          { 5, CONSENSUS_VOTER, 10, true } };
+  uint64_t id = 0;
+  g_assert_cmpint (control_voters_decide (members, 5, VOTERS, &id), ==,
+                   CONTROL_VOTERS_NONE);
+}
+
 /* No voter is removed while a majority of the voters does not answer. */
 static void
 test_no_removal_without_majority (void)
@@ -128,6 +144,8 @@
                    test_answering_voters_stay);
   g_test_add_func ("/control-voters/silent-voter-stays",
                    test_silent_voter_stays);
+  g_test_add_func ("/control-voters/silent-voter-of-five-stays",
+                   test_silent_voter_of_five_stays);
   g_test_add_func ("/control-voters/no-removal-without-majority",
                    test_no_removal_without_majority);
   g_test_add_func ("/control-voters/lost-learner-is-forgotten",
