Wait for room when a log is opened

What callers saw: a member that was killed while its disk was full ended at its next start ("the log can't be opened: No space left on device") and stayed away unless it was started again after there was room.

Cause: opening a log syncs it first, so that nothing unsynced is acted on, and that may need room; the wait for room began only after the start.

Change: a control member waits for room with the opening of its log, before it reads or answers anything. SIGTERM ends it at once meanwhile.

--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -311,7 +311,7 @@
           .bootstrap = options->members,
           .joins_only = options->joins_only };
   daemon->consensus = consensus_create (&consensus);
-  daemon->store = control_store_open (options->data_dir, findings);
+  daemon->store = control_room_open_store (daemon, findings);
   if (!daemon->store
       || control_store_load (daemon->store, daemon->consensus, findings) != 0)
     return -1;
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -146,6 +146,10 @@
  * the process stops.  The member answers nothing meanwhile, as with a disk
  * that stalls, so that another one leads.  @p context is the daemon. */
 bool control_room_wait (void *context);
+/** Opens the log, whose sync may need room; waits for it.  Returns NULL with
+ *  findings on another error. */
+struct control_store *control_room_open_store (struct control_daemon *daemon,
+                                               struct base_findings *findings);
 /** Logs that the disk has room again, after control_room_wait. */
 void control_room_note (struct control_daemon *daemon);
 /** Copies the members into an array allocated with malloc.  Returns their
--- a/src/control_room.c
+++ b/src/control_room.c
@@ -1,9 +1,11 @@
 #include "control_internal.h"
 
+#include <errno.h>
 #include <inttypes.h>
 
 #include "base_clock.h"
 #include "base_log.h"
+#include "store_file.h"
 
 /* Interval of the attempts to write while the disk is full. */
 #define ROOM_POLL_MS 50
@@ -37,6 +39,26 @@
               now_ms () - since_ms);
 }
 
+struct control_store *
+control_room_open_store (struct control_daemon *daemon,
+                         struct base_findings *findings)
+{
+  const char *folder = daemon->options.data_dir;
+  struct control_store *store;
+  int error;
+  do
+    {
+      struct base_findings *passing = base_findings_create ();
+      errno = 0;
+      store = control_store_open (folder, passing);
+      error = errno;
+      base_findings_destroy (passing);
+    }
+  while (!store && store_file_is_full (error) && control_room_wait (daemon));
+  control_room_note (daemon);
+  return store ? store : control_store_open (folder, findings);
+}
+
 bool
 control_daemon_has_room (const struct control_daemon *daemon)
 {
--- a/src/store_log.c
+++ b/src/store_log.c
@@ -237,8 +237,10 @@
       goto fail;
     }
   return log;
-fail:
+fail:;
+  int error = errno;
   store_log_close (log);
+  errno = error;
   return NULL;
 }
 
