--- a/tests/test_platform_full_disks.c
+++ b/tests/test_platform_full_disks.c
@@ -191,8 +191,8 @@
   return kinds[base_random_below (&fixture->random, G_N_ELEMENTS (kinds))];
 }
 
-/* Fills a member's disk for a drawn time; changes go on meanwhile.  Returns
-   whether each was accepted in time. */
+/* Fills a member's disk for a drawn time.  Returns whether each change
+   meanwhile was accepted in time. */
 static bool
 play_full_disk (struct fixture *fixture, uint32_t core)
 {
@@ -254,8 +254,7 @@
   platform_rig_destroy (fixture.rig);
 }
 
-/* Sends changes to the members in turn until the test ends; later versions
-   overtake them, so that the answers say nothing. */
+/* Sends changes in turn; later versions overtake them. */
 static gpointer
 send_changes (gpointer data)
 {
@@ -441,8 +440,7 @@
     }
 }
 
-/* Starts a member until it runs on.  One whose empty folder's disk is full
-   ends. */
+/* Starts a member that may end several times. */
 static void
 start_until_running (struct fleet_process *member, uint32_t tries)
 {
@@ -454,8 +452,7 @@
     }
 }
 
-/* A member that lost its folder and is started on a full disk joins again once
-   there is room, in whichever way the disk was full. */
+/* A member that lost its folder on a full disk joins again with room. */
 static void
 test_lost_while_full (void)
 {
@@ -479,8 +476,7 @@
       g_assert_true (is_read_back (&fixture, IN_FORCE_MS - ACCEPT_MS));
       g_assert_cmpuint (count_running (&fixture), ==, PLATFORM_RIG_CORES);
       g_free (folder);
-      /* Until the others have given it its vote again. */
-      g_usleep (FULL_MIN_MS * 1000);
+      g_usleep (FULL_MIN_MS * 1000); /* It gets its vote again. */
     }
   platform_rig_destroy (fixture.rig);
 }
