Regions: serve bound routes and accounts only in the regions they allow

Callers of routes or accounts with `allowedRegions` were served by targets of any region, and their connections were passed on by routers of any region: the lists were not read. Routes and accounts now have a set of regions (edge_regions; none or an empty list: any; both bind). Targets outside are no candidates, for first and second tries and for streams that go on; a connection is passed on only by a router in an allowed region. What can't be served inside is rejected at once with 503, Retry-After and the reason, and counted (edge_region_rejected_total). A region that no host is in, or a route that leaves an account no region, is no reason to refuse a configuration; a value that is no list of non-empty texts is refused with its place.

In test_edge_reach and bench_reach the wish is initialized by member names, since it has two members more.

--- a/bench/bench_reach.c
+++ b/bench/bench_reach.c
@@ -57,7 +57,9 @@
 {
   struct edge_peers *peers = make_peers ();
   const struct edge_path path = { .is_lost = true };
-  const struct edge_peers_wish wish = { "zone-1", PLACE_SAME_REGION, &path };
+  const struct edge_peers_wish wish = { .availability_zone = "zone-1",
+                                        .distance = PLACE_SAME_REGION,
+                                        .path = &path };
   uint64_t found = 0;
   double begun_us = bench_slope_cpu_us ();
   for (uint32_t i = 0; i < ROUNDS; i++)
--- a/src/edge.h
+++ b/src/edge.h
@@ -85,6 +85,9 @@
   struct base_counter *target_statements;
   /** Requests rejected since their targets have no room. */
   struct base_counter *room_rejected;
+  /** Requests rejected since no target in a region that they are bound to is
+   *  available. */
+  struct base_counter *region_rejected;
   /** Connections passed on for other routers, and those that were not. */
   struct base_counter *relayed;
   struct base_counter *relay_refused;
--- a/src/edge_peers.c
+++ b/src/edge_peers.c
@@ -235,7 +235,9 @@
     {
       const struct edge_peer *peer = value;
       if (peer->port == 0 || now_ms < peer->hold_until_ms
-          || edge_path_has_failed_via (wish->path, peer->name, now_ms))
+          || edge_path_has_failed_via (wish->path, peer->name, now_ms)
+          || (wish->may_pass
+              && !wish->may_pass (wish->context, peer->availability_zone)))
         continue;
       uint32_t cost = way_cost (peer, wish);
       bool is_better = !best || cost < best_cost
--- a/src/edge_peers.h
+++ b/src/edge_peers.h
@@ -51,6 +51,10 @@
   enum place_distance distance;
   /** Routers that failed to reach it. */
   const struct edge_path *path;
+  /** Returns whether a router in this availability zone may pass the
+   *  connection on; NULL: any may. */
+  bool (*may_pass) (const void *context, const char *availability_zone);
+  const void *context;
 };
 
 /** Creates an empty set. */
--- a/src/edge_probe.c
+++ b/src/edge_probe.c
@@ -67,7 +67,7 @@
 ask_another (const struct edge_probe *probe, uint64_t now_ms)
 {
   const struct edge_peer *peer
-      = edge_reach_choose_peer (probe->edge, probe->target, now_ms);
+      = edge_reach_choose_peer (probe->edge, probe->target, NULL, now_ms);
   if (!peer || probe->asked >= CRASH_PEERS_MAX)
     return false;
   struct edge_probe *next
--- a/src/edge_reach.c
+++ b/src/edge_reach.c
@@ -5,6 +5,7 @@
 
 #include "base_event.h"
 #include "edge_probe.h"
+#include "edge_request.h"
 
 /* Number of other targets that are probed when one is lost; each of them that
    is lost too has as many more probed. */
@@ -128,14 +129,20 @@
   return target->path.is_lost && edge_peers_count (edge->peers) > 0;
 }
 
+static bool
+may_pass (const void *context, const char *availability_zone)
+{
+  return edge_request_allows_zone (context, availability_zone);
+}
+
 const struct edge_peer *
 edge_reach_choose_peer (struct edge *edge, const struct edge_target *target,
-                        uint64_t now_ms)
+                        const struct edge_request *request, uint64_t now_ms)
 {
   const struct edge_peers_wish wish
       = { target->record.availability_zone,
           edge_distance_to (edge, target->record.availability_zone),
-          &target->path };
+          &target->path, request ? may_pass : NULL, request };
   return edge_peers_choose (edge->peers, &wish, now_ms,
                             base_random_next (&edge->random));
 }
@@ -179,7 +186,7 @@
   if (!edge_path_needs_relay_probe (path, survey->now_ms))
     return;
   const struct edge_peer *peer
-      = edge_reach_choose_peer (edge, target, survey->now_ms);
+      = edge_reach_choose_peer (edge, target, NULL, survey->now_ms);
   if (!peer
       || edge_probe_start (edge, target, peer, EDGE_PROBE_PATH,
                            survey->now_ms))
--- a/src/edge_reach.h
+++ b/src/edge_reach.h
@@ -8,6 +8,8 @@
 #include "edge.h"
 #include "edge_peers.h"
 
+struct edge_request;
+
 /** Notes the end of an attempt to connect to the target; @p error is 0 when a
  *  connection was made. */
 void edge_reach_note_connection (struct edge *edge, struct edge_target *target,
@@ -27,11 +29,12 @@
  *  router. */
 bool edge_reach_needs_relay (const struct edge *edge,
                              const struct edge_target *target);
-/** Chooses the router that passes a connection to the target on; NULL when
- *  there is none. */
-const struct edge_peer *edge_reach_choose_peer (struct edge *edge,
-                                                const struct edge_target *t,
-                                                uint64_t now_ms);
+/** Chooses the router that passes a connection to the target on, for a probe
+ * or for @p request, whose body may go to some regions only; NULL when there
+ * is none. */
+const struct edge_peer *
+edge_reach_choose_peer (struct edge *edge, const struct edge_target *target,
+                        const struct edge_request *request, uint64_t now_ms);
 /** Starts the probes that are due. */
 void edge_reach_run (struct edge *edge, uint64_t now_ms);
 
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -104,6 +104,21 @@
          - (left->arrived_ms < right->arrived_ms);
 }
 
+bool
+edge_request_allows_zone (const struct edge_request *request,
+                          const char *availability_zone)
+{
+  const struct edge_options *options = &request->edge->options;
+  const struct edge_regions *route = request->route->regions;
+  const struct edge_regions *account
+      = request->account ? request->account->regions : NULL;
+  if (!route && !account)
+    return true;
+  return edge_regions_allow (
+      route, account,
+      options->region_of (options->region_context, availability_zone));
+}
+
 uint64_t
 edge_request_digest (struct edge_request *request)
 {
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -150,6 +150,10 @@
 /** Returns a digest of account, path and body, by which a request is known
  *  again under another id. */
 uint64_t edge_request_digest (struct edge_request *request);
+/** Returns whether the route and the account allow the request, with its body,
+ *  to be sent to hosts in the availability zone. */
+bool edge_request_allows_zone (const struct edge_request *request,
+                               const char *availability_zone);
 /** Refuses a request that has not run when a graceful stop has gone on for so
  *  long that its run may be cut off, and returns true. */
 bool edge_request_refuse_late (struct edge_request *request);
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -62,6 +62,8 @@
   uint32_t full_count;
   uint32_t resting_count;
   uint64_t rest_left_ms;
+  /* Targets outside of the regions that the request is bound to. */
+  uint32_t outside_count;
   /* Time of the choice, and the same as base_clock_steady_wall_ms. */
   uint64_t now_ms;
   uint64_t steady_ms;
@@ -110,6 +112,11 @@
   if (choice->count == CANDIDATES_MAX
       || !edge_version_may_serve (request, target))
     return;
+  if (!edge_request_allows_zone (request, target->record.availability_zone))
+    {
+      choice->outside_count++;
+      return;
+    }
   if (!has_room (choice, target))
     return;
   bool is_relayed = edge_reach_needs_relay (request->edge, target);
@@ -324,6 +331,7 @@
   choice->full_count = 0;
   choice->resting_count = 0;
   choice->rest_left_ms = 0;
+  choice->outside_count = 0;
   choice->now_ms = edge_now_ms ();
   choice->steady_ms = base_clock_steady_wall_ms ();
   edge_targets_visit (request->edge->targets, request->service->name,
@@ -342,7 +350,7 @@
   const struct edge_peer *peer = NULL;
   if (edge_reach_needs_relay (edge, target))
     {
-      peer = edge_reach_choose_peer (edge, target, now_ms);
+      peer = edge_reach_choose_peer (edge, target, request, now_ms);
       bool is_hopeless = !peer || target->path.relay == EDGE_PATH_RELAY_FAILS;
       if (is_hopeless && !edge_path_take_try (&target->path, now_ms))
         return false;
@@ -362,6 +370,20 @@
   choice->targets[index] = choice->targets[choice->count];
 }
 
+/* Rejects a request whose service has targets only in regions that it is not
+   allowed to reach. */
+static void
+reject_outside (struct edge_request *request)
+{
+  const struct edge_account *account = request->account;
+  base_counter_add (request->edge->counters.region_rejected, 1);
+  give_up (request, NO_TARGET_RETRY_AFTER_MS,
+           edge_regions_overlap (request->route->regions,
+                                 account ? account->regions : NULL)
+               ? "no target in an allowed region is available"
+               : "the route and the account allow no common region");
+}
+
 /* Has the request wait, or rejects it, since no target takes it now. */
 static void
 handle_no_candidate (struct edge_request *request, const struct choice *choice,
@@ -383,6 +405,8 @@
   else if (is_unreachable)
     give_up (request, NO_TARGET_RETRY_AFTER_MS,
              "no router reaches a target of the service");
+  else if (choice->outside_count > 0)
+    reject_outside (request);
   else
     give_up (request, NO_TARGET_RETRY_AFTER_MS,
              request->build == 0
--- a/src/edge_table.c
+++ b/src/edge_table.c
@@ -36,6 +36,7 @@
   g_free (route->host);
   g_free (route->path_prefix);
   g_free (route->shares);
+  edge_regions_destroy (route->regions);
   g_free (route);
 }
 
@@ -43,6 +44,7 @@
 free_account (gpointer data)
 {
   struct edge_account *account = data;
+  edge_regions_destroy (account->regions);
   g_free (account->name);
   g_free (account);
 }
--- a/src/edge_table.h
+++ b/src/edge_table.h
@@ -10,6 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "edge_regions.h"
+
 /** Kind of a route, which decides what may be retried. */
 enum edge_route_kind
 {
@@ -42,7 +44,7 @@
   uint32_t weight;
 };
 
-/** A client account. */
+/** A client account, which owns its name and regions. */
 struct edge_account
 {
   char *name;
@@ -51,9 +53,11 @@
   uint32_t priority;
   bool is_prepaid;
   uint64_t prepaid_tokens;
+  /** Regions in which its requests may be served; NULL: any. */
+  struct edge_regions *regions;
 };
 
-/** A route, which owns its strings and shares. */
+/** A route, which owns its strings, shares and regions. */
 struct edge_route
 {
   char *name;
@@ -75,6 +79,9 @@
   uint32_t max_attempts;
   struct edge_route_share *shares;
   uint32_t share_count;
+  /** Regions in which requests may be served; NULL: any.  Where the account
+   *  has some too, both bind. */
+  struct edge_regions *regions;
 };
 
 struct edge_table;
--- a/tests/test_edge_reach.c
+++ b/tests/test_edge_reach.c
@@ -232,8 +232,9 @@
 {
   uint32_t zone = world->targets[target].zone;
   const struct edge_peers_wish wish
-      = { zone_name (zone), distance (router->zone, zone),
-          &router->known[target].path };
+      = { .availability_zone = zone_name (zone),
+          .distance = distance (router->zone, zone),
+          .path = &router->known[target].path };
   return edge_peers_choose (router->peers, &wish, world->now_ms,
                             base_random_next (&world->random));
 }
@@ -676,6 +677,49 @@
     }
 }
 
+static bool
+is_named_by (const void *context, const char *availability_zone)
+{
+  return strcmp (context, availability_zone) == 0;
+}
+
+/* Only routers in zones that the request may go to are asked, however far they
+   are. */
+static void
+test_zones_that_may_pass (void)
+{
+  static const char *const zones[] = { "z1", "z2", "z3" };
+  struct edge_peers *peers = edge_peers_create ();
+  const struct edge_path path = { .is_lost = true };
+  for (size_t i = 0; i < G_N_ELEMENTS (zones); i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "router-%zu", i);
+      struct control_router_record record
+          = { .name = name,
+              .address = (char[]){ "10.0.0.1" },
+              .relay_port = 9,
+              .availability_zone = (char *)zones[i] };
+      edge_peers_merge (peers, 0, &record,
+                        i == 2 ? PLACE_OTHER_REGION : PLACE_SAME_ZONE);
+    }
+  for (uint64_t i = 0; i < 100; i++)
+    {
+      const struct edge_peers_wish wish = { .availability_zone = "z1",
+                                            .distance = PLACE_SAME_ZONE,
+                                            .path = &path,
+                                            .may_pass = is_named_by,
+                                            .context = "z3" };
+      struct edge_peers_wish other = wish;
+      other.context = "z4";
+      const struct edge_peer *peer
+          = edge_peers_choose (peers, &wish, 1000, i * 77);
+      g_assert_cmpstr (peer->availability_zone, ==, "z3");
+      g_assert_null (edge_peers_choose (peers, &other, 1000, i * 77));
+    }
+  edge_peers_destroy (peers);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -694,5 +738,7 @@
                    test_malformed_statement);
   g_test_add_func ("/edge-reach/rejections-of-a-brittle-target",
                    test_rejections_of_a_brittle_target);
+  g_test_add_func ("/edge-reach/zones-that-may-pass",
+                   test_zones_that_may_pass);
   return g_test_run ();
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -66,6 +66,109 @@
   platform_config_destroy (config);
 }
 
+/* Parses a document with these regions of a route and of an account.  Returns
+   NULL when it is invalid and writes the first finding into @p finding. */
+static struct platform_config *
+read_bound_config (const char *route, const char *account, char *finding,
+                   size_t bytes)
+{
+  char *text = g_strdup_printf (
+      "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\","
+      "\"pathPrefix\":\"/a/\",\"kind\":\"safe\",\"timeoutMs\":9,"
+      "\"service\":\"s\"%s}],\"services\":[{\"name\":\"s\"}],"
+      "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"]%s}]}",
+      route, account);
+  struct base_findings *findings = base_findings_create ();
+  struct platform_config *config
+      = platform_config_read (text, strlen (text), findings);
+  g_assert_true (config != NULL || base_findings_count (findings) == 1);
+  g_snprintf (finding, bytes, "%s: %s",
+              config ? "" : base_findings_place (findings, 0),
+              config ? "" : base_findings_text (findings, 0));
+  base_findings_destroy (findings);
+  g_free (text);
+  return config;
+}
+
+static void
+test_config_regions (void)
+{
+  char finding[200];
+  struct platform_config *config = read_bound_config (
+      ",\"allowedRegions\":[\"north\",\"east\",\"north\"]",
+      ",\"allowedRegions\":[\"east\"]", finding, sizeof finding);
+  g_assert_nonnull (config);
+  struct edge_table *table = platform_config_table (config);
+  const struct edge_route *route
+      = edge_table_find_route (table, "h.example", "/a/1");
+  const struct edge_account *account
+      = edge_table_find_account_by_key (table, "k");
+  g_assert_cmpuint (edge_regions_count (route->regions), ==, 2);
+  g_assert_true (edge_regions_allow (route->regions, NULL, "north"));
+  g_assert_true (
+      edge_regions_allow (route->regions, account->regions, "east"));
+  g_assert_false (
+      edge_regions_allow (route->regions, account->regions, "north"));
+  platform_config_destroy (config);
+  /* None, or an empty list, allows any region. */
+  config = read_bound_config (",\"allowedRegions\":[]", "", finding,
+                              sizeof finding);
+  g_assert_nonnull (config);
+  table = platform_config_table (config);
+  g_assert_null (edge_table_find_route (table, "h.example", "/a/1")->regions);
+  g_assert_null (edge_table_find_account_by_key (table, "k")->regions);
+  platform_config_destroy (config);
+  /* A region that nothing is in, and an account that the route leaves no
+     region, are the operator's choice. */
+  config = read_bound_config (",\"allowedRegions\":[\"moon\"]",
+                              ",\"allowedRegions\":[\"mars\"]", finding,
+                              sizeof finding);
+  g_assert_nonnull (config);
+  table = platform_config_table (config);
+  g_assert_false (edge_regions_overlap (
+      edge_table_find_route (table, "h.example", "/a/1")->regions,
+      edge_table_find_account_by_key (table, "k")->regions));
+  platform_config_destroy (config);
+}
+
+/* What can't be read as a list of regions is refused with its place, rather
+   than taken for any region. */
+static void
+test_invalid_config_regions (void)
+{
+  static const struct
+  {
+    const char *value;
+    const char *text;
+  } cases[] = {
+    { "\"north\"", "must be an array" },
+    { "null", "must be an array" },
+    { "{\"north\":true}", "must be an array" },
+    { "7", "must be an array" },
+    { "false", "must be an array" },
+    { "[7]", "each region must be a non-empty string" },
+    { "[\"north\",null]", "each region must be a non-empty string" },
+    { "[[\"north\"]]", "each region must be a non-empty string" },
+    { "[\"\"]", "each region must be a non-empty string" },
+  };
+  char finding[200];
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *field = g_strdup_printf (",\"allowedRegions\":%s", cases[i].value);
+      char *expected
+          = g_strdup_printf ("routes[0].allowedRegions: %s", cases[i].text);
+      g_assert_null (read_bound_config (field, "", finding, sizeof finding));
+      g_assert_cmpstr (finding, ==, expected);
+      g_free (expected);
+      expected
+          = g_strdup_printf ("tenants[0].allowedRegions: %s", cases[i].text);
+      g_assert_null (read_bound_config ("", field, finding, sizeof finding));
+      g_assert_cmpstr (finding, ==, expected);
+      g_free (expected);
+      g_free (field);
+    }
+}
+
 static void
 test_invalid_configs (void)
 {
@@ -430,6 +533,9 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/platform/target-statements", test_target_statements);
   g_test_add_func ("/platform/config", test_config);
+  g_test_add_func ("/platform/config-regions", test_config_regions);
+  g_test_add_func ("/platform/invalid-config-regions",
+                   test_invalid_config_regions);
   g_test_add_func ("/platform/invalid-configs", test_invalid_configs);
   g_test_add_func ("/platform/cut-configs", test_cut_configs);
   g_test_add_func ("/platform/announcements", test_announcements);
--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -18,23 +18,32 @@
   g_snprintf (address, 16, "127.0.0.%u", core + 2);
 }
 
+/* Where a process is. */
+struct place
+{
+  const char *address;
+  const char *zone;
+  const char *region;
+};
+
 /* Writes a settings file in the format of the deployment template. */
 static char *
 write_settings (struct platform_rig *rig, const char *name,
-                const char *address, uint16_t rpc_port, const char *listen,
+                const struct place *place, const char *listen,
                 bool is_first_start)
 {
+  unsigned rpc_port = rig->rpc_port;
   char *path = g_strdup_printf ("%s/%s.settings", rig->folder, name);
   char *data = g_strdup_printf ("%s/%s", rig->folder, name);
   char *text = g_strdup_printf (
-      "[process]\nhost=%s\naddress=%s\navailability-zone=z1\nregion=r1\n"
+      "[process]\nhost=%s\naddress=%s\navailability-zone=%s\nregion=%s\n"
       "bootstrap=%s\ndata-dir=%s\nfirst-port=%u\nlast-port=%u\n"
       "members=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1\nannounce-ms=1000\n"
       "tolerated-hosts=1\n[listen]\n%s[limits]\ngrace-s=8\n"
       "retry-ratio=0.5\nretry-window-s=10\nretry-slack=100\n"
-      "[regions]\nz1=r1\n",
-      name, address, is_first_start ? "true" : "false", data,
-      (unsigned)rpc_port, (unsigned)rpc_port + 9, listen);
+      "[regions]\nz1=r1\nz2=r2\n",
+      name, place->address, place->zone, place->region,
+      is_first_start ? "true" : "false", data, rpc_port, rpc_port + 9, listen);
   g_mkdir_with_parents (data, 0700);
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
@@ -55,14 +64,15 @@
 }
 
 static struct fleet_process *
-start_entry (struct platform_rig *rig, const char *name, const char *address)
+start_entry (struct platform_rig *rig, const char *name,
+             const struct place *place)
 {
-  char *listen = g_strdup_printf ("callers=%s:%u\nready=%s:%u\n", address,
-                                  (unsigned)rig->callers_port, address,
-                                  (unsigned)rig->ready_port);
-  struct fleet_process *process = start_process (
-      rig, name, rig->entry_program,
-      write_settings (rig, name, address, rig->rpc_port, listen, true));
+  char *listen = g_strdup_printf ("callers=%s:%u\nready=%s:%u\n",
+                                  place->address, (unsigned)rig->callers_port,
+                                  place->address, (unsigned)rig->ready_port);
+  struct fleet_process *process
+      = start_process (rig, name, rig->entry_program,
+                       write_settings (rig, name, place, listen, true));
   g_free (listen);
   return process;
 }
@@ -72,14 +82,14 @@
 {
   char address[16];
   char name[16];
+  const struct place place = { address, "z1", "r1" };
   core_address (core, address);
   g_snprintf (name, sizeof name, "core-%u", core);
   char *listen = g_strdup_printf ("control=%s:%u\n", address,
                                   (unsigned)rig->control_port);
-  struct fleet_process *process
-      = start_process (rig, name, rig->core_program,
-                       write_settings (rig, name, address, rig->rpc_port,
-                                       listen, is_first_start));
+  struct fleet_process *process = start_process (
+      rig, name, rig->core_program,
+      write_settings (rig, name, &place, listen, is_first_start));
   g_free (listen);
   return process;
 }
@@ -94,13 +104,21 @@
 void
 platform_rig_add_entry (struct platform_rig *rig, char address[16])
 {
+  platform_rig_add_entry_in (rig, "z1", "r1", address);
+}
+
+void
+platform_rig_add_entry_in (struct platform_rig *rig, const char *zone,
+                           const char *region, char address[16])
+{
+  const struct place place = { address, zone, region };
   char name[16];
   uint32_t index = rig->more_entry_count++;
   g_assert_cmpuint (index, <, PLATFORM_RIG_ENTRIES_MAX);
   g_assert_null (rig->more_core);
   g_snprintf (address, 16, "127.0.0.%u", PLATFORM_RIG_CORES + 2 + index);
   g_snprintf (name, sizeof name, "entry-%u", index + 2);
-  rig->more_entries[index] = start_entry (rig, name, address);
+  rig->more_entries[index] = start_entry (rig, name, &place);
 }
 
 struct platform_rig *
@@ -159,7 +177,8 @@
   rig->ready_port = fleet_free_port ("127.0.0.1");
   for (uint32_t i = 0; i < PLATFORM_RIG_CORES; i++)
     rig->cores[i] = start_core (rig, i, true);
-  rig->entry = start_entry (rig, "entry", "127.0.0.1");
+  rig->entry
+      = start_entry (rig, "entry", &(struct place){ "127.0.0.1", "z1", "r1" });
   return rig;
 }
 
@@ -294,11 +313,12 @@
 {
   char *path = g_strdup_printf ("/v1/replicas/%s", target->id);
   char *body = g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\","
       "\"version\":\"%s\",\"slots\":64,\"state\":\"ready\",\"seq\":%u,"
-      "\"born\":%" G_GUINT64_FORMAT "}",
-      target->service, (unsigned)target->port, target->version,
-      target->sequence, target->born_ms);
+      "\"coldLeftMs\":%u,\"born\":%" G_GUINT64_FORMAT "}",
+      target->service, (unsigned)target->port,
+      target->zone ? target->zone : "z1", target->version, target->sequence,
+      target->cold_left_ms, target->born_ms);
   long status = platform_rig_call_control (rig, core, "PUT", path, body);
   g_free (body);
   g_free (path);
--- a/tools/platform_rig.h
+++ b/tools/platform_rig.h
@@ -68,6 +68,10 @@
 /** Starts another router, whose ports are those of the first.  Returns its
  *  address in @p address. */
 void platform_rig_add_entry (struct platform_rig *rig, char address[16]);
+/** The same in another availability zone: "z1" is in region "r1", "z2" in
+ *  "r2"; all other processes are in "z1". */
+void platform_rig_add_entry_in (struct platform_rig *rig, const char *zone,
+                                const char *region, char address[16]);
 /** Kills the processes and removes their files. */
 void platform_rig_destroy (struct platform_rig *rig);
 /** Makes one HTTP call with the headers @p lines ("Name: value", ended by
@@ -106,6 +110,10 @@
   /** Start time of its run, in milliseconds. */
   uint64_t born_ms;
   uint32_t sequence;
+  /** Availability zone; NULL: "z1". */
+  const char *zone;
+  /** Time for which it stays cold, in milliseconds. */
+  uint32_t cold_left_ms;
 };
 /** Announces a ready target to control member @p core.  Returns whether the
  *  member took it. */
