--- a/src/edge.h
+++ b/src/edge.h
@@ -90,6 +90,9 @@
   struct base_counter *room_rejected;
   /** Whether the host's link is too busy for new connections. */
   struct base_counter *link_closed;
+  /** Requests rejected since no target in a region that they are bound to is
+   *  available. */
+  struct base_counter *region_rejected;
   /** Connections passed on for other routers, and those that were not. */
   struct base_counter *relayed;
   struct base_counter *relay_refused;
