Keep evacuated availability zones in control's replicated log

What operators lacked: an order that no new request is sent to the targets of a zone, which outlives restarts and lost disks, and its withdrawal. Change: control_evacuations is part of the replicated state. An order names the newest change that its member knew when it came; one that a counterpart overtook is not applied, so that a copy that was held up undoes nothing. Watch calls carry the list behind what earlier builds read, with whether the member is up to date.

--- a/src/consensus.h
+++ b/src/consensus.h
@@ -155,6 +155,9 @@
 /** Whether this member is the leader and has committed an entry of its term.
  */
 bool consensus_is_ready (const struct consensus *consensus);
+/** Whether this member has applied all that was committed, as of the last
+ *  message of a leader that had committed an entry of its term. */
+bool consensus_is_current (const struct consensus *consensus);
 /** Id of the current leader; 0 when none is known. */
 uint64_t consensus_leader_id (const struct consensus *consensus);
 /** Current term. */
--- a/src/consensus_follower.c
+++ b/src/consensus_follower.c
@@ -60,6 +60,7 @@
 {
   uint64_t previous = message->log_index;
   uint64_t last = previous + message->entries.entries_len;
+  consensus->leader_commit_index = message->commit_index;
   /* Committed entries are the same in the log of every leader. */
   bool agrees = previous <= consensus->commit_index
                 || (consensus_log_has_term (consensus->log, previous)
--- a/src/consensus_state.h
+++ b/src/consensus_state.h
@@ -72,6 +72,9 @@
   enum consensus_phase phase;
   /** Id of the leader; 0 when none is known. */
   uint64_t leader;
+  /** What a leader last told as committed, also where this member lacks it;
+   *  0 before the first such message since the start. */
+  uint64_t leader_commit_index;
   uint64_t commit_index;
   uint64_t applied_index;
   uint64_t persisted_index;
--- a/src/consensus_view.c
+++ b/src/consensus_view.c
@@ -92,6 +92,20 @@
          && consensus->commit_index >= consensus->term_start_index;
 }
 
+bool
+consensus_is_current (const struct consensus *consensus)
+{
+  uint64_t applied = consensus->applied_index;
+  if (consensus->phase == CONSENSUS_LEADER)
+    return consensus_is_ready (consensus)
+           && applied >= consensus->commit_index;
+  return consensus->leader != 0 && consensus->leader_commit_index > 0
+         && applied >= consensus->leader_commit_index
+         && consensus_log_has_term (consensus->log, applied)
+         && consensus_log_term (consensus->log, applied)
+                == consensus->vote.term;
+}
+
 uint64_t
 consensus_leader_id (const struct consensus *consensus)
 {
--- a/src/control_calls.c
+++ b/src/control_calls.c
@@ -25,9 +25,11 @@
   struct control_document_args document;
   struct control_read_args read;
   struct control_router_args router;
-  struct control_watch_args watch;
+  struct control_watch_call watch;
   struct control_fetch_args fetch;
   struct control_streams_args streams;
+  struct control_evacuation_args evacuation;
+  struct control_evacuation_list_args evacuation_list;
 };
 
 /* Result of any call; each begins with a control_answer. */
@@ -45,9 +47,11 @@
   struct control_document_result document;
   struct control_read_result read;
   struct control_router_result router;
-  struct control_watch_result watch;
+  struct control_watch_answer watch;
   struct control_fetch_result fetch;
   struct control_streams_result streams;
+  struct control_evacuation_result evacuation;
+  struct control_evacuation_list_result evacuation_list;
 };
 
 /* Codecs of a procedure, and the command that carries its arguments in the
@@ -84,9 +88,13 @@
   [CONTROL_READ] = PROCEDURE (read_args, read_result, 0),
   [CONTROL_LEASE]
   = PROCEDURE (router_args, router_result, CONTROL_COMMAND_ROUTER),
-  [CONTROL_WATCH] = PROCEDURE (watch_args, watch_result, 0),
+  [CONTROL_WATCH] = PROCEDURE (watch_call, watch_answer, 0),
   [CONTROL_FETCH] = PROCEDURE (fetch_args, fetch_result, 0),
   [CONTROL_STREAMS] = PROCEDURE (streams_args, streams_result, 0),
+  [CONTROL_EVACUATION]
+  = PROCEDURE (evacuation_args, evacuation_result, CONTROL_COMMAND_EVACUATION),
+  [CONTROL_EVACUATION_LIST]
+  = PROCEDURE (evacuation_list_args, evacuation_list_result, 0),
 };
 
 void
@@ -111,7 +119,7 @@
   else if (procedure == CONTROL_CLAIM)
     result.claim.state = CONTROL_CLAIM_RUNNING;
   else if (procedure == CONTROL_WATCH)
-    result.watch.availability_zone = strdup ("");
+    result.watch.result.availability_zone = strdup ("");
   wire_call_reply (call, procedures[procedure].result_codec, &result);
   xdr_free (procedures[procedure].result_codec, (char *)&result);
 }
@@ -303,6 +311,30 @@
   propose_call (daemon, call, CONTROL_PUSH, args);
 }
 
+/* Proposes an order, unless its zone is in none of this member's settings.  A
+   zone that is evacuated can be taken back in any case. */
+static void
+handle_evacuation (struct control_daemon *daemon, struct wire_call *call,
+                   const union call_args *args)
+{
+  const struct control_daemon_options *options = &daemon->options;
+  const char *zone = args->evacuation.availability_zone;
+  bool is_known
+      = (options->knows_zone && options->knows_zone (options->zones, zone))
+        || control_evacuations_has (control_state_evacuations (daemon->state),
+                                    zone);
+  if (!options->knows_zone)
+    control_call_reply_status (
+        daemon, call, CONTROL_EVACUATION, CONTROL_REFUSED,
+        "the routers of this cluster know no evacuations");
+  else if (is_known || !control_evacuations_is_name (zone))
+    propose_call (daemon, call, CONTROL_EVACUATION, args);
+  else
+    control_call_reply_status (daemon, call, CONTROL_EVACUATION,
+                               CONTROL_NOT_FOUND,
+                               "the availability zone is unknown");
+}
+
 static void
 handle_member_change (struct control_daemon *daemon, struct wire_call *call,
                       const union call_args *args)
@@ -349,6 +381,8 @@
     handle_read (daemon, call, procedure, args, now_ms);
   else if (procedure == CONTROL_PUSH)
     handle_push (daemon, call, args);
+  else if (procedure == CONTROL_EVACUATION)
+    handle_evacuation (daemon, call, args);
   else if (procedure == CONTROL_MEMBER_CHANGE)
     handle_member_change (daemon, call, args);
   else
@@ -404,6 +438,8 @@
     reply_status (daemon, call);
   else if (procedure == CONTROL_WATCH)
     control_watch_handle (daemon->watch, call, &args.watch, now_ms);
+  else if (procedure == CONTROL_EVACUATION_LIST)
+    control_watch_list_evacuations (daemon->watch, call, now_ms);
   else if (procedure == CONTROL_FETCH)
     control_fetch_handle (daemon, call, &args.fetch);
   else if (procedure == CONTROL_STREAMS)
--- a/src/control_counters.c
+++ b/src/control_counters.c
@@ -1,6 +1,7 @@
 #include "control_internal.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 
 #include "base_clock.h"
 #include "base_log.h"
@@ -47,12 +48,41 @@
             leader, consensus_term (daemon->consensus));
 }
 
+/* Logs each state of the evacuations once, also the one that a member has
+   after its start. */
+static void
+log_evacuations (struct control_daemon *daemon)
+{
+  const struct control_evacuations_set *evacuations
+      = control_state_evacuations (daemon->state);
+  struct control_evacuation *zones = NULL;
+  uint64_t change = control_evacuations_change (evacuations);
+  if (change == atomic_load (&daemon->evacuations_change))
+    return;
+  atomic_store (&daemon->evacuations_change, change);
+  uint32_t count = control_evacuations_copy (evacuations, &zones);
+  base_counter_set (daemon->counters.evacuated_zones, count);
+  base_counter_set (daemon->counters.evacuations_change, change);
+  base_log (BASE_LOG_NOTICE, "evacuations change=%" PRIu64 " zones=%" PRIu32,
+            change, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      base_log (BASE_LOG_NOTICE,
+                "zone-evacuated zone=%s since_ms=%" PRIu64 " change=%" PRIu64,
+                zones[i].availability_zone, (uint64_t)zones[i].since_ms,
+                (uint64_t)zones[i].change);
+      xdr_free ((xdrproc_t)xdr_control_evacuation, (char *)&zones[i]);
+    }
+  free (zones);
+}
+
 void
 control_counters_update (struct control_daemon *daemon)
 {
   struct control_counters *counters = &daemon->counters;
   log_leader (daemon);
   log_leaderless (daemon);
+  log_evacuations (daemon);
   base_counter_set (counters->leader, consensus_is_ready (daemon->consensus));
   base_counter_set (counters->term, consensus_term (daemon->consensus));
   base_counter_set (
@@ -110,6 +140,10 @@
       = base_metrics_gauge (metrics, "cactus_control_bundle_version", NULL);
   counters->claims
       = base_metrics_gauge (metrics, "cactus_control_claims", NULL);
+  counters->evacuated_zones
+      = base_metrics_gauge (metrics, "cactus_control_evacuated_zones", NULL);
+  counters->evacuations_change = base_metrics_gauge (
+      metrics, "cactus_control_evacuations_change", NULL);
   counters->written_off_open = base_metrics_gauge (
       metrics, "cactus_control_written_off_tokens", "part=\"open\"");
   counters->written_off_unreported = base_metrics_gauge (
--- a/src/control_daemon.c
+++ b/src/control_daemon.c
@@ -542,6 +542,12 @@
   return daemon->identity.incarnation;
 }
 
+uint64_t
+control_daemon_evacuations_change (const struct control_daemon *daemon)
+{
+  return atomic_load (&daemon->evacuations_change);
+}
+
 GBytes *
 control_daemon_document (struct control_daemon *daemon, uint64_t *version)
 {
--- a/src/control_daemon.h
+++ b/src/control_daemon.h
@@ -48,6 +48,11 @@
   uint32_t heartbeat_ms;
   /** Lifetime of a session without a heartbeat, in milliseconds. */
   uint32_t lease_ms;
+  /** Returns whether operators may evacuate this availability zone; NULL:
+   * none, since the cluster's routers don't know evacuations.  Called on the
+   * daemon's thread, with @ref zones. */
+  bool (*knows_zone) (const void *zones, const char *zone);
+  const void *zones;
   /** Number of applied entries after which a snapshot replaces them. */
   uint64_t snapshot_entries;
   struct base_metrics *metrics;
@@ -84,6 +89,10 @@
  *  there is none.  The caller frees it with g_bytes_unref.  Thread-safe. */
 GBytes *control_daemon_document (struct control_daemon *daemon,
                                  uint64_t *version);
+/** Returns the newest change of evacuations that this member has applied.
+ *  Thread-safe. */
+uint64_t
+control_daemon_evacuations_change (const struct control_daemon *daemon);
 /** Returns the incarnation of the data folder. */
 uint64_t control_daemon_incarnation (const struct control_daemon *daemon);
 /** Returns whether a leader is known.  Thread-safe. */
--- a/src/control_internal.h
+++ b/src/control_internal.h
@@ -42,6 +42,9 @@
   struct base_counter *streams_noted;
   struct base_counter *streams_dropped;
   struct base_counter *streams_kept;
+  /** Zones that are evacuated, and the newest change. */
+  struct base_counter *evacuated_zones;
+  struct base_counter *evacuations_change;
   struct base_counter *written_off_open;
   struct base_counter *written_off_unreported;
   /** Duration of end_round, from the last call of a round to the replies, in
@@ -99,6 +102,8 @@
   /** 0, or -1 after an I/O error in the data folder or a malformed snapshot,
    *  which ends control_daemon_run. */
   int failure;
+  /** Newest change of evacuations that was logged, for all threads. */
+  atomic_uint_least64_t evacuations_change;
   atomic_bool stopping;
   atomic_bool ready;
 };
--- a/src/control_routers.c
+++ b/src/control_routers.c
@@ -16,6 +16,8 @@
   struct control_router_record record;
   uint64_t change;
   uint64_t called_ms;
+  /* Newest change of evacuations that is in force at the router. */
+  uint64_t evacuations;
 };
 
 struct control_routers
@@ -99,6 +101,32 @@
   entry->change = ++routers->change;
 }
 
+void
+control_routers_note_evacuations (struct control_routers *routers,
+                                  const char *name, uint64_t change)
+{
+  struct entry *entry = g_hash_table_lookup (routers->entries, name);
+  if (entry)
+    entry->evacuations = change;
+}
+
+uint32_t
+control_routers_count_evacuations (struct control_routers *routers,
+                                   uint64_t change, uint64_t now_ms)
+{
+  GHashTableIter iterator;
+  gpointer value;
+  uint32_t count = 0;
+  g_hash_table_iter_init (&iterator, routers->entries);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct entry *entry = value;
+      count += now_ms <= entry->called_ms + routers->timeout_ms
+               && entry->evacuations >= change;
+    }
+  return count;
+}
+
 uint32_t
 control_routers_expire (struct control_routers *routers, uint64_t now_ms)
 {
--- a/src/control_routers.h
+++ b/src/control_routers.h
@@ -20,6 +20,14 @@
 void control_routers_note_call (struct control_routers *routers,
                                 const struct control_router_record *record,
                                 uint64_t now_ms);
+/** Notes up to which change of evacuations the named router, which has called,
+ *  has them in force. */
+void control_routers_note_evacuations (struct control_routers *routers,
+                                       const char *name, uint64_t change);
+/** Returns the number of routers that have called lately and have the change
+ *  of evacuations in force; all of them for change 0. */
+uint32_t control_routers_count_evacuations (struct control_routers *routers,
+                                            uint64_t change, uint64_t now_ms);
 /** Marks routers that have stopped calling, and forgets those that did so long
  *  ago.  Returns the number of the others. */
 uint32_t control_routers_expire (struct control_routers *routers,
--- a/src/control_state.c
+++ b/src/control_state.c
@@ -19,6 +19,7 @@
   struct control_prepaid *prepaid;
   struct control_quarantine *quarantine;
   struct control_limits *limits;
+  struct control_evacuations_set *evacuations;
 };
 
 struct control_state *
@@ -34,6 +35,7 @@
   state->prepaid = control_prepaid_create ();
   state->quarantine = control_quarantine_create ();
   state->limits = control_limits_create ();
+  state->evacuations = control_evacuations_create ();
   return state;
 }
 
@@ -51,6 +53,7 @@
   control_prepaid_destroy (state->prepaid);
   control_quarantine_destroy (state->quarantine);
   control_limits_destroy (state->limits);
+  control_evacuations_destroy (state->evacuations);
   g_free (state);
 }
 
@@ -242,6 +245,12 @@
       apply_router (state, &body->control_command_body_u.router,
                     command->wall_ms, &outcome->result.router);
       break;
+    case CONTROL_COMMAND_EVACUATION:
+      outcome->codec = (xdrproc_t)xdr_control_evacuation_result;
+      control_evacuations_order (state->evacuations,
+                                 &body->control_command_body_u.evacuation,
+                                 state->wall_ms, &outcome->result.evacuation);
+      break;
     }
 }
 
@@ -313,53 +322,102 @@
   return data;
 }
 
-/* Encodes the image and what follows it. */
+/* What a snapshot holds, in this order. */
+struct images
+{
+  struct control_state_image state;
+  /* Since version 3 of the protocol. */
+  struct control_reports_image reports;
+  /* Since version 4. */
+  struct control_routers_image routers;
+  /* Once a zone was evacuated: what no such order changed is written as by
+     builds that don't know them. */
+  struct control_evacuations_image evacuations;
+};
+
+static bool
+code_snapshot (XDR *stream, struct images *images)
+{
+  return xdr_control_state_image (stream, &images->state)
+         && xdr_control_reports_image (stream, &images->reports)
+         && xdr_control_routers_image (stream, &images->routers)
+         && (images->evacuations.change == 0
+             || xdr_control_evacuations_image (stream, &images->evacuations));
+}
+
+static void
+clear_images (struct images *images)
+{
+  xdr_free ((xdrproc_t)xdr_control_state_image, (char *)&images->state);
+  xdr_free ((xdrproc_t)xdr_control_reports_image, (char *)&images->reports);
+  xdr_free ((xdrproc_t)xdr_control_routers_image, (char *)&images->routers);
+  xdr_free ((xdrproc_t)xdr_control_evacuations_image,
+            (char *)&images->evacuations);
+}
+
 static char *
-encode_snapshot (struct control_state_image *image,
-                 struct control_reports_image *reports,
-                 struct control_routers_image *routers, uint32_t *bytes)
+encode_snapshot (struct images *images, uint32_t *bytes)
 {
   XDR stream;
-  *bytes
-      = (uint32_t)(xdr_sizeof ((xdrproc_t)xdr_control_state_image, image)
-                   + xdr_sizeof ((xdrproc_t)xdr_control_reports_image, reports)
-                   + xdr_sizeof ((xdrproc_t)xdr_control_routers_image,
-                                 routers));
-  char *data = g_malloc (*bytes + 1);
+  uint64_t size
+      = xdr_sizeof ((xdrproc_t)xdr_control_state_image, &images->state)
+        + xdr_sizeof ((xdrproc_t)xdr_control_reports_image, &images->reports)
+        + xdr_sizeof ((xdrproc_t)xdr_control_routers_image, &images->routers);
+  if (images->evacuations.change > 0)
+    size += xdr_sizeof ((xdrproc_t)xdr_control_evacuations_image,
+                        &images->evacuations);
+  *bytes = (uint32_t)size;
+  char *data = g_malloc (size + 1);
   xdrmem_create (&stream, data, *bytes, XDR_ENCODE);
-  xdr_control_state_image (&stream, image);
-  xdr_control_reports_image (&stream, reports);
-  xdr_control_routers_image (&stream, routers);
+  code_snapshot (&stream, images);
   XDR_DESTROY (&stream);
   return data;
 }
 
+/* Decodes what a build of any version wrote.  Sets @p has_reports. */
+static bool
+decode_snapshot (const char *data, uint32_t bytes, struct images *images,
+                 bool *has_reports)
+{
+  XDR stream;
+  xdrmem_create (&stream, (char *)data, bytes, XDR_DECODE);
+  bool is_valid = xdr_control_state_image (&stream, &images->state);
+  *has_reports = is_valid && xdr_getpos (&stream) < bytes;
+  if (*has_reports)
+    is_valid = xdr_control_reports_image (&stream, &images->reports);
+  if (is_valid && xdr_getpos (&stream) < bytes)
+    is_valid = xdr_control_routers_image (&stream, &images->routers);
+  if (is_valid && xdr_getpos (&stream) < bytes)
+    is_valid = xdr_control_evacuations_image (&stream, &images->evacuations);
+  XDR_DESTROY (&stream);
+  return is_valid;
+}
+
 char *
 control_state_save (struct control_state *state, uint32_t *bytes)
 {
-  struct control_state_image image = { 0 };
-  struct control_reports_image reports = { 0 };
-  struct control_routers_image routers = { 0 };
+  struct images images = { 0 };
+  struct control_state_image *image = &images.state;
   GByteArray *pool = g_byte_array_new ();
-  image.wall_ms = state->wall_ms;
-  control_bundles_save (state->bundles, &image);
-  control_processes_save (state->processes, &image);
-  control_claims_save (state->claims, &image);
-  image.drained.drained_len
-      = control_drains_copy (state->drains, &image.drained.drained_val);
+  image->wall_ms = state->wall_ms;
+  control_bundles_save (state->bundles, image);
+  control_processes_save (state->processes, image);
+  control_claims_save (state->claims, image);
+  image->drained.drained_len
+      = control_drains_copy (state->drains, &image->drained.drained_val);
   escrow_pool_save (state->pool, pool);
-  save_document (state, &image);
-  control_prepaid_save (state->prepaid, &image, &reports);
-  control_quarantine_save (state->quarantine, &reports.quarantine, &routers);
-  control_limits_save (state->limits, &routers.limits);
-  image.pool.pool_len = pool->len;
-  image.pool.pool_val = (char *)pool->data;
-  char *data = encode_snapshot (&image, &reports, &routers, bytes);
-  image.pool.pool_val = NULL;
-  image.pool.pool_len = 0;
-  xdr_free ((xdrproc_t)xdr_control_state_image, (char *)&image);
-  xdr_free ((xdrproc_t)xdr_control_reports_image, (char *)&reports);
-  xdr_free ((xdrproc_t)xdr_control_routers_image, (char *)&routers);
+  save_document (state, image);
+  control_prepaid_save (state->prepaid, image, &images.reports);
+  control_quarantine_save (state->quarantine, &images.reports.quarantine,
+                           &images.routers);
+  control_limits_save (state->limits, &images.routers.limits);
+  control_evacuations_save (state->evacuations, &images.evacuations);
+  image->pool.pool_len = pool->len;
+  image->pool.pool_val = (char *)pool->data;
+  char *data = encode_snapshot (&images, bytes);
+  image->pool.pool_val = NULL;
+  image->pool.pool_len = 0;
+  clear_images (&images);
   g_byte_array_unref (pool);
   return data;
 }
@@ -368,43 +426,32 @@
 control_state_load (struct control_state *state, const char *data,
                     uint32_t bytes)
 {
-  struct control_state_image image = { 0 };
-  struct control_reports_image reports = { 0 };
-  struct control_routers_image routers = { 0 };
-  XDR stream;
+  struct images images = { 0 };
+  const struct control_state_image *image = &images.state;
+  bool has_reports = false;
   size_t used = 0;
   int status = -1;
-  xdrmem_create (&stream, (char *)data, bytes, XDR_DECODE);
-  bool is_valid = xdr_control_state_image (&stream, &image);
-  /* Snapshots of builds of protocol version 2 end here. */
-  bool has_reports = is_valid && xdr_getpos (&stream) < bytes;
-  if (has_reports)
-    is_valid = xdr_control_reports_image (&stream, &reports);
-  /* Those of version 3 end here. */
-  if (is_valid && xdr_getpos (&stream) < bytes)
-    is_valid = xdr_control_routers_image (&stream, &routers);
-  if (is_valid && control_bundles_load (state->bundles, &image) == 0
-      && escrow_pool_load (state->pool, (const uint8_t *)image.pool.pool_val,
-                           image.pool.pool_len, &used)
+  if (decode_snapshot (data, bytes, &images, &has_reports)
+      && control_bundles_load (state->bundles, image) == 0
+      && escrow_pool_load (state->pool, (const uint8_t *)image->pool.pool_val,
+                           image->pool.pool_len, &used)
              == 0
-      && load_document (state, &image))
+      && load_document (state, image))
     {
-      state->wall_ms = image.wall_ms;
-      control_processes_load (state->processes, &image);
-      control_claims_load (state->claims, &image);
-      control_drains_load (state->drains, image.drained.drained_val,
-                           image.drained.drained_len);
-      control_prepaid_load (state->prepaid, &image,
-                            has_reports ? &reports : NULL);
-      control_quarantine_load (state->quarantine, &reports.quarantine,
-                               &routers);
-      control_limits_load (state->limits, &routers.limits);
+      state->wall_ms = image->wall_ms;
+      control_processes_load (state->processes, image);
+      control_claims_load (state->claims, image);
+      control_drains_load (state->drains, image->drained.drained_val,
+                           image->drained.drained_len);
+      control_prepaid_load (state->prepaid, image,
+                            has_reports ? &images.reports : NULL);
+      control_quarantine_load (state->quarantine, &images.reports.quarantine,
+                               &images.routers);
+      control_limits_load (state->limits, &images.routers.limits);
+      control_evacuations_load (state->evacuations, &images.evacuations);
       status = 0;
     }
-  XDR_DESTROY (&stream);
-  xdr_free ((xdrproc_t)xdr_control_state_image, (char *)&image);
-  xdr_free ((xdrproc_t)xdr_control_reports_image, (char *)&reports);
-  xdr_free ((xdrproc_t)xdr_control_routers_image, (char *)&routers);
+  clear_images (&images);
   return status;
 }
 
@@ -467,3 +514,9 @@
 {
   return state->limits;
 }
+
+struct control_evacuations_set *
+control_state_evacuations (struct control_state *state)
+{
+  return state->evacuations;
+}
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -10,6 +10,7 @@
 #include "control_claims.h"
 #include "control_documents.h"
 #include "control_drains.h"
+#include "control_evacuations.h"
 #include "control_prepaid.h"
 #include "control_processes.h"
 #include "control_limits.h"
@@ -35,6 +36,7 @@
     /** Result of CONTROL_COMMAND_LEASE_2 and _LEASE_3. */
     struct control_lease_result lease;
     struct control_router_result router;
+    struct control_evacuation_result evacuation;
     /** Result of CONTROL_COMMAND_FINISH, _DRAIN, _REGISTER and _LAPSE. */
     struct control_answer answer;
   } result;
@@ -83,5 +85,7 @@
 struct control_quarantine *
 control_state_quarantine (struct control_state *state);
 struct control_limits *control_state_limits (struct control_state *state);
+struct control_evacuations_set *
+control_state_evacuations (struct control_state *state);
 
 #endif
--- a/src/control_watch.c
+++ b/src/control_watch.c
@@ -27,6 +27,10 @@
   uint64_t suspects_version;
   /* Version of the router's list of limited targets. */
   uint64_t limits_version;
+  /* Newest change of evacuations that the router knows, if it knows of them.
+   */
+  bool has_evacuations;
+  uint64_t evacuations_change;
   /* Change number up to which the router, named so, knows the others. */
   uint64_t routers_change;
   char *router;
@@ -77,10 +81,29 @@
   g_free (watch);
 }
 
+/* Fills in what follows the result. */
+static void
+fill_evacuations (const struct control_daemon *daemon,
+                  const struct watcher *watcher,
+                  struct control_watch_answer *answer)
+{
+  const struct control_evacuations_set *evacuations
+      = control_state_evacuations (daemon->state);
+  uint64_t change = control_evacuations_change (evacuations);
+  answer->has_evacuations = watcher->has_evacuations;
+  answer->evacuations.is_current = consensus_is_current (daemon->consensus);
+  if (!watcher->has_evacuations || change <= watcher->evacuations_change)
+    return;
+  answer->evacuations.list_version = change;
+  answer->evacuations.zones.zones_len = control_evacuations_copy (
+      evacuations, &answer->evacuations.zones.zones_val);
+}
+
 static void
 reply (struct control_watch *watch, const struct watcher *watcher,
        uint64_t now_ms)
 {
+  struct control_watch_answer answer = { 0 };
   struct control_watch_result result = { 0 };
   struct control_daemon *daemon = watch->daemon;
   result.answer.leader_address = strdup ("");
@@ -111,9 +134,11 @@
       &result.changed_routers.changed_routers_val);
   result.members.members_len
       = control_members_list (daemon, &result.members.members_val);
-  wire_call_reply (watcher->call, (xdrproc_t)xdr_control_watch_result,
-                   &result);
-  xdr_free ((xdrproc_t)xdr_control_watch_result, (char *)&result);
+  answer.result = result;
+  fill_evacuations (daemon, watcher, &answer);
+  wire_call_reply (watcher->call, (xdrproc_t)xdr_control_watch_answer,
+                   &answer);
+  xdr_free ((xdrproc_t)xdr_control_watch_answer, (char *)&answer);
 }
 
 static bool
@@ -130,13 +155,19 @@
                 control_state_quarantine (daemon->state))
                 > watcher->suspects_version
          || control_limits_version (control_state_limits (daemon->state))
-                > watcher->limits_version;
+                > watcher->limits_version
+         || (watcher->has_evacuations
+             && control_evacuations_change (
+                    control_state_evacuations (daemon->state))
+                    > watcher->evacuations_change);
 }
 
 void
 control_watch_handle (struct control_watch *watch, struct wire_call *call,
-                      const struct control_watch_args *args, uint64_t now_ms)
+                      const struct control_watch_call *watch_call,
+                      uint64_t now_ms)
 {
+  const struct control_watch_args *args = &watch_call->args;
   struct watcher *watcher = g_new0 (struct watcher, 1);
   bool is_member = control_targets_sync_is_member (args);
   if (is_member)
@@ -144,12 +175,18 @@
         watch->daemon->targets_sync, args->router,
         args->epoch == watch->epoch ? args->change : 0, now_ms);
   else
-    control_routers_note_call (watch->routers, &args->self, now_ms);
+    {
+      control_routers_note_call (watch->routers, &args->self, now_ms);
+      control_routers_note_evacuations (watch->routers, args->self.name,
+                                        watch_call->evacuations.in_force);
+    }
   watcher->call = call;
   watcher->change = args->epoch == watch->epoch ? args->change : 0;
   watcher->document_version = args->document_version;
   watcher->suspects_version = args->suspects_version;
   watcher->limits_version = args->limits_version;
+  watcher->has_evacuations = watch_call->has_evacuations;
+  watcher->evacuations_change = watch_call->evacuations.from_member;
   watcher->routers_change
       = args->epoch == watch->epoch ? args->routers_change : 0;
   if (is_member)
@@ -161,6 +198,35 @@
   g_ptr_array_add (watch->waiting, watcher);
 }
 
+void
+control_watch_list_evacuations (struct control_watch *watch,
+                                struct wire_call *call, uint64_t now_ms)
+{
+  struct control_evacuation_list_result result = { 0 };
+  struct control_evacuation *zones = NULL;
+  const struct control_evacuations_set *evacuations
+      = control_state_evacuations (watch->daemon->state);
+  uint32_t count = control_evacuations_copy (evacuations, &zones);
+  result.answer.leader_address = strdup ("");
+  result.answer.text = strdup ("");
+  result.change = control_evacuations_change (evacuations);
+  result.routers
+      = control_routers_count_evacuations (watch->routers, 0, now_ms);
+  result.zones.zones_len = count;
+  result.zones.zones_val = calloc (count + 1, sizeof *result.zones.zones_val);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      result.zones.zones_val[i].evacuation = zones[i];
+      result.zones.zones_val[i].routers_in_force
+          = control_routers_count_evacuations (watch->routers, zones[i].change,
+                                               now_ms);
+    }
+  free (zones);
+  wire_call_reply (call, (xdrproc_t)xdr_control_evacuation_list_result,
+                   &result);
+  xdr_free ((xdrproc_t)xdr_control_evacuation_list_result, (char *)&result);
+}
+
 static void
 expire_targets (struct control_watch *watch, uint64_t now_ms)
 {
--- a/src/control_watch.h
+++ b/src/control_watch.h
@@ -7,7 +7,7 @@
 
 #include <stdint.h>
 
-#include "wire_control.h"
+#include "control_watch_codec.h"
 #include "wire_server.h"
 
 struct control_daemon;
@@ -19,8 +19,11 @@
 void control_watch_destroy (struct control_watch *watch);
 /** Adds a call, which control_watch_reply_due replies to. */
 void control_watch_handle (struct control_watch *watch, struct wire_call *call,
-                           const struct control_watch_args *args,
+                           const struct control_watch_call *watch_call,
                            uint64_t now_ms);
+/** Answers CONTROL_EVACUATION_LIST. */
+void control_watch_list_evacuations (struct control_watch *watch,
+                                     struct wire_call *call, uint64_t now_ms);
 /** Replies to the calls that have something newer or have timed out, and marks
  *  silent targets. */
 void control_watch_reply_due (struct control_watch *watch, uint64_t now_ms);
--- a/src/wire_control.h
+++ b/src/wire_control.h
@@ -694,6 +694,66 @@
 	} piece;
 };
 typedef struct control_fetch_result control_fetch_result;
+#define CONTROL_EVACUATIONS_MAX 256
+
+struct control_evacuation_args {
+	wire_name cluster;
+	wire_name availability_zone;
+	bool_t evacuate;
+	u_quad_t after_change;
+};
+typedef struct control_evacuation_args control_evacuation_args;
+
+struct control_evacuation_result {
+	control_answer answer;
+	u_quad_t change;
+};
+typedef struct control_evacuation_result control_evacuation_result;
+
+struct control_evacuation {
+	wire_name availability_zone;
+	u_quad_t since_ms;
+	u_quad_t change;
+};
+typedef struct control_evacuation control_evacuation;
+
+struct control_evacuations_known {
+	u_quad_t from_member;
+	u_quad_t in_force;
+};
+typedef struct control_evacuations_known control_evacuations_known;
+
+struct control_evacuations {
+	bool_t is_current;
+	u_quad_t list_version;
+	struct {
+		u_int zones_len;
+		control_evacuation *zones_val;
+	} zones;
+};
+typedef struct control_evacuations control_evacuations;
+
+struct control_evacuation_list_args {
+	wire_name cluster;
+};
+typedef struct control_evacuation_list_args control_evacuation_list_args;
+
+struct control_evacuation_status {
+	control_evacuation evacuation;
+	u_int routers_in_force;
+};
+typedef struct control_evacuation_status control_evacuation_status;
+
+struct control_evacuation_list_result {
+	control_answer answer;
+	u_quad_t change;
+	u_int routers;
+	struct {
+		u_int zones_len;
+		control_evacuation_status *zones_val;
+	} zones;
+};
+typedef struct control_evacuation_list_result control_evacuation_list_result;
 #define CONTROL_EDITS_MAX 262144
 
 struct control_edit {
@@ -729,6 +789,7 @@
 	CONTROL_COMMAND_LEASE_2 = 10,
 	CONTROL_COMMAND_LEASE_3 = 11,
 	CONTROL_COMMAND_ROUTER = 12,
+	CONTROL_COMMAND_EVACUATION = 13,
 };
 typedef enum control_command_kind control_command_kind;
 
@@ -771,6 +832,7 @@
 		control_lease_args_2 lease_2;
 		control_lease_args lease_3;
 		control_router_args router;
+		control_evacuation_args evacuation;
 	} control_command_body_u;
 };
 typedef struct control_command_body control_command_body;
@@ -1024,6 +1086,22 @@
 	} requests;
 };
 typedef struct control_routers_image control_routers_image;
+
+struct control_evacuation_image {
+	control_evacuation evacuation;
+	bool_t is_evacuated;
+};
+typedef struct control_evacuation_image control_evacuation_image;
+
+struct control_evacuations_image {
+	u_quad_t change;
+	u_quad_t forgotten_change;
+	struct {
+		u_int zones_len;
+		control_evacuation_image *zones_val;
+	} zones;
+};
+typedef struct control_evacuations_image control_evacuations_image;
 #define CONTROL_STREAMS_MAX 1024
 
 struct control_stream {
@@ -1109,6 +1187,12 @@
 #define CONTROL_STREAMS 17
 extern  enum clnt_stat control_streams_6(control_streams_args , control_streams_result *, CLIENT *);
 extern  bool_t control_streams_6_svc(control_streams_args , control_streams_result *, struct svc_req *);
+#define CONTROL_EVACUATION 18
+extern  enum clnt_stat control_evacuation_6(control_evacuation_args , control_evacuation_result *, CLIENT *);
+extern  bool_t control_evacuation_6_svc(control_evacuation_args , control_evacuation_result *, struct svc_req *);
+#define CONTROL_EVACUATION_LIST 19
+extern  enum clnt_stat control_evacuation_list_6(control_evacuation_list_args , control_evacuation_list_result *, CLIENT *);
+extern  bool_t control_evacuation_list_6_svc(control_evacuation_list_args , control_evacuation_list_result *, struct svc_req *);
 extern int control_program_6_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -1163,6 +1247,12 @@
 #define CONTROL_STREAMS 17
 extern  enum clnt_stat control_streams_6();
 extern  bool_t control_streams_6_svc();
+#define CONTROL_EVACUATION 18
+extern  enum clnt_stat control_evacuation_6();
+extern  bool_t control_evacuation_6_svc();
+#define CONTROL_EVACUATION_LIST 19
+extern  enum clnt_stat control_evacuation_list_6();
+extern  bool_t control_evacuation_list_6_svc();
 extern int control_program_6_freeresult ();
 #endif /* K&R C */
 
@@ -1231,6 +1321,14 @@
 extern  bool_t xdr_control_watch_result (XDR *, control_watch_result*);
 extern  bool_t xdr_control_fetch_args (XDR *, control_fetch_args*);
 extern  bool_t xdr_control_fetch_result (XDR *, control_fetch_result*);
+extern  bool_t xdr_control_evacuation_args (XDR *, control_evacuation_args*);
+extern  bool_t xdr_control_evacuation_result (XDR *, control_evacuation_result*);
+extern  bool_t xdr_control_evacuation (XDR *, control_evacuation*);
+extern  bool_t xdr_control_evacuations_known (XDR *, control_evacuations_known*);
+extern  bool_t xdr_control_evacuations (XDR *, control_evacuations*);
+extern  bool_t xdr_control_evacuation_list_args (XDR *, control_evacuation_list_args*);
+extern  bool_t xdr_control_evacuation_status (XDR *, control_evacuation_status*);
+extern  bool_t xdr_control_evacuation_list_result (XDR *, control_evacuation_list_result*);
 extern  bool_t xdr_control_edit (XDR *, control_edit*);
 extern  bool_t xdr_control_difference (XDR *, control_difference*);
 extern  bool_t xdr_control_command_kind (XDR *, control_command_kind*);
@@ -1257,6 +1355,8 @@
 extern  bool_t xdr_control_limits_image (XDR *, control_limits_image*);
 extern  bool_t xdr_control_request_image (XDR *, control_request_image*);
 extern  bool_t xdr_control_routers_image (XDR *, control_routers_image*);
+extern  bool_t xdr_control_evacuation_image (XDR *, control_evacuation_image*);
+extern  bool_t xdr_control_evacuations_image (XDR *, control_evacuations_image*);
 extern  bool_t xdr_control_stream (XDR *, control_stream*);
 extern  bool_t xdr_control_streams_args (XDR *, control_streams_args*);
 extern  bool_t xdr_control_streams_result (XDR *, control_streams_result*);
@@ -1324,6 +1424,14 @@
 extern bool_t xdr_control_watch_result ();
 extern bool_t xdr_control_fetch_args ();
 extern bool_t xdr_control_fetch_result ();
+extern bool_t xdr_control_evacuation_args ();
+extern bool_t xdr_control_evacuation_result ();
+extern bool_t xdr_control_evacuation ();
+extern bool_t xdr_control_evacuations_known ();
+extern bool_t xdr_control_evacuations ();
+extern bool_t xdr_control_evacuation_list_args ();
+extern bool_t xdr_control_evacuation_status ();
+extern bool_t xdr_control_evacuation_list_result ();
 extern bool_t xdr_control_edit ();
 extern bool_t xdr_control_difference ();
 extern bool_t xdr_control_command_kind ();
@@ -1350,6 +1458,8 @@
 extern bool_t xdr_control_limits_image ();
 extern bool_t xdr_control_request_image ();
 extern bool_t xdr_control_routers_image ();
+extern bool_t xdr_control_evacuation_image ();
+extern bool_t xdr_control_evacuations_image ();
 extern bool_t xdr_control_stream ();
 extern bool_t xdr_control_streams_args ();
 extern bool_t xdr_control_streams_result ();
--- a/src/wire_control.x
+++ b/src/wire_control.x
@@ -1,7 +1,7 @@
 /* Protocol of control, used by routers, ledgers and operators.  Calls are
    answered by the leader, except for CONTROL_STATUS, CONTROL_WATCH,
-   CONTROL_FETCH and CONTROL_STREAMS; another member answers
-   CONTROL_NOT_LEADER, with the leader's address if it knows it. */
+   CONTROL_FETCH, CONTROL_STREAMS and CONTROL_EVACUATION_LIST; another member
+   answers CONTROL_NOT_LEADER, with the leader's address if it knows it. */
 %#include "wire_common.h"
 
 const CONTROL_DOCUMENT_BYTES = 8388608;
@@ -672,6 +672,74 @@
   opaque piece<CONTROL_FETCH_PIECE_BYTES>;
 };
 
+/* Orders that no new request is sent to the targets of an availability zone,
+   or withdraws that.  after_change is the newest change of evacuations that
+   the caller knew when the order came to it: where a counterpart was accepted
+   since, the order gets CONTROL_CONFLICT, so that a copy that was held up
+   undoes nothing that was accepted meanwhile. */
+const CONTROL_EVACUATIONS_MAX = 256;
+
+struct control_evacuation_args
+{
+  wire_name cluster;
+  wire_name availability_zone;
+  bool evacuate;
+  unsigned hyper after_change;
+};
+
+struct control_evacuation_result
+{
+  control_answer answer;
+  unsigned hyper change;          /* the newest one, of any zone */
+};
+
+struct control_evacuation
+{
+  wire_name availability_zone;
+  unsigned hyper since_ms;        /* wall time of the order */
+  unsigned hyper change;
+};
+
+/* Follows the arguments of CONTROL_WATCH, from routers since these exist;
+   members without them ignore it. */
+struct control_evacuations_known
+{
+  unsigned hyper from_member;     /* newest change that the member told */
+  unsigned hyper in_force;        /* and the newest in force at the router */
+};
+
+/* Follows the result of CONTROL_WATCH where the arguments had
+   control_evacuations_known. */
+struct control_evacuations
+{
+  bool is_current;                /* the member has applied all that was
+                                     accepted, as far as it can know */
+  unsigned hyper list_version;    /* the newest change; 0: nothing newer than
+                                     what the router knows */
+  control_evacuation zones<CONTROL_EVACUATIONS_MAX>;
+};
+
+/* Which zones are evacuated, as any member has it, and how many of the routers
+   that lately called it have that in force. */
+struct control_evacuation_list_args
+{
+  wire_name cluster;
+};
+
+struct control_evacuation_status
+{
+  control_evacuation evacuation;
+  unsigned int routers_in_force;
+};
+
+struct control_evacuation_list_result
+{
+  control_answer answer;
+  unsigned hyper change;
+  unsigned int routers;
+  control_evacuation_status zones<CONTROL_EVACUATIONS_MAX>;
+};
+
 /* The difference between two configuration documents: for each edit, insert
    is appended to the result, then copy_bytes at copy_offset of the older
    document. */
@@ -707,7 +775,9 @@
   /* Written by builds of the protocol's versions 2 and 3. */
   CONTROL_COMMAND_LEASE_2 = 10,
   CONTROL_COMMAND_LEASE_3 = 11,
-  CONTROL_COMMAND_ROUTER = 12
+  CONTROL_COMMAND_ROUTER = 12,
+  /* Builds without it skip the entry: their state doesn't change. */
+  CONTROL_COMMAND_EVACUATION = 13
 };
 
 struct control_lease_ask_2
@@ -757,6 +827,8 @@
   control_lease_args lease_3;
 case CONTROL_COMMAND_ROUTER:
   control_router_args router;
+case CONTROL_COMMAND_EVACUATION:
+  control_evacuation_args evacuation;
 };
 
 struct control_command
@@ -944,6 +1016,21 @@
   control_request_image requests<>;
 };
 
+/* Follows control_routers_image in a snapshot once a zone was evacuated.  Zones
+   that were taken back are kept for the order of their changes. */
+struct control_evacuation_image
+{
+  control_evacuation evacuation;
+  bool is_evacuated;
+};
+
+struct control_evacuations_image
+{
+  unsigned hyper change;
+  unsigned hyper forgotten_change; /* the newest of a zone that is not kept */
+  control_evacuation_image zones<CONTROL_EVACUATIONS_MAX>;
+};
+
 /* Builds (a service at one software version, as a digest) that began streams.
    Any member takes notes from routers and answers from those that it has: it
    keeps them in memory, for CONTROL_STREAMS_KEEP_MS at least. */
@@ -990,5 +1077,8 @@
     control_watch_result CONTROL_WATCH (control_watch_args) = 15;
     control_fetch_result CONTROL_FETCH (control_fetch_args) = 16;
     control_streams_result CONTROL_STREAMS (control_streams_args) = 17;
+    control_evacuation_result CONTROL_EVACUATION (control_evacuation_args) = 18;
+    control_evacuation_list_result
+    CONTROL_EVACUATION_LIST (control_evacuation_list_args) = 19;
   } = 6;
 } = 0x20CAC702;
--- a/src/wire_control_xdr.c
+++ b/src/wire_control_xdr.c
@@ -1255,6 +1255,114 @@
 	return TRUE;
 }
 
+bool_t
+xdr_control_evacuation_args (XDR *xdrs, control_evacuation_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->cluster))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->availability_zone))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->evacuate))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->after_change))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_evacuation_result (XDR *xdrs, control_evacuation_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_evacuation (XDR *xdrs, control_evacuation *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->availability_zone))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_evacuations_known (XDR *xdrs, control_evacuations_known *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->from_member))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->in_force))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_evacuations (XDR *xdrs, control_evacuations *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_current))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->list_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, CONTROL_EVACUATIONS_MAX,
+		sizeof (control_evacuation), (xdrproc_t) xdr_control_evacuation))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_evacuation_list_args (XDR *xdrs, control_evacuation_list_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->cluster))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_evacuation_status (XDR *xdrs, control_evacuation_status *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_evacuation (xdrs, &objp->evacuation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->routers_in_force))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_evacuation_list_result (XDR *xdrs, control_evacuation_list_result *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_answer (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->routers))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, CONTROL_EVACUATIONS_MAX,
+		sizeof (control_evacuation_status), (xdrproc_t) xdr_control_evacuation_status))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_edit (XDR *xdrs, control_edit *objp)
 {
@@ -1392,6 +1500,10 @@
 		 if (!xdr_control_router_args (xdrs, &objp->control_command_body_u.router))
 			 return FALSE;
 		break;
+	case CONTROL_COMMAND_EVACUATION:
+		 if (!xdr_control_evacuation_args (xdrs, &objp->control_command_body_u.evacuation))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -1777,6 +1889,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_control_evacuation_image (XDR *xdrs, control_evacuation_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_control_evacuation (xdrs, &objp->evacuation))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_evacuated))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_control_evacuations_image (XDR *xdrs, control_evacuations_image *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->forgotten_change))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->zones.zones_val, (u_int *) &objp->zones.zones_len, CONTROL_EVACUATIONS_MAX,
+		sizeof (control_evacuation_image), (xdrproc_t) xdr_control_evacuation_image))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_control_stream (XDR *xdrs, control_stream *objp)
 {
