Send nothing new to the targets of evacuated zones

Targets in evacuated zones are no candidates, also for permits and for connections that are passed on for other routers. Where all targets are in evacuated zones, requests are rejected at once with the reason.

--- a/src/edge.c
+++ b/src/edge.c
@@ -95,6 +95,12 @@
     = base_metrics_counter (metrics, "edge_streams_taken_up_total", NULL),
     .streams_rejected
     = base_metrics_counter (metrics, "edge_streams_rejected_total", NULL),
+    .evacuated_zones
+    = base_metrics_gauge (metrics, "edge_evacuated_zones", NULL),
+    .evacuations_version
+    = base_metrics_gauge (metrics, "edge_evacuations_version", NULL),
+    .evacuated_rejected
+    = base_metrics_counter (metrics, "edge_evacuated_rejected_total", NULL),
     .table_version = base_metrics_gauge (metrics, "edge_table_version", NULL),
     .targets_changed
     = base_metrics_counter (metrics, "edge_targets_changed_total", NULL),
@@ -137,6 +143,7 @@
   edge->accounts = edge_accounts_create (edge->metrics);
   base_random_seed (&edge->random, base_random_system_seed ());
   edge->targets = edge_targets_create ();
+  edge->evacuations = edge_evacuations_create ();
   edge->peers = edge_peers_create ();
   edge->prepaid = edge_prepaid_create ();
   edge->quarantine = edge_quarantine_create ();
@@ -197,6 +204,7 @@
   router_poll_destroy (edge->loop);
   edge_table_unref (edge->table);
   edge_targets_destroy (edge->targets);
+  edge_evacuations_destroy (edge->evacuations);
   edge_peers_destroy (edge->peers);
   edge_prepaid_destroy (edge->prepaid);
   edge_quarantine_destroy (edge->quarantine);
@@ -278,10 +286,17 @@
   edge->table = table;
 }
 
+bool
+edge_is_informed (const struct edge *edge)
+{
+  return edge->table
+         && edge_evacuations_is_known (edge->evacuations, edge_now_ms ());
+}
+
 bool
 edge_is_ready (const struct edge *edge)
 {
-  return edge->table && !edge->stopping;
+  return edge_is_informed (edge) && !edge->stopping;
 }
 
 static void
--- a/src/edge.h
+++ b/src/edge.h
@@ -16,6 +16,7 @@
 #include "edge_demand.h"
 #include "edge_dialect.h"
 #include "edge_disconnect.h"
+#include "edge_evacuations.h"
 #include "edge_limits.h"
 #include "edge_streams.h"
 #include "edge_peers.h"
@@ -104,6 +105,11 @@
   struct base_counter *streams_taken_up;
   struct base_counter *streams_rejected;
   struct base_counter *table_version;
+  /** Zones that are evacuated, the version of their list, and requests
+   * rejected because all targets are in such zones. */
+  struct base_counter *evacuated_zones;
+  struct base_counter *evacuations_version;
+  struct base_counter *evacuated_rejected;
   struct base_counter *targets_changed;
   struct base_counter *open_requests;
   struct base_counter *log_lines_dropped;
@@ -137,6 +143,7 @@
   /** Active routing table, or NULL before the first one was received. */
   struct edge_table *table;
   struct edge_targets *targets;
+  struct edge_evacuations *evacuations;
   /** The other routers, and the server that passes their connections on, or
    *  NULL. */
   struct edge_peers *peers;
@@ -218,8 +225,11 @@
 /** Activates a routing table unless it is older than the active one.  Call it
  *  on the loop's thread.  Takes ownership of the caller's reference. */
 void edge_set_table (struct edge *edge, struct edge_table *table);
-/** Returns whether the router accepts new callers: it has a routing table and
- *  is not stopping. */
+/** Returns whether the router knows what it needs to send requests: a routing
+ *  table, and which availability zones are evacuated. */
+bool edge_is_informed (const struct edge *edge);
+/** Returns whether the router accepts new callers: it is informed and not
+ *  stopping. */
 bool edge_is_ready (const struct edge *edge);
 
 #endif
--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -157,11 +157,11 @@
                  const struct edge_update *update)
 {
   const struct edge_options *options = &links->edge->options;
-  const char *region = options->region_of (options->region_context,
-                                           update->result.availability_zone);
+  const char *region = options->region_of (
+      options->region_context, update->answer.result.availability_zone);
   edge_reader_report (links->reader, update->source, link->address, link->port,
                       region && strcmp (region, options->region) == 0,
-                      update->result.document_version);
+                      update->answer.result.document_version);
 }
 
 static void
@@ -169,10 +169,10 @@
                uint64_t now_ms)
 {
   struct edge *edge = links->edge;
-  for (u_int i = 0; i < update->result.targets.targets_len; i++)
+  for (u_int i = 0; i < update->answer.result.targets.targets_len; i++)
     {
       const struct control_target *target
-          = &update->result.targets.targets_val[i];
+          = &update->answer.result.targets.targets_val[i];
       if (!edge_targets_merge (edge->targets, update->source, target, now_ms))
         continue;
       base_counter_add (edge->counters.targets_changed, 1);
@@ -191,7 +191,7 @@
 apply_routers (struct edge_links *links, const struct edge_update *update)
 {
   struct edge *edge = links->edge;
-  const struct control_watch_result *result = &update->result;
+  const struct control_watch_result *result = &update->answer.result;
   for (u_int i = 0; i < result->changed_routers.changed_routers_len; i++)
     {
       const struct control_router_record *record
@@ -212,11 +212,39 @@
     }
 }
 
+static void
+apply_evacuations (struct edge_links *links, const struct edge_update *update,
+                   uint64_t now_ms)
+{
+  struct edge *edge = links->edge;
+  struct edge_evacuations *evacuations = edge->evacuations;
+  const struct control_evacuations *list = &update->answer.evacuations;
+  if (!edge_evacuations_apply (
+          evacuations, update->answer.has_evacuations ? list : NULL, now_ms))
+    return;
+  atomic_store (&links->shared.evacuations_version,
+                edge_evacuations_version (evacuations));
+  base_counter_set (edge->counters.evacuated_zones,
+                    edge_evacuations_count (evacuations));
+  base_counter_set (edge->counters.evacuations_version,
+                    edge_evacuations_version (evacuations));
+  base_event ("evacuations-in-force version=%" PRIu64 " zones=%" PRIu32
+              " from=%s",
+              edge_evacuations_version (evacuations),
+              edge_evacuations_count (evacuations),
+              links->links[update->source]->address);
+  for (u_int i = 0; i < list->zones.zones_len; i++)
+    base_event ("zone-evacuated zone=%s since_ms=%" PRIu64 " change=%" PRIu64,
+                list->zones.zones_val[i].availability_zone,
+                (uint64_t)list->zones.zones_val[i].since_ms,
+                (uint64_t)list->zones.zones_val[i].change);
+}
+
 static void
 handle_answer (struct edge_links *links, struct link *link,
                const struct edge_update *update, uint64_t now_ms)
 {
-  const struct control_watch_result *result = &update->result;
+  const struct control_watch_result *result = &update->answer.result;
   if (link->is_unreachable)
     base_event ("member-regained address=%s:%u after_ms=%" PRIu64,
                 link->address, (unsigned)link->port,
@@ -234,6 +262,7 @@
   links->last_answer_ms = now_ms;
   edge_retry_set_routers (links->edge->retry, result->routers);
   edge_prepaid_set_routers (links->edge->prepaid, result->routers);
+  apply_evacuations (links, update, now_ms);
   report_document (links, link, update);
   apply_targets (links, update, now_ms);
   apply_routers (links, update);
--- a/src/edge_permits.c
+++ b/src/edge_permits.c
@@ -34,7 +34,9 @@
   struct edge *edge = collection->edge;
   const struct edge_limit_target key
       = { target->record.name, target->record.born_ms };
-  if (edge_pacing_rest_left_ms (&target->pacing, edge_now_ms ()) > 0)
+  if (edge_pacing_rest_left_ms (&target->pacing, edge_now_ms ()) > 0
+      || edge_evacuations_has (edge->evacuations,
+                               target->record.availability_zone))
     return;
   edge_ask_targets_add (
       &collection->targets, edge->limits, &key,
--- a/src/edge_relay.c
+++ b/src/edge_relay.c
@@ -299,6 +299,9 @@
       || !edge_target_accepts_work (target) || target->record.port != ask.port
       || strcmp (target->record.address, ask.address) != 0)
     return EDGE_TUNNEL_NO_TARGET;
+  if (edge_evacuations_has (edge->evacuations,
+                            target->record.availability_zone))
+    return EDGE_TUNNEL_NO_TARGET;
   if (target->path.is_lost)
     return EDGE_TUNNEL_TARGET_SILENT;
   if (edge_pacing_rest_left_ms (&target->pacing, edge_now_ms ()) > 0
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -143,11 +143,12 @@
 find_route (struct edge_request *request)
 {
   struct edge *edge = request->edge;
-  if (!edge->table)
+  if (!edge_is_informed (edge))
     {
       edge_answer_refuse (request, MHD_HTTP_SERVICE_UNAVAILABLE,
                           ELSEWHERE_RETRY_AFTER_MS,
-                          "no configuration is in force yet");
+                          edge->table ? "the evacuated zones aren't known yet"
+                                      : "no configuration is in force yet");
       return false;
     }
   request->table = edge_table_ref (edge->table);
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -36,6 +36,8 @@
    milliseconds. */
 #define FULL_RETRY_AFTER_MS 150
 #define NO_TARGET_RETRY_AFTER_MS 200
+/* Value of Retry-After when all targets are in evacuated zones, in ms. */
+#define EVACUATED_RETRY_AFTER_MS 1000
 /* Minimum time left before the deadline for a retry, in milliseconds. */
 #define RETRY_TIME_MIN_MS 50
 /* Maximum value of Retry-After when a request or a part of its prompt is
@@ -55,6 +57,8 @@
   struct place_candidate candidates[CANDIDATES_MAX];
   struct edge_target *targets[CANDIDATES_MAX];
   uint32_t count;
+  /* Targets in evacuated zones. */
+  uint32_t evacuated_count;
   /* Limited targets for which there is no permit. */
   uint32_t unpermitted_count;
   /* Targets that have no room, and those that rest, with the shortest time
@@ -110,6 +114,12 @@
   if (choice->count == CANDIDATES_MAX
       || !edge_version_may_serve (request, target))
     return;
+  if (edge_evacuations_has (request->edge->evacuations,
+                            target->record.availability_zone))
+    {
+      choice->evacuated_count++;
+      return;
+    }
   if (!has_room (choice, target))
     return;
   bool is_relayed = edge_reach_needs_relay (request->edge, target);
@@ -320,6 +330,7 @@
   struct choice *choice = g_new (struct choice, 1);
   choice->request = request;
   choice->count = 0;
+  choice->evacuated_count = 0;
   choice->unpermitted_count = 0;
   choice->full_count = 0;
   choice->resting_count = 0;
@@ -380,6 +391,13 @@
   else if (choice->resting_count > 0)
     give_up (request, (uint32_t)choice->rest_left_ms,
              "all targets of the service rest");
+  else if (choice->evacuated_count > 0 && !is_unreachable)
+    {
+      base_counter_add (request->edge->counters.evacuated_rejected, 1);
+      give_up (request, EVACUATED_RETRY_AFTER_MS,
+               "all availability zones with targets of the service are "
+               "evacuated");
+    }
   else if (is_unreachable)
     give_up (request, NO_TARGET_RETRY_AFTER_MS,
              "no router reaches a target of the service");
@@ -426,7 +444,7 @@
   struct choice *choice = find_candidates (request);
   bool found = choice->count > 0 || choice->full_count > 0
                || (choice->unpermitted_count == 0 && choice->resting_count == 0
-                   && request->build == 0);
+                   && choice->evacuated_count == 0 && request->build == 0);
   request->rest_left_ms = !found ? (uint32_t)choice->rest_left_ms : 0;
   g_free (choice);
   return found;
--- a/src/edge_watcher.c
+++ b/src/edge_watcher.c
@@ -24,6 +24,8 @@
   uint64_t suspects_version;
   /* Version of the newest list of limits that the member sent. */
   uint64_t limits_version;
+  /* Version of the newest list of evacuations that the member sent. */
+  uint64_t evacuations_version;
   /* Last change of other routers that was received, within the epoch. */
   uint64_t routers_change;
   atomic_bool stopping;
@@ -34,7 +36,7 @@
 edge_update_free (struct edge_update *update)
 {
   if (update->status == WIRE_OK)
-    xdr_free ((xdrproc_t)xdr_control_watch_result, (char *)&update->result);
+    xdr_free ((xdrproc_t)xdr_control_watch_answer, (char *)&update->answer);
   g_free (update);
 }
 
@@ -46,16 +48,19 @@
       watcher->epoch = 0;
       watcher->suspects_version = 0;
       watcher->limits_version = 0;
+      watcher->evacuations_version = 0;
       return;
     }
-  watcher->epoch = update->result.epoch;
-  watcher->change = update->result.change;
-  watcher->routers_change = update->result.routers_change;
-  watcher->member_version = update->result.document_version;
-  watcher->suspects_version
-      = MAX (watcher->suspects_version, update->result.suspects.list_version);
-  watcher->limits_version
-      = MAX (watcher->limits_version, update->result.limits.list_version);
+  watcher->epoch = update->answer.result.epoch;
+  watcher->change = update->answer.result.change;
+  watcher->routers_change = update->answer.result.routers_change;
+  watcher->member_version = update->answer.result.document_version;
+  watcher->suspects_version = MAX (
+      watcher->suspects_version, update->answer.result.suspects.list_version);
+  watcher->limits_version = MAX (watcher->limits_version,
+                                 update->answer.result.limits.list_version);
+  watcher->evacuations_version = MAX (watcher->evacuations_version,
+                                      update->answer.evacuations.list_version);
 }
 
 /* Makes one watch call and queues its result. */
@@ -63,6 +68,7 @@
 watch_once (struct edge_watcher *watcher)
 {
   struct edge_watcher_shared *shared = watcher->shared;
+  struct control_watch_call call = { .has_evacuations = true };
   struct control_watch_args args = { 0 };
   struct edge_update *update = g_new0 (struct edge_update, 1);
   args.cluster = shared->cluster;
@@ -80,11 +86,15 @@
   args.self.relay_port = atomic_load (&shared->relay_port);
   args.self.is_cut_off = atomic_load (&shared->is_cut_off);
   args.self.demand = atomic_load (&shared->demand);
+  call.args = args;
+  call.evacuations.in_force = atomic_load (&shared->evacuations_version);
+  call.evacuations.from_member
+      = MAX (watcher->evacuations_version, call.evacuations.in_force);
   update->source = watcher->source;
   update->status = wire_client_call (
-      watcher->client, CONTROL_WATCH, (xdrproc_t)xdr_control_watch_args, &args,
-      (xdrproc_t)xdr_control_watch_result, &update->result,
-      sizeof update->result, CALL_TIMEOUT_MS);
+      watcher->client, CONTROL_WATCH, (xdrproc_t)xdr_control_watch_call, &call,
+      (xdrproc_t)xdr_control_watch_answer, &update->answer,
+      sizeof update->answer, CALL_TIMEOUT_MS);
   record_answer (watcher, update);
   bool failed = update->status != WIRE_OK;
   g_async_queue_push (shared->updates, update);
--- a/src/edge_watcher.h
+++ b/src/edge_watcher.h
@@ -12,7 +12,7 @@
 #include <glib.h>
 
 #include "wire_client.h"
-#include "wire_control.h"
+#include "control_watch_codec.h"
 
 /** State that the watchers of a router share. */
 struct edge_watcher_shared
@@ -25,6 +25,8 @@
   atomic_uint relay_port;
   atomic_bool is_cut_off;
   atomic_uint demand;
+  /** Version of the evacuations in force at the router. */
+  atomic_uint_least64_t evacuations_version;
   /** Queue of struct edge_update, read by the loop's thread. */
   GAsyncQueue *updates;
   /** Called by a watcher after it queued an update. */
@@ -40,7 +42,7 @@
   /** Status of the call; unless it is WIRE_OK, the call failed and the result
    *  is unset. */
   enum wire_status status;
-  struct control_watch_result result;
+  struct control_watch_answer answer;
 };
 
 struct edge_watcher;
