--- a/src/ctl_command.h
+++ b/src/ctl_command.h
@@ -122,6 +122,8 @@
 enum ctl_exit ctl_target_list (struct ctl_context *context);
 enum ctl_exit ctl_target_drain (struct ctl_context *context);
 enum ctl_exit ctl_target_undrain (struct ctl_context *context);
+enum ctl_exit ctl_evacuate (struct ctl_context *context);
+enum ctl_exit ctl_return (struct ctl_context *context);
 enum ctl_exit ctl_bills (struct ctl_context *context);
 enum ctl_exit ctl_explain (struct ctl_context *context);
 
--- a/src/ctl_status.c
+++ b/src/ctl_status.c
@@ -7,6 +7,7 @@
 
 #include "base_settings.h"
 #include "ctl_cluster.h"
+#include "ctl_evacuation.h"
 #include "ctl_table.h"
 
 /* Returns the member at @p endpoint from the status's list of members, or
@@ -92,20 +93,29 @@
 }
 
 static void
-print_both (const struct ctl_context *context, const struct ctl_table *members,
-            const struct ctl_table *processes)
+print_all (const struct ctl_context *context, const struct ctl_table *members,
+           const struct ctl_table *processes,
+           const struct ctl_table *evacuations)
 {
   if (!context->options.json)
     {
       ctl_table_print (members, false);
       puts ("");
       ctl_table_print (processes, false);
+      if (evacuations)
+        puts ("");
+      if (evacuations)
+        ctl_table_print (evacuations, false);
       return;
     }
   puts ("{\"members\":");
   ctl_table_print (members, true);
   puts (",\"processes\":");
   ctl_table_print (processes, true);
+  if (evacuations)
+    puts (",\"evacuations\":");
+  if (evacuations)
+    ctl_table_print (evacuations, true);
   puts ("}");
 }
 
@@ -119,13 +129,20 @@
   static const char *const process_columns[]
       = { "kind",     "host",      "availability_zone", "region", "address",
           "rpc_port", "http_port", "bundle_version",    NULL };
+  static const char *const evacuation_columns[]
+      = { "evacuated_zone",   "since_ms", "change",
+          "routers_in_force", "routers",  NULL };
   struct control_status_result leader;
   struct ctl_table *members = ctl_table_create (member_columns);
   struct ctl_table *processes = ctl_table_create (process_columns);
+  struct ctl_table *evacuations = ctl_table_create (evacuation_columns);
   uint32_t answered = list_members (context, members);
   bool has_leader = ctl_fetch_leader_status (context, &leader);
   list_processes (&leader, processes);
-  print_both (context, members, processes);
+  bool has_evacuations = ctl_list_evacuations (context, evacuations) > 0;
+  print_all (context, members, processes,
+             has_evacuations ? evacuations : NULL);
+  ctl_table_destroy (evacuations);
   ctl_table_destroy (members);
   ctl_table_destroy (processes);
   ctl_status_clear (&leader);
