--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -193,6 +193,22 @@
   finish_session (&session, "tests/golden/ctl_budgets.txt");
 }
 
+static void
+test_evacuations (void)
+{
+  struct session session;
+  start_session (&session, 0);
+  run (&session, "evacuate cnx-a");
+  g_assert_cmpstr (session.ctl.evacuated, ==, "cnx-a");
+  run (&session, "status");
+  run (&session, "status --json");
+  run (&session, "evacuate nowhere");
+  run (&session, "evacuate");
+  run (&session, "return cnx-a --json");
+  g_assert_cmpstr (session.ctl.evacuated, ==, "");
+  finish_session (&session, "tests/golden/ctl_evacuations.txt");
+}
+
 static void
 test_others (void)
 {
@@ -255,6 +271,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/ctl/bundles", test_bundles);
   g_test_add_func ("/ctl/budgets", test_budgets);
+  g_test_add_func ("/ctl/evacuations", test_evacuations);
   g_test_add_func ("/ctl/others", test_others);
   g_test_add_func ("/ctl/unreachable", test_unreachable);
   g_test_add_func ("/ctl/keygen", test_keygen);
--- a/tests/test_ctl_fake.h
+++ b/tests/test_ctl_fake.h
@@ -23,6 +23,8 @@
    *  the newest accepted one. */
   uint64_t lagging_version;
   char drained[64];
+  /** The zone that is evacuated, or empty. */
+  char evacuated[64];
 };
 
 static inline void
@@ -185,6 +187,39 @@
   xdr_free ((xdrproc_t)xdr_control_drain_args, (char *)&args);
 }
 
+static inline void
+ctl_fake_evacuation (struct ctl_fake *ctl, struct wire_call *call)
+{
+  struct control_evacuation_args args = { 0 };
+  struct control_evacuation_result result = { 0 };
+  g_assert_true (
+      wire_call_args (call, (xdrproc_t)xdr_control_evacuation_args, &args));
+  bool is_known = strcmp (args.availability_zone, "nowhere") != 0;
+  if (is_known)
+    g_strlcpy (ctl->evacuated, args.evacuate ? args.availability_zone : "",
+               sizeof ctl->evacuated);
+  ctl_fake_answer_fill (&result.answer,
+                        is_known ? CONTROL_OK : CONTROL_NOT_FOUND,
+                        is_known ? "" : "the availability zone is unknown");
+  result.change = 4;
+  wire_call_reply (call, (xdrproc_t)xdr_control_evacuation_result, &result);
+  xdr_free ((xdrproc_t)xdr_control_evacuation_result, (char *)&result);
+  xdr_free ((xdrproc_t)xdr_control_evacuation_args, (char *)&args);
+}
+
+static inline void
+ctl_fake_evacuations (struct ctl_fake *ctl, struct wire_call *call)
+{
+  char empty[] = "";
+  control_evacuation_status zone
+      = { { ctl->evacuated, UINT64_C (1796589504989), 4 }, 2 };
+  struct control_evacuation_list_result result = {
+    { CONTROL_OK, empty, 0, empty }, 4, 3, { *ctl->evacuated ? 1 : 0, &zone }
+  };
+  wire_call_reply (call, (xdrproc_t)xdr_control_evacuation_list_result,
+                   &result);
+}
+
 static inline void
 ctl_fake_answer (struct control_fake *fake, struct wire_call *call)
 {
@@ -209,6 +244,12 @@
     case CONTROL_DRAIN:
       ctl_fake_drain (ctl, call);
       break;
+    case CONTROL_EVACUATION:
+      ctl_fake_evacuation (ctl, call);
+      break;
+    case CONTROL_EVACUATION_LIST:
+      ctl_fake_evacuations (ctl, call);
+      break;
     default:
       wire_call_fail (call);
     }
