--- a/src/control_state.c
+++ b/src/control_state.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base_deflate.h"
+#include "control_state_images.h"
 
 struct control_state
 {
@@ -322,81 +323,10 @@
   return data;
 }
 
-/* What a snapshot holds, in this order. */
-struct images
-{
-  struct control_state_image state;
-  /* Since version 3 of the protocol. */
-  struct control_reports_image reports;
-  /* Since version 4. */
-  struct control_routers_image routers;
-  /* Once a zone was evacuated: what no such order changed is written as by
-     builds that don't know them. */
-  struct control_evacuations_image evacuations;
-};
-
-static bool
-code_snapshot (XDR *stream, struct images *images)
-{
-  return xdr_control_state_image (stream, &images->state)
-         && xdr_control_reports_image (stream, &images->reports)
-         && xdr_control_routers_image (stream, &images->routers)
-         && (images->evacuations.change == 0
-             || xdr_control_evacuations_image (stream, &images->evacuations));
-}
-
-static void
-clear_images (struct images *images)
-{
-  xdr_free ((xdrproc_t)xdr_control_state_image, (char *)&images->state);
-  xdr_free ((xdrproc_t)xdr_control_reports_image, (char *)&images->reports);
-  xdr_free ((xdrproc_t)xdr_control_routers_image, (char *)&images->routers);
-  xdr_free ((xdrproc_t)xdr_control_evacuations_image,
-            (char *)&images->evacuations);
-}
-
-static char *
-encode_snapshot (struct images *images, uint32_t *bytes)
-{
-  XDR stream;
-  uint64_t size
-      = xdr_sizeof ((xdrproc_t)xdr_control_state_image, &images->state)
-        + xdr_sizeof ((xdrproc_t)xdr_control_reports_image, &images->reports)
-        + xdr_sizeof ((xdrproc_t)xdr_control_routers_image, &images->routers);
-  if (images->evacuations.change > 0)
-    size += xdr_sizeof ((xdrproc_t)xdr_control_evacuations_image,
-                        &images->evacuations);
-  *bytes = (uint32_t)size;
-  char *data = g_malloc (size + 1);
-  xdrmem_create (&stream, data, *bytes, XDR_ENCODE);
-  code_snapshot (&stream, images);
-  XDR_DESTROY (&stream);
-  return data;
-}
-
-/* Decodes what a build of any version wrote.  Sets @p has_reports. */
-static bool
-decode_snapshot (const char *data, uint32_t bytes, struct images *images,
-                 bool *has_reports)
-{
-  XDR stream;
-  xdrmem_create (&stream, (char *)data, bytes, XDR_DECODE);
-  bool is_valid = xdr_control_state_image (&stream, &images->state);
-  *has_reports = is_valid && xdr_getpos (&stream) < bytes;
-  if (*has_reports)
-    is_valid = xdr_control_reports_image (&stream, &images->reports);
-  if (is_valid && xdr_getpos (&stream) < bytes)
-    is_valid = xdr_control_routers_image (&stream, &images->routers);
-  if (is_valid && xdr_getpos (&stream) < bytes)
-    is_valid = xdr_control_evacuations_image (&stream, &images->evacuations);
-  XDR_DESTROY (&stream);
-  return is_valid;
-}
-
 char *
 control_state_save (struct control_state *state, uint32_t *bytes)
 {
-  struct images images = { 0 };
+  struct control_state_images images = { 0 };
   struct control_state_image *image = &images.state;
   GByteArray *pool = g_byte_array_new ();
   image->wall_ms = state->wall_ms;
@@ -414,10 +344,10 @@
   control_evacuations_save (state->evacuations, &images.evacuations);
   image->pool.pool_len = pool->len;
   image->pool.pool_val = (char *)pool->data;
-  char *data = encode_snapshot (&images, bytes);
+  char *data = control_state_images_encode (&images, bytes);
   image->pool.pool_val = NULL;
   image->pool.pool_len = 0;
-  clear_images (&images);
+  control_state_images_clear (&images);
   g_byte_array_unref (pool);
   return data;
 }
@@ -426,12 +356,12 @@
 control_state_load (struct control_state *state, const char *data,
                     uint32_t bytes)
 {
-  struct images images = { 0 };
+  struct control_state_images images = { 0 };
   const struct control_state_image *image = &images.state;
   bool has_reports = false;
   size_t used = 0;
   int status = -1;
-  if (decode_snapshot (data, bytes, &images, &has_reports)
+  if (control_state_images_decode (data, bytes, &images, &has_reports)
       && control_bundles_load (state->bundles, image) == 0
       && escrow_pool_load (state->pool, (const uint8_t *)image->pool.pool_val,
                            image->pool.pool_len, &used)
@@ -451,7 +381,7 @@
       control_evacuations_load (state->evacuations, &images.evacuations);
       status = 0;
     }
-  clear_images (&images);
+  control_state_images_clear (&images);
   return status;
 }
 
