Test when a member counts as up to date

/consensus/current and /consensus/current-leader: only with an entry of the current term applied, and all that the leader told as committed.

--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -77,6 +77,80 @@
   return term;
 }
 
+/* Passes in an append of member 2 with @p count empty entries of its term
+   behind @p log_index, and applies what is committed. */
+static void
+append (struct consensus *consensus, uint64_t now_ms, uint64_t term,
+        uint64_t log_index, uint64_t log_term, uint32_t count,
+        uint64_t commit_index)
+{
+  struct consensus_wire_entry entry = { .term = term, .index = log_index + 1 };
+  struct consensus_wire_message message = { .kind = CONSENSUS_APPEND,
+                                            .from_member = 2,
+                                            .from_incarnation = 20,
+                                            .to_member = 1,
+                                            .to_incarnation = 10,
+                                            .term = term,
+                                            .log_index = log_index,
+                                            .log_term = log_term,
+                                            .commit_index = commit_index,
+                                            .entries = { count, &entry } };
+  entry.data.data_val = calloc (1, 1);
+  consensus_step (consensus, now_ms, &message);
+  free (entry.data.data_val);
+  finish_round (consensus, now_ms);
+  while (consensus_next_committed (consensus))
+    continue;
+}
+
+/* A follower is up to date only while it hears a leader that has committed an
+   entry of its term, and has applied all that this one told as committed. */
+static void
+test_current (void)
+{
+  uint64_t now_ms = 0;
+  struct consensus *consensus = make_member ();
+  consensus_start (consensus, now_ms);
+  g_assert_false (consensus_is_current (consensus));
+  append (consensus, now_ms, 5, 1, 1, 0, 1);
+  g_assert_false (consensus_is_current (consensus));
+  append (consensus, now_ms, 5, 1, 1, 1, 1);
+  g_assert_false (consensus_is_current (consensus));
+  append (consensus, now_ms, 5, 2, 5, 0, 2);
+  g_assert_true (consensus_is_current (consensus));
+  append (consensus, now_ms, 5, 2, 5, 0, 3);
+  g_assert_false (consensus_is_current (consensus));
+  append (consensus, now_ms, 5, 2, 5, 1, 3);
+  g_assert_true (consensus_is_current (consensus));
+  append (consensus, now_ms, 6, 3, 5, 0, 3);
+  g_assert_false (consensus_is_current (consensus));
+  append (consensus, now_ms, 6, 3, 5, 1, 4);
+  g_assert_true (consensus_is_current (consensus));
+  start_election (consensus, &now_ms);
+  g_assert_false (consensus_is_current (consensus));
+  consensus_destroy (consensus);
+}
+
+/* A leader is up to date once it has committed an entry of its term. */
+static void
+test_current_leader (void)
+{
+  uint64_t now_ms = 0;
+  struct consensus *consensus = make_member ();
+  consensus_start (consensus, now_ms);
+  uint64_t term = start_election (consensus, &now_ms);
+  answer (consensus, now_ms, CONSENSUS_VOTE_ANSWER, 2, 20, term, 0);
+  finish_round (consensus, now_ms);
+  g_assert_true (consensus_is_leader (consensus));
+  g_assert_false (consensus_is_current (consensus));
+  answer (consensus, now_ms, CONSENSUS_APPEND_ANSWER, 2, 20, term, 2);
+  g_assert_false (consensus_is_current (consensus));
+  while (consensus_next_committed (consensus))
+    continue;
+  g_assert_true (consensus_is_current (consensus));
+  consensus_destroy (consensus);
+}
+
 /* A vote counts only from the incarnation in the configuration. */
 static void
 test_votes_of_other_folders (void)
@@ -227,6 +301,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/consensus/current", test_current);
+  g_test_add_func ("/consensus/current-leader", test_current_leader);
   g_test_add_func ("/consensus/votes_of_other_folders",
                    test_votes_of_other_folders);
   g_test_add_func ("/consensus/acknowledgements_of_other_folders",
