Show what callers outside the limits make a process hold

A router and a control member grow past their machine's memory when callers send many bodies at once and leave them unfinished, send far over the limit, or ask for large answers and streams that they never read.

--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -31,10 +31,11 @@
       "bootstrap=%s\ndata-dir=%s\nfirst-port=%u\nlast-port=%u\n"
       "members=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1\nannounce-ms=1000\n"
       "tolerated-hosts=1\n[listen]\n%s[limits]\ngrace-s=8\n"
-      "retry-ratio=0.5\nretry-window-s=10\nretry-slack=100\n"
+      "retry-ratio=0.5\nretry-window-s=10\nretry-slack=100\n%s"
       "[regions]\nz1=r1\n",
       name, address, is_first_start ? "true" : "false", data,
-      (unsigned)rpc_port, (unsigned)rpc_port + 9, listen);
+      (unsigned)rpc_port, (unsigned)rpc_port + 9, listen,
+      rig->limits ? rig->limits : "");
   g_mkdir_with_parents (data, 0700);
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
@@ -145,11 +146,12 @@
   write_fault (rig, name, "cut", cut);
 }
 
-struct platform_rig *
-platform_rig_create_programs (const char *core_program,
-                              const char *entry_program)
+static struct platform_rig *
+create_rig (const char *core_program, const char *entry_program,
+            const char *limits)
 {
   struct platform_rig *rig = g_new0 (struct platform_rig, 1);
+  rig->limits = limits;
   rig->core_program = core_program;
   rig->entry_program = entry_program;
   rig->folder = g_dir_make_tmp ("platform-XXXXXX", NULL);
@@ -163,6 +165,19 @@
   return rig;
 }
 
+struct platform_rig *
+platform_rig_create_programs (const char *core_program,
+                              const char *entry_program)
+{
+  return create_rig (core_program, entry_program, NULL);
+}
+
+struct platform_rig *
+platform_rig_create_limited (const char *limits)
+{
+  return create_rig ("cactus-core", "cactus-entry", limits);
+}
+
 void
 platform_rig_destroy (struct platform_rig *rig)
 {
--- a/tools/platform_rig.h
+++ b/tools/platform_rig.h
@@ -35,6 +35,8 @@
   uint16_t control_port;
   uint16_t callers_port;
   uint16_t ready_port;
+  /** Further lines of the group [limits] of all settings files, or NULL. */
+  const char *limits;
 };
 
 /** Response to an HTTP call. */
@@ -54,6 +56,9 @@
 /** Like platform_rig_create(), with other programs as members and routers. */
 struct platform_rig *platform_rig_create_programs (const char *core_program,
                                                    const char *entry_program);
+/** Like platform_rig_create(), with further lines of the group [limits] of all
+ *  settings files, which must outlive the rig. */
+struct platform_rig *platform_rig_create_limited (const char *limits);
 /** Starts control member PLATFORM_RIG_CORES, which joins the others; the rig
  *  then can't have more routers. */
 void platform_rig_add_core (struct platform_rig *rig);
