State the machine in the deployment's settings, refuse what can't hold

A memory below 32 MiB or above the host's, or fewer than 256 descriptors, is refused at the start with the setting's name. A body keeps the limit of the configuration that was in force at its head.

--- a/src/edge_callers.c
+++ b/src/edge_callers.c
@@ -79,6 +79,10 @@
   struct edge_callers *callers = g_new0 (struct edge_callers, 1);
   callers->intake = edge_intake_create (limits);
   callers->limits = *limits;
+  base_event ("intake-limits bytes_max=%" PRIu64 " kept_bytes=%" PRIu64
+              " connections_max=%" PRIu32 " body_max=%" PRIu64,
+              limits->bytes_max, limits->kept_bytes, limits->connections_max,
+              edge_intake_body_max (callers->intake));
   callers->bytes = base_metrics_gauge (metrics, "edge_intake_bytes", NULL);
   callers->connections
       = base_metrics_gauge (metrics, "edge_intake_connections", NULL);
@@ -284,9 +288,9 @@
                     struct MHD_Connection *connection, GString *body,
                     uint64_t body_max, enum MHD_Result *result)
 {
-  uint64_t most = MIN (body_max, edge_intake_body_max (callers->intake));
+  caller->body_max = MIN (body_max, edge_intake_body_max (callers->intake));
   caller->announced_bytes = announced_bytes (connection);
-  if (caller->announced_bytes > most)
+  if (caller->announced_bytes > caller->body_max)
     {
       count (callers, REFUSAL_BODY_ANNOUNCED);
       *result = queue_refusal (connection, REFUSAL_BODY_ANNOUNCED);
@@ -321,12 +325,11 @@
 
 bool
 edge_callers_append (struct edge_callers *callers, struct edge_caller *caller,
-                     const char *data, size_t bytes, uint64_t body_max)
+                     const char *data, size_t bytes)
 {
   GString *body = caller->body;
-  uint64_t most = MIN (body_max, edge_intake_body_max (callers->intake));
   uint64_t needed = body->len + bytes;
-  if (needed > most)
+  if (needed > caller->body_max)
     {
       let_go (callers, caller, REFUSAL_BODY_SENT);
       return false;
--- a/src/edge_callers.h
+++ b/src/edge_callers.h
@@ -25,8 +25,10 @@
   int fd;
   /** Body that is being read, or NULL. */
   GString *body;
-  /** Length of the body as announced; 0 without one. */
+  /** Length of the body as announced, or 0, and its limit, which a newer
+   *  configuration doesn't change. */
   uint64_t announced_bytes;
+  uint64_t body_max;
 };
 
 /** Creates an account. */
@@ -53,7 +55,7 @@
  *  refused, and its connection has to be closed. */
 bool edge_callers_append (struct edge_callers *callers,
                           struct edge_caller *caller, const char *data,
-                          size_t bytes, uint64_t body_max);
+                          size_t bytes);
 /** The body is complete. */
 void edge_callers_hold (struct edge_callers *callers,
                         struct edge_caller *caller);
--- a/src/edge_front.c
+++ b/src/edge_front.c
@@ -121,8 +121,7 @@
 append_body (struct edge_front *front, struct call *call, const char *data,
              size_t *bytes)
 {
-  if (!edge_callers_append (front->account, call->caller, data, *bytes,
-                            body_max (front)))
+  if (!edge_callers_append (front->account, call->caller, data, *bytes))
     return MHD_NO;
   *bytes = 0;
   return MHD_YES;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -424,6 +424,44 @@
     }
 }
 
+/* What the machine can't hold is refused with the setting's name. */
+static void
+test_machine_settings (void)
+{
+  static const struct
+  {
+    const char *lines;
+    const char *place;
+  } cases[] = {
+    { "", NULL },
+    { "memory-mb=\nmax-fds=\n", NULL },
+    { "memory-mb=64\nmax-fds=512\n", NULL },
+    { "memory-mb=1\n", "[limits] memory-mb" },
+    { "memory-mb=1000000\n", "[limits] memory-mb" },
+    { "memory-mb=all\n", "[limits] memory-mb" },
+    { "max-fds=200\n", "[limits] max-fds" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct base_findings *findings = base_findings_create ();
+      char *text = g_strdup_printf (
+          "[process]\nhost=h\naddress=10.0.0.1\navailability-zone=z1\n"
+          "region=r1\nfirst-port=7000\nlast-port=7009\n"
+          "members=10.0.0.1:1\n[limits]\n%s[regions]\nz1=r1\n",
+          cases[i].lines);
+      struct platform_settings *settings = read_settings (text, findings);
+      g_assert_true ((settings != NULL) == (cases[i].place == NULL));
+      if (cases[i].place)
+        g_assert_cmpstr (base_findings_place (findings, 0), ==,
+                         cases[i].place);
+      else
+        g_assert_cmpuint (settings->memory_mb, >=, 32);
+      platform_settings_destroy (settings);
+      base_findings_destroy (findings);
+      g_free (text);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -440,6 +478,7 @@
   g_test_add_func ("/platform/settings", test_settings);
   g_test_add_func ("/platform/settings-not-a-number",
                    test_settings_not_a_number);
+  g_test_add_func ("/platform/machine-settings", test_machine_settings);
   g_test_add_func ("/platform/unknown-settings", test_unknown_settings);
   return g_test_run ();
 }
