Keep a member's connections from being taken by silent callers

A control member served at most as many connections as its descriptors allow, and callers that send half a head held all of them for 30 s: operators and targets got no answer there (new case config-silent-heads, which failed with the code before it). For a connection or an ordinary body, a body may have to go after a tenth of a second without movement when there is nothing else.

All 18 cases of test_platform_outside_limits pass.

--- a/src/edge_callers.c
+++ b/src/edge_callers.c
@@ -203,10 +203,12 @@
 }
 
 static struct edge_caller *
-find_victim (struct edge_callers *callers, const struct edge_caller *asking)
+find_victim (struct edge_callers *callers, const struct edge_caller *asking,
+             uint64_t bytes)
 {
   return (struct edge_caller *)edge_intake_find_victim (
-      callers->intake, &asking->entry, now_ms ());
+      callers->intake, &asking->entry, bytes <= EDGE_INTAKE_ORDINARY_BYTES,
+      now_ms ());
 }
 
 static void
@@ -215,7 +217,7 @@
   while (caller->entry.state != EDGE_INTAKE_GOING
          && edge_intake_is_over (callers->intake))
     {
-      struct edge_caller *victim = find_victim (callers, caller);
+      struct edge_caller *victim = find_victim (callers, caller, 0);
       close_caller (callers, victim ? victim : caller,
                     victim && victim->entry.state == EDGE_INTAKE_READING
                         ? REFUSAL_EVICTED
@@ -272,7 +274,7 @@
 {
   while (!edge_intake_body_fits (callers->intake, &caller->entry, bytes))
     {
-      struct edge_caller *victim = find_victim (callers, caller);
+      struct edge_caller *victim = find_victim (callers, caller, bytes);
       if (!victim)
         return false;
       close_caller (callers, victim,
--- a/src/edge_intake.c
+++ b/src/edge_intake.c
@@ -14,6 +14,8 @@
 #define CONNECTIONS_MIN 16u
 #define STILL_MS 1000u
 #define STILL_MAX_MS 30000u
+/* Part of that time for connections and ordinary bodies. */
+#define ORDINARY_DIVISOR 10u
 /* Bytes that count as movement of a body. */
 #define MOVEMENT_BYTES 4096u
 
@@ -170,17 +172,6 @@
   return now_ms > entry->moved_ms ? now_ms - entry->moved_ms : 0;
 }
 
-/* A connection without a request may always have to go: where it does, the
-   caller has lost nothing and can connect again. */
-static bool
-may_have_to_go (const struct edge_intake *intake,
-                const struct edge_intake_entry *entry, uint64_t now_ms)
-{
-  return entry->state == EDGE_INTAKE_IDLE
-         || (entry->state == EDGE_INTAKE_READING
-             && still_ms (entry, now_ms) >= intake->limits.still_ms);
-}
-
 void
 edge_intake_set_unread (struct edge_intake *intake,
                         struct edge_intake_entry *entry, uint64_t bytes)
@@ -204,10 +195,21 @@
     }
 }
 
-struct edge_intake_entry *
-edge_intake_find_victim (const struct edge_intake *intake,
-                         const struct edge_intake_entry *asking,
-                         uint64_t now_ms)
+/* A connection without a request may always have to go: where it does, the
+   caller has lost nothing and can connect again. */
+static bool
+may_have_to_go (const struct edge_intake_entry *entry, uint64_t min_still_ms,
+                uint64_t now_ms)
+{
+  return entry->state == EDGE_INTAKE_IDLE
+         || (entry->state == EDGE_INTAKE_READING
+             && still_ms (entry, now_ms) >= min_still_ms);
+}
+
+static struct edge_intake_entry *
+find_heaviest (const struct edge_intake *intake,
+               const struct edge_intake_entry *asking, uint64_t min_still_ms,
+               uint64_t now_ms)
 {
   struct edge_intake_entry *victim = NULL;
   uint64_t most = 0;
@@ -217,7 +219,7 @@
       uint64_t weight = (entry->connection_bytes + entry->body_bytes)
                         * (still_ms (entry, now_ms) + 1);
       if (entry == asking || weight <= most
-          || !may_have_to_go (intake, entry, now_ms))
+          || !may_have_to_go (entry, min_still_ms, now_ms))
         continue;
       victim = entry;
       most = weight;
@@ -225,6 +227,19 @@
   return victim;
 }
 
+struct edge_intake_entry *
+edge_intake_find_victim (const struct edge_intake *intake,
+                         const struct edge_intake_entry *asking,
+                         bool is_ordinary, uint64_t now_ms)
+{
+  struct edge_intake_entry *victim
+      = find_heaviest (intake, asking, intake->limits.still_ms, now_ms);
+  if (victim || !is_ordinary)
+    return victim;
+  return find_heaviest (intake, asking,
+                        intake->limits.still_ms / ORDINARY_DIVISOR, now_ms);
+}
+
 struct edge_intake_entry *
 edge_intake_find_still (const struct edge_intake *intake, uint64_t now_ms)
 {
--- a/src/edge_intake.h
+++ b/src/edge_intake.h
@@ -118,11 +118,13 @@
                                             struct edge_intake_entry *entry),
                              void *context);
 /** Returns the connection that has to go first, or NULL when none may have to;
- *  @p asking is never returned. */
+ *  @p asking is never returned.  For a new connection or an ordinary body (@p
+ *  is_ordinary) bodies may have to go that have not moved for a tenth of the
+ *  time, if there is nothing else. */
 struct edge_intake_entry *
 edge_intake_find_victim (const struct edge_intake *intake,
                          const struct edge_intake_entry *asking,
-                         uint64_t now_ms);
+                         bool is_ordinary, uint64_t now_ms);
 /** Returns a connection whose body has not moved for the longest time allowed,
  *  or NULL. */
 struct edge_intake_entry *
