--- a/src/edge.h
+++ b/src/edge.h
@@ -64,6 +64,10 @@
   struct edge_retry_limits retry;
   /** Rate of the host's link in Mbit/s; 0 when it is not known. */
   double link_mbps;
+  /** Memory that the process may use, in MiB, and descriptors that it may have
+   *  open. */
+  uint32_t memory_mb;
+  uint32_t descriptors_max;
   /** Time between a stop request and a forced stop, in milliseconds. */
   uint32_t grace_ms;
 };
