--- a/src/edge_answer.c
+++ b/src/edge_answer.c
@@ -147,7 +147,7 @@
       = MHD_create_response_from_buffer (bytes, body, MHD_RESPMEM_MUST_FREE);
   add_target_headers (request, response);
   add_connection_header (request, response);
-  note_passed_on (request, body->len);
+  note_passed_on (request, bytes);
   count_served (request);
   edge_count_outcome (request, EDGE_ACCOUNT_SERVED);
   log_request_end (request, target_response->status, "answered", "-");
