--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -40,14 +40,8 @@
       "bootstrap=%s\ndata-dir=%s\nfirst-port=%u\nlast-port=%u\n"
       "members=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1\nannounce-ms=1000\n"
       "tolerated-hosts=1\n[listen]\n%s[limits]\ngrace-s=8\n"
-      "retry-ratio=0.5
-retry-window-s=10
-retry-slack=100
-%s"
-      "[regions]
-z1=r1
-z2=r2
-",
+      "retry-ratio=0.5\nretry-window-s=10\nretry-slack=100\n%s"
+      "[regions]\nz1=r1\nz2=r2\n",
       name, place->address, place->zone, place->region,
       is_first_start ? "true" : "false", data, rpc_port, rpc_port + 9, listen,
       rig->limits ? rig->limits : "");
