--- a/src/edge.c
+++ b/src/edge.c
@@ -295,7 +295,8 @@
 edge_is_informed (const struct edge *edge)
 {
   return edge->table
-         && edge_evacuations_is_known (edge->evacuations, edge_now_ms ());
+         && (!edge->options.awaits_evacuations
+             || edge_evacuations_is_known (edge->evacuations, edge_now_ms ()));
 }
 
 bool
--- a/src/edge.h
+++ b/src/edge.h
@@ -64,6 +64,9 @@
   struct edge_retry_limits retry;
   /** Rate of the host's link in Mbit/s; 0 when it is not known. */
   double link_mbps;
+  /** Zones may be evacuated: requests are served once the router knows which
+   *  are. */
+  bool awaits_evacuations;
   /** Memory that the process may use, in MiB, and descriptors that it may have
    *  open. */
   uint32_t memory_mb;
