Don't take a target for full because of one request in a large fleet

Cause: a router took its own use of a target times the number of routers for the use by all. One request of its own at a target of 64 slots then meant 138, so the next request on the same part went elsewhere.

Change: the use by all is the own use of all targets times the routers, and the part of a target in it is estimated from the own requests there, with all parts equally likely before.

--- a/src/place.c
+++ b/src/place.c
@@ -199,19 +199,49 @@
                                : 0.0;
 }
 
+/* What this router's requests use at all candidates. */
+struct use
+{
+  double targets;
+  double running;
+  double held_tokens;
+};
+
+static struct use
+sum_use (const struct place_candidate *candidates, uint32_t count)
+{
+  struct use use = { .targets = count };
+  for (uint32_t i = 0; i < count; i++)
+    {
+      use.running += candidates[i].load->running;
+      use.held_tokens += (double)candidates[i].load->held_tokens;
+    }
+  return use;
+}
+
+/* Estimates which part of a use that all routers together have at all targets
+   falls to one of them: the mean of the posterior distribution, given the own
+   requests there, where all parts are equally likely before.  One request of a
+   router with few says little about where the others' are. */
+static double
+estimate_part (double running, const struct use *use)
+{
+  return (running + 1.0) / (use->running + use->targets);
+}
+
 /* Cost of the slots and memory that the requests of all routers use at the
-   target, estimated as this router's own use times the number of routers. */
+   target, when each uses as much in all as this one. */
 static double
 capacity_cost (const struct place_candidate *candidate,
-               const struct place_request *request)
+               const struct place_request *request, const struct use *use)
 {
-  const struct place_load *load = candidate->load;
   double routers = MAX (candidate->routers, 1);
+  double part = estimate_part (candidate->load->running, use);
   double cost = 0.0;
   if (candidate->slots > 0)
-    cost += crowded_cost (routers * load->running / candidate->slots);
+    cost += crowded_cost (routers * use->running * part / candidate->slots);
   if (candidate->kv_tokens > 0)
-    cost += crowded_cost ((routers * (double)load->held_tokens
+    cost += crowded_cost ((routers * use->held_tokens * part
                            + request->prompt_tokens + request->output_tokens)
                           / (double)candidate->kv_tokens);
   return cost;
@@ -220,7 +250,7 @@
 static double
 engine_cost (const struct place_candidate *candidate,
              const struct place_request *request, double home_probability,
-             uint64_t now_ms)
+             const struct use *use, uint64_t now_ms)
 {
   const struct place_load *load = candidate->load;
   double shared = shared_tokens (request);
@@ -230,7 +260,7 @@
   double unread = request->prompt_tokens - shared + reread * REREAD_WEIGHT
                   + (double)load->unread_tokens;
   return unread / PROMPT_TOKENS_PER_MS + load->running * RUNNING_COST_MS
-         + capacity_cost (candidate, request);
+         + capacity_cost (candidate, request, use);
 }
 
 static double
@@ -249,6 +279,7 @@
   int homes[2];
   int best = -1;
   double best_cost = 0.0;
+  const struct use use = sum_use (candidates, count);
   find_homes (candidates, count, request, homes);
   for (uint32_t i = 0; i < count; i++)
     {
@@ -263,7 +294,8 @@
                                                      : 0.0;
       double cost = common_cost (candidate, now_ms);
       if (request->is_engine)
-        cost += engine_cost (candidate, request, home_probability, now_ms);
+        cost += engine_cost (candidate, request, home_probability, &use,
+                             now_ms);
       else
         cost += plain_cost (candidate);
       random = random * 6364136223846793005u + 1442695040888963407u;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -12,6 +12,7 @@
 
 #define TARGETS 12
 #define ROUTERS 6
+#define LARGE_FLEET_ROUTERS 138
 #define SLOTS 64
 #define KV_TOKENS 540000
 
@@ -127,6 +128,30 @@
   tear_down (&view);
 }
 
+/* A router of a large fleet with one request at a target doesn't take the
+   target for full: the next request on the same part goes there too. */
+static void
+test_large_fleet_stays_home (void)
+{
+  struct view view;
+  set_up (&view);
+  for (uint32_t i = 0; i < TARGETS; i++)
+    view.candidates[i].routers = LARGE_FLEET_ROUTERS;
+  for (uint64_t part = 0; part < 50; part++)
+    {
+      struct place_request request = long_prompt (part, part);
+      int first = place_choose (view.candidates, TARGETS, &request, 1000, 1);
+      uint32_t unread
+          = place_note_sent (&view.candidates[first], &request, 1000);
+      place_note_response (&view.loads[first], unread);
+      request = long_prompt (part, part + 1000);
+      int second = place_choose (view.candidates, TARGETS, &request, 1500, 2);
+      g_assert_cmpint (second, ==, first);
+      place_note_end (&view.loads[first], &request);
+    }
+  tear_down (&view);
+}
+
 /* A simulated engine, which prefills prompts one after the other. */
 struct engine
 {
@@ -263,6 +288,8 @@
   g_test_add_func ("/place/same-home-everywhere", test_same_home_everywhere);
   g_test_add_func ("/place/faults-and-holds", test_faults_and_holds);
   g_test_add_func ("/place/hot-part-spills", test_hot_part_spills);
+  g_test_add_func ("/place/large-fleet-stays-home",
+                   test_large_fleet_stays_home);
   g_test_add_func ("/place/worst-load", test_worst_load);
   return g_test_run ();
 }
