Plain targets are compared by the share of requests that they fail

Seen: routers with much traffic sent half of their bookings to the other region, at 150 to 200 ms instead of 15 to 40, and late.

Cause: each failure was held against a target for seconds, and only a success at that target lowered it. A busy router saw one of each target of its region all the time.

Change: place_rate estimates the probability of a failure from decaying numbers of outcomes; place weighs it by what a failure costs the caller, and another region by the two round trips of a new connection.

test_platform: the settings test reads the new key as well; a switch that is neither true nor false is refused.

--- a/src/edge.h
+++ b/src/edge.h
@@ -73,6 +73,9 @@
   uint32_t descriptors_max;
   /** Time between a stop request and a forced stop, in milliseconds. */
   uint32_t grace_ms;
+  /** Requests to plain services go by the probability that a target fails,
+   *  rather than by its last failures. */
+  bool compares_failure_rates;
 };
 
 /** Metrics of a router. */
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -25,6 +25,10 @@
 /* Value of Retry-After where another router may serve the request, in
    milliseconds. */
 #define ELSEWHERE_RETRY_AFTER_MS 50
+/* Time that a failure of a target costs the caller of a request that is sent
+   again, and of one that isn't: the caller has to find out what happened. */
+#define RETRY_COST_MS 400
+#define LOSS_COST_MS 1000
 /* Percentage of the grace period in which requests are still sent to targets
    after a stop request: the load balancer notices the stop within two
    readiness checks, and later requests could be cut off by the forced stop. */
@@ -203,6 +207,9 @@
   placement->prompt_tokens = head->prompt_tokens;
   placement->output_tokens = head->output_tokens;
   placement->part_count = head->part_count;
+  if (request->edge->options.compares_failure_rates && !placement->is_engine)
+    placement->failure_cost_ms
+        = request->is_idempotent ? RETRY_COST_MS : LOSS_COST_MS;
   memcpy (placement->parts, head->parts, sizeof placement->parts);
 }
 
--- a/src/place.c
+++ b/src/place.c
@@ -18,6 +18,8 @@
    in milliseconds: round trips, and paid traffic expressed as time. */
 #define SAME_REGION_COST_MS 3.0
 #define OTHER_REGION_COST_MS 60.0
+/* The same for a request that needs a new connection: two round trips. */
+#define OTHER_REGION_CONNECT_COST_MS 120.0
 /* Cost of a target that another router passes requests on to: a new connection
    and the work of that router. */
 #define RELAY_COST_MS 10.0
@@ -172,14 +174,26 @@
 }
 
 static double
-common_cost (const struct place_candidate *candidate, uint64_t now_ms)
+failure_cost (const struct place_candidate *candidate,
+              const struct place_request *request, uint64_t now_ms)
 {
-  double cost
-      = place_recent_failures (candidate->load, now_ms) * FAILURE_COST_MS;
+  const struct place_load *load = candidate->load;
+  return request->failure_cost_ms > 0
+             ? place_rate_probability (&load->rate, now_ms)
+                   * request->failure_cost_ms
+             : place_recent_failures (load, now_ms) * FAILURE_COST_MS;
+}
+
+static double
+common_cost (const struct place_candidate *candidate,
+             const struct place_request *request, uint64_t now_ms)
+{
+  double cost = failure_cost (candidate, request, now_ms);
   if (candidate->distance == PLACE_SAME_REGION)
     cost += SAME_REGION_COST_MS;
   else if (candidate->distance == PLACE_OTHER_REGION)
-    cost += OTHER_REGION_COST_MS;
+    cost += request->failure_cost_ms > 0 ? OTHER_REGION_CONNECT_COST_MS
+                                         : OTHER_REGION_COST_MS;
   if (candidate->is_relayed)
     cost += RELAY_COST_MS;
   if (candidate->is_unannounced)
@@ -292,7 +306,7 @@
       double home_probability = (int)i == homes[0]   ? FIRST_HOME_PROBABILITY
                                 : (int)i == homes[1] ? SECOND_HOME_PROBABILITY
                                                      : 0.0;
-      double cost = common_cost (candidate, now_ms);
+      double cost = common_cost (candidate, request, now_ms);
       if (request->is_engine)
         cost += engine_cost (candidate, request, home_probability, &use,
                              now_ms);
@@ -368,6 +382,7 @@
   load->recent_failures
       = MIN (place_recent_failures (load, now_ms) + 1.0, FAILURES_MAX);
   load->failures_at_ms = now_ms;
+  place_rate_note (&load->rate, true, now_ms);
 }
 
 void
@@ -376,6 +391,7 @@
   load->recent_failures
       = MAX (place_recent_failures (load, now_ms) - FAILURES_PER_SERVED, 0.0);
   load->failures_at_ms = now_ms;
+  place_rate_note (&load->rate, false, now_ms);
   load->refused_connections = 0;
   load->reconnect_at_ms = 0;
 }
--- a/src/place.h
+++ b/src/place.h
@@ -14,6 +14,8 @@
 
 #include <glib.h>
 
+#include "place_rate.h"
+
 /** Maximum number of prompt parts of a request that are considered. */
 #define PLACE_PARTS_MAX 16
 
@@ -47,6 +49,7 @@
    *  @ref failures_at_ms. */
   double recent_failures;
   uint64_t failures_at_ms;
+  struct place_rate rate;
   /** Number of consecutive refused connections, and the time before which no
    *  new connection is tried. */
   uint32_t refused_connections;
@@ -63,6 +66,9 @@
   uint32_t prompt_tokens;
   uint32_t output_tokens;
   bool is_engine;
+  /** Time that a failure costs the caller; targets are then compared by the
+   *  probability that they fail.  0: by their recent failures. */
+  uint32_t failure_cost_ms;
 };
 
 /** A target among which place_choose chooses. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -469,12 +469,16 @@
       "[process]\nhost=n1\naddress=10.0.0.1\navailability-zone=z1\n"
       "region=r1\nbootstrap=true\nfirst-port=7000\nlast-port=7010\n"
       "members=10.0.0.1:80,10.0.0.2:80\n[listen]\ncallers=10.0.0.1:81\n"
-      "[limits]\ngrace-s=8\nretry-ratio=0.2\n[regions]\nz1=r1\nz2=r2\n",
+      "[limits]\ngrace-s=8\nretry-ratio=0.2\nlink-mbps=10.0\n"
+      "failure-rates=true\n"
+      "[regions]\nz1=r1\nz2=r2\n",
       findings);
   g_assert_nonnull (settings);
   g_assert_true (settings->is_first_start);
   g_assert_cmpstr (settings->members[1], ==, "10.0.0.2:7000");
   g_assert_cmpuint (settings->grace_ms, ==, 8000);
+  g_assert_cmpfloat (settings->link_mbps, ==, 10.0);
+  g_assert_true (settings->compares_failure_rates);
   g_assert_cmpuint (settings->metrics_port, ==, 7001);
   g_assert_cmpstr (platform_settings_region (settings, "z2"), ==, "r2");
   platform_settings_destroy (settings);
@@ -502,6 +506,23 @@
   base_findings_destroy (findings);
 }
 
+/* A switch that is neither on nor off is reported, with its place. */
+static void
+test_unclear_switch (void)
+{
+  struct base_findings *findings = base_findings_create ();
+  g_assert_null (read_settings (
+      "[process]\nhost=n1\naddress=10.0.0.1\navailability-zone=z1\n"
+      "region=r1\nfirst-port=7000\nlast-port=7010\nmembers=10.0.0.1:80\n"
+      "[limits]\nfailure-rates=1\n",
+      findings));
+  char *text = base_findings_join (findings);
+  g_assert_cmpuint (base_findings_count (findings), ==, 1);
+  g_assert_nonnull (strstr (text, "failure-rates"));
+  g_free (text);
+  base_findings_destroy (findings);
+}
+
 /* "nan" is neither below nor above a limit, and is no number to work with. */
 static void
 test_settings_not_a_number (void)
@@ -609,6 +630,7 @@
   g_test_add_func ("/platform/limit-headers", test_limit_headers);
   g_test_add_func ("/platform/settings", test_settings);
   g_test_add_func ("/platform/link-setting", test_link_setting);
+  g_test_add_func ("/platform/unclear-switch", test_unclear_switch);
   g_test_add_func ("/platform/settings-not-a-number",
                    test_settings_not_a_number);
   g_test_add_func ("/platform/machine-settings", test_machine_settings);
