--- a/src/edge.h
+++ b/src/edge.h
@@ -73,6 +73,9 @@
   uint32_t descriptors_max;
   /** Time between a stop request and a forced stop, in milliseconds. */
   uint32_t grace_ms;
+  /** Longest time that requests wait for the first routing table
+   *  (edge_start.h); 0: they don't. */
+  uint32_t start_wait_ms;
   /** Requests to plain services go by the probability that a target fails,
    *  rather than by its last failures. */
   bool compares_failure_rates;
@@ -198,8 +201,10 @@
   struct edge_retry *retry;
   /** Use of the host's link. */
   struct edge_pressure *pressure;
-  /** Open requests (struct edge_request). */
+  /** Open requests (struct edge_request), and those of them that wait for the
+   *  first routing table. */
   GQueue requests;
+  uint32_t awaiting_table;
   /** A graceful stop is in progress since stop_started_ms. */
   bool stopping;
   uint64_t stop_started_ms;
--- a/src/edge_request.c
+++ b/src/edge_request.c
@@ -17,6 +17,7 @@
 #include "edge_reach.h"
 #include "edge_send.h"
 #include "edge_settle.h"
+#include "edge_start.h"
 #include "edge_version.h"
 
 #define EVENT_MAX_BYTES (256u * 1024)
@@ -368,6 +369,44 @@
     edge_send_request (request);
 }
 
+/* Returns whether the request waits for the first routing table. */
+static bool
+await_table (struct edge_request *request, uint64_t now_ms)
+{
+  struct edge *edge = request->edge;
+  bool waits = request->step == EDGE_STEP_AWAITS_TABLE;
+  const struct edge_start start = {
+    .wait_max_ms = edge->options.start_wait_ms,
+    .arrived_ms = request->arrived_ms,
+    .deadline_ms = request->head.deadline_ms,
+    .waiting = edge->awaiting_table - waits,
+  };
+  bool may_wait = !edge_is_informed (edge) && !edge->stopping
+                  && edge_start_may_wait (&start, now_ms);
+  if (may_wait && !waits)
+    {
+      request->step = EDGE_STEP_AWAITS_TABLE;
+      request->deadline_ms = UINT64_MAX;
+      edge->awaiting_table++;
+    }
+  else if (!may_wait && waits)
+    {
+      request->step = EDGE_STEP_READING;
+      edge->awaiting_table--;
+    }
+  return may_wait;
+}
+
+static void
+route_and_admit (struct edge_request *request)
+{
+  if (!find_route (request) || !find_account (request))
+    return;
+  set_limits (request);
+  if (edge_version_find (request))
+    admit (request);
+}
+
 void
 edge_request_begin (struct edge_request *request)
 {
@@ -379,12 +418,19 @@
   edge_pressure_note (edge->pressure, EDGE_PRESSURE_IN,
                       request->body->len + EDGE_PRESSURE_HEAD_BYTES,
                       request->arrived_ms);
-  if (edge_request_refuse_late (request) || !check_headers (request)
-      || !find_route (request) || !find_account (request))
+  if (edge_request_refuse_late (request) || !check_headers (request))
     return;
-  set_limits (request);
-  if (edge_version_find (request))
-    admit (request);
+  if (await_table (request, request->arrived_ms))
+    return;
+  route_and_admit (request);
+}
+
+void
+edge_request_retry_table (struct edge_request *request, uint64_t now_ms)
+{
+  if (request->step == EDGE_STEP_AWAITS_TABLE
+      && !await_table (request, now_ms))
+    route_and_admit (request);
 }
 
 void
--- a/src/edge_request.h
+++ b/src/edge_request.h
@@ -20,6 +20,9 @@
 enum edge_step
 {
   EDGE_STEP_READING,
+  /** The router has just started; the request waits for the first routing
+   *  table. */
+  EDGE_STEP_AWAITS_TABLE,
   /** The request takes a stream up, and waits for control's answer which
    *  software version began that. */
   EDGE_STEP_AWAITS_VERSION,
@@ -171,6 +174,9 @@
 /** Called when the caller disconnected or has the complete response.  Drops
  *  the reference of the caller's connection. */
 void edge_request_close (struct edge_request *request);
+/** Continues a request that waits for the first routing table, if there is one
+ *  now, or refuses it when it has waited too long. */
+void edge_request_retry_table (struct edge_request *request, uint64_t now_ms);
 /** Continues a request that waits for its stream's software version, if that
  *  is known now. */
 void edge_request_retry_version (struct edge_request *request);
--- a/src/edge_settle.c
+++ b/src/edge_settle.c
@@ -91,6 +91,7 @@
   edge_release_target (request);
   settle_tokens (request);
   drop_body (request);
+  edge->awaiting_table -= request->step == EDGE_STEP_AWAITS_TABLE;
   request->step = EDGE_STEP_DONE;
   g_queue_unlink (&edge->requests, &request->link);
   base_counter_set (edge->counters.open_requests, edge->requests.length);
--- a/src/edge_timeouts.c
+++ b/src/edge_timeouts.c
@@ -69,6 +69,11 @@
       end_by_deadline (request);
       return;
     }
+  if (request->step == EDGE_STEP_AWAITS_TABLE)
+    {
+      edge_request_retry_table (request, now_ms);
+      return;
+    }
   if (request->step == EDGE_STEP_AWAITS_VERSION)
     {
       edge_request_retry_version (request);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -470,7 +470,7 @@
       "region=r1\nbootstrap=true\nfirst-port=7000\nlast-port=7010\n"
       "members=10.0.0.1:80,10.0.0.2:80\n[listen]\ncallers=10.0.0.1:81\n"
       "[limits]\ngrace-s=8\nretry-ratio=0.2\nlink-mbps=10.0\n"
-      "failure-rates=true\n"
+      "failure-rates=true\nstart-wait-ms=1000\n"
       "[regions]\nz1=r1\nz2=r2\n",
       findings);
   g_assert_nonnull (settings);
@@ -479,6 +479,7 @@
   g_assert_cmpuint (settings->grace_ms, ==, 8000);
   g_assert_cmpfloat (settings->link_mbps, ==, 10.0);
   g_assert_true (settings->compares_failure_rates);
+  g_assert_cmpuint (settings->start_wait_ms, ==, 1000);
   g_assert_cmpuint (settings->metrics_port, ==, 7001);
   g_assert_cmpstr (platform_settings_region (settings, "z2"), ==, "r2");
   platform_settings_destroy (settings);
