Cold targets: at most what they tolerate in any second, from all routers

A target that has just started, or turns cold again, got requests from every router at once: each took it for idle. What it says of that (coldLeftMs in announcements, X-Cold-Ms in responses, coldPerS of its service) was read by nobody. Routers now pass cold targets over while a warm one can take the request; where only cold ones are left, each counts as limited, at a rate whose permits keep coldPerS times overage plus slack in any second (edge_cold, edge_limits_hold), and control grants the permits as for limited targets. The end counts by the router's own clock, so a cut from control doesn't keep a warm target idle. Members tell routers when a target turns cold again, or is warm early. Settings cold-overage and cold-slack; services without coldPerS are served as before; no message, log entry or file changes its form.

--- a/src/control_bucket.c
+++ b/src/control_bucket.c
@@ -68,6 +68,12 @@
       = MIN (bucket->level_micro, burst > unused ? burst - unused : 0);
 }
 
+uint64_t
+control_bucket_most_micro (uint64_t rate_mrps, uint32_t span_ms)
+{
+  return burst_micro (rate_mrps) + effective_rate_mrps (rate_mrps) * span_ms;
+}
+
 void
 control_bucket_init (struct control_bucket *bucket, uint64_t rate_mrps,
                      uint64_t now_ms)
--- a/src/control_bucket.h
+++ b/src/control_bucket.h
@@ -33,6 +33,9 @@
   GArray *grants;
 };
 
+/** Returns the most permits, in millionths, that routers may use within
+ *  @p span_ms of a bucket with this rate. */
+uint64_t control_bucket_most_micro (uint64_t rate_mrps, uint32_t span_ms);
 /** Initializes an empty bucket at @p now_ms. */
 void control_bucket_init (struct control_bucket *bucket, uint64_t rate_mrps,
                           uint64_t now_ms);
--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -9,6 +9,11 @@
    milliseconds.  Gone and silent targets are kept that long, so that a late
    announcement of that incarnation is recognized. */
 #define RETENTION_MS 120000u
+/* Changes of the time for which a target stays cold that routers are told of:
+   when it ends later, or earlier, than they know, by more than this, in
+   milliseconds. */
+#define COLD_LATER_MS 200u
+#define COLD_EARLIER_MS 500u
 
 /* A target with its last change and announcement. */
 struct entry
@@ -89,6 +94,26 @@
          || known->state == CONTROL_TARGET_GONE;
 }
 
+/* Time for which the target stays cold by its last announcement, in
+   milliseconds. */
+static u_int
+cold_left_ms (const struct entry *entry, uint64_t now_ms)
+{
+  u_int left_ms = entry->target.cold_left_ms;
+  uint64_t age_ms = entry->announced_ms > 0 ? now_ms - entry->announced_ms : 0;
+  return left_ms > age_ms ? left_ms - (u_int)age_ms : 0;
+}
+
+/* Returns whether the target stays cold for as long as routers know. */
+static bool
+is_as_cold (const struct entry *entry, const struct control_target *target,
+            uint64_t now_ms)
+{
+  u_int known_ms = cold_left_ms (entry, now_ms);
+  return target->cold_left_ms <= known_ms + COLD_LATER_MS
+         && known_ms <= target->cold_left_ms + COLD_EARLIER_MS;
+}
+
 /* Returns whether the records are equal in the fields that routers use. */
 static bool
 is_same_to_routers (const struct control_target *a,
@@ -142,7 +167,8 @@
       && entry->target.state == CONTROL_TARGET_LEAVING)
     copy.state = CONTROL_TARGET_LEAVING;
   bool changed = !entry || !entry->is_reported
-                 || !is_same_to_routers (&entry->target, &copy);
+                 || !is_same_to_routers (&entry->target, &copy)
+                 || !is_as_cold (entry, &copy, now_ms);
   if (!entry)
     entry = g_new0 (struct entry, 1);
   else
@@ -359,6 +385,8 @@
         copy->cold_left_ms = (u_int)(entry->expires_ms > targets->now_ms
                                          ? entry->expires_ms - targets->now_ms
                                          : 1);
+      else
+        copy->cold_left_ms = cold_left_ms (entry, targets->now_ms);
     }
   return count;
 }
--- a/src/edge.c
+++ b/src/edge.c
@@ -76,6 +76,7 @@
     = base_metrics_counter (metrics, "edge_target_statements_total", NULL),
     .room_rejected
     = base_metrics_counter (metrics, "edge_room_rejected_total", NULL),
+    .cold_only = base_metrics_counter (metrics, "edge_cold_only_total", NULL),
     .region_rejected
     = base_metrics_counter (metrics, "edge_region_rejected_total", NULL),
     .relayed = base_metrics_counter (metrics, "edge_relayed_total", NULL),
--- a/src/edge.h
+++ b/src/edge.h
@@ -13,6 +13,7 @@
 #include "base_metrics.h"
 #include "base_random.h"
 #include "edge_accounts.h"
+#include "edge_cold.h"
 #include "edge_demand.h"
 #include "edge_dialect.h"
 #include "edge_disconnect.h"
@@ -60,6 +61,7 @@
   const char *ready_path;
   const struct edge_dialect *dialect;
   struct edge_retry_limits retry;
+  struct edge_cold_bounds cold;
   /** Time between a stop request and a forced stop, in milliseconds. */
   uint32_t grace_ms;
 };
@@ -96,6 +98,8 @@
   /** Targets known to take a limited number of requests, and requests sent to
    *  such targets. */
   struct base_counter *limited_targets;
+  /** Requests for which only cold targets were left. */
+  struct base_counter *cold_only;
   struct base_counter *limited_sends;
   /** Permits that control granted, and requests rejected for want of one. */
   struct base_counter *permits_granted;
--- a/src/edge_dialect.h
+++ b/src/edge_dialect.h
@@ -97,6 +97,8 @@
   /** Time for which the target wants no request from this router, in
    *  milliseconds; 0 for none. */
   uint32_t rest_ms;
+  /** Time for which the target stays cold, in milliseconds. */
+  uint32_t cold_ms;
   /** Name of the last header of these whose value can't be read, or NULL. */
   const char *malformed_statement;
   /** The target reports that it did not run the request. */
--- a/src/edge_limits.c
+++ b/src/edge_limits.c
@@ -19,6 +19,8 @@
    drop it, and that of reports of its end, in ms. */
 #define CONFIRM_INTERVAL_MS 5000
 #define END_INTERVAL_MS 150
+/* Interval at which a held target that control doesn't list is reported. */
+#define HOLD_REPORT_MS 500
 /* Time for which a limit that is over is kept in mind, in ms: for responses
    that were on their way when it ended. */
 #define OVER_MS 5000
@@ -44,6 +46,11 @@
   /* Time until which a limit that a response named holds without control's
      list: UINT64_MAX while control has not answered the report. */
   uint64_t unlisted_until_ms;
+  /* Time until which edge_limits_hold limits the target. */
+  uint64_t held_until_ms;
+  /* Nothing else limits the target, so that it is free when the hold ends,
+     also while control's list still has it: control may be cut off. */
+  bool is_hold_only;
   /* Time at which the limit was dropped from control's list, or 0. */
   uint64_t over_ms;
   /* What is to be reported, and the time of the last report. */
@@ -110,7 +117,8 @@
 static bool
 is_in_force (const struct limit *limit, uint64_t now_ms)
 {
-  return limit->is_listed || now_ms < limit->unlisted_until_ms;
+  return (limit->is_listed && !limit->is_hold_only)
+         || now_ms < limit->unlisted_until_ms || now_ms < limit->held_until_ms;
 }
 
 /* Counts the permits as unused; they are not used any more. */
@@ -151,6 +159,7 @@
   if (limit->born_ms != head->target.born_ms)
     begin_incarnation (limit, head->target.born_ms);
   limit->is_malformed = false;
+  limit->is_hold_only = false;
   bool was_in_force = is_in_force (limit, now_ms);
   if (!was_in_force && head->sent_ms <= limit->over_ms)
     return;
@@ -182,7 +191,8 @@
   struct limit *limit
       = g_hash_table_lookup (limits->by_target, head->target.name);
   if (!limit || limit->born_ms != head->target.born_ms
-      || !is_in_force (limit, now_ms) || head->response->not_run
+      || !is_in_force (limit, now_ms) || now_ms < limit->held_until_ms
+      || head->response->not_run
       || head->response->status >= STATUS_SERVER_ERROR
       || now_ms < limit->reported_ms + END_INTERVAL_MS)
     return;
@@ -227,6 +237,32 @@
     }
 }
 
+void
+edge_limits_hold (struct edge_limits *limits,
+                  const struct edge_limit_target *target, uint64_t rate_mrps,
+                  uint64_t until_ms, uint64_t now_ms)
+{
+  struct limit *limit = ensure_limit (limits, target->name);
+  if (limit->born_ms != target->born_ms)
+    begin_incarnation (limit, target->born_ms);
+  bool was_in_force = is_in_force (limit, now_ms);
+  if (!was_in_force || (limit->is_listed && limit->limit_mrps == rate_mrps))
+    limit->is_hold_only = true;
+  limit->held_until_ms = until_ms;
+  if (!was_in_force || rate_mrps < limit->limit_mrps)
+    {
+      base_event ("limit-held target=%s limit_mrps=%" PRIu64
+                  " for_ms=%" PRIu64,
+                  target->name, rate_mrps, until_ms - now_ms);
+      drop_permits (limit);
+      limit->limit_mrps = rate_mrps;
+    }
+  else if (limit->is_listed)
+    return;
+  if (!limit->has_report && now_ms >= limit->reported_ms + HOLD_REPORT_MS)
+    queue_report (limit, true, now_ms, now_ms);
+}
+
 /* Returns whether no target is known to be limited. */
 static bool
 is_empty (const struct edge_limits *limits)
@@ -234,6 +270,17 @@
   return g_hash_table_size (limits->by_target) == 0;
 }
 
+void
+edge_limits_release (struct edge_limits *limits,
+                     const struct edge_limit_target *target, uint64_t now_ms)
+{
+  if (is_empty (limits))
+    return;
+  struct limit *limit = g_hash_table_lookup (limits->by_target, target->name);
+  if (limit && limit->born_ms == target->born_ms)
+    limit->held_until_ms = MIN (limit->held_until_ms, now_ms);
+}
+
 static struct limit *
 find_in_force (const struct edge_limits *limits,
                const struct edge_limit_target *target, uint64_t now_ms)
@@ -391,6 +438,15 @@
   limit->returned = 0;
 }
 
+/* Control is told, until its list says so, that a held target is free. */
+static void
+end_hold (struct limit *limit, uint64_t now_ms)
+{
+  if (limit->is_hold_only && limit->is_listed && now_ms >= limit->held_until_ms
+      && now_ms >= limit->reported_ms + END_INTERVAL_MS)
+    queue_report (limit, false, now_ms, now_ms);
+}
+
 void
 edge_limits_fill_call (struct edge_limits *limits, uint64_t now_ms,
                        struct control_limit_call *call)
@@ -406,10 +462,11 @@
     {
       struct limit *limit = value;
       expire_permits (limit, now_ms);
+      end_hold (limit, now_ms);
       add_report (limit, target, now_ms, call);
       add_use (limit, target, call);
-      if (!is_in_force (limit, now_ms) && !limit->has_report
-          && now_ms >= limit->over_ms + OVER_MS)
+      if (!is_in_force (limit, now_ms) && !limit->is_listed
+          && !limit->has_report && now_ms >= limit->over_ms + OVER_MS)
         g_hash_table_iter_remove (&iterator);
     }
 }
@@ -455,6 +512,8 @@
     begin_incarnation (limit, line->born_ms);
   if (line->rate_mrps < limit->limit_mrps)
     drop_permits (limit);
+  if (line->rate_mrps != limit->limit_mrps)
+    limit->is_hold_only = false;
   limit->is_listed = true;
   limit->limit_mrps = line->rate_mrps;
 }
--- a/src/edge_limits.h
+++ b/src/edge_limits.h
@@ -42,6 +42,15 @@
 void edge_limits_note_head (struct edge_limits *limits,
                             const struct edge_limit_head *head,
                             uint64_t now_ms);
+/** Treats the target as limited to at most @p rate_mrps until @p until_ms,
+ *  whatever its responses say, and has control list it. */
+void edge_limits_hold (struct edge_limits *limits,
+                       const struct edge_limit_target *target,
+                       uint64_t rate_mrps, uint64_t until_ms, uint64_t now_ms);
+/** Ends the hold of a target, if there is one. */
+void edge_limits_release (struct edge_limits *limits,
+                          const struct edge_limit_target *target,
+                          uint64_t now_ms);
 /** Returns whether the target takes a limited number of requests, and stores
  *  the requests per 1,000 s; @p limit_mrps may be NULL. */
 bool edge_limits_find (const struct edge_limits *limits,
--- a/src/edge_reach.c
+++ b/src/edge_reach.c
@@ -97,6 +97,13 @@
   uint32_t changes
       = edge_pacing_note_head (&target->pacing, response, edge_now_ms (),
                                base_random_next (&edge->random));
+  if (response->cold_ms > 0)
+    {
+      if (edge_target_cold_left_ms (target, edge_now_ms ()) == 0)
+        base_event ("target-cold target=%s id=%s left_ms=%" PRIu32,
+                    target->record.name, request_id, response->cold_ms);
+      edge_target_note_cold (target, response->cold_ms, edge_now_ms ());
+    }
   if (response->is_brittle)
     edge_targets_note_brittle (edge->targets, target->record.service,
                                target->pacing.stated_ms);
--- a/src/edge_send.c
+++ b/src/edge_send.c
@@ -62,6 +62,12 @@
   uint32_t full_count;
   uint32_t resting_count;
   uint64_t rest_left_ms;
+  /* Cold targets that were passed over, unless takes_cold. */
+  uint32_t cold_count;
+  bool takes_cold;
+  /* Rate of permits of a cold target (edge_cold_rate_mrps), with takes_cold.
+   */
+  int64_t cold_mrps;
   /* Targets outside of the regions that the request is bound to. */
   uint32_t outside_count;
   /* Time of the choice, and the same as base_clock_steady_wall_ms. */
@@ -101,6 +107,37 @@
     }
 }
 
+/* Returns whether the target is cold and must be passed over.  A cold one that
+   is considered counts as limited until it is warm. */
+static bool
+is_held_back (struct choice *choice, const struct edge_target *target,
+              const struct edge_limit_target *key)
+{
+  const struct edge_request *request = choice->request;
+  struct edge *edge = request->edge;
+  uint64_t left_ms = request->service->cold_per_s > 0
+                         ? edge_target_cold_left_ms (target, choice->now_ms)
+                         : 0;
+  if (left_ms == 0)
+    {
+      edge_limits_release (edge->limits, key, choice->steady_ms);
+      return false;
+    }
+  if (!choice->takes_cold)
+    {
+      choice->cold_count++;
+      return true;
+    }
+  if (choice->cold_mrps == EDGE_COLD_NONE)
+    {
+      choice->unpermitted_count++;
+      return true;
+    }
+  edge_limits_hold (edge->limits, key, (uint64_t)choice->cold_mrps,
+                    choice->steady_ms + left_ms, choice->steady_ms);
+  return false;
+}
+
 static void
 add_candidate (void *context, struct edge_target *target)
 {
@@ -117,7 +154,7 @@
       choice->outside_count++;
       return;
     }
-  if (!has_room (choice, target))
+  if (!has_room (choice, target) || is_held_back (choice, target, &key))
     return;
   bool is_relayed = edge_reach_needs_relay (request->edge, target);
   bool is_limited = edge_limits_find (limits, &key, choice->steady_ms, NULL);
@@ -321,21 +358,40 @@
            "the targets have no room at the moment");
 }
 
-static struct choice *
-find_candidates (const struct edge_request *request)
+static void
+visit_targets (struct choice *choice, bool takes_cold)
 {
-  struct choice *choice = g_new (struct choice, 1);
-  choice->request = request;
+  const struct edge_request *request = choice->request;
+  choice->takes_cold = takes_cold;
+  choice->cold_mrps = takes_cold
+                          ? edge_cold_rate_mrps (request->service->cold_per_s,
+                                                 &request->edge->options.cold)
+                          : EDGE_COLD_NONE;
   choice->count = 0;
   choice->unpermitted_count = 0;
   choice->full_count = 0;
   choice->resting_count = 0;
   choice->rest_left_ms = 0;
+  choice->cold_count = 0;
   choice->outside_count = 0;
-  choice->now_ms = edge_now_ms ();
-  choice->steady_ms = base_clock_steady_wall_ms ();
   edge_targets_visit (request->edge->targets, request->service->name,
                       add_candidate, choice);
+}
+
+/* Cold targets are candidates only where there are no others. */
+static struct choice *
+find_candidates (const struct edge_request *request)
+{
+  struct choice *choice = g_new (struct choice, 1);
+  choice->request = request;
+  choice->now_ms = edge_now_ms ();
+  choice->steady_ms = base_clock_steady_wall_ms ();
+  visit_targets (choice, false);
+  if (choice->count == 0 && choice->cold_count > 0)
+    {
+      base_counter_add (request->edge->counters.cold_only, 1);
+      visit_targets (choice, true);
+    }
   return choice;
 }
 
@@ -415,10 +471,25 @@
                    "is available");
 }
 
+/* Sends the request to the best candidate that can be reached. */
+static bool
+send_to_best (struct edge_request *request, struct choice *choice,
+              bool *is_unreachable, uint64_t now_ms)
+{
+  struct edge *edge = request->edge;
+  int index = choose (choice, now_ms, base_random_next (&edge->random));
+  while (index >= 0 && !send_if_reachable (request, choice, index, now_ms))
+    {
+      *is_unreachable = true;
+      drop_candidate (choice, index);
+      index = choose (choice, now_ms, base_random_next (&edge->random));
+    }
+  return index >= 0;
+}
+
 void
 edge_send_request (struct edge_request *request)
 {
-  struct edge *edge = request->edge;
   bool is_unreachable = false;
   if (edge_send_is_blocked (request) || edge_request_refuse_late (request))
     return;
@@ -430,14 +501,13 @@
     }
   uint64_t now_ms = edge_now_ms ();
   struct choice *choice = find_candidates (request);
-  int index = choose (choice, now_ms, base_random_next (&edge->random));
-  while (index >= 0 && !send_if_reachable (request, choice, index, now_ms))
+  bool is_sent = send_to_best (request, choice, &is_unreachable, now_ms);
+  if (!is_sent && !choice->takes_cold && choice->cold_count > 0)
     {
-      is_unreachable = true;
-      drop_candidate (choice, index);
-      index = choose (choice, now_ms, base_random_next (&edge->random));
+      visit_targets (choice, true);
+      is_sent = send_to_best (request, choice, &is_unreachable, now_ms);
     }
-  if (index < 0)
+  if (!is_sent)
     handle_no_candidate (request, choice, is_unreachable);
   g_free (choice);
 }
--- a/src/edge_table.h
+++ b/src/edge_table.h
@@ -35,6 +35,9 @@
   uint64_t kv_tokens;
   /** Maximum number of tokens in one event of a stream. */
   uint32_t tokens_per_event;
+  /** Requests a second that a cold target tolerates; 0: targets of the service
+   *  are never cold. */
+  double cold_per_s;
 };
 
 /** A weighted share of a route's traffic. */
--- a/src/edge_targets.c
+++ b/src/edge_targets.c
@@ -116,6 +116,31 @@
          && !target->pacing.is_leaving;
 }
 
+/* Takes over from a new record how long the target stays cold. */
+static void
+set_cold (struct edge_target *target, uint64_t now_ms)
+{
+  const struct control_target *record = &target->record;
+  if (record->state != CONTROL_TARGET_GONE)
+    target->cold_until_ms = now_ms + record->cold_left_ms;
+}
+
+void
+edge_target_note_cold (struct edge_target *target, uint32_t cold_ms,
+                       uint64_t now_ms)
+{
+  target->cold_stated_until_ms
+      = MAX (target->cold_stated_until_ms, now_ms + cold_ms);
+}
+
+uint64_t
+edge_target_cold_left_ms (const struct edge_target *target, uint64_t now_ms)
+{
+  uint64_t until_ms
+      = MAX (target->cold_until_ms, target->cold_stated_until_ms);
+  return until_ms > now_ms ? until_ms - now_ms : 0;
+}
+
 /* Sets the target's build from its record. */
 static void
 set_build (struct edge_targets *targets, struct edge_target *target,
@@ -161,6 +186,7 @@
   target->references = 1;
   control_target_copy (record, &target->record);
   set_build (targets, target, now_ms);
+  set_cold (target, now_ms);
   place_load_init (&target->load);
   g_hash_table_replace (targets->by_name, g_strdup (record->name), target);
   return target;
@@ -219,6 +245,7 @@
       xdr_free ((xdrproc_t)xdr_control_target, (char *)&target->record);
       control_target_copy (record, &target->record);
       set_build (targets, target, now_ms);
+      set_cold (target, now_ms);
     }
   set_live_sources (target,
                     record->silent ? target->live_sources & ~bit
--- a/src/edge_targets.h
+++ b/src/edge_targets.h
@@ -32,6 +32,10 @@
   /** Key of the service at the software version that the target announced
    *  (control_streams_build()). */
   uint64_t build;
+  /** Times until which the target is cold, by its announcements and by its
+   *  responses, in milliseconds. */
+  uint64_t cold_until_ms;
+  uint64_t cold_stated_until_ms;
   /** Time until which the target may have been replaced without this router
    *  knowing it yet, in milliseconds. */
   uint64_t doubted_until_ms;
@@ -66,6 +70,14 @@
 /** Returns whether no source has received the target's heartbeats within the
  *  timeout. */
 bool edge_target_is_silent (const struct edge_target *target, uint64_t now_ms);
+/** Notes that a response of the target says that it stays cold for
+ *  @p cold_ms. */
+void edge_target_note_cold (struct edge_target *target, uint32_t cold_ms,
+                            uint64_t now_ms);
+/** Returns for how long the target stays cold, in milliseconds; 0 when it is
+ *  warm. */
+uint64_t edge_target_cold_left_ms (const struct edge_target *target,
+                                   uint64_t now_ms);
 /** Returns the target of this name, or NULL. */
 struct edge_target *edge_targets_find (const struct edge_targets *targets,
                                        const char *name);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -131,6 +131,63 @@
   platform_config_destroy (config);
 }
 
+/* Parses a document with this member of its service. */
+static struct platform_config *
+read_cold_config (const char *member, char *finding, size_t bytes)
+{
+  char *text = g_strdup_printf (
+      "{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"s\"%s}]}",
+      member);
+  struct base_findings *findings = base_findings_create ();
+  struct platform_config *config
+      = platform_config_read (text, strlen (text), findings);
+  g_snprintf (finding, bytes, "%s: %s",
+              config ? "" : base_findings_place (findings, 0),
+              config ? "" : base_findings_text (findings, 0));
+  base_findings_destroy (findings);
+  g_free (text);
+  return config;
+}
+
+static void
+test_config_cold (void)
+{
+  static const struct
+  {
+    const char *member;
+    double per_s;
+  } valid[] = { { "", 0 },
+                { ",\"coldPerS\":0.0,\"coldStartS\":0.0", 0 },
+                { ",\"coldPerS\":7.9,\"coldStartS\":3.0", 7.9 },
+                { ",\"coldPerS\":4", 4 },
+                { ",\"coldPerS\":null", 0 } };
+  static const char *const values[]
+      = { "-0.1", "\"4\"", "[4]", "{}", "true", "1e300" };
+  char finding[200];
+  for (size_t i = 0; i < G_N_ELEMENTS (valid); i++)
+    {
+      struct platform_config *config
+          = read_cold_config (valid[i].member, finding, sizeof finding);
+      g_assert_nonnull (config);
+      g_assert_cmpfloat (
+          edge_table_find_service (platform_config_table (config), "s")
+              ->cold_per_s,
+          ==, valid[i].per_s);
+      platform_config_destroy (config);
+    }
+  for (size_t i = 0; i < 2 * G_N_ELEMENTS (values); i++)
+    {
+      const char *name = i % 2 == 0 ? "coldPerS" : "coldStartS";
+      char *member = g_strdup_printf (",\"%s\":%s", name, values[i / 2]);
+      char *expected = g_strdup_printf (
+          "services[0].%s: must be a number, 0 or above", name);
+      g_assert_null (read_cold_config (member, finding, sizeof finding));
+      g_assert_cmpstr (finding, ==, expected);
+      g_free (expected);
+      g_free (member);
+    }
+}
+
 /* What can't be read as a list of regions is refused with its place, rather
    than taken for any region. */
 static void
@@ -461,6 +518,77 @@
   return settings;
 }
 
+/* Hosts of a platform that names no bounds allow what the service says; others
+   allow the bounds' overage and slack. */
+static void
+test_cold_settings (void)
+{
+  static const struct
+  {
+    const char *lines;
+    double overage;
+    double slack;
+  } valid[] = { { "", 1, 0 },
+                { "cold-overage=1.5\ncold-slack=5\n", 1.5, 5 },
+                { "cold-overage=\ncold-slack=\n", 1, 0 } };
+  static const char *const invalid[]
+      = { "cold-overage=x\n", "cold-slack=-1\n", "cold-overage=nan\n" };
+  for (size_t i = 0; i < G_N_ELEMENTS (valid) + G_N_ELEMENTS (invalid); i++)
+    {
+      bool is_valid = i < G_N_ELEMENTS (valid);
+      struct base_findings *findings = base_findings_create ();
+      char *text = g_strdup_printf (
+          "[process]\nhost=n1\naddress=10.0.0.1\navailability-zone=z1\n"
+          "region=r1\nfirst-port=7000\nlast-port=7010\n"
+          "members=10.0.0.1:80\n[limits]\n%s",
+          is_valid ? valid[i].lines : invalid[i - G_N_ELEMENTS (valid)]);
+      struct platform_settings *settings = read_settings (text, findings);
+      g_assert_cmpint (settings != NULL, ==, is_valid);
+      if (settings)
+        {
+          g_assert_cmpfloat (settings->cold_overage, ==, valid[i].overage);
+          g_assert_cmpfloat (settings->cold_slack, ==, valid[i].slack);
+        }
+      else
+        g_assert_true (g_str_has_prefix (base_findings_place (findings, 0),
+                                         "[limits] cold-"));
+      platform_settings_destroy (settings);
+      base_findings_destroy (findings);
+      g_free (text);
+    }
+}
+
+/* How long a target stays cold, by its responses; callers get the header as it
+   was sent. */
+static void
+test_cold_headers (void)
+{
+  static const struct
+  {
+    const char *value;
+    uint32_t cold_ms;
+    bool is_malformed;
+  } cases[] = { { "0", 0, false },          { "2500", 2500, false },
+                { " 7 ", 7, false },        { "4000000000", 600000, false },
+                { "99999999999", 0, true }, { "-1", 0, true },
+                { "soon", 0, true },        { "", 0, true },
+                { "1.5", 0, true } };
+  const struct edge_dialect *dialect = platform_dialect ();
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct edge_target_response answer
+          = { .status = 200,
+              .lines = g_ptr_array_new_with_free_func (g_free) };
+      dialect->read_response_header (dialect, &answer, "q", "x-cold-ms",
+                                     cases[i].value);
+      g_assert_cmpuint (answer.cold_ms, ==, cases[i].cold_ms);
+      g_assert_cmpint (answer.malformed_statement != NULL, ==,
+                       cases[i].is_malformed);
+      g_assert_cmpuint (answer.lines->len, ==, 1);
+      g_ptr_array_unref (answer.lines);
+    }
+}
+
 static void
 test_settings (void)
 {
@@ -534,6 +662,9 @@
   g_test_add_func ("/platform/target-statements", test_target_statements);
   g_test_add_func ("/platform/config", test_config);
   g_test_add_func ("/platform/config-regions", test_config_regions);
+  g_test_add_func ("/platform/config-cold", test_config_cold);
+  g_test_add_func ("/platform/cold-headers", test_cold_headers);
+  g_test_add_func ("/platform/cold-settings", test_cold_settings);
   g_test_add_func ("/platform/invalid-config-regions",
                    test_invalid_config_regions);
   g_test_add_func ("/platform/invalid-configs", test_invalid_configs);
--- a/tests/test_target_announcements.c
+++ b/tests/test_target_announcements.c
@@ -403,6 +403,63 @@
   edge_targets_destroy (targets);
 }
 
+/* Time for which a router told of all changes takes the target for cold. */
+static uint64_t
+cold_left_of (struct control_targets *control, struct edge_targets *targets,
+              uint64_t change, uint64_t now_ms)
+{
+  struct control_target *list = NULL;
+  uint32_t count = control_targets_changed_since (control, change, &list);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      edge_targets_merge (targets, 0, &list[i], now_ms);
+      xdr_free ((xdrproc_t)xdr_control_target, (char *)&list[i]);
+    }
+  free (list);
+  return edge_target_cold_left_ms (edge_targets_find (targets, "a"), now_ms);
+}
+
+/* Routers are told when a target that was warm is cold, and when it is warm
+   before its time; not of announcements that say the same. */
+static void
+test_cold_target (void)
+{
+  struct control_targets *control = control_targets_create (SILENT_MS);
+  struct edge_targets *early = edge_targets_create ();
+  struct edge_targets *late = edge_targets_create ();
+  struct control_target target = record ("a", 5, 1, CONTROL_TARGET_READY);
+  target.software_version = (char *)(uintptr_t) "";
+  target.cold_left_ms = 3000;
+  control_targets_announce (control, &target, 1000);
+  g_assert_cmpuint (cold_left_of (control, early, 0, 1000), ==, 3000);
+  uint64_t change = control_targets_newest_change (control);
+  target.sequence = 2;
+  target.cold_left_ms = 2000;
+  control_targets_announce (control, &target, 2010);
+  g_assert_cmpuint (control_targets_newest_change (control), ==, change);
+  /* A router that learns of the target later knows what is left. */
+  control_targets_expire (control, 2500);
+  g_assert_cmpuint (cold_left_of (control, late, 0, 2500), ==, 1510);
+  g_assert_cmpuint (cold_left_of (control, early, change, 2500), ==, 1500);
+  target.sequence = 3;
+  target.cold_left_ms = 0;
+  control_targets_announce (control, &target, 2600);
+  g_assert_cmpuint (cold_left_of (control, early, change, 2600), ==, 0);
+  change = control_targets_newest_change (control);
+  target.sequence = 4;
+  target.cold_left_ms = 4000;
+  control_targets_announce (control, &target, 3000);
+  g_assert_cmpuint (cold_left_of (control, early, change, 3000), ==, 4000);
+  /* What a response says counts until its own time is over. */
+  edge_target_note_cold (edge_targets_find (early, "a"), 6000, 3000);
+  g_assert_cmpuint (cold_left_of (control, early, change, 3000), ==, 6000);
+  g_assert_cmpuint (
+      edge_target_cold_left_ms (edge_targets_find (early, "a"), 9000), ==, 0);
+  edge_targets_destroy (early);
+  edge_targets_destroy (late);
+  control_targets_destroy (control);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -430,5 +487,6 @@
   g_test_add_func ("/target-announcements/one-incarnation-per-address",
                    test_one_incarnation_per_address);
   g_test_add_func ("/target-announcements/silence", test_silence);
+  g_test_add_func ("/target-announcements/cold-target", test_cold_target);
   return g_test_run ();
 }
--- a/tools/platform_rig.c
+++ b/tools/platform_rig.c
@@ -41,6 +41,7 @@
       "members=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1\nannounce-ms=1000\n"
       "tolerated-hosts=1\n[listen]\n%s[limits]\ngrace-s=8\n"
       "retry-ratio=0.5\nretry-window-s=10\nretry-slack=100\n"
+      "cold-overage=1.5\ncold-slack=5\n"
       "[regions]\nz1=r1\nz2=r2\n",
       name, place->address, place->zone, place->region,
       is_first_start ? "true" : "false", data, rpc_port, rpc_port + 9, listen);
