--- a/src/edge.c
+++ b/src/edge.c
@@ -77,6 +77,7 @@
     .room_rejected
     = base_metrics_counter (metrics, "edge_room_rejected_total", NULL),
     .link_closed = base_metrics_gauge (metrics, "edge_link_closed", NULL),
+    .cold_only = base_metrics_counter (metrics, "edge_cold_only_total", NULL),
     .region_rejected
     = base_metrics_counter (metrics, "edge_region_rejected_total", NULL),
     .relayed = base_metrics_counter (metrics, "edge_relayed_total", NULL),
