Log what a lost send is taken for, and each reported crash of a target

The logs could not tell whether a part that crashes targets was never suspected, was suspected under one account only, or was known too late. Routers now log loss-judged, control members crash-reported.

--- a/src/control_quarantine.c
+++ b/src/control_quarantine.c
@@ -175,8 +175,14 @@
 report_crash (struct control_quarantine *quarantine,
               const struct report *report, uint64_t wall_ms)
 {
-  if (report->kind == CONTROL_SUSPECT_PART
-      && is_explained (quarantine, report->crash.target, wall_ms))
+  bool is_known = report->kind == CONTROL_SUSPECT_PART
+                  && is_explained (quarantine, report->crash.target, wall_ms);
+  base_log (BASE_LOG_INFO,
+            "crash-reported suspect=%s:%lx account=%s target=%s explained=%d",
+            report->kind == CONTROL_SUSPECT_PART ? "part" : "request",
+            (unsigned long)report->id, report->account, report->target_name,
+            is_known);
+  if (is_known)
     return;
   struct control_suspicion *suspect = control_suspects_ensure (
       quarantine->suspects, report->kind, report->id, wall_ms);
--- a/src/edge_suspicion.c
+++ b/src/edge_suspicion.c
@@ -1,5 +1,8 @@
 #include "edge_suspicion.h"
 
+#include <inttypes.h>
+
+#include "base_event.h"
 #include "edge_permits.h"
 #include "edge_probe.h"
 
@@ -77,20 +80,39 @@
              || now_ms < request->first_data_ms + RESPONSE_BEGIN_MS);
 }
 
+/* Logs what a lost attempt is taken for. */
+static void
+log_loss (struct edge_request *request, const char *suspects)
+{
+  base_event ("loss-judged id=%s target=%s account=%s request=%" PRIx64
+              " suspects=%s",
+              request->head.request_id, request->target->record.name,
+              request->account ? request->account->name : "-",
+              edge_request_digest (request), suspects);
+}
+
 void
 edge_suspicion_note_lost (struct edge_request *request)
 {
   struct edge *edge = request->edge;
   uint64_t now_ms = edge_now_ms ();
-  if (!request->attempt || edge_attempt_is_silent_loss (request->attempt))
+  if (!request->attempt)
     return;
+  if (edge_attempt_is_silent_loss (request->attempt))
+    {
+      log_loss (request, "none,silent");
+      return;
+    }
   uint64_t head_ms = edge_attempt_head_ms (request->attempt);
   uint64_t heard_ms = MAX (head_ms, request->last_data_ms);
   bool has_begun = head_ms > 0;
   if (has_begun
       && (!has_just_begun (request, now_ms)
           || now_ms >= heard_ms + SILENT_LOSS_MS))
-    return;
+    {
+      log_loss (request, "none,begun");
+      return;
+    }
   const struct edge_quarantine_loss loss = {
     .target = request->target->record.name,
     .account = account_name (request),
@@ -100,8 +122,10 @@
   request->is_suspected
       = edge_quarantine_suspects_request (edge->quarantine, loss.digest);
   edge_quarantine_note_lost_request (edge->quarantine, &loss, now_ms);
-  if (has_begun && request->service->is_engine
-      && request->placement.part_count > 0)
+  bool has_parts = has_begun && request->service->is_engine
+                   && request->placement.part_count > 0;
+  log_loss (request, has_parts ? "request,parts" : "request");
+  if (has_parts)
     edge_quarantine_note_lost (edge->quarantine, loss.target, loss.account,
                                &request->placement, now_ms);
   edge_probe_start (edge, request->target, NULL, EDGE_PROBE_CRASH, now_ms);
