Believe a refused connection where other routers have lost the target too

Cause: a router that is refused asks others whether they reach the target; one that has lost it itself answers that the target is silent without trying, and the crash was dismissed. The more routers had seen a target end, the fewer believed it.

A refusal now counts where another router doesn't reach the target either; one that reaches it still ends the suspicion, and routers that can't be reached decide nothing.

--- a/src/edge_probe.c
+++ b/src/edge_probe.c
@@ -30,8 +30,10 @@
   enum edge_probe_purpose purpose;
   /* Interned name of the router that passes the connection on, or NULL. */
   const char *peer;
-  /* Number of routers asked before. */
+  /* Number of routers asked before, and whether one of them doesn't reach the
+     target either. */
   uint32_t asked;
+  bool is_missed;
   struct sockaddr_in address;
   /* The connection in progress, or -1. */
   int fd;
@@ -73,7 +75,10 @@
   struct edge_probe *next
       = add_probe (probe->edge, probe->target, peer, EDGE_PROBE_CRASH, now_ms);
   if (next)
-    next->asked = probe->asked + 1;
+    {
+      next->asked = probe->asked + 1;
+      next->is_missed = probe->is_missed;
+    }
   return next != NULL;
 }
 
@@ -87,10 +92,11 @@
   edge_quarantine_confirm (probe->edge->quarantine, name);
 }
 
-/* A refused connection shows that the process has ended only where other
-   routers are refused as well: one that is cut off may be refused alone. */
+/* A refused connection shows that the process has ended only where no other
+   router reaches the target: one that is cut off may be refused alone. Routers
+   that have lost the target themselves don't try it again for others. */
 static void
-judge_crash (const struct edge_probe *probe, enum edge_path_result result,
+judge_crash (struct edge_probe *probe, enum edge_path_result result,
              uint64_t now_ms)
 {
   bool is_refused = result == EDGE_PATH_REFUSED;
@@ -98,11 +104,16 @@
     {
       if (!ask_another (probe, now_ms))
         confirm_crash (probe, now_ms);
+      return;
     }
-  else if (is_refused)
+  probe->is_missed |= probe->peer && result == EDGE_PATH_UNREACHABLE;
+  bool is_undecided
+      = probe->peer && !is_refused && result != EDGE_PATH_REACHED;
+  if (is_undecided && ask_another (probe, now_ms))
+    return;
+  if (is_refused || (is_undecided && probe->is_missed))
     confirm_crash (probe, now_ms);
-  else if (result == EDGE_PATH_REACHED || !probe->peer
-           || !ask_another (probe, now_ms))
+  else
     edge_quarantine_dismiss (probe->edge->quarantine,
                              probe->target->record.name);
 }
