Count crashes of a part that follow each other at once

Cause: crashes within 150 ms count once, as a lost zone ends many targets. A request that is sent again crashes two within 100 ms, and every other crash was left out.

--- a/src/control_turns.c
+++ b/src/control_turns.c
@@ -4,6 +4,12 @@
 
 #include <glib.h>
 
+/* Crashes that happened together of which more than one count: a request that
+   is sent again crashes two targets soon after each other.  They count only
+   beside such of other times, as the loss of a zone ends many. */
+#define TOGETHER_MAX 2
+#define TIMES_MIN 3
+
 static void
 drop (struct control_turns *turns, uint32_t index)
 {
@@ -17,10 +23,15 @@
 control_turns_add (struct control_turns *turns,
                    const struct control_crash *crash, const char *account)
 {
+  uint32_t together = 0;
   for (uint32_t i = 0; i < turns->count; i++)
-    if (turns->turns[i].crash.target == crash->target
-        || control_evidence_is_together (&turns->turns[i].crash, crash))
-      return false;
+    {
+      if (turns->turns[i].crash.target == crash->target)
+        return false;
+      together += control_evidence_is_together (&turns->turns[i].crash, crash);
+    }
+  if (together >= TOGETHER_MAX)
+    return false;
   if (turns->count == CONTROL_EVIDENCE_KEPT)
     drop (turns, 0);
   uint32_t i = turns->count++;
@@ -60,11 +71,23 @@
 {
   struct control_turns_verdict verdict = { 0 };
   const char *accounts[CONTROL_EVIDENCE_KEPT];
+  const struct control_crash *last = NULL;
+  uint32_t times = 0;
   uint32_t count = 0;
   uint32_t most = 0;
   for (uint32_t i = 0; i < turns->count; i++)
-    if (!explains (context, turns->turns[i].crash.target))
-      accounts[count++] = turns->turns[i].account;
+    {
+      const struct control_turn *turn = &turns->turns[i];
+      if (explains (context, turn->crash.target))
+        continue;
+      accounts[count++] = turn->account;
+      if (last && control_evidence_is_together (last, &turn->crash))
+        continue;
+      last = &turn->crash;
+      times++;
+    }
+  if (times < TIMES_MIN)
+    return verdict;
   for (uint32_t i = 0; i < count; i++)
     {
       uint32_t same = 0;
--- a/src/control_turns.h
+++ b/src/control_turns.h
@@ -14,9 +14,9 @@
 
 #include "control_evidence.h"
 
-/** Crashes that block the part for the account that most of them were under,
- *  and those of other accounts from which on it is blocked for all: no account
- *  blocks another's requests alone. */
+/** Crashes, of three times at least, that block the part for the account that
+ *  most of them were under, and those of other accounts from which on it is
+ *  blocked for all: no account blocks another's requests alone. */
 #define CONTROL_TURNS_CRASHES 5
 #define CONTROL_TURNS_OTHERS 3
 /** Begins the account name in reports and snapshots of crashes at any moment
@@ -53,7 +53,7 @@
   const char *account;
 };
 
-/** Adds a crash unless it happened together with one that counts.  Returns
+/** Adds a crash unless it happened together with too many that count.  Returns
  *  whether it was added. */
 bool control_turns_add (struct control_turns *turns,
                         const struct control_crash *crash,
