--- a/tests/test_edge_crashing_by_turns.c
+++ b/tests/test_edge_crashing_by_turns.c
@@ -171,6 +171,38 @@
   control_quarantine_destroy (pair.control);
 }
 
+/* Targets that end together have one cause: the loss of a zone blocks nothing,
+   however many requests of however many accounts it cut off; nor do answers
+   that are lost while their targets run. */
+static void
+test_lost_zone_blocks_nothing (void)
+{
+  struct pair pair
+      = { control_quarantine_create (), edge_quarantine_create () };
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      char account[8];
+      char target[8];
+      struct place_request placement = prompt (1, 900);
+      g_snprintf (account, sizeof account, "a%u", i % 12);
+      g_snprintf (target, sizeof target, "t%u", i);
+      edge_quarantine_note_open (pair.router, target, account, &placement,
+                                 BEGIN_MS + 7 * i);
+      edge_quarantine_confirm (pair.router, target);
+      exchange (&pair, BEGIN_MS + 7 * i);
+      edge_quarantine_note_open (pair.router, "alive", account, &placement,
+                                 BEGIN_MS + 1000 * i);
+      edge_quarantine_dismiss (pair.router, "alive");
+      exchange (&pair, BEGIN_MS + 1000 * i);
+    }
+  g_assert_cmpint (check (pair.router, "a0", 900, BEGIN_MS + 40000), ==,
+                   EDGE_QUARANTINE_FREE);
+  g_assert_cmpint (check (pair.router, "b", 900, BEGIN_MS + 40000), ==,
+                   EDGE_QUARANTINE_FREE);
+  edge_quarantine_destroy (pair.router);
+  control_quarantine_destroy (pair.control);
+}
+
 /* A part that is completed a moment ago, or anything while no target is left,
    isn't suspected of a crash beside it. */
 static void
@@ -287,6 +319,8 @@
     }
   g_test_add_func ("/edge-crashing-by-turns/no-account-blocks-another",
                    test_no_account_blocks_another);
+  g_test_add_func ("/edge-crashing-by-turns/lost-zone-blocks-nothing",
+                   test_lost_zone_blocks_nothing);
   g_test_add_func ("/edge-crashing-by-turns/served-part-is-not-suspected",
                    test_served_part_is_not_suspected);
   g_test_add_func ("/edge-crashing-by-turns/snapshot", test_snapshot);
