Look for unread bytes of callers only while room is taken

The count of what callers have sent beyond their request took a system call a second for each request that is served for longer than that, also in calm.

It is made now only while more than a quarter of the room is taken. The cases of test_platform_outside_limits for routers pass.

--- a/src/edge_callers.c
+++ b/src/edge_callers.c
@@ -20,6 +20,8 @@
    receive buffer is made small, and size of that. */
 #define UNREAD_MAX_BYTES (32 * 1024)
 #define SMALL_BUFFER_BYTES 4096
+/* What is unread is counted while more than this part of the room is taken. */
+#define UNREAD_SHARE 4u
 
 /* Why a connection was refused or closed. */
 enum refusal
@@ -417,7 +419,10 @@
       close_caller (callers, (struct edge_caller *)still, REFUSAL_STILL);
       has_closed = true;
     }
-  edge_intake_visit_held (callers->intake, now_ms (), count_unread, callers);
+  /* Each look costs a system call. */
+  if (edge_intake_bytes (callers->intake)
+      > callers->limits.bytes_max / UNREAD_SHARE)
+    edge_intake_visit_held (callers->intake, now_ms (), count_unread, callers);
   base_counter_set (callers->bytes, edge_intake_bytes (callers->intake));
   base_counter_set (callers->connections,
                     edge_intake_connections (callers->intake));
