Tell routers of parts that crash targets from the second crash on

Cause: all parts of all requests that a target took with it became suspects, and each change of the list of suspects went to all routers: 0.139 GB between availability zones in place of 0.073.

Change: a part is on the list from its second crash on, or from the first where the response had just begun, as before.

--- a/src/control_quarantine.c
+++ b/src/control_quarantine.c
@@ -17,10 +17,11 @@
 #define REQUEST_CRASH_LIFETIME_MS UINT64_C (86400000)
 /* Accounts for which a part is blocked that block it for all. */
 #define BLOCKED_ACCOUNTS 2
-/* Crashes from which on routers are told of a request, so that they report
-   whether it is sound.  With a crash of any target many requests are lost
-   once. */
-#define REQUEST_LISTED_CRASHES 2
+/* Crashes from which on routers are told of a request, or of a part that
+   crashed targets at any moment, so that they report whether it is sound. With
+   a crash of any target many requests are lost once, and each change of the
+   list goes to all routers. */
+#define LISTED_CRASHES 2
 
 /* Times for which a request is blocked before its first trial, and after each,
    in ms: a sound one is free again soon, and one that crashes targets gets two
@@ -56,13 +57,24 @@
              : request_block_ms[MIN (evidence->trials, last)];
 }
 
-/* Returns whether routers are told of the suspect. */
 static bool
-is_listed (const struct control_suspicion *suspect)
+has_listed_account (const struct control_suspicion *suspect)
 {
-  return suspect->kind == CONTROL_SUSPECT_PART
-         || suspect->accounts[0].count >= REQUEST_LISTED_CRASHES
-         || suspect->accounts[0].blocked_until_ms > 0;
+  uint32_t crashes
+      = suspect->kind == CONTROL_SUSPECT_PART ? 1 : LISTED_CRASHES;
+  for (uint32_t i = 0; i < suspect->account_count; i++)
+    if (suspect->accounts[i].count >= crashes
+        || suspect->accounts[i].blocked_until_ms > 0)
+      return true;
+  return false;
+}
+
+bool
+control_quarantine_is_listed (const struct control_suspicion *suspect)
+{
+  return suspect->turns.count >= LISTED_CRASHES
+         || suspect->turns.blocked_until_ms > 0
+         || suspect->all_blocked_until_ms > 0 || has_listed_account (suspect);
 }
 
 /* Drops crashes that no longer count.  After a block all but one of those that
@@ -186,7 +198,7 @@
     block (quarantine, suspect, evidence, report, wall_ms);
   if (is_part)
     block_for_all (suspect, wall_ms);
-  quarantine->version += is_listed (suspect);
+  quarantine->version += control_quarantine_is_listed (suspect);
 }
 
 /* A complete response shows that the suspect doesn't crash targets. */
@@ -204,7 +216,7 @@
               kind == CONTROL_SUSPECT_PART ? "part-unblocked part=%lx"
                                            : "request-unblocked request=%lx",
               (unsigned long)id);
-  quarantine->version += is_listed (suspect);
+  quarantine->version += control_quarantine_is_listed (suspect);
   g_ptr_array_remove_index (quarantine->suspects, index);
 }
 
@@ -233,7 +245,7 @@
       if (control_suspicion_is_blocked (suspect, wall_ms)
           || expiry_ms (suspect) >= wall_ms)
         continue;
-      quarantine->version += is_listed (suspect);
+      quarantine->version += control_quarantine_is_listed (suspect);
       g_ptr_array_remove_index (quarantine->suspects, i);
     }
 }
@@ -358,13 +370,15 @@
   for (guint i = 0; i < quarantine->suspects->len; i++)
     {
       const struct control_suspicion *suspect = quarantine->suspects->pdata[i];
+      if (!control_quarantine_is_listed (suspect))
+        continue;
       if (suspect->kind == CONTROL_SUSPECT_PART)
         control_quarantine_add_part (quarantine, suspects, suspect, wall_ms);
       for (uint32_t k = 0; k < suspect->account_count; k++)
         {
           const struct control_evidence *evidence = &suspect->accounts[k];
           if (suspect->kind == CONTROL_SUSPECT_REQUEST
-                  ? is_listed (suspect)
+                  ? control_quarantine_is_listed (suspect)
                   : evidence->blocked_until_ms > wall_ms)
             control_quarantine_add_line (suspects, suspect, evidence->account,
                                          false, evidence->blocked_until_ms,
--- a/src/control_quarantine_state.h
+++ b/src/control_quarantine_state.h
@@ -38,6 +38,8 @@
   GPtrArray *suspects;
 };
 
+/** Returns whether routers are told of the suspect. */
+bool control_quarantine_is_listed (const struct control_suspicion *suspect);
 /** Counts a crash for a part whatever the account. */
 void control_quarantine_report_turn (
     struct control_quarantine *quarantine, struct control_suspicion *suspect,
--- a/src/control_quarantine_turns.c
+++ b/src/control_quarantine_turns.c
@@ -99,7 +99,7 @@
     return;
   suspect->last_crash_ms
       = MAX (suspect->last_crash_ms, report->crash.crash_ms);
-  quarantine->version++;
+  quarantine->version += control_quarantine_is_listed (suspect);
   const struct control_turns_verdict verdict
       = judge_turns (quarantine, suspect, wall_ms);
   if (verdict.is_blocked)
