Drop a check of the list of suspects that its caller makes now

Only listed suspects reach the lines of accounts since the list leaves out the others, so a listed request needs no second look. Behaviour is the same: test_edge_quarantine, test_edge_crashing_requests and test_edge_crashing_by_turns pass.

--- a/src/control_quarantine.c
+++ b/src/control_quarantine.c
@@ -378,8 +378,7 @@
         {
           const struct control_evidence *evidence = &suspect->accounts[k];
           if (suspect->kind == CONTROL_SUSPECT_REQUEST
-                  ? control_quarantine_is_listed (suspect)
-                  : evidence->blocked_until_ms > wall_ms)
+              || evidence->blocked_until_ms > wall_ms)
             control_quarantine_add_line (suspects, suspect, evidence->account,
                                          false, evidence->blocked_until_ms,
                                          wall_ms);
