--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,9 @@
 for case in review/[6-9]/case.c review/10/case.c; do
   [ -f "$case" ] || continue
   number=$(basename "$(dirname "$case")")
-  gcc -O1 -g -Wall -Wextra -pthread -I review/common-2 \
+  flags=
+  [ ! -f "review/$number/flags" ] || flags=$(cat "review/$number/flags")
+  # shellcheck disable=SC2086
+  gcc -O1 -g -Wall -Wextra $flags -pthread -I review/common-2 \
     -o "target/review-2/case-$number" "$case" review/common-2/rig.c
 done
--- a/review/common-2/rig.c
+++ b/review/common-2/rig.c
@@ -170,9 +170,10 @@
 {
   char name[32];
   char address[16];
-  snprintf (name, sizeof name, "front-%s-1", zones[index]);
+  snprintf (name, sizeof name, "front-%s-%d", zones[index % 3],
+            index / 3 + 1);
   front_address (index, address);
-  write_settings (rig, name, address, index, false, bootstrap);
+  write_settings (rig, name, address, index % 3, false, bootstrap);
   rig->fronts[index] = start (rig, "target/bin/cactus-entry", name);
 }
 
--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -13,7 +13,10 @@
 #include <sys/types.h>
 
 #define CORES 3
+/* A case may ask for more front processes. */
+#ifndef FRONTS
 #define FRONTS 3
+#endif
 /* Bounds of the site, in milliseconds. */
 #define DRAIN_MS 3000
 #define CONTACT_MS 4000
