--- a/review/common-2/rig.c
+++ b/review/common-2/rig.c
@@ -59,7 +59,8 @@
     }
   if (record_file)
     {
-      fprintf (record_file, "%9.3f s  ", (double)(now_ms () - began_ms) / 1000);
+      fprintf (record_file, "%9.3f s  ",
+               (double)(now_ms () - began_ms) / 1000);
       va_start (list, format);
       vfprintf (record_file, format, list);
       va_end (list);
@@ -116,8 +117,7 @@
     fprintf (file, "callers=\nready=\ncontrol=%s:%u\n\nmetrics-port=%u\n",
              address, rig->control_port, rig->first_port + 16);
   else
-    fprintf (file,
-             "callers=%s:%u\nready=%s:%u\ncontrol=\nmetrics-port=%u\n\n",
+    fprintf (file, "callers=%s:%u\nready=%s:%u\ncontrol=\nmetrics-port=%u\n\n",
              address, rig->front_port, address, rig->ready_port,
              rig->first_port + 16);
   fprintf (file,
@@ -170,8 +170,7 @@
 {
   char name[32];
   char address[16];
-  snprintf (name, sizeof name, "front-%s-%d", zones[index % 3],
-            index / 3 + 1);
+  snprintf (name, sizeof name, "front-%s-%d", zones[index % 3], index / 3 + 1);
   front_address (index, address);
   write_settings (rig, name, address, index % 3, false, bootstrap);
   rig->fronts[index] = start (rig, "target/bin/cactus-entry", name);
@@ -389,7 +388,12 @@
   for (;;)
     {
       if (room - used < 4096)
-        data = realloc (data, (room *= 2) + 1);
+        {
+          char *larger = realloc (data, (room *= 2) + 1);
+          if (!larger)
+            abort ();
+          data = larger;
+        }
       ssize_t got = read_some (fd, data + used, room - used, until_ms);
       if (got < 0)
         break;
@@ -652,6 +656,7 @@
 announce (void *data)
 {
   struct replica *replica = data;
+  sleep_ms (replica->first_report_ms);
   for (;;)
     {
       if (replica->announces)
--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -62,6 +62,8 @@
   char version[16];
   int slots;
   int64_t born_ms;
+  /* Delay of the first report. */
+  int64_t first_report_ms;
   volatile int sequence;
   volatile bool announces;
   volatile bool draining;
