--- a/review/8/case.c
+++ b/review/8/case.c
@@ -2,7 +2,7 @@
    The replica goes on serving for a while, as the pages say.  Once all
    processes are back and in touch, no request may reach it. */
 
-#include "../common-2/rig.h"
+#include "../6/rig.h"
 
 #include <signal.h>
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,5 +10,5 @@
   [ ! -f "review/$number/flags" ] || flags=$(cat "review/$number/flags")
   # shellcheck disable=SC2086
   gcc -O1 -g -Wall -Wextra $flags -pthread \
-    -o "target/review-2/case-$number" "$case" review/common-2/rig.c
+    -o "target/review-2/case-$number" "$case" review/6/rig.c
 done
