Keep sign-offs of targets that a member doesn't know

A target that signed off at a member that didn't know it yet could get requests again: the others took the member's record for confirmed and ignored it, and no file held it, so it was lost when that one member ended before it had heard of the target itself.

The others now take the record over, with its age, which tells the run that signed off from a later one, and all write it to their files. Members of an older build restore such a record and apply it to no run.

/target-announcements/sign-off-of-unknown-spreads fails before (the record is not learned).

--- a/src/control_targets.c
+++ b/src/control_targets.c
@@ -187,6 +187,20 @@
   return true;
 }
 
+/* Adds a target of which nothing but the name is known. */
+static struct entry *
+add_nameless (struct control_targets *targets, const char *name)
+{
+  struct entry *entry = g_new0 (struct entry, 1);
+  entry->target.name = strdup (name);
+  entry->target.service = strdup ("");
+  entry->target.address = strdup ("");
+  entry->target.availability_zone = strdup ("");
+  entry->target.software_version = strdup ("");
+  g_hash_table_insert (targets->entries, entry->target.name, entry);
+  return entry;
+}
+
 void
 control_targets_mark_gone (struct control_targets *targets, const char *name,
                            uint64_t now_ms)
@@ -196,18 +210,10 @@
   /* One record that can't be encoded would keep all others from routers. */
   if (strlen (name) > WIRE_NAME_BYTES)
     return;
+  /* The target may be unknown to this member, but known to other members and
+     routers. */
   if (!entry)
-    {
-      /* The target is not known to this member, but other members and routers
-         may know it. */
-      entry = g_new0 (struct entry, 1);
-      entry->target.name = strdup (name);
-      entry->target.service = strdup ("");
-      entry->target.address = strdup ("");
-      entry->target.availability_zone = strdup ("");
-      entry->target.software_version = strdup ("");
-      g_hash_table_insert (targets->entries, entry->target.name, entry);
-    }
+    entry = add_nameless (targets, name);
   else if (entry->target.state == CONTROL_TARGET_GONE)
     return;
   entry->announced_ms = now_ms;
@@ -263,22 +269,52 @@
   return entry;
 }
 
-/* Learns of a target that signed off here before it was known.  A run that
+/* Returns whether a run began after a sign-off that is kept for @p left_ms
+   more. */
+static bool
+is_later_run (const struct control_target *run, uint64_t left_ms,
+              uint64_t wall_ms)
+{
+  uint64_t age_ms = RETENTION_MS - MIN (left_ms, RETENTION_MS);
+  return wall_ms < run->born_ms || wall_ms - run->born_ms < age_ms;
+}
+
+/* Learns of a target that signed off before it was known here.  A run that
    began after that is another one. */
 static struct entry *
 resolve_sign_off (struct control_targets *targets, const struct entry *entry,
                   const struct control_target *record, uint64_t wall_ms)
 {
-  uint64_t age_ms = targets->now_ms - entry->announced_ms;
-  bool is_later
-      = wall_ms < record->born_ms || wall_ms - record->born_ms < age_ms;
+  uint64_t left_ms = entry->expires_ms > targets->now_ms
+                         ? entry->expires_ms - targets->now_ms
+                         : 0;
   struct entry *known = replace_learned (targets, record);
-  if (!is_later && known->target.state != CONTROL_TARGET_GONE)
-    mark_entry_gone (targets, known,
-                     RETENTION_MS - MIN (age_ms, RETENTION_MS));
+  if (!is_later_run (record, left_ms, wall_ms)
+      && known->target.state != CONTROL_TARGET_GONE)
+    mark_entry_gone (targets, known, left_ms);
   return known;
 }
 
+/* Merges a sign-off that another member was told of without knowing the
+   target.  Builds that don't report how long they keep it can't be
+   followed. */
+static void
+learn_sign_off (struct control_targets *targets, struct entry *entry,
+                const struct control_target *record, uint64_t wall_ms)
+{
+  uint64_t left_ms = record->cold_left_ms;
+  if (left_ms == 0 || left_ms > RETENTION_MS)
+    return;
+  if (!entry)
+    {
+      entry = add_nameless (targets, record->name);
+      mark_entry_gone (targets, entry, left_ms);
+    }
+  else if (entry->target.state != CONTROL_TARGET_GONE
+           && !is_later_run (&entry->target, left_ms, wall_ms))
+    mark_entry_gone (targets, entry, left_ms);
+}
+
 bool
 control_targets_learn (struct control_targets *targets, uint32_t source,
                        const struct control_target *record, uint64_t now_ms,
@@ -288,10 +324,12 @@
   uint32_t bit = UINT32_C (1) << source;
   struct entry *entry = g_hash_table_lookup (targets->entries, record->name);
   targets->now_ms = now_ms;
-  /* Another member's sign-off of a target that it doesn't know: it learns the
-     incarnation from this one. */
   if (!*record->service)
-    return false;
+    {
+      if (record->state == CONTROL_TARGET_GONE)
+        learn_sign_off (targets, entry, record, wall_ms);
+      return targets->change != change;
+    }
   if (entry && is_nameless (entry))
     entry = resolve_sign_off (targets, entry, record, wall_ms);
   else if (!entry || record->born_ms > entry->target.born_ms)
@@ -413,8 +451,7 @@
   while (g_hash_table_iter_next (&iterator, NULL, &value))
     {
       const struct entry *entry = value;
-      if (!entry->is_reported || is_nameless (entry)
-          || entry->expires_ms <= targets->now_ms
+      if (!entry->is_reported || entry->expires_ms <= targets->now_ms
           || count == CONTROL_TARGETS_MAX)
         continue;
       control_target_copy (&entry->target, &list[count].target);
--- a/tests/test_target_announcements.c
+++ b/tests/test_target_announcements.c
@@ -194,6 +194,61 @@
   control_targets_destroy (targets);
 }
 
+/* A sign-off of a target that the member doesn't know holds at other members,
+   for the run that had begun by then only, and after restarts. */
+static void
+test_sign_off_of_unknown_spreads (void)
+{
+  enum control_target_state state;
+  uint64_t born_ms;
+  struct control_target *list = NULL;
+  struct control_targets_file file = { 0 };
+  struct control_target early = record ("a", 5000, 1, CONTROL_TARGET_READY);
+  struct control_target late = record ("a", 7000, 1, CONTROL_TARGET_READY);
+  struct control_targets *told = control_targets_create (SILENT_MS);
+  control_targets_mark_gone (told, "a", 1000);
+  g_assert_cmpuint (control_targets_departure (told, "a"), >, 0);
+  /* At the wall time 8,000 the sign-off is 2,000 old. */
+  control_targets_expire (told, 3000);
+  g_assert_cmpuint (control_targets_changed_since (told, 0, &list), ==, 1);
+
+  struct control_targets *targets = control_targets_create (SILENT_MS);
+  control_targets_announce (targets, &early, 2000);
+  g_assert_true (control_targets_learn (targets, 1, &list[0], 3000, 8000));
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpint (state, ==, CONTROL_TARGET_GONE);
+  g_assert_cmpuint (born_ms, ==, 5000);
+  g_assert_false (control_targets_learn (targets, 1, &list[0], 3000, 8000));
+  control_targets_destroy (targets);
+
+  targets = control_targets_create (SILENT_MS);
+  control_targets_announce (targets, &late, 2000);
+  g_assert_false (control_targets_learn (targets, 1, &list[0], 3000, 8000));
+  g_assert_cmpuint (control_targets_departure (targets, "a"), ==, 0);
+  control_targets_destroy (targets);
+
+  /* Neither the member nor its later process knows the target yet. */
+  targets = control_targets_create (SILENT_MS);
+  g_assert_true (control_targets_learn (targets, 1, &list[0], 3000, 8000));
+  g_assert_cmpuint (control_targets_departure (targets, "a"), >, 0);
+  control_targets_save (targets, 8000, &file);
+  control_targets_destroy (targets);
+  targets = control_targets_create (SILENT_MS);
+  control_targets_restore (targets, &file, 100, 8500);
+  g_assert_cmpuint (control_targets_departure (targets, "a"), >, 0);
+  control_targets_learn (targets, 2, &early, 200, 8600);
+  g_assert_true (find_reported (targets, &state, &born_ms));
+  g_assert_cmpint (state, ==, CONTROL_TARGET_GONE);
+  g_assert_cmpuint (born_ms, ==, 5000);
+  control_targets_learn (targets, 2, &late, 300, 8700);
+  g_assert_cmpuint (control_targets_departure (targets, "a"), ==, 0);
+  control_targets_destroy (targets);
+  xdr_free ((xdrproc_t)xdr_control_targets_file, (char *)&file);
+  xdr_free ((xdrproc_t)xdr_control_target, (char *)&list[0]);
+  free (list);
+  control_targets_destroy (told);
+}
+
 /* Two members that tell each other of a departure forget it nevertheless. */
 static void
 test_learned_departure_ends (void)
@@ -474,6 +529,8 @@
                    test_learned_departures);
   g_test_add_func ("/target-announcements/sign-off-before-learned",
                    test_sign_off_before_learned);
+  g_test_add_func ("/target-announcements/sign-off-of-unknown-spreads",
+                   test_sign_off_of_unknown_spreads);
   g_test_add_func ("/target-announcements/learned-departure-ends",
                    test_learned_departure_ends);
   g_test_add_func ("/target-announcements/forgotten-source",
