Count an answer that ends before its request was read as broken off

Callers got a part of an answer as a complete 200 with the target's signature: a target answered a long upload at once, without a length, sent a part of its body and closed its connection with bytes unread.

Cause: the target's host may end such a connection in order before it resets it. libcurl took that end for the end of the body and gave up the upload without an error. A router that passed the connection on ended its own connection in order, too.

What only the connection delimits is now whole only if all of the request was sent and acknowledged, and the connection was not reset by then. A router that passes connections on resets its own otherwise. Answers with a length, with chunks or without a body are as before.

--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -100,6 +100,10 @@
   if (attempt->response.status < STATUS_OK)
     return;
   attempt->has_head = true;
+  http_body_end_read_status (&attempt->body_end, attempt->response.status);
+  if (attempt->body_end == HTTP_BODY_END_CONNECTION
+      && attempt->request_body->len > 0)
+    router_poll_note_end (attempt->loop, attempt->easy);
   http_overhead_begin (&attempt->overhead,
                        router_poll_socket (attempt->loop, attempt->easy),
                        base_clock_now_ms (base_clock_system ()));
@@ -395,6 +399,15 @@
   g_free (attempt);
 }
 
+/* Returns whether the target may not have received the whole request. */
+static bool
+is_request_unsent (const struct edge_attempt *attempt)
+{
+  return http_transfer_is_body_unsent (attempt->easy,
+                                       attempt->request_body->len)
+         || router_poll_ended_early (attempt->loop, attempt->easy);
+}
+
 /* Returns what is wrong with the response, or NULL. */
 static const char *
 find_fault (const struct edge_attempt *attempt)
@@ -404,6 +417,7 @@
       = { .has_head = attempt->has_head,
           .is_framed = attempt->code == CURLE_OK && !attempt->is_invalid,
           .body_end = attempt->body_end,
+          .is_request_unsent = is_request_unsent (attempt),
           .is_stream = response->is_stream && is_success (attempt) };
   if (response->request_id_differs)
     return "the response has the id of another request";
--- a/src/edge_relay.c
+++ b/src/edge_relay.c
@@ -3,9 +3,11 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <inttypes.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,6 +16,8 @@
 #include "edge_peers.h"
 #include "edge_reach.h"
 #include "edge_tunnel.h"
+#include "http_early_end.h"
+#include "http_ending.h"
 
 #define BACKLOG 256
 /* Maximum number of connections at a time, so that those of others leave room
@@ -79,6 +83,8 @@
   struct edge_target *target;
   /* The beginning of the response until its head is complete; then NULL. */
   GString *response;
+  /* What delimits the body of the response. */
+  enum http_body_end body_end;
   struct side origin;
   struct side destination;
 };
@@ -341,6 +347,17 @@
     respond (tunnel, status);
 }
 
+/* Returns whether bytes of the other router have not reached the target, which
+   has ended its connection. */
+static bool
+has_unsent (const struct tunnel *tunnel)
+{
+  int unread = 0;
+  return tunnel->destination.out->len > 0
+         || (ioctl (tunnel->origin.fd, SIOCINQ, &unread) == 0 && unread > 0)
+         || http_early_end (tunnel->destination.fd);
+}
+
 /* Handles the end of one of the connections; @p error is 0 for an orderly
    one. */
 static void
@@ -351,6 +368,9 @@
     close_tunnel (tunnel, false, "the other router closed the connection");
   else if (error != 0)
     close_tunnel (tunnel, true, "the target reset the connection");
+  /* The other router can't tell: what it sent is here. */
+  else if (tunnel->body_end == HTTP_BODY_END_CONNECTION && has_unsent (tunnel))
+    close_tunnel (tunnel, true, "the target ended before it had the request");
   else if (tunnel->origin.out->len == 0)
     close_tunnel (tunnel, false, "complete");
   else
@@ -374,16 +394,19 @@
   const char *space = strchr (lines[0] ? lines[0] : "", ' ');
   response.status = space ? (uint32_t)g_ascii_strtoull (space, NULL, 10) : 0;
   response.lines = g_ptr_array_new_with_free_func (g_free);
+  tunnel->body_end = HTTP_BODY_END_CONNECTION;
   for (char **line = lines; *line; line++)
     {
       char *colon = strchr (*line, ':');
       if (!colon || line == lines)
         continue;
       *colon = '\0';
+      http_body_end_read (&tunnel->body_end, *line, strlen (*line));
       dialect->read_response_header (dialect, &response, "", *line,
                                      g_strstrip (colon + 1));
     }
   bool is_final = response.status >= STATUS_OK;
+  http_body_end_read_status (&tunnel->body_end, response.status);
   if (is_final)
     edge_reach_note_head (edge, tunnel->target, &response, tunnel->peer);
   g_ptr_array_unref (response.lines);
--- a/src/http_ending.c
+++ b/src/http_ending.c
@@ -6,6 +6,8 @@
 
 #define LENGTH_HEADER "Content-Length"
 #define CODING_HEADER "Transfer-Encoding"
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
 
 const char *
 http_body_end_name (enum http_body_end end)
@@ -41,6 +43,13 @@
     *end = HTTP_BODY_END_LENGTH;
 }
 
+void
+http_body_end_read_status (enum http_body_end *end, uint32_t status)
+{
+  if (status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED)
+    *end = HTTP_BODY_END_LENGTH;
+}
+
 const char *
 http_ending_fault (const struct http_ending *ending)
 {
@@ -50,6 +59,11 @@
     return NULL;
   if (!ending->is_framed)
     return "the response ended before its body did";
+  /* A target that closes its connection with bytes unread resets it, so an end
+     that seems orderly may only precede the reset. */
+  if (ending->is_request_unsent
+      && ending->body_end == HTTP_BODY_END_CONNECTION)
+    return "the connection ended before the target had the request";
   if (ending->is_stream && ending->has_partial_event)
     return "the stream ended inside an event";
   /* Where only the connection delimits the body, its end says nothing: a
--- a/src/http_ending.h
+++ b/src/http_ending.h
@@ -28,6 +28,8 @@
    *  connection. */
   bool is_framed;
   enum http_body_end body_end;
+  /** A part of the request had not reached the target by then. */
+  bool is_request_unsent;
   /** The response is a stream of events, and successful. */
   bool is_stream;
   /** The stream continues one of which events were received before. */
@@ -46,6 +48,9 @@
  *  headers. */
 void http_body_end_read (enum http_body_end *end, const char *name,
                          size_t name_bytes);
+/** Updates the delimiter of a response's body from its status: some have no
+ *  body. */
+void http_body_end_read_status (enum http_body_end *end, uint32_t status);
 /** Returns how the response broke off, or NULL when it is whole. */
 const char *http_ending_fault (const struct http_ending *ending);
 
--- a/src/http_transfer.c
+++ b/src/http_transfer.c
@@ -32,6 +32,14 @@
   curl_easy_setopt (easy, CURLOPT_BUFFERSIZE, buffer_bytes);
 }
 
+bool
+http_transfer_is_body_unsent (CURL *easy, uint64_t body_bytes)
+{
+  curl_off_t sent_bytes = 0;
+  curl_easy_getinfo (easy, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
+  return (uint64_t)sent_bytes < body_bytes;
+}
+
 bool
 http_trailer_add (uint32_t *trailer_bytes, size_t line_bytes)
 {
--- a/src/http_transfer.h
+++ b/src/http_transfer.h
@@ -31,6 +31,8 @@
                                   curl_write_callback on_body,
                                   long buffer_bytes);
 
+/** Returns whether libcurl has not sent all of a request's body. */
+bool http_transfer_is_body_unsent (CURL *easy, uint64_t body_bytes);
 /** Adds a line of @p line_bytes to the size of a response's trailer.  Returns
  *  false when that is over its limit: the header callback must then return 0,
  *  since libcurl keeps trailer fields without a limit. */
--- a/src/router_attempt.c
+++ b/src/router_attempt.c
@@ -24,6 +24,7 @@
   struct curl_slist *headers;
   struct http_sse *sse;
   GString *body;
+  size_t request_bytes;
   char *content_type;
   uint64_t last_byte_ms;
   bool refused;
@@ -62,6 +63,18 @@
   return true;
 }
 
+/* Handles the empty line that ends a head. */
+static void
+end_head (struct router_attempt *attempt)
+{
+  uint32_t status = router_attempt_status (attempt);
+  attempt->has_head = status >= STATUS_OK;
+  http_body_end_read_status (&attempt->body_end, status);
+  if (attempt->has_head && attempt->body_end == HTTP_BODY_END_CONNECTION
+      && attempt->request_bytes > 0)
+    router_poll_note_end (attempt->loop, attempt->easy);
+}
+
 static size_t
 receive_header (char *line, size_t size, size_t count, void *context)
 {
@@ -81,7 +94,7 @@
   else if (colon)
     http_body_end_read (&attempt->body_end, line, (size_t)(colon - line));
   else if (*line == '\r' || *line == '\n')
-    attempt->has_head = router_attempt_status (attempt) >= STATUS_OK;
+    end_head (attempt);
   if (header_value (line, bytes, "Content-Type", value))
     {
       g_free (attempt->content_type);
@@ -145,6 +158,7 @@
       = { CONNECT_TIMEOUT_MS, call->timeout_ms };
   http_transfer_configure (easy, url, &limits, call->reuse);
   g_free (url);
+  attempt->request_bytes = call->body_bytes;
   if (call->body_bytes > 0 || strcmp (call->method, "POST") == 0)
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -204,16 +218,19 @@
 classify_outcome (struct router_attempt *attempt, CURLcode code)
 {
   long sent_bytes = 0;
-  const struct http_ending ending
-      = { .has_head = attempt->has_head,
-          .is_framed = code == CURLE_OK && !attempt->invalid,
-          .body_end = attempt->body_end,
-          .is_stream
-          = attempt->is_stream && router_attempt_status (attempt) == STATUS_OK,
-          .events = attempt->events,
-          .has_partial_event = http_sse_is_partial (attempt->sse),
-          .has_last_event
-          = attempt->callbacks->has_last_event (attempt->callbacks) };
+  const struct http_ending ending = {
+    .has_head = attempt->has_head,
+    .is_framed = code == CURLE_OK && !attempt->invalid,
+    .body_end = attempt->body_end,
+    .is_request_unsent
+    = http_transfer_is_body_unsent (attempt->easy, attempt->request_bytes)
+      || router_poll_ended_early (attempt->loop, attempt->easy),
+    .is_stream
+    = attempt->is_stream && router_attempt_status (attempt) == STATUS_OK,
+    .events = attempt->events,
+    .has_partial_event = http_sse_is_partial (attempt->sse),
+    .has_last_event = attempt->callbacks->has_last_event (attempt->callbacks)
+  };
   const char *fault = http_ending_fault (&ending);
   curl_easy_getinfo (attempt->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
   if (!fault && attempt->refused
--- a/src/router_poll.c
+++ b/src/router_poll.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "base_clock.h"
+#include "http_early_end.h"
 
 #define READY_MAX 128
 /* Interval at which closed connections are looked for while other events are
@@ -46,6 +47,9 @@
      that has ended. */
   GHashTable *sockets;
   GHashTable *transfers;
+  /* Whether the connection ended early (int), by transfer; of those for which
+     that is to be noted. */
+  GHashTable *ends;
   int wake;
   uint64_t timer_ms;
   /* Time of the last look at the events, and time between the one before and
@@ -93,6 +97,18 @@
              : -1;
 }
 
+void
+router_poll_note_end (struct router_poll *loop, CURL *easy)
+{
+  g_hash_table_insert (loop->ends, easy, GINT_TO_POINTER (false));
+}
+
+bool
+router_poll_ended_early (const struct router_poll *loop, CURL *easy)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (loop->ends, easy));
+}
+
 static int
 watch_socket (CURL *easy, curl_socket_t fd, int what, void *context,
               void *known)
@@ -103,7 +119,12 @@
   if (what == CURL_POLL_REMOVE)
     {
       if (router_poll_socket (loop, easy) == fd)
-        g_hash_table_remove (loop->transfers, easy);
+        {
+          if (g_hash_table_contains (loop->ends, easy))
+            g_hash_table_insert (loop->ends, easy,
+                                 GINT_TO_POINTER (http_early_end (fd)));
+          g_hash_table_remove (loop->transfers, easy);
+        }
       if (socket && socket->is_watched)
         epoll_ctl (loop->epoll, EPOLL_CTL_DEL, fd, NULL);
       g_hash_table_remove (loop->sockets, GINT_TO_POINTER (fd));
@@ -151,6 +172,7 @@
   loop->timer_ms = NO_TIMER;
   loop->sockets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   loop->transfers = g_hash_table_new (NULL, NULL);
+  loop->ends = g_hash_table_new (NULL, NULL);
   loop->multi = curl_multi_init ();
   loop->epoll = epoll_create1 (EPOLL_CLOEXEC);
   loop->closes = epoll_create1 (EPOLL_CLOEXEC);
@@ -183,6 +205,7 @@
     curl_multi_cleanup (loop->multi);
   g_hash_table_unref (loop->sockets);
   g_hash_table_unref (loop->transfers);
+  g_hash_table_unref (loop->ends);
   if (loop->closes >= 0)
     close (loop->closes);
   if (loop->epoll >= 0)
@@ -203,6 +226,7 @@
 {
   curl_multi_remove_handle (loop->multi, easy);
   g_hash_table_remove (loop->transfers, easy);
+  g_hash_table_remove (loop->ends, easy);
 }
 
 int
@@ -291,6 +315,7 @@
       CURLcode code = message->data.result;
       curl_multi_remove_handle (loop->multi, easy);
       loop->done (easy, code);
+      g_hash_table_remove (loop->ends, easy);
     }
 }
 
--- a/src/router_poll.h
+++ b/src/router_poll.h
@@ -34,6 +34,12 @@
 /** Returns the socket of a transfer in progress, or -1 before it is
  *  connected. */
 int router_poll_socket (const struct router_poll *loop, CURL *easy);
+/** Has the loop look for an early end (http_early_end.h) when the transfer
+ * lets go of its connection; libcurl closes that before it reports the end. */
+void router_poll_note_end (struct router_poll *loop, CURL *easy);
+/** Returns whether the connection of such a transfer, which has ended, ended
+ *  early. */
+bool router_poll_ended_early (const struct router_poll *loop, CURL *easy);
 /** Stops or continues reading a transfer's response.  Unlike curl_easy_pause,
  *  this leaves what isn't read yet with the kernel: libcurl discards what it
  *  holds for a paused transfer when the connection then fails. */
--- a/tests/test_http_ending.c
+++ b/tests/test_http_ending.c
@@ -19,15 +19,20 @@
   g_assert_cmpint (end, ==, HTTP_BODY_END_CHUNKS);
   http_body_end_read (&end, "Content-Length", 14);
   g_assert_cmpint (end, ==, HTTP_BODY_END_CHUNKS);
+  end = HTTP_BODY_END_CONNECTION;
+  http_body_end_read_status (&end, 200);
+  g_assert_cmpint (end, ==, HTTP_BODY_END_CONNECTION);
+  http_body_end_read_status (&end, 204);
+  g_assert_cmpint (end, ==, HTTP_BODY_END_LENGTH);
 }
 
 /* All combinations: a response is whole only with its head, and with its
    framing or the stream's own last event; a stream also only after a whole
-   event. */
+   event, and what the connection delimits only after the whole request. */
 static void
 test_every_combination (void)
 {
-  for (uint32_t bits = 0; bits < 128; bits++)
+  for (uint32_t bits = 0; bits < 256; bits++)
     for (int end = HTTP_BODY_END_CONNECTION; end <= HTTP_BODY_END_CHUNKS;
          end++)
       {
@@ -39,10 +44,13 @@
                 .is_resumed = bits & 8,
                 .events = bits & 16 ? 3 : 0,
                 .has_partial_event = bits & 32,
-                .has_last_event = bits & 64 };
+                .has_last_event = bits & 64,
+                .is_request_unsent = bits & 128 };
         bool has_content = ending.events > 0 || ending.is_resumed
                            || ending.body_end != HTTP_BODY_END_CONNECTION;
-        bool is_whole = ending.has_head && ending.is_framed
+        bool is_early = ending.is_request_unsent
+                        && ending.body_end == HTTP_BODY_END_CONNECTION;
+        bool is_whole = ending.has_head && ending.is_framed && !is_early
                         && (!ending.is_stream
                             || (!ending.has_partial_event && has_content));
         if (ending.has_head && ending.is_stream && ending.has_last_event)
--- a/tests/test_router_answer_endings.c
+++ b/tests/test_router_answer_endings.c
@@ -3,6 +3,7 @@
  *  broke off never looks whole to a caller, what may be repeated is, and a
  *  whole answer is never cut. */
 
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -41,6 +42,9 @@
                                       "data: [DONE]\n\n",
                                       NULL };
 #define EVENTS 6
+/* Body of an order that isn't read, more than the sockets on the way hold. */
+#define EARLY_BODY_BYTES (1000u * 1024)
+#define EARLY_CALLS 12
 #define STREAM_TEXT "one two three four"
 static const char *const chat_pieces[]
     = { "{\"choices\":[{\"index\":0,",
@@ -77,6 +81,9 @@
   uint32_t calls;
   uint32_t failures;
   uint32_t repeated;
+  /* Targets answer before they have read the request's body, and end in order
+     after a part of the answer. */
+  atomic_bool is_early;
 };
 
 struct job
@@ -120,7 +127,10 @@
   g_mutex_lock (&fixture->mutex);
   bool is_first = g_hash_table_add (fixture->broken_keys, g_strdup (key));
   g_mutex_unlock (&fixture->mutex);
-  if (!is_first)
+  if (atomic_load (&fixture->is_early))
+    broken = (struct broken_answer){ BROKEN_FRAMING_CONNECTION, BROKEN_WAY_FIN,
+                                     BROKEN_MOMENT_LATER_PIECE };
+  else if (!is_first)
     broken = (struct broken_answer){ BROKEN_FRAMING_LENGTH, BROKEN_WAY_FIN,
                                      BROKEN_MOMENT_LAST };
   char *lines = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Type: %s\r\n",
@@ -198,7 +208,10 @@
   bool is_model = job->kind == KIND_STREAM || job->kind == KIND_CHAT;
   char *body = is_model
                    ? router_check_body ("lot", 16, job->kind == KIND_STREAM)
-                   : g_strdup ("");
+                   : g_strnfill (atomic_load (&job->fixture->is_early)
+                                     ? EARLY_BODY_BYTES
+                                     : 0,
+                                 'x');
   char *text = g_strdup_printf (
       "%s %s HTTP/1.%d\r\nHost: r\r\nAuthorization: Bearer " ROUTER_RIG_KEY
       "\r\nIdempotency-Key: %s.%d-%d-%d.%u\r\nContent-Length: %zu\r\n%s\r\n%s",
@@ -367,6 +380,33 @@
   tear_down (&fixture);
 }
 
+/* Guards against a part of an answer that looks whole since its connection
+   ended while the request was being sent. */
+static void
+test_early_answer (void)
+{
+  struct fixture fixture;
+  set_up (&fixture);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (fixture.targets); i++)
+    platform_raw_target_leave_bodies (fixture.targets[i]);
+  atomic_store (&fixture.is_early, true);
+  for (uint32_t i = 0; i < EARLY_CALLS; i++)
+    {
+      struct job job = { &fixture,
+                         { BROKEN_FRAMING_CONNECTION, BROKEN_WAY_FIN,
+                           BROKEN_MOMENT_LATER_PIECE },
+                         KIND_ORDER,
+                         (enum raw_caller) (i % RAW_CALLERS) };
+      struct raw_answer answer = make_request (&job);
+      g_test_message ("end=%d status=%u body=\"%s\"", (int)answer.end,
+                      answer.status, answer.body->str);
+      g_assert_true (answer.end != RAW_ANSWER_COMPLETE
+                     || answer.status >= 500);
+      raw_answer_clear (&answer);
+    }
+  tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -374,5 +414,6 @@
   g_test_add_func ("/router-answer-endings/broken-answer-looks-whole",
                    test_broken_answer_looks_whole);
   g_test_add_func ("/router-answer-endings/silent-end", test_silent_end);
+  g_test_add_func ("/router-answer-endings/early-answer", test_early_answer);
   return g_test_run ();
 }
--- a/tools/platform_raw_target.c
+++ b/tools/platform_raw_target.c
@@ -19,6 +19,7 @@
   int listener;
   uint16_t port;
   atomic_bool has_crashed;
+  atomic_bool leaves_bodies;
   GThread *acceptor;
   /* Connections (int) and their threads, under the mutex. */
   GMutex mutex;
@@ -47,9 +48,9 @@
     received++;
 }
 
-/* Reads a request; returns at least its head. */
+/* Reads a request, with or without its body; returns at least its head. */
 static char *
-read_request (int fd)
+read_request (int fd, bool leaves_body)
 {
   GString *head = g_string_new (NULL);
   char buffer[4096];
@@ -61,7 +62,7 @@
       g_string_append_len (head, buffer, bytes);
     }
   const char *end = strstr (head->str, "\r\n\r\n");
-  if (end)
+  if (end && !leaves_body)
     skip_body (fd, head->str, head->len - (size_t)(end + 4 - head->str));
   return g_string_free (head, FALSE);
 }
@@ -85,7 +86,8 @@
 {
   struct connection *connection = data;
   struct platform_raw_target *target = connection->target;
-  char *head = read_request (connection->fd);
+  char *head
+      = read_request (connection->fd, atomic_load (&target->leaves_bodies));
   if (head)
     target->respond (target, connection->fd, head, target->context);
   shutdown (connection->fd, SHUT_RDWR);
@@ -157,6 +159,12 @@
   g_mutex_unlock (&target->mutex);
 }
 
+void
+platform_raw_target_leave_bodies (struct platform_raw_target *target)
+{
+  atomic_store (&target->leaves_bodies, true);
+}
+
 void
 platform_raw_target_destroy (struct platform_raw_target *target)
 {
--- a/tools/platform_raw_target.h
+++ b/tools/platform_raw_target.h
@@ -21,6 +21,9 @@
 /** Starts a target named @p id on a free port of 127.0.0.1. */
 struct platform_raw_target *platform_raw_target_create (
     const char *id, platform_raw_target_respond *respond, void *context);
+/** From now on the callback is called before the body of a request is read,
+ *  and reads it, or not, from the connection. */
+void platform_raw_target_leave_bodies (struct platform_raw_target *target);
 /** Stops the target and frees it. */
 void platform_raw_target_destroy (struct platform_raw_target *target);
 /** Closes the port and all connections at once.  May be called by the
