Break answers off whose status HTTP doesn't have

Callers got answers with a status from 600 to 999, and others where the router and libcurl had read different statuses from one line (0200, 2000, HTTP/2 200). A status of 000 was not passed on.

Cause: each place read the status with strtoul, or took libcurl's, which accepts any digits.

The line is now read in one place: HTTP/1, three digits, 100 to 599. Any other breaks the answer off, so that it is repeated or ends with 502.

--- a/src/edge_attempt.c
+++ b/src/edge_attempt.c
@@ -2,6 +2,7 @@
 #include "base_clock.h"
 #include "edge_tunnel.h"
 #include "http_overhead.h"
+#include "http_status_line.h"
 #include "http_transfer.h"
 
 #include <errno.h>
@@ -64,6 +65,8 @@
   uint64_t content_bytes;
   uint32_t trailer_bytes;
   struct http_overhead overhead;
+  /* The status line isn't one of HTTP. */
+  bool is_status_invalid;
   /* The response was rejected: too large, or without this request's id. */
   bool is_invalid;
   /* The connection is ready; the time within which it must be, and the end of
@@ -131,14 +134,13 @@
   char *line = g_strndup (data, bytes);
   g_strchomp (line);
   char *colon = strchr (line, ':');
-  if (g_str_has_prefix (line, "HTTP/"))
+  if (http_status_line_begins (line))
     {
-      const char *space = strchr (line, ' ');
       clear_response (&attempt->response);
       attempt->body_end = HTTP_BODY_END_CONNECTION;
       attempt->head_ms = base_clock_now_ms (base_clock_system ());
-      attempt->response.status
-          = space ? (uint32_t)g_ascii_strtoull (space + 1, NULL, 10) : 0;
+      attempt->response.status = http_status_line_read (line);
+      attempt->is_status_invalid = attempt->response.status == 0;
     }
   else if (colon)
     {
@@ -151,7 +153,7 @@
   else if (*line == '\0')
     end_head (attempt);
   g_free (line);
-  return bytes;
+  return attempt->is_status_invalid ? 0 : bytes;
 }
 
 /* Appends to the body without memory in advance for more. */
@@ -419,6 +421,8 @@
           .body_end = attempt->body_end,
           .is_request_unsent = is_request_unsent (attempt),
           .is_stream = response->is_stream && is_success (attempt) };
+  if (attempt->is_status_invalid)
+    return "the response has no status of HTTP";
   if (response->request_id_differs)
     return "the response has the id of another request";
   if (attempt->has_head && !response->request_id_matches)
--- a/src/edge_relay.c
+++ b/src/edge_relay.c
@@ -18,6 +18,7 @@
 #include "edge_tunnel.h"
 #include "http_early_end.h"
 #include "http_ending.h"
+#include "http_status_line.h"
 
 #define BACKLOG 256
 /* Maximum number of connections at a time, so that those of others leave room
@@ -391,8 +392,7 @@
   char *text = g_strndup (tunnel->response->str,
                           (gsize)(end - tunnel->response->str));
   char **lines = g_strsplit (text, "\r\n", -1);
-  const char *space = strchr (lines[0] ? lines[0] : "", ' ');
-  response.status = space ? (uint32_t)g_ascii_strtoull (space, NULL, 10) : 0;
+  response.status = http_status_line_read (lines[0] ? lines[0] : "");
   response.lines = g_ptr_array_new_with_free_func (g_free);
   tunnel->body_end = HTTP_BODY_END_CONNECTION;
   for (char **line = lines; *line; line++)
--- a/src/router_attempt.c
+++ b/src/router_attempt.c
@@ -6,6 +6,7 @@
 #include "base_clock.h"
 #include "http_ending.h"
 #include "http_sse.h"
+#include "http_status_line.h"
 #include "http_transfer.h"
 
 #define CONNECT_TIMEOUT_MS 1000
@@ -87,10 +88,13 @@
       attempt->invalid |= !fits;
       return fits ? bytes : 0;
     }
-  GString *value = g_string_new (NULL);
+  GString *value = g_string_new_len (line, (gssize)bytes);
   const char *colon = memchr (line, ':', bytes);
-  if (bytes > 4 && memcmp (line, "HTTP", 4) == 0)
-    attempt->body_end = HTTP_BODY_END_CONNECTION;
+  if (http_status_line_begins (value->str))
+    {
+      attempt->body_end = HTTP_BODY_END_CONNECTION;
+      attempt->invalid |= http_status_line_read (value->str) == 0;
+    }
   else if (colon)
     http_body_end_read (&attempt->body_end, line, (size_t)(colon - line));
   else if (*line == '\r' || *line == '\n')
@@ -104,7 +108,7 @@
   else if (header_value (line, bytes, "Cactus-Run", value))
     attempt->refused = strcmp (value->str, "not-run") == 0;
   g_string_free (value, TRUE);
-  return bytes;
+  return attempt->invalid ? 0 : bytes;
 }
 
 static size_t
--- a/tests/test_platform_cut_heads.c
+++ b/tests/test_platform_cut_heads.c
@@ -1,8 +1,9 @@
 /** @file
  *  Tests of the platform's programs as processes with targets that stop in the
- *  middle of an answer's head: at a router that reaches them, through one that
- *  passes connections on, and where a stream is resumed.  No caller may get a
- *  success, or bytes of the head in its stream. */
+ *  middle of an answer's head, or whose status line isn't one of HTTP: at a
+ * router that reaches them, through one that passes connections on, and where
+ * a stream is resumed.  No caller may get a success, or bytes of the head in
+ * its stream. */
 
 #include <stdatomic.h>
 #include <string.h>
@@ -37,6 +38,8 @@
 #define TOKENS_LINE "X-Token-Count: 10,6"
 #define WAIT_TRIES 200
 #define WAIT_US 50000
+/* Time for which a router must know the targets before it resumes streams. */
+#define RESUME_US (6 * G_USEC_PER_SEC)
 /* Bytes between two places at which heads are cut. */
 #define STEP_BYTES 7
 
@@ -48,6 +51,17 @@
   "",
 };
 
+/* Status lines that HTTP doesn't have. */
+static const char *const odd_statuses[] = {
+  "HTTP/1.1 000 Zero",  "HTTP/1.1 099 Low",   "HTTP/1.1 600 High",
+  "HTTP/1.1 799 High",  "HTTP/1.1 999 High",  "HTTP/1.1 1000 Long",
+  "HTTP/1.1 2000 Long", "HTTP/1.1 0200 Long", "HTTP/1.1 20 Short",
+  "HTTP/1.1 -200 OK",   "HTTP/1.1 +200 OK",   "HTTP/1.1 2e2 OK",
+  "HTTP/1.1 200OK",     "HTTP/1.1 OK",        "HTTP/1.1",
+  "HTTP/2 200 OK",      "HTTP/3 200 OK",      "HTTP/1.10 200 OK",
+  "HTTP/1.0 000 Zero",  "HTTP/1.0 700 High",  "HTTP/1.1 101 Switching",
+};
+
 struct fixture
 {
   struct platform_rig *rig;
@@ -60,6 +74,9 @@
   atomic_uint cut_bytes;
   atomic_bool is_reset;
   atomic_bool is_calm;
+  /* Number of the status line of the next whole answers, from 1; 0 for cut
+     heads. */
+  atomic_uint odd_status;
   /* Heads that were cut. */
   atomic_uint cuts;
 };
@@ -90,6 +107,17 @@
     }
 }
 
+/* Sends a whole answer with an odd status line. */
+static void
+send_odd_status (int fd, const char *head, uint32_t number)
+{
+  const char *rest = strstr (head, "\r\n");
+  const char *line = odd_statuses[number - 1];
+  platform_raw_target_write (fd, line, strlen (line));
+  platform_raw_target_write (fd, rest, strlen (rest));
+  send_events (fd, 1, EVENTS);
+}
+
 static void
 respond (struct platform_raw_target *raw, int fd, const char *request,
          void *context)
@@ -109,6 +137,11 @@
       platform_raw_target_write (fd, head, strlen (head));
       send_events (fd, 1, EVENTS);
     }
+  else if (atomic_load (&fixture->odd_status) > 0 && !(is_ask && !resumes))
+    {
+      atomic_fetch_add (&fixture->cuts, 1);
+      send_odd_status (fd, head, atomic_load (&fixture->odd_status));
+    }
   else if (is_ask && !resumes)
     {
       /* The stream breaks off, so that another run resumes it. */
@@ -273,6 +306,48 @@
   tear_down (fixture);
 }
 
+/* Guards against an answer with a status that HTTP doesn't have, passed on as
+   one or as another status.  @p data is the path. */
+static void
+check_odd_statuses (gconstpointer data)
+{
+  const char *path = data;
+  uint32_t wrong = 0;
+  uint32_t tried[2] = { 0 };
+  struct fixture *fixture = set_up ();
+  wait_served (fixture, 0);
+  g_usleep (RESUME_US);
+  for (uint32_t router = 0; router < 2; router++)
+    for (uint32_t i = 0; i < G_N_ELEMENTS (odd_statuses); i++)
+      {
+        wait_served (fixture, router);
+        atomic_store (&fixture->framing, i);
+        atomic_store (&fixture->odd_status, i + 1);
+        uint32_t former = atomic_load (&fixture->cuts);
+        struct platform_reply reply = post (fixture, router, path);
+        atomic_store (&fixture->odd_status, 0);
+        bool is_own = reply.status == 502 || reply.status == 503
+                      || reply.status == 504 || reply.status == 0;
+        /* A stream that was begun before stays one. */
+        bool is_cut
+            = reply.status == 200 && !reply.whole && is_in_order (reply.body);
+        if (!is_own && !is_cut)
+          g_test_message ("router %u \"%s\": status %ld whole %d \"%s\"",
+                          router, odd_statuses[i], reply.status,
+                          (int)reply.whole, reply.body->str);
+        wrong += !is_own && !is_cut;
+        tried[router] += atomic_load (&fixture->cuts) != former;
+        platform_reply_clear (&reply);
+      }
+  g_test_message ("%s: %u answers with odd statuses passed on, %u direct, %u "
+                  "wrong",
+                  path, tried[0], tried[1], wrong);
+  g_assert_cmpuint (tried[0], >, G_N_ELEMENTS (odd_statuses) / 2);
+  g_assert_cmpuint (tried[1], >, G_N_ELEMENTS (odd_statuses) / 2);
+  g_assert_cmpuint (wrong, ==, 0);
+  tear_down (fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -286,6 +361,10 @@
       char *name = g_strdup_printf ("/platform-cut-heads/%s", names[i]);
       g_test_add_data_func (name, paths[i], check_cut_heads);
       g_free (name);
+      name = g_strdup_printf ("/platform-cut-heads/odd-statuses-of-%s",
+                              names[i]);
+      g_test_add_data_func (name, paths[i], check_odd_statuses);
+      g_free (name);
     }
   return g_test_run ();
 }
--- a/tests/test_router_answer_endings.c
+++ b/tests/test_router_answer_endings.c
@@ -45,6 +45,12 @@
 /* Body of an order that isn't read, more than the sockets on the way hold. */
 #define EARLY_BODY_BYTES (1000u * 1024)
 #define EARLY_CALLS 12
+/* Status lines that HTTP doesn't have. */
+static const char *const odd_statuses[]
+    = { "HTTP/1.1 000 Zero", "HTTP/1.1 099 Low",   "HTTP/1.1 600 High",
+        "HTTP/1.1 999 High", "HTTP/1.1 2000 Long", "HTTP/1.1 0200 Long",
+        "HTTP/1.1 20 Short", "HTTP/1.1 200OK",     "HTTP/2 200 OK",
+        "HTTP/1.10 200 OK",  "HTTP/1.0 700 High",  "HTTP/1.1 101 Switching" };
 #define STREAM_TEXT "one two three four"
 static const char *const chat_pieces[]
     = { "{\"choices\":[{\"index\":0,",
@@ -81,6 +87,8 @@
   uint32_t calls;
   uint32_t failures;
   uint32_t repeated;
+  /* Number of the status line of all answers, from 1; 0 for a usual one. */
+  atomic_uint odd_status;
   /* Targets answer before they have read the request's body, and end in order
      after a part of the answer. */
   atomic_bool is_early;
@@ -127,15 +135,17 @@
   g_mutex_lock (&fixture->mutex);
   bool is_first = g_hash_table_add (fixture->broken_keys, g_strdup (key));
   g_mutex_unlock (&fixture->mutex);
+  uint32_t odd_status = atomic_load (&fixture->odd_status);
   if (atomic_load (&fixture->is_early))
     broken = (struct broken_answer){ BROKEN_FRAMING_CONNECTION, BROKEN_WAY_FIN,
                                      BROKEN_MOMENT_LATER_PIECE };
-  else if (!is_first)
+  else if (!is_first || odd_status > 0)
     broken = (struct broken_answer){ BROKEN_FRAMING_LENGTH, BROKEN_WAY_FIN,
                                      BROKEN_MOMENT_LAST };
-  char *lines = g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Type: %s\r\n",
-                                 kind == KIND_STREAM ? "text/event-stream"
-                                                     : "application/json");
+  char *lines = g_strdup_printf (
+      "%s\r\nContent-Type: %s\r\n",
+      odd_status > 0 ? odd_statuses[odd_status - 1] : "HTTP/1.1 200 OK",
+      kind == KIND_STREAM ? "text/event-stream" : "application/json");
   broken_answer_write (fd, &broken, lines, pieces_of (kind));
   g_free (lines);
 }
@@ -380,6 +390,35 @@
   tear_down (&fixture);
 }
 
+/* Guards against an answer with a status that HTTP doesn't have, passed on as
+   one or as another status. */
+static void
+test_odd_statuses (void)
+{
+  struct fixture fixture;
+  uint32_t wrong = 0;
+  set_up (&fixture);
+  for (int kind = 0; kind < KINDS; kind++)
+    for (uint32_t i = 0; i < G_N_ELEMENTS (odd_statuses); i++)
+      {
+        struct job job = { &fixture,
+                           { BROKEN_FRAMING_LENGTH, BROKEN_WAY_FIN, i % 2 },
+                           kind,
+                           (enum raw_caller) (i % RAW_CALLERS) };
+        atomic_store (&fixture.odd_status, i + 1);
+        struct raw_answer answer = make_request (&job);
+        bool is_own = answer.status >= 500 && answer.status < 600;
+        if (!is_own)
+          g_test_message ("%s \"%s\": end=%d status=%u body=\"%s\"",
+                          kind_names[kind], odd_statuses[i], (int)answer.end,
+                          answer.status, answer.body->str);
+        wrong += !is_own;
+        raw_answer_clear (&answer);
+      }
+  g_assert_cmpuint (wrong, ==, 0);
+  tear_down (&fixture);
+}
+
 /* Guards against a part of an answer that looks whole since its connection
    ended while the request was being sent. */
 static void
@@ -415,5 +454,6 @@
                    test_broken_answer_looks_whole);
   g_test_add_func ("/router-answer-endings/silent-end", test_silent_end);
   g_test_add_func ("/router-answer-endings/early-answer", test_early_answer);
+  g_test_add_func ("/router-answer-endings/odd-statuses", test_odd_statuses);
   return g_test_run ();
 }
