Test departures among members of two builds

/platform-departures/mixed-builds, with OLD_BIN: members of the former build and of this one are told of departures, and start from each other's files.

--- a/tests/test_platform_departures.c
+++ b/tests/test_platform_departures.c
@@ -271,6 +271,49 @@
   tear_down (fixture);
 }
 
+/* Has a member run the program of a folder from its next start on. */
+static void
+set_build (const struct fixture *fixture, uint32_t core, const char *folder)
+{
+  char *path = g_build_filename (folder, "cactus-core", NULL);
+  fleet_process_set_program (fixture->rig->cores[core], path);
+  g_free (path);
+}
+
+/* Guards against departures that members of the former build, in OLD_BIN, and
+   of this one don't understand from each other, or from each other's files. */
+static void
+test_mixed_builds (void)
+{
+  const char *old = g_getenv ("OLD_BIN");
+  if (!old)
+    {
+      g_test_skip ("OLD_BIN is not set");
+      return;
+    }
+  for (uint32_t told = 0; told < 2; told++)
+    {
+      struct fixture *fixture = set_up (2);
+      set_build (fixture, 0, old);
+      restart_member (fixture, 0, SIGKILL);
+      g_assert_cmpint (platform_rig_call_control (fixture->rig, told, "DELETE",
+                                                  LEAVING_PATH, NULL),
+                       ==, 200);
+      g_assert_cmpint (platform_rig_call_control (fixture->rig, 1, "DELETE",
+                                                  "/v1/replicas/unknown",
+                                                  NULL),
+                       ==, 200);
+      /* The former build writes its file behind the ack. */
+      g_usleep (G_USEC_PER_SEC);
+      set_build (fixture, 0, fleet_binary_folder ());
+      set_build (fixture, 1, old);
+      kill_all (fixture);
+      g_usleep (CONTACT_US);
+      g_assert_cmpuint (count_runs_by_late_routers (fixture), ==, 0);
+      tear_down (fixture);
+    }
+}
+
 /* Guards against a sign-off that is taken for that of a later run under the
    same id, when routers read a member's list anew. */
 static void
@@ -317,6 +360,7 @@
                         "DELETE", test_no_ack_without_majority);
   g_test_add_data_func ("/platform-departures/leaving-without-majority", "PUT",
                         test_no_ack_without_majority);
+  g_test_add_func ("/platform-departures/mixed-builds", test_mixed_builds);
   g_test_add_func ("/platform-departures/later-run-gets-work",
                    test_later_run_gets_work);
   return g_test_run ();
