Date what a router knows of targets by the sending of its calls

Streams went on at a target of another software version: a router stood still while a target of a new version joined, and took streams up that had begun there, before it had heard of that target.

Cause: the answers of control that waited in its sockets counted as fresh when they were handled, so the router took itself for being in touch.

An answer now counts from the time at which its call was sent, on the clock that goes on while a machine is suspended.

--- a/src/edge_links.c
+++ b/src/edge_links.c
@@ -64,6 +64,9 @@
   uint64_t called_ms;
   /* Time at which any member last answered a watch call. */
   uint64_t last_answer_ms;
+  /* Time at which the latest watch call that was answered was sent
+     (base_clock_steady_wall_ms). */
+  uint64_t answered_call_ms;
 };
 
 static void
@@ -260,6 +263,7 @@
   link->is_forgotten = false;
   link->last_answer_ms = now_ms;
   links->last_answer_ms = now_ms;
+  links->answered_call_ms = MAX (links->answered_call_ms, update->sent_ms);
   edge_retry_set_routers (links->edge->retry, result->routers);
   edge_prepaid_set_routers (links->edge->prepaid, result->routers);
   apply_evacuations (links, update, now_ms);
@@ -300,6 +304,14 @@
   return links->last_answer_ms;
 }
 
+uint64_t
+edge_links_view_age_ms (const struct edge_links *links)
+{
+  uint64_t wall_ms = base_clock_steady_wall_ms ();
+  return wall_ms > links->answered_call_ms ? wall_ms - links->answered_call_ms
+                                           : 0;
+}
+
 static gpointer
 destroy_watcher (gpointer watcher)
 {
--- a/src/edge_version.c
+++ b/src/edge_version.c
@@ -22,7 +22,7 @@
   return (struct edge_version_view){
     .targets = edge->targets,
     .streams = edge->streams,
-    .last_answer_ms = edge_links_last_answer_ms (edge->links),
+    .age_ms = edge_links_view_age_ms (edge->links),
     .now_ms = edge_now_ms (),
   };
 }
--- a/src/edge_version_view.c
+++ b/src/edge_version_view.c
@@ -1,8 +1,9 @@
 #include "edge_version_view.h"
 
-/* Time since the last answer of a control member after which this router may
-   have missed that a target was replaced under its id, in milliseconds:
-   twice the time that members hold a call, and a round trip. */
+/* Time since the last answered call to a control member was sent after which
+   this router may have missed that a target was replaced under its id, in
+   milliseconds: twice the time that members hold a call, and two round
+   trips. */
 #define IN_TOUCH_MS 1000
 /* Time for which targets of a service must be known before they count as all:
    several heartbeats, in milliseconds. */
@@ -11,7 +12,7 @@
 static bool
 is_in_touch (const struct edge_version_view *view)
 {
-  return view->now_ms <= view->last_answer_ms + IN_TOUCH_MS;
+  return view->age_ms <= IN_TOUCH_MS;
 }
 
 /* Returns the build of all targets of the service, or 0 when there are several
--- a/src/edge_version_view.h
+++ b/src/edge_version_view.h
@@ -13,9 +13,9 @@
 {
   struct edge_targets *targets;
   struct edge_streams *streams;
-  /** Time at which a control member last answered a watch call, in
-   *  milliseconds. */
-  uint64_t last_answer_ms;
+  /** Time since the latest watch call that a control member answered was sent,
+   *  in milliseconds. */
+  uint64_t age_ms;
   uint64_t now_ms;
 };
 
--- a/src/edge_watcher.c
+++ b/src/edge_watcher.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base_clock.h"
+
 /* Maximum time for which a member may hold a long-poll call, and the call's
    deadline, in milliseconds. */
 #define LONG_POLL_MS 400
@@ -91,6 +93,7 @@
   call.evacuations.from_member
       = MAX (watcher->evacuations_version, call.evacuations.in_force);
   update->source = watcher->source;
+  update->sent_ms = base_clock_steady_wall_ms ();
   update->status = wire_client_call (
       watcher->client, CONTROL_WATCH, (xdrproc_t)xdr_control_watch_call, &call,
       (xdrproc_t)xdr_control_watch_answer, &update->answer,
--- a/src/edge_watcher.h
+++ b/src/edge_watcher.h
@@ -42,6 +42,8 @@
   /** Status of the call; unless it is WIRE_OK, the call failed and the result
    *  is unset. */
   enum wire_status status;
+  /** Time at which the call was sent (base_clock_steady_wall_ms()). */
+  uint64_t sent_ms;
   struct control_watch_answer answer;
 };
 
--- a/tests/test_edge_versions.c
+++ b/tests/test_edge_versions.c
@@ -376,7 +376,8 @@
 view_of (const struct model *model, const struct router *router)
 {
   return (struct edge_version_view){ router->targets, router->streams,
-                                     router->last_answer_ms, model->now_ms };
+                                     model->now_ms - router->last_answer_ms,
+                                     model->now_ms };
 }
 
 /* A target being chosen for a stream. */
@@ -886,12 +887,13 @@
                                    .sequence = 1 };
   edge_targets_merge (targets, 0, &record, 10000);
   const struct edge_target *target = edge_targets_find (targets, "i-1");
-  struct edge_version_view view = { targets, streams, 10000, 10100 };
+  struct edge_version_view view = { targets, streams, 100, 10100 };
   g_assert_nonnull (target);
   g_assert_true (edge_version_view_is_certain (&view, target));
   view.now_ms = 10000 + 3 * CONTACT_MS;
+  view.age_ms = 3 * CONTACT_MS;
   g_assert_false (edge_version_view_is_certain (&view, target));
-  view.last_answer_ms = view.now_ms;
+  view.age_ms = 0;
   g_assert_true (edge_version_view_is_certain (&view, target));
   edge_streams_destroy (streams);
   edge_targets_destroy (targets);
