Count a router's part of the retry slack as used after its start

A service got more repeats than its retry budget allows: all routers were killed and started again, and each had its whole part of the slack once more, while what it had sent again before still counted in the window.

Cause: the budget is kept in the memory of the process.

Unless the cluster starts for the first time, the part of the slack counts as used for one window after the start. The share of the router's own requests is free from the start.

--- a/src/edge.c
+++ b/src/edge.c
@@ -156,7 +156,9 @@
   edge->demand = edge_demand_create ();
   edge->room_demand = edge_demand_create ();
   g_queue_init (&edge->probes);
-  edge->retry = edge_retry_create (&options->retry);
+  edge->retry = edge_retry_create (
+      &options->retry,
+      options->is_first_start ? 0 : edge_now_ms () + options->retry.window_ms);
   edge->pressure = edge_pressure_create (options->link_mbps);
   g_queue_init (&edge->requests);
   edge->loop = router_poll_create (edge_attempt_finish);
--- a/src/edge.h
+++ b/src/edge.h
@@ -63,6 +63,9 @@
   const char *ready_path;
   const struct edge_dialect *dialect;
   struct edge_retry_limits retry;
+  /** The cluster starts for the first time: no earlier process of this router
+   *  has sent anything. */
+  bool is_first_start;
   /** Rate of the host's link in Mbit/s; 0 when it is not known. */
   double link_mbps;
   /** Zones may be evacuated: requests are served once the router knows which
--- a/src/edge_retry.c
+++ b/src/edge_retry.c
@@ -22,16 +22,19 @@
 struct edge_retry
 {
   struct edge_retry_limits limits;
+  uint64_t slack_from_ms;
   uint32_t routers;
   /* Windows (struct window) by service. */
   GHashTable *windows;
 };
 
 struct edge_retry *
-edge_retry_create (const struct edge_retry_limits *limits)
+edge_retry_create (const struct edge_retry_limits *limits,
+                   uint64_t slack_from_ms)
 {
   struct edge_retry *retry = g_new0 (struct edge_retry, 1);
   retry->limits = *limits;
+  retry->slack_from_ms = slack_from_ms;
   retry->routers = DEFAULT_ROUTERS;
   retry->windows
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -101,9 +104,10 @@
       requests += window->requests[i];
       retries += window->retries[i];
     }
-  double allowed = SAFETY_FACTOR
-                   * (retry->limits.ratio * requests
-                      + retry->limits.slack / retry->routers);
+  double slack = now_ms >= retry->slack_from_ms
+                     ? retry->limits.slack / retry->routers
+                     : 0;
+  double allowed = SAFETY_FACTOR * (retry->limits.ratio * requests + slack);
   if (retries + 1 > allowed)
     return false;
   window->retries[window->bucket % BUCKETS]++;
--- a/src/edge_retry.h
+++ b/src/edge_retry.h
@@ -21,8 +21,11 @@
 
 struct edge_retry;
 
-/** Creates a budget without recorded requests. */
-struct edge_retry *edge_retry_create (const struct edge_retry_limits *limits);
+/** Creates a budget without recorded requests.  Until @p slack_from_ms the
+ *  router's part of the slack counts as used: an earlier process of the router
+ *  may have used it. */
+struct edge_retry *edge_retry_create (const struct edge_retry_limits *limits,
+                                      uint64_t slack_from_ms);
 /** Destroys a budget.  NULL is allowed. */
 void edge_retry_destroy (struct edge_retry *retry);
 /** Sets the number of routers that share the slack. */
--- a/tests/test_edge_retry.c
+++ b/tests/test_edge_retry.c
@@ -11,7 +11,7 @@
 static void
 test_share_of_slack (void)
 {
-  struct edge_retry *retry = edge_retry_create (&limits);
+  struct edge_retry *retry = edge_retry_create (&limits, 0);
   uint32_t retries = 0;
   edge_retry_set_routers (retry, 5);
   while (edge_retry_take (retry, "s", 1000))
@@ -28,7 +28,7 @@
 test_sliding_windows (void)
 {
   struct base_random random;
-  struct edge_retry *retry = edge_retry_create (&limits);
+  struct edge_retry *retry = edge_retry_create (&limits, 0);
   GArray *retries = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   GArray *requests = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   base_random_seed (&random, 1);
@@ -59,11 +59,59 @@
   edge_retry_destroy (retry);
 }
 
+/* Guards against routers that use their parts of the slack once more after all
+   of them were killed. */
+static void
+test_restart (void)
+{
+  enum
+  {
+    ROUTERS = 5,
+    KILLED_MS = 20000,
+    END_MS = 45000
+  };
+  struct edge_retry *routers[ROUTERS];
+  GArray *retries = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  uint32_t after_window = 0;
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    routers[i] = edge_retry_create (&limits, 0);
+  for (uint64_t now_ms = 1000; now_ms < END_MS; now_ms += 20)
+    for (uint32_t i = 0; i < ROUTERS; i++)
+      {
+        if (now_ms == KILLED_MS)
+          {
+            edge_retry_destroy (routers[i]);
+            routers[i]
+                = edge_retry_create (&limits, now_ms + limits.window_ms);
+          }
+        edge_retry_set_routers (routers[i], ROUTERS);
+        /* No retries but those of the slack, as late as they can come. */
+        if (now_ms + 500 < KILLED_MS
+            || !edge_retry_take (routers[i], "s", now_ms))
+          continue;
+        g_array_append_val (retries, now_ms);
+        after_window += now_ms >= KILLED_MS + limits.window_ms;
+      }
+  for (uint64_t start_ms = 0; start_ms < END_MS; start_ms += 20)
+    {
+      uint32_t in_window = 0;
+      for (guint i = 0; i < retries->len; i++)
+        in_window += g_array_index (retries, uint64_t, i) - start_ms
+                     < limits.window_ms;
+      g_assert_cmpfloat (in_window, <=, limits.slack);
+    }
+  g_assert_cmpuint (after_window, >, 0);
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    edge_retry_destroy (routers[i]);
+  g_array_unref (retries);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/edge-retry/share-of-slack", test_share_of_slack);
   g_test_add_func ("/edge-retry/sliding-windows", test_sliding_windows);
+  g_test_add_func ("/edge-retry/restart", test_restart);
   return g_test_run ();
 }
