Count retries for a whole window

A service could get its retry budget twice in a little less than a window: a retry at the end of a bucket was forgotten 9.5 s later, with windows of 10 s.

Retries are kept in one bucket more than requests.

/edge-retry/end-of-a-bucket fails before: a retry is allowed 9.5 s after the budget was used up.

--- a/src/edge_retry.c
+++ b/src/edge_retry.c
@@ -4,19 +4,22 @@
 
 /* Number of buckets that a window is divided into. */
 #define BUCKETS 20
+/* A retry at the end of its bucket must count for a whole window. */
+#define RETRY_BUCKETS (BUCKETS + 1)
 /* Fraction of the limits that is used, because windows slide and the routers'
    shares of the slack are estimates. */
 #define SAFETY_FACTOR 0.8
 /* Assumed number of routers before control has reported it. */
 #define DEFAULT_ROUTERS 16
 
-/* Requests and retries of a service, by the bucket's number modulo BUCKETS. */
+/* Requests and retries of a service, by the bucket's number modulo their
+   buckets. */
 struct window
 {
   /* Number of the present bucket. */
   uint64_t bucket;
   uint32_t requests[BUCKETS];
-  uint32_t retries[BUCKETS];
+  uint32_t retries[RETRY_BUCKETS];
 };
 
 struct edge_retry
@@ -74,11 +77,11 @@
       window->bucket = bucket;
       g_hash_table_insert (retry->windows, g_strdup (service), window);
     }
-  uint64_t passed = MIN (bucket - window->bucket, BUCKETS);
+  uint64_t passed = MIN (bucket - window->bucket, RETRY_BUCKETS);
   for (uint64_t i = 1; i <= passed; i++)
     {
       window->requests[(window->bucket + i) % BUCKETS] = 0;
-      window->retries[(window->bucket + i) % BUCKETS] = 0;
+      window->retries[(window->bucket + i) % RETRY_BUCKETS] = 0;
     }
   window->bucket = bucket;
   return window;
@@ -100,16 +103,15 @@
   uint32_t requests = 0;
   uint32_t retries = 0;
   for (uint32_t i = 0; i < BUCKETS; i++)
-    {
-      requests += window->requests[i];
-      retries += window->retries[i];
-    }
+    requests += window->requests[i];
+  for (uint32_t i = 0; i < RETRY_BUCKETS; i++)
+    retries += window->retries[i];
   double slack = now_ms >= retry->slack_from_ms
                      ? retry->limits.slack / retry->routers
                      : 0;
   double allowed = SAFETY_FACTOR * (retry->limits.ratio * requests + slack);
   if (retries + 1 > allowed)
     return false;
-  window->retries[window->bucket % BUCKETS]++;
+  window->retries[window->bucket % RETRY_BUCKETS]++;
   return true;
 }
--- a/tests/test_edge_retry.c
+++ b/tests/test_edge_retry.c
@@ -59,6 +59,24 @@
   edge_retry_destroy (retry);
 }
 
+/* Guards against retries at the end of a bucket that count for less than a
+   window. */
+static void
+test_end_of_a_bucket (void)
+{
+  struct edge_retry *retry = edge_retry_create (&limits, 0);
+  uint64_t last_ms = 10499;
+  edge_retry_set_routers (retry, 1);
+  while (edge_retry_take (retry, "s", last_ms))
+    continue;
+  for (uint64_t now_ms = last_ms; now_ms < last_ms + limits.window_ms;
+       now_ms++)
+    g_assert_false (edge_retry_take (retry, "s", now_ms));
+  g_assert_true (
+      edge_retry_take (retry, "s", last_ms + 2 * (uint64_t)limits.window_ms));
+  edge_retry_destroy (retry);
+}
+
 /* Guards against routers that use their parts of the slack once more after all
    of them were killed. */
 static void
@@ -112,6 +130,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/edge-retry/share-of-slack", test_share_of_slack);
   g_test_add_func ("/edge-retry/sliding-windows", test_sliding_windows);
+  g_test_add_func ("/edge-retry/end-of-a-bucket", test_end_of_a_bucket);
   g_test_add_func ("/edge-retry/restart", test_restart);
   return g_test_run ();
 }
