--- a/src/edge_links.h
+++ b/src/edge_links.h
@@ -25,8 +25,8 @@
  *  milliseconds, or 0 when none did yet. */
 uint64_t edge_links_last_answer_ms (const struct edge_links *links);
 /** Returns how old what the router knows of targets may be, in milliseconds:
- *  the time since the latest watch call that was answered was sent.  The answer
- *  itself may have waited for this process. */
+ *  the time since the latest watch call that was answered was sent.  The
+ * answer itself may have waited for this process. */
 uint64_t edge_links_view_age_ms (const struct edge_links *links);
 /** Applies received updates and starts a lease call that is due; called once
  *  per loop iteration. */
