Count only members' confirmations of a departure

A departure could be acknowledged with fewer members than a majority on whose disks it is: a host that was removed, and still called, counted as one of them. Found by reading; no run shows it.

--- a/src/control_targets_sync.c
+++ b/src/control_targets_sync.c
@@ -57,10 +57,9 @@
   bool is_stopping;
   GMutex mutex;
   GCond changed;
-  /* Guarded by the mutex: struct confirmation by address, and the number of
-     members. */
+  /* Guarded by the mutex: struct confirmation by address, and the members. */
   GHashTable *confirmations;
-  uint32_t members;
+  struct consensus_configuration members;
 };
 
 static uint64_t
@@ -317,7 +316,7 @@
         && !is_watched (sync, &members->members[i]))
       add_watcher (sync, &members->members[i]);
   g_mutex_lock (&sync->mutex);
-  sync->members = members->count;
+  sync->members = *members;
   g_mutex_unlock (&sync->mutex);
 }
 
@@ -355,24 +354,37 @@
   CONFIRMED_BY_ALL
 };
 
+/* Whether a member has the address; others may call, such as one that was
+   removed.  Called with the mutex held. */
+static bool
+is_member_address (const struct control_targets_sync *sync,
+                   const char *address)
+{
+  for (uint32_t i = 0; i < sync->members.count; i++)
+    if (strcmp (sync->members.members[i].address, address) == 0)
+      return true;
+  return false;
+}
+
 /* Called with the mutex held. */
 static enum confirmed
 count_confirmed (const struct control_targets_sync *sync, uint64_t change)
 {
   GHashTableIter iterator;
+  gpointer address;
   gpointer value;
   uint32_t confirmed = 0;
   bool is_awaited = false;
   g_hash_table_iter_init (&iterator, sync->confirmations);
-  while (g_hash_table_iter_next (&iterator, NULL, &value))
+  while (g_hash_table_iter_next (&iterator, &address, &value))
     {
       const struct confirmation *known = value;
       if (known->change >= change)
-        confirmed++;
+        confirmed += is_member_address (sync, address);
       else if (now_ms () < known->called_ms + CALLER_TIMEOUT_MS)
         is_awaited = true;
     }
-  if (confirmed < sync->members / 2)
+  if (confirmed < sync->members.count / 2)
     return CONFIRMED_BY_FEW;
   return is_awaited ? CONFIRMED_BY_MAJORITY : CONFIRMED_BY_ALL;
 }
